Workspace, shared types and the events of each controller

Cause: the parts of the system go side by side only once they agree on types. Ids of declared things are stable hashes of their names, so that they need no agreement.

--- /dev/null
+++ b/crates/camphorwalk/src/bin/camphorwalkd.rs
@@ -0,0 +1,2 @@
+//! Program.
+fn main() {}
--- /dev/null
+++ b/crates/camphorwalk/src/lib.rs
@@ -0,0 +1,1 @@
+//! Front door.
--- /dev/null
+++ b/crates/core/src/hash.rs
@@ -0,0 +1,67 @@
+//! Hash maps with a fast hasher, and the stable hash that ids are made of.
+
+use sha2::{Digest as _, Sha256};
+
+/// A hash map with a fast, deterministic hasher.
+pub type Map<K, V> = std::collections::HashMap<K, V, rustc_hash::FxBuildHasher>;
+
+/// A hash set with a fast, deterministic hasher.
+pub type Set<T> = std::collections::HashSet<T, rustc_hash::FxBuildHasher>;
+
+/// A SHA-256 digest.
+pub type Digest = [u8; 32];
+
+/// Returns the SHA-256 digest of `parts`, each preceded by its length.
+///
+/// The length keeps `("ab", "c")` and `("a", "bc")` apart.
+///
+/// ```
+/// use camphorwalk_core::hash::digest;
+/// assert_ne!(digest(&[b"ab", b"c"]), digest(&[b"a", b"bc"]));
+/// ```
+pub fn digest(parts: &[&[u8]]) -> Digest {
+    let mut sha = Sha256::new();
+
+    for part in parts {
+        sha.update((part.len() as u64).to_be_bytes());
+        sha.update(part);
+    }
+
+    sha.finalize().into()
+}
+
+/// Returns the first eight bytes of [`digest`] as a number.
+///
+/// The value is the same on every host and in every version, so it may stand on the wire
+/// and in the platform's tables.
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let digest = digest(parts);
+    let mut head = [0; 8];
+    head.copy_from_slice(&digest[..8]);
+
+    u64::from_be_bytes(head)
+}
+
+/// Returns the member of `members` with the highest rendezvous weight for `item`.
+///
+/// Each host that sees the same members picks the same one, and when a member leaves only
+/// its own items move.
+///
+/// ```
+/// use camphorwalk_core::hash::rendezvous;
+/// let all = [1, 2, 3];
+/// let winner = rendezvous(7, all.iter().copied()).unwrap();
+/// let others = all.iter().copied().filter(|m| *m != winner);
+/// assert_ne!(rendezvous(7, others), Some(winner));
+/// ```
+pub fn rendezvous(item: u64, members: impl IntoIterator<Item = u64>) -> Option<u64> {
+    members.into_iter().max_by_key(|member| (mix(item, *member), *member))
+}
+
+/// Mixes two numbers into a well spread weight (the finalizer of SplitMix64).
+fn mix(a: u64, b: u64) -> u64 {
+    let mut z = a.wrapping_add(b.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,221 @@
+//! Small `Copy` ids.
+//!
+//! Ids of declared things are stable hashes of their names, so that they mean the same on
+//! every host and may stand on the wire. `camphorwalk check` refuses two names of one kind
+//! with the same id.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::errors::{Error, Result, malformed};
+use crate::hash::{digest, stable_hash};
+
+/// Defines an id that is the stable hash of a declared name.
+macro_rules! named_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the id of the thing with this declared name.
+            pub fn from_name(name: &str) -> Self {
+                Self(stable_hash(&[$kind.as_bytes(), name.as_bytes()]))
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!($kind, "-{:016x}"), self.0)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(self, f)
+            }
+        }
+    };
+}
+
+named_id!(
+    /// An entry host, by its name in the settings.
+    HostId,
+    "host"
+);
+named_id!(
+    /// An availability zone.
+    ZoneId,
+    "zone"
+);
+named_id!(
+    /// A tenant (the brief also says customer).
+    TenantId,
+    "tenant"
+);
+named_id!(
+    /// A target: one model worker or one plain service worker.
+    TargetId,
+    "target"
+);
+named_id!(
+    /// A pool: the targets that serve the same model or the same plain service.
+    PoolId,
+    "pool"
+);
+named_id!(
+    /// A class of work, such as arrival check-ins.
+    ClassId,
+    "class"
+);
+named_id!(
+    /// A template.
+    TemplateId,
+    "template"
+);
+named_id!(
+    /// A caller's key, by the public name that operators gave it.
+    KeyId,
+    "key"
+);
+
+/// A program, by a number whose top 16 bits choose its partition.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProgramId(pub u128);
+
+/// The number of low bits of a program id that do not choose the partition.
+const PARTITION_SHIFT: u32 = 112;
+
+/// The number of hexadecimal digits of a program id.
+const PROGRAM_DIGITS: usize = 32;
+
+impl ProgramId {
+    /// Returns the id that an opening with this idempotency key always gets.
+    ///
+    /// A repeated opening thereby reaches the same partition on any host, and finds the
+    /// program that the first one made.
+    pub fn from_open_key(tenant: TenantId, key: &str) -> Self {
+        let digest = digest(&[b"open", &tenant.0.to_be_bytes(), key.as_bytes()]);
+        let mut head = [0; 16];
+        head.copy_from_slice(&digest[..16]);
+
+        Self(u128::from_be_bytes(head))
+    }
+
+    /// Returns the partition of this program among `partitions`.
+    ///
+    /// ```
+    /// use camphorwalk_core::ids::{PartitionId, ProgramId};
+    /// assert_eq!(ProgramId(65 << 112).partition(64), PartitionId(1));
+    /// ```
+    pub fn partition(self, partitions: u16) -> PartitionId {
+        let top = (self.0 >> PARTITION_SHIFT) as u16;
+
+        PartitionId(top % partitions.max(1))
+    }
+
+    /// Returns this id moved into `partition`, for a host that opens a program at home.
+    pub fn in_partition(self, partition: PartitionId) -> Self {
+        let low = self.0 & ((1 << PARTITION_SHIFT) - 1);
+
+        Self((u128::from(partition.0) << PARTITION_SHIFT) | low)
+    }
+}
+
+impl fmt::Display for ProgramId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "p{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for ProgramId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for ProgramId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let digits = text.strip_prefix('p').unwrap_or("");
+
+        // `from_str_radix` alone would take a sign and any length.
+        if digits.len() != PROGRAM_DIGITS || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(malformed("program id", text));
+        }
+
+        u128::from_str_radix(digits, 16).map(Self).map_err(|_| malformed("program id", text))
+    }
+}
+
+impl serde::Serialize for ProgramId {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> std::result::Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for ProgramId {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> std::result::Result<Self, D::Error> {
+        let text = <std::borrow::Cow<'de, str>>::deserialize(d)?;
+
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// A partition of the programs: the unit that one host at a time is home of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartitionId(pub u16);
+
+/// The epoch of a lease, which fences writes of its former holders.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+
+/// One attempt of a call at a target. Unique in the fleet: host session, then a counter.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId(pub u128);
+
+impl AttemptId {
+    /// Makes the id of the attempt with this number in a host's session.
+    pub fn new(session: u64, number: u64) -> Self {
+        Self((u128::from(session) << 64) | u128::from(number))
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+/// A request that a host took in from one of its own callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// Where a request entered the fleet, and so where its reply goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    /// The host that the caller is connected to.
+    pub entry: HostId,
+    /// The request's number on that host.
+    pub request: RequestId,
+}
--- /dev/null
+++ b/crates/core/src/messages/gossip.rs
@@ -0,0 +1,67 @@
+//! What hosts tell each other of the fleet.
+
+/// What a host knows of the fleet.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Gossip {
+    /// Hosts, the sender first; a bounded number of others, the newest news first.
+    #[prost(message, repeated, tag = "1")]
+    pub hosts: Vec<HostNews>,
+    /// The configuration version in force at the sender.
+    #[prost(uint64, tag = "2")]
+    pub config_version: u64,
+    /// The name of that configuration's object.
+    #[prost(string, tag = "3")]
+    pub config_object: String,
+    /// Keys that were withdrawn, by id.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub withdrawn_keys: Vec<u64>,
+    /// Digests of requests that bring targets down.
+    #[prost(bytes = "vec", repeated, tag = "5")]
+    pub quarantined: Vec<Vec<u8>>,
+    /// The holders of partitions that the sender knows, epochs included.
+    #[prost(message, repeated, tag = "6")]
+    pub partitions: Vec<PartitionNews>,
+    /// The whole configuration, sent to a peer that is behind and cannot reach the platform.
+    #[prost(bytes = "vec", tag = "7")]
+    pub config: Vec<u8>,
+}
+
+/// What is known of one host.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HostNews {
+    /// The host's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Where its peers reach it.
+    #[prost(string, tag = "3")]
+    pub peer_address: String,
+    /// A random number of this run of its process.
+    #[prost(fixed64, tag = "4")]
+    pub session: u64,
+    /// Counts up at its host, so that newer news is told from older.
+    #[prost(uint64, tag = "5")]
+    pub heartbeat: u64,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    /// The number of the last renewal of its session that the platform confirmed.
+    #[prost(uint64, tag = "7")]
+    pub renewal: u64,
+}
+
+/// Who holds a partition.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PartitionNews {
+    /// The partition.
+    #[prost(uint32, tag = "1")]
+    pub partition: u32,
+    /// The epoch of its lease.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// The holder's host id.
+    #[prost(fixed64, tag = "3")]
+    pub holder: u64,
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder crate page.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,13 @@
+//! Every decision of camphorwalk, without I/O, clocks or randomness of its own.
+//!
+//! Each controller is a plain struct with a `step(now, event, out)` function: time and seeds
+//! are passed in, and what to do next comes back as an enum. Any bench can drive it event by
+//! event. [`wire`] holds what the controllers say to each other.
+
+#![warn(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod programs;
+pub mod queue;
+pub mod slices;
+pub mod wire;
