Control state of one host: leases, configuration, membership, scheduler

Cause: the thin path needs one place where the controllers meet. Leases are kept as sessions: one renewal a host covers all that it holds, so platform writes are counted per host and not per lease. Weighed against a renewal for each of the partitions (64 and more a period), which the several hundred writes a second would not carry at the target size. Who should hold what is a rendezvous hash over the sessions in the platform, which all hosts read alike; gossip only steers requests. Not measured yet. Programs, queues and slices are composed but still empty.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerMessage {
     /// The part it is for; `None` comes from a newer version and is passed over.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub body: Option<Body>,
 }
 
@@ -41,6 +41,9 @@
     /// Asking a pool's queue for a place at a target.
     #[prost(message, tag = "7")]
     Queue(queue::QueueMessage),
+    /// An operator wants the receiver to leave.
+    #[prost(message, tag = "8")]
+    Drain(forward::Drain),
 }
 
 impl From<Body> for PeerMessage {
--- a/crates/core/src/messages/forward.rs
+++ b/crates/core/src/messages/forward.rs
@@ -52,3 +52,7 @@
     #[prost(uint64, tag = "1")]
     pub request: u64,
 }
+
+/// An operator, through another host, wants the receiver to leave.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Drain {}
--- /dev/null
+++ b/crates/policy/src/leases.rs
@@ -0,0 +1,595 @@
+//! Leases on partitions and on columns of slices, kept as rows in the platform.
+//!
+//! A host keeps one row alive, its *session*, by renewing it. A lease row names the session
+//! that holds it and an epoch. A lease is free when the session it names is gone; a session
+//! that was not renewed for its lifetime is ended by whichever host notices first, by
+//! deleting its row. So one renewal covers all that a host holds, and renewals are counted
+//! per host, not per lease.
+//!
+//! Who should hold a lease is a rendezvous hash over the live sessions, which all hosts read
+//! from the same table; it only steers. What grants a lease is the transaction that writes
+//! its row.
+
+mod observer;
+pub mod rows;
+mod session;
+
+use std::time::Duration;
+
+use camphorwalk_core::hash::{Map, Set, rendezvous, stable_hash};
+use camphorwalk_core::ids::{Epoch, HostId, PartitionId};
+use camphorwalk_core::platform::{
+    Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
+};
+use camphorwalk_core::time::Instant;
+
+use self::observer::Observer;
+use self::rows::{LeaseRow, SessionRow};
+use self::session::{Session, SessionStep};
+use crate::slices::ColumnId;
+
+/// The most rows that one scan returns: above the sizes that the capacity page works with.
+const SCAN_LIMIT: u32 = 10_000;
+
+/// The most leases that one transaction takes or gives back.
+const LEASES_PER_TRANSACTION: usize = 64;
+
+/// How much longer than its lifetime a session must stand unrenewed before it is ended, as
+/// a divisor of the lifetime: covers clocks that drift apart by up to an eighth.
+const MARGIN_DIVISOR: u32 = 8;
+
+/// What a lease is on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum LeaseName {
+    /// A partition of the programs.
+    Partition(PartitionId),
+    /// A column of slices.
+    Column(ColumnId),
+}
+
+impl LeaseName {
+    /// Returns the key of its row.
+    ///
+    /// ```
+    /// use camphorwalk_core::ids::PartitionId;
+    /// use camphorwalk_policy::leases::LeaseName;
+    /// assert_eq!(&*LeaseName::Partition(PartitionId(10)).row().key, "partition/000a");
+    /// ```
+    pub fn row(self) -> RowKey {
+        match self {
+            Self::Partition(p) => RowKey::new(rows::LEASES, format!("partition/{:04x}", p.0)),
+            Self::Column(c) => RowKey::new(rows::LEASES, format!("column/{:04x}", c.0)),
+        }
+    }
+
+    /// Returns the name whose row has this key.
+    pub fn from_key(key: &str) -> Option<Self> {
+        let (kind, number) = key.split_once('/')?;
+        let number = u16::from_str_radix(number, 16).ok()?;
+
+        match kind {
+            "partition" => Some(Self::Partition(PartitionId(number))),
+            "column" => Some(Self::Column(ColumnId(number))),
+            _ => None,
+        }
+    }
+
+    /// Returns the number that the rendezvous hash spreads it by.
+    fn item(self) -> u64 {
+        match self {
+            Self::Partition(p) => stable_hash(&[b"partition", &p.0.to_be_bytes()]),
+            Self::Column(c) => stable_hash(&[b"column", &c.0.to_be_bytes()]),
+        }
+    }
+}
+
+/// A lease that this host should see to, and the zone whose hosts alone may hold it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// The lease.
+    pub name: LeaseName,
+    /// The zone's name, or `None` if any host may hold it.
+    pub zone: Option<Box<str>>,
+}
+
+/// A platform operation that the leases wait for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LeaseOp(pub u64);
+
+/// Something that happened, as far as leases mind.
+#[derive(Clone, Debug)]
+pub enum LeaseEvent {
+    /// These leases exist; told again when the configuration changes.
+    Wanted(Vec<Wanted>),
+    /// The platform answered.
+    Platform {
+        /// The operation.
+        op: LeaseOp,
+        /// The answer.
+        reply: PlatformReply,
+    },
+    /// These held partitions have calls under way and are not to be given back now.
+    Busy(Set<PartitionId>),
+    /// The host is leaving: what it holds is given back as soon as it is not busy.
+    Leave,
+    /// A holder may be gone: look at the tables soon.
+    Suspect,
+    /// Time has passed; see [`Leases::wake_at`].
+    Wake,
+}
+
+/// What to do next for leases.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeaseNext {
+    /// Run an operation on the platform.
+    Platform {
+        /// The number to answer with.
+        op: LeaseOp,
+        /// The operation.
+        request: PlatformOp,
+    },
+    /// This host now holds a lease.
+    Acquired {
+        /// The lease.
+        name: LeaseName,
+        /// Its epoch.
+        epoch: Epoch,
+        /// The version of its row, to be checked by all that it fences.
+        version: RowVersion,
+    },
+    /// This host no longer holds a lease.
+    Lost {
+        /// The lease.
+        name: LeaseName,
+    },
+    /// What is held is held until this instant at least.
+    Renewed {
+        /// The end of the lifetime, the margin for drifting clocks left out.
+        until: Instant,
+    },
+    /// The tables were read: who holds what, and which hosts have a live session.
+    Seen {
+        /// The holders.
+        routes: Vec<(LeaseName, Holder)>,
+        /// The hosts.
+        hosts: Vec<SessionRow>,
+    },
+    /// All that was held is given back and the session is ended.
+    Left,
+}
+
+/// Who holds a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The host.
+    pub host: HostId,
+    /// The epoch of the lease.
+    pub epoch: Epoch,
+}
+
+/// Settings of [`Leases`].
+#[derive(Clone, Debug)]
+pub struct LeaseOptions {
+    /// The host's name.
+    pub host: Box<str>,
+    /// Its availability zone's name.
+    pub zone: Box<str>,
+    /// Where its peers reach it.
+    pub peer_address: std::net::SocketAddr,
+    /// A random number of this run of the process.
+    pub session: u64,
+    /// The lifetime of a session without a renewal.
+    pub lifetime: Duration,
+    /// How often the session is renewed.
+    pub renewal: Duration,
+    /// How often the tables are read.
+    pub poll: Duration,
+}
+
+/// A lease that this host holds.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    /// Its epoch.
+    epoch: Epoch,
+    /// The version of its row.
+    version: RowVersion,
+}
+
+/// Where a round over the tables stands. One runs at a time, so that what a scan shows is
+/// never older than what this host wrote before it.
+#[derive(Clone, Debug, PartialEq)]
+enum Round {
+    /// None runs.
+    Idle,
+    /// The sessions are being read.
+    Sessions(LeaseOp),
+    /// The leases are being read.
+    Leases(LeaseOp),
+    /// Leases are being taken.
+    Taking(LeaseOp),
+    /// Leases are being given back.
+    Returning(LeaseOp),
+    /// An overdue session is being ended.
+    Ending(LeaseOp),
+}
+
+/// The leases of one host.
+#[derive(Debug)]
+pub struct Leases {
+    options: LeaseOptions,
+    session: Session,
+    observer: Observer,
+    wanted: Vec<Wanted>,
+    held: Map<LeaseName, Held>,
+    busy: Set<PartitionId>,
+    round: Round,
+    /// The rows of the last complete scan of the leases.
+    rows: Vec<Row>,
+    next_poll: Instant,
+    next_op: u64,
+    leaving: bool,
+    left: bool,
+}
+
+impl Leases {
+    /// Makes a host that holds nothing and has no session yet.
+    pub fn new(options: LeaseOptions) -> Self {
+        Self {
+            session: Session::new(&options),
+            observer: Observer::default(),
+            options,
+            wanted: Vec::new(),
+            held: Map::default(),
+            busy: Set::default(),
+            round: Round::Idle,
+            rows: Vec::new(),
+            next_poll: Instant::default(),
+            next_op: 0,
+            leaving: false,
+            left: false,
+        }
+    }
+
+    /// Takes in an event and appends what to do next to `out`.
+    pub fn step(&mut self, now: Instant, event: LeaseEvent, out: &mut Vec<LeaseNext>) {
+        match event {
+            LeaseEvent::Wanted(wanted) => self.wanted = wanted,
+            LeaseEvent::Busy(busy) => self.busy = busy,
+            LeaseEvent::Suspect => self.next_poll = now,
+            LeaseEvent::Leave => {
+                self.leaving = true;
+                self.next_poll = now;
+            }
+            LeaseEvent::Platform { op, reply } => self.on_platform(now, op, reply, out),
+            LeaseEvent::Wake => {}
+        }
+
+        self.start_due(now, out);
+    }
+
+    /// Returns when [`LeaseEvent::Wake`] is due.
+    pub fn wake_at(&self) -> Option<Instant> {
+        if self.left {
+            return None;
+        }
+
+        let poll = (self.round == Round::Idle).then_some(self.next_poll);
+
+        [poll, self.session.wake_at()].into_iter().flatten().min()
+    }
+
+    /// Returns the partitions that this host holds, in order.
+    pub fn partitions(&self) -> Vec<PartitionId> {
+        let mut all: Vec<_> = self
+            .held
+            .keys()
+            .filter_map(|name| match name {
+                LeaseName::Partition(p) => Some(*p),
+                LeaseName::Column(_) => None,
+            })
+            .collect();
+        all.sort_unstable();
+
+        all
+    }
+
+    /// Returns the epoch of a partition's lease that this host holds.
+    pub fn epoch(&self, partition: PartitionId) -> Option<Epoch> {
+        self.held.get(&LeaseName::Partition(partition)).map(|held| held.epoch)
+    }
+
+    /// Returns the columns that this host holds, in order.
+    pub fn columns(&self) -> Vec<ColumnId> {
+        let mut all: Vec<_> = self
+            .held
+            .keys()
+            .filter_map(|name| match name {
+                LeaseName::Partition(_) => None,
+                LeaseName::Column(c) => Some(*c),
+            })
+            .collect();
+        all.sort_unstable();
+
+        all
+    }
+
+    /// Starts a renewal and a round over the tables, whichever is due.
+    fn start_due(&mut self, now: Instant, out: &mut Vec<LeaseNext>) {
+        if self.left {
+            return;
+        }
+
+        // The renewal goes beside the round: a slow round must not cost the session.
+        if self.session.due(now) {
+            let op = self.number();
+            let request = self.session.start(now, op);
+            out.push(LeaseNext::Platform { op, request });
+        }
+
+        if self.round == Round::Idle && now >= self.next_poll && self.session.is_live() {
+            self.next_poll = now + self.options.poll;
+            let op = self.scan(rows::SESSIONS, out);
+            self.round = Round::Sessions(op);
+        }
+    }
+
+    fn number(&mut self) -> LeaseOp {
+        self.next_op += 1;
+
+        LeaseOp(self.next_op)
+    }
+
+    fn scan(&mut self, table: &str, out: &mut Vec<LeaseNext>) -> LeaseOp {
+        let op = self.number();
+        let request = PlatformOp::Scan {
+            table: table.into(),
+            prefix: "".into(),
+            after: "".into(),
+            limit: SCAN_LIMIT,
+        };
+        out.push(LeaseNext::Platform { op, request });
+
+        op
+    }
+
+    fn commit(&mut self, transaction: Transaction, out: &mut Vec<LeaseNext>) -> LeaseOp {
+        let op = self.number();
+        out.push(LeaseNext::Platform { op, request: PlatformOp::Commit(transaction) });
+
+        op
+    }
+
+    fn on_platform(
+        &mut self,
+        now: Instant,
+        op: LeaseOp,
+        reply: PlatformReply,
+        out: &mut Vec<LeaseNext>,
+    ) {
+        if self.session.waits_for(op) {
+            self.on_session(now, reply, out);
+            return;
+        }
+
+        match (self.round.clone(), reply) {
+            (Round::Sessions(waiting), PlatformReply::Rows(rows)) if waiting == op => {
+                self.observer.saw(now, &rows);
+                let op = self.scan(rows::LEASES, out);
+                self.round = Round::Leases(op);
+            }
+            (Round::Leases(waiting), PlatformReply::Rows(rows)) if waiting == op => {
+                self.rows = rows;
+                self.on_tables(now, out);
+            }
+            (Round::Taking(waiting), PlatformReply::Committed(_)) if waiting == op => {
+                // The next scan shows the rows with their versions, under this session.
+                self.next_poll = now;
+                self.round = Round::Idle;
+            }
+            (
+                Round::Sessions(waiting)
+                | Round::Leases(waiting)
+                | Round::Taking(waiting)
+                | Round::Returning(waiting)
+                | Round::Ending(waiting),
+                _,
+            ) if waiting == op => {
+                // Whatever else came back, the next round reads what really stands.
+                self.round = Round::Idle;
+            }
+            // An answer to a round that a lost session cut short.
+            _ => {}
+        }
+    }
+
+    fn on_session(&mut self, now: Instant, reply: PlatformReply, out: &mut Vec<LeaseNext>) {
+        match self.session.on_reply(now, reply) {
+            SessionStep::Nothing => {}
+            SessionStep::Renewed { until } => out.push(LeaseNext::Renewed { until }),
+            SessionStep::Lost => {
+                // Another host ended the session: all that it held may be held by others.
+                let mut names: Vec<_> = self.held.drain().map(|(name, _)| name).collect();
+                names.sort_unstable();
+                out.extend(names.into_iter().map(|name| LeaseNext::Lost { name }));
+                self.round = Round::Idle;
+            }
+            SessionStep::Left => {
+                self.left = true;
+                out.push(LeaseNext::Left);
+            }
+        }
+    }
+
+    /// Compares what the tables say with what is held and wanted, and starts the next step.
+    fn on_tables(&mut self, now: Instant, out: &mut Vec<LeaseNext>) {
+        let rows = self.parse_rows();
+        self.adopt(&rows, out);
+        self.report(&rows, out);
+        self.round = Round::Idle;
+
+        if let Some(end) = self.end_overdue(now) {
+            self.round = Round::Ending(self.commit(end, out));
+        } else if let Some(take) = self.take(&rows) {
+            self.round = Round::Taking(self.commit(take, out));
+        } else if let Some(give_back) = self.give_back(&rows) {
+            self.round = Round::Returning(self.commit(give_back, out));
+        } else if self.leaving && self.held.is_empty() {
+            self.session.leave(now);
+        }
+    }
+
+    fn parse_rows(&self) -> Map<LeaseName, (LeaseRow, RowVersion)> {
+        let parse = |row: &Row| {
+            let name = LeaseName::from_key(&row.key.key)?;
+            let lease = serde_json::from_str(&row.value).ok()?;
+            Some((name, (lease, row.version)))
+        };
+
+        self.rows.iter().filter_map(parse).collect()
+    }
+
+    /// Takes over into `held` what the rows say of this session, and nothing else.
+    fn adopt(&mut self, rows: &Map<LeaseName, (LeaseRow, RowVersion)>, out: &mut Vec<LeaseNext>) {
+        let mine = self.session.key();
+        let is_mine = |name: &LeaseName| rows.get(name).is_some_and(|(row, _)| row.session == mine);
+
+        // Held according to memory, but not according to the table.
+        let mut lost: Vec<_> = self.held.keys().copied().filter(|name| !is_mine(name)).collect();
+        lost.sort_unstable();
+        for name in lost {
+            self.held.remove(&name);
+            out.push(LeaseNext::Lost { name });
+        }
+
+        // Held according to the table, but not according to memory: also after a taking
+        // whose answer was lost.
+        let mut gained: Vec<_> = rows.keys().copied().filter(|name| is_mine(name)).collect();
+        gained.retain(|name| !self.held.contains_key(name));
+        gained.sort_unstable();
+        for name in gained {
+            let (row, version) = &rows[&name];
+            self.held.insert(name, Held { epoch: row.epoch, version: *version });
+            out.push(LeaseNext::Acquired { name, epoch: row.epoch, version: *version });
+        }
+    }
+
+    fn report(&self, rows: &Map<LeaseName, (LeaseRow, RowVersion)>, out: &mut Vec<LeaseNext>) {
+        let live = |row: &LeaseRow| self.observer.session(&row.session);
+        let mut routes: Vec<_> = rows
+            .iter()
+            .filter_map(|(name, (row, _))| {
+                let session = live(row)?;
+                let host = HostId::from_name(&session.host);
+                Some((*name, Holder { host, epoch: row.epoch }))
+            })
+            .collect();
+        routes.sort_unstable_by_key(|(name, _)| *name);
+
+        out.push(LeaseNext::Seen { routes, hosts: self.observer.sessions() });
+    }
+
+    /// Makes the transaction that ends one session which was not renewed in time.
+    ///
+    /// The check on its version is what fences its owner: if that one renews at the same
+    /// time, only one of the two takes effect.
+    fn end_overdue(&self, now: Instant) -> Option<Transaction> {
+        let (key, version) = self.observer.overdue(now, &self.session.key())?;
+        let row = RowKey::new(rows::SESSIONS, key);
+
+        Some(Transaction {
+            checks: vec![Check { key: row.clone(), version }],
+            writes: vec![Write { key: row, value: None }],
+        })
+    }
+
+    /// Makes the transaction that takes the free leases which this host should hold.
+    fn take(&self, rows: &Map<LeaseName, (LeaseRow, RowVersion)>) -> Option<Transaction> {
+        if self.leaving {
+            return None;
+        }
+
+        let mut transaction = Transaction::default();
+        let free = |name: LeaseName| match rows.get(&name) {
+            None => true,
+            Some((row, _)) => self.observer.session(&row.session).is_none(),
+        };
+
+        for wanted in self.wanted.iter().filter(|w| free(w.name) && self.should_hold(w)) {
+            let row = rows.get(&wanted.name);
+            self.add_taking(&mut transaction, wanted.name, row);
+            if transaction.writes.len() >= LEASES_PER_TRANSACTION {
+                break;
+            }
+        }
+
+        (!transaction.writes.is_empty()).then_some(transaction)
+    }
+
+    fn add_taking(
+        &self,
+        transaction: &mut Transaction,
+        name: LeaseName,
+        row: Option<&(LeaseRow, RowVersion)>,
+    ) {
+        let version = row.map_or(RowVersion::ABSENT, |(_, version)| *version);
+        let epoch = row.map_or(Epoch(0), |(row, _)| row.epoch);
+        transaction.checks.push(Check { key: name.row(), version });
+
+        // The former holder's session must still be gone when the lease is written. A scan
+        // alone may miss a session that was created after it.
+        if let Some((row, _)) = row.filter(|(row, _)| !row.session.is_empty()) {
+            let key = RowKey::new(rows::SESSIONS, row.session.clone());
+            let check = Check { key, version: RowVersion::ABSENT };
+            if !transaction.checks.contains(&check) {
+                transaction.checks.push(check);
+            }
+        }
+
+        let row = LeaseRow { epoch: Epoch(epoch.0 + 1), session: self.session.key() };
+        transaction.writes.push(Write { key: name.row(), value: Some(row.to_json()) });
+    }
+
+    /// Makes the transaction that gives back what others should hold, unless it is busy.
+    fn give_back(&self, rows: &Map<LeaseName, (LeaseRow, RowVersion)>) -> Option<Transaction> {
+        let mut transaction = Transaction::default();
+        let is_busy = |name: LeaseName| match name {
+            LeaseName::Partition(p) => self.busy.contains(&p),
+            LeaseName::Column(_) => false,
+        };
+
+        let mut names: Vec<_> = self.held.keys().copied().collect();
+        names.sort_unstable();
+        for name in names {
+            let wanted = self.wanted.iter().find(|w| w.name == name);
+            let keep = !self.leaving && wanted.is_none_or(|w| self.should_hold(w));
+            if keep || is_busy(name) || !rows.contains_key(&name) {
+                continue;
+            }
+
+            let held = self.held[&name];
+            let row = LeaseRow { epoch: held.epoch, session: "".into() };
+            transaction.checks.push(Check { key: name.row(), version: held.version });
+            transaction.writes.push(Write { key: name.row(), value: Some(row.to_json()) });
+            if transaction.writes.len() >= LEASES_PER_TRANSACTION {
+                break;
+            }
+        }
+
+        (!transaction.writes.is_empty()).then_some(transaction)
+    }
+
+    /// Returns whether the rendezvous hash over the live sessions picks this host.
+    fn should_hold(&self, wanted: &Wanted) -> bool {
+        let sessions = self.observer.sessions();
+        let may =
+            |s: &&SessionRow| !s.leaving && wanted.zone.as_ref().is_none_or(|zone| *zone == s.zone);
+        let hosts = sessions.iter().filter(may).map(|s| HostId::from_name(&s.host).0);
+
+        rendezvous(wanted.name.item(), hosts) == Some(HostId::from_name(&self.options.host).0)
+    }
+}
+
+/// Returns how long a session must stand unrenewed before it is ended.
+pub(crate) fn overdue_after(lifetime: Duration) -> Duration {
+    lifetime + lifetime / MARGIN_DIVISOR
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,7 +7,12 @@
 #![warn(rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod board;
+pub mod configs;
+pub mod leases;
+pub mod membership;
 pub mod programs;
 pub mod queue;
+pub mod scheduler;
 pub mod slices;
 pub mod wire;
--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -178,6 +178,11 @@
         None
     }
 
+    /// Returns the partitions that have calls under way.
+    pub fn busy_partitions(&self) -> camphorwalk_core::hash::Set<PartitionId> {
+        Default::default()
+    }
+
     /// Returns the programs that are open here.
     pub fn open_programs(&self) -> impl Iterator<Item = ProgramId> + '_ {
         std::iter::empty()
--- /dev/null
+++ b/crates/policy/src/scheduler/asks.rs
@@ -0,0 +1,286 @@
+//! Questions of a program's home to the host that keeps a pool's queue.
+
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::{ClassId, HostId, PoolId, ProgramId, TargetId, TenantId};
+use camphorwalk_core::messages::queue::{Ask, Done, Grant, QueueBody, QueueMessage, Refuse};
+use camphorwalk_core::messages::{Body, PeerMessage};
+use camphorwalk_core::time::Instant;
+use camphorwalk_core::units::Tokens;
+
+use super::work::Work;
+use super::{Action, Scheduler};
+use crate::programs::ProgramEvent;
+use crate::queue::QueueEvent;
+use crate::wire::{Asker, CallId, PlaceEnd, PlaceEndKind, PlaceRequest};
+
+/// How long a question stays unanswered before it is sent once more: messages may be lost,
+/// and a repeated question is known by its number.
+const REPEAT_AFTER: Duration = Duration::from_secs(1);
+
+/// A question that is not over yet.
+#[derive(Clone, Copy, Debug)]
+struct Question {
+    call: CallId,
+    keeper: HostId,
+    request: PlaceRequest,
+    asked: Instant,
+    granted: bool,
+}
+
+/// The questions of this host.
+#[derive(Debug, Default)]
+pub(super) struct Asks {
+    questions: Map<u64, Question>,
+    numbers: Map<CallId, u64>,
+    next: u64,
+    /// When the first unanswered question is to be repeated, at the earliest.
+    repeat_at: Option<Instant>,
+}
+
+impl Asks {
+    pub fn wake_at(&self) -> Option<Instant> {
+        self.repeat_at
+    }
+}
+
+impl Scheduler {
+    /// Asks for a place.
+    pub(super) fn ask(
+        &mut self,
+        now: Instant,
+        call: CallId,
+        request: PlaceRequest,
+        out: &mut Vec<Action>,
+    ) {
+        self.asks.next += 1;
+        let number = self.asks.next;
+        let keeper = self.board.keeper(request.pool);
+        let question = Question { call, keeper, request, asked: now, granted: false };
+
+        self.asks.questions.insert(number, question);
+        self.asks.numbers.insert(call, number);
+        let repeat = now + REPEAT_AFTER;
+        self.asks.repeat_at = Some(self.asks.repeat_at.map_or(repeat, |at| at.min(repeat)));
+        self.send_question(number, out);
+    }
+
+    fn send_question(&mut self, number: u64, out: &mut Vec<Action>) {
+        let Question { keeper, request, .. } = self.asks.questions[&number];
+        if keeper == self.board.me {
+            let asker = Asker { host: self.board.me, number };
+            self.work.push_back(Work::Queue(QueueEvent::Ask { asker, request }));
+            return;
+        }
+
+        out.push(send(keeper, QueueBody::Ask(ask_message(number, &request))));
+    }
+
+    /// Gives a place back, or withdraws the question for one.
+    pub(super) fn vacate(&mut self, call: CallId, end: PlaceEnd, out: &mut Vec<Action>) {
+        let Some(number) = self.asks.numbers.remove(&call) else {
+            return;
+        };
+        let Some(question) = self.asks.questions.remove(&number) else {
+            return;
+        };
+
+        if question.keeper == self.board.me {
+            let asker = Asker { host: self.board.me, number };
+            self.work.push_back(Work::Queue(QueueEvent::Vacate { asker, end }));
+            return;
+        }
+        out.push(send(question.keeper, QueueBody::Done(done_message(number, &end))));
+    }
+
+    /// Repeats questions that were not answered for long.
+    pub(super) fn repeat_asks(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.asks.repeat_at.is_none_or(|at| at > now) {
+            return;
+        }
+
+        let open = |q: &Question| !q.granted;
+        let mut due: Vec<_> = Vec::new();
+        let mut next: Option<Instant> = None;
+        for (number, question) in self.asks.questions.iter_mut().filter(|(_, q)| open(q)) {
+            if question.asked + REPEAT_AFTER <= now {
+                question.asked = now;
+                due.push(*number);
+            }
+            let at = question.asked + REPEAT_AFTER;
+            next = Some(next.map_or(at, |n| n.min(at)));
+        }
+        self.asks.repeat_at = next;
+
+        due.sort_unstable();
+        due.into_iter().for_each(|number| self.send_question(number, out));
+    }
+
+    /// Asks elsewhere what the queue of a host that is gone did not answer.
+    pub(super) fn ask_again(&mut self, now: Instant, gone: HostId, out: &mut Vec<Action>) {
+        let lost = |q: &Question| q.keeper == gone && !q.granted;
+        let mut numbers: Vec<_> =
+            self.asks.questions.iter().filter(|(_, q)| lost(q)).map(|(n, _)| *n).collect();
+        numbers.sort_unstable();
+
+        for number in numbers {
+            if let Some(question) = self.asks.questions.remove(&number) {
+                self.ask(now, question.call, question.request, out);
+            }
+        }
+    }
+
+    /// Tells an asker of its place.
+    pub(super) fn grant(&mut self, asker: Asker, target: TargetId, out: &mut Vec<Action>) {
+        if asker.host == self.board.me {
+            self.on_grant(self.board.me, asker.number, target, out);
+            return;
+        }
+
+        let grant = Grant { number: asker.number, target: target.0 };
+        out.push(send(asker.host, QueueBody::Grant(grant)));
+    }
+
+    /// Tells an asker that it cannot be served in time.
+    pub(super) fn refuse_ask(
+        &mut self,
+        asker: Asker,
+        retry_after: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        if asker.host == self.board.me {
+            self.on_refused(asker.number, retry_after);
+            return;
+        }
+
+        let retry_after_ms = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
+        let refuse = Refuse { number: asker.number, retry_after_ms };
+        out.push(send(asker.host, QueueBody::Refuse(refuse)));
+    }
+
+    pub(super) fn on_queue_message(
+        &mut self,
+        from: HostId,
+        message: QueueMessage,
+        out: &mut Vec<Action>,
+    ) {
+        match message.body {
+            Some(QueueBody::Ask(ask)) => {
+                let asker = Asker { host: from, number: ask.number };
+                let request = place_request(&ask);
+                self.work.push_back(Work::Queue(QueueEvent::Ask { asker, request }));
+            }
+            Some(QueueBody::Done(done)) => {
+                let asker = Asker { host: from, number: done.number };
+                let end = place_end(&done);
+                self.work.push_back(Work::Queue(QueueEvent::Vacate { asker, end }));
+            }
+            Some(QueueBody::Grant(grant)) => {
+                self.on_grant(from, grant.number, TargetId(grant.target), out);
+            }
+            Some(QueueBody::Refuse(refuse)) => {
+                self.on_refused(refuse.number, Duration::from_millis(refuse.retry_after_ms));
+            }
+            None => {}
+        }
+    }
+
+    fn on_grant(&mut self, from: HostId, number: u64, target: TargetId, out: &mut Vec<Action>) {
+        let Some(question) = self.asks.questions.get_mut(&number) else {
+            // Withdrawn meanwhile, or asked elsewhere: the place goes back at once.
+            if from != self.board.me {
+                out.push(send(from, QueueBody::Done(done_message(number, &not_sent()))));
+            }
+            return;
+        };
+
+        // A repeated question may be granted twice: the place is the same one.
+        if question.granted {
+            return;
+        }
+        question.granted = true;
+        let call = question.call;
+        self.work.push_back(Work::Program(ProgramEvent::Placed { call, target }));
+    }
+
+    fn on_refused(&mut self, number: u64, retry_after: Duration) {
+        if let Some(question) = self.asks.questions.remove(&number) {
+            self.asks.numbers.remove(&question.call);
+            let event = ProgramEvent::Unplaced { call: question.call, retry_after };
+            self.work.push_back(Work::Program(event));
+        }
+    }
+}
+
+fn send(to: HostId, body: QueueBody) -> Action {
+    let message: PeerMessage = Body::Queue(QueueMessage { body: Some(body) }).into();
+
+    Action::Send { to, message }
+}
+
+fn not_sent() -> PlaceEnd {
+    PlaceEnd {
+        how: PlaceEndKind::NotSent,
+        computed: Tokens(0),
+        output: Tokens(0),
+        program_over: false,
+    }
+}
+
+/// The numbers that stand for [`PlaceEndKind`] in a message.
+const ENDS: [PlaceEndKind; 4] =
+    [PlaceEndKind::NotSent, PlaceEndKind::Finished, PlaceEndKind::Failed, PlaceEndKind::Crashed];
+
+fn done_message(number: u64, end: &PlaceEnd) -> Done {
+    let position = ENDS.iter().position(|how| *how == end.how).unwrap_or(0);
+
+    Done {
+        number,
+        end: position as u32,
+        computed_tokens: end.computed.0,
+        output_tokens: end.output.0,
+        program_over: end.program_over,
+    }
+}
+
+fn place_end(done: &Done) -> PlaceEnd {
+    PlaceEnd {
+        how: ENDS.get(done.end as usize).copied().unwrap_or(PlaceEndKind::Failed),
+        computed: Tokens(done.computed_tokens),
+        output: Tokens(done.output_tokens),
+        program_over: done.program_over,
+    }
+}
+
+fn ask_message(number: u64, request: &PlaceRequest) -> Ask {
+    Ask {
+        number,
+        pool: request.pool.0,
+        tenant: request.tenant.0,
+        class: request.class.0,
+        program_high: (request.program.0 >> 64) as u64,
+        program_low: request.program.0 as u64,
+        attained_tokens: request.attained.0,
+        prompt_tokens: request.prompt.0,
+        output_tokens: u32::try_from(request.output.0).unwrap_or(u32::MAX),
+        deadline_left_ms: u64::try_from(request.deadline_left.as_millis()).unwrap_or(u64::MAX),
+        avoid: request.avoid.map_or(0, |target| target.0),
+        suspect: request.suspect,
+    }
+}
+
+fn place_request(ask: &Ask) -> PlaceRequest {
+    PlaceRequest {
+        pool: PoolId(ask.pool),
+        tenant: TenantId(ask.tenant),
+        class: ClassId(ask.class),
+        program: ProgramId((u128::from(ask.program_high) << 64) | u128::from(ask.program_low)),
+        attained: Tokens(ask.attained_tokens),
+        prompt: Tokens(ask.prompt_tokens),
+        output: Tokens(u64::from(ask.output_tokens)),
+        deadline_left: Duration::from_millis(ask.deadline_left_ms),
+        avoid: (ask.avoid != 0).then_some(TargetId(ask.avoid)),
+        suspect: ask.suspect,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/entry.rs
@@ -0,0 +1,222 @@
+//! Requests where they enter the fleet, on their way to a program's home and back.
+
+use std::time::Duration;
+
+use camphorwalk_core::calls::{Code, Ran, Refusal, Reply, Request};
+use camphorwalk_core::hash::stable_hash;
+use camphorwalk_core::ids::{HostId, KeyId, PartitionId, ProgramId, RequestId, TenantId, Ticket};
+use camphorwalk_core::messages::forward::{CallerGone, Forward};
+use camphorwalk_core::messages::{Body, PeerMessage};
+use camphorwalk_core::time::Instant;
+
+use super::work::{Work, no_home};
+use super::{Action, Scheduler, Waiting};
+use crate::leases::LeaseEvent;
+use crate::programs::ProgramEvent;
+
+/// When to come back while a program's home moves: about the time until the lease of a
+/// host that died is taken over.
+const HOME_MOVES: Duration = Duration::from_secs(2);
+
+/// When to repeat a request whose answer was lost: the new connection stands by then.
+const ANSWER_LOST: Duration = Duration::from_millis(500);
+
+impl Scheduler {
+    /// Takes in a request of a caller of this host.
+    pub(super) fn on_request(
+        &mut self,
+        request: RequestId,
+        tenant: TenantId,
+        key: KeyId,
+        mut body: Request,
+        out: &mut Vec<Action>,
+    ) {
+        let may_run = matches!(body, Request::Open(_) | Request::Call(_) | Request::End { .. });
+        self.wait_for(request, Waiting { home: self.board.me, may_run });
+
+        if self.board.config.is_none() {
+            let reply = no_home("this host has no configuration yet", HOME_MOVES);
+            return self.answer_here(request, reply, out);
+        }
+        self.choose_program(&mut body);
+
+        let partition = program_of(&body).partition(self.board.partitions());
+        match self.home_of(partition) {
+            Some(home) if home == self.board.me => {
+                let ticket = Ticket { entry: self.board.me, request };
+                let event = ProgramEvent::Request { ticket, tenant, key, request: body };
+                self.work.push_back(Work::Program(event));
+            }
+            Some(home) => {
+                self.wait_for(request, Waiting { home, may_run });
+                let body = serde_json::to_vec(&body).expect("a request is plain data").into();
+                let forward = Forward { request: request.0, tenant: tenant.0, key: key.0, body };
+                out.push(Action::Send { to: home, message: Body::Forward(forward).into() });
+            }
+            None => {
+                let reply = no_home("the program's home is moving", HOME_MOVES);
+                self.answer_here(request, reply, out);
+            }
+        }
+    }
+
+    /// Returns the home of a partition, if it is known and can be reached.
+    fn home_of(&self, partition: PartitionId) -> Option<HostId> {
+        if self.board.homes.contains(&partition) {
+            return Some(self.board.me);
+        }
+
+        let holder = self.board.routes.get(&partition)?;
+        self.membership.is_alive(holder.host).then_some(holder.host)
+    }
+
+    /// Gives an opening its program id, and a sub-agent one in its parent's partition.
+    fn choose_program(&mut self, body: &mut Request) {
+        let Request::Open(open) = body else {
+            return;
+        };
+
+        if !open.repeatable {
+            self.opened += 1;
+            open.program = self.fresh_program();
+        }
+        if let Some(parent) = open.parent {
+            open.program = open.program.in_partition(parent.partition(self.board.partitions()));
+        }
+    }
+
+    /// Makes an id that no other host and no other run of this one makes, in a partition
+    /// that is at home here if there is one, so that its calls need no second hop.
+    fn fresh_program(&self) -> ProgramId {
+        let parts = [self.session.to_be_bytes(), self.opened.to_be_bytes()];
+        let half = |salt: &[u8]| u128::from(stable_hash(&[salt, &parts[0], &parts[1]]));
+        let program = ProgramId((half(b"high") << 64) | half(b"low"));
+
+        let mut homes: Vec<_> = self.board.homes.iter().copied().collect();
+        homes.sort_unstable();
+        match homes.len() {
+            0 => program,
+            count => program.in_partition(homes[self.opened as usize % count]),
+        }
+    }
+
+    /// The caller of a request of this host is gone.
+    pub(super) fn on_caller_gone(&mut self, request: RequestId, out: &mut Vec<Action>) {
+        let Some(waiting) = self.waiting.remove(&request) else {
+            return;
+        };
+
+        if waiting.home == self.board.me {
+            let ticket = Ticket { entry: self.board.me, request };
+            self.work.push_back(Work::Program(ProgramEvent::CallerGone { ticket }));
+        } else {
+            let gone = CallerGone { request: request.0 };
+            out.push(Action::Send { to: waiting.home, message: Body::CallerGone(gone).into() });
+        }
+    }
+
+    /// Takes in a message from another host.
+    pub(super) fn on_peer(
+        &mut self,
+        now: Instant,
+        from: HostId,
+        message: PeerMessage,
+        out: &mut Vec<Action>,
+    ) {
+        match message.body {
+            Some(Body::Forward(forward)) => self.on_forward(from, &forward, out),
+            Some(Body::Answer(answer)) => {
+                // Only the home that the request was passed on to may answer it.
+                let request = RequestId(answer.request);
+                let expected = self.waiting.get(&request).is_some_and(|w| w.home == from);
+                if let (true, Ok(reply)) = (expected, serde_json::from_slice(&answer.body)) {
+                    self.answer_here(request, reply, out);
+                }
+            }
+            Some(Body::CallerGone(gone)) => {
+                let ticket = Ticket { entry: from, request: RequestId(gone.request) };
+                self.work.push_back(Work::Program(ProgramEvent::CallerGone { ticket }));
+            }
+            Some(Body::Gossip(gossip)) => self.on_gossip(now, from, gossip, out),
+            Some(Body::Slices(message)) => {
+                let event = crate::slices::SliceEvent::Message { from, message };
+                self.work.push_back(Work::Slice(event));
+            }
+            Some(Body::Queue(message)) => self.on_queue_message(from, message, out),
+            Some(Body::Drain(_)) => self.drain(),
+            // Chunks go from the connection straight to the caller's stream.
+            Some(Body::Chunk(_)) | None => {}
+        }
+    }
+
+    fn on_forward(&mut self, from: HostId, forward: &Forward, out: &mut Vec<Action>) {
+        let ticket = Ticket { entry: from, request: RequestId(forward.request) };
+        let key = KeyId(forward.key);
+        let Ok(request) = serde_json::from_slice::<Request>(&forward.body) else {
+            let refusal = Refusal::not_run(Code::BadRequest, "the request cannot be read here");
+            return self.answer(ticket, Reply::Refused(refusal), out);
+        };
+
+        // The entry host may not have heard of a withdrawal yet.
+        if self.configs.is_withdrawn(key) {
+            let refusal = Refusal::not_run(Code::Unauthorized, "the key is not accepted");
+            return self.answer(ticket, Reply::Refused(refusal), out);
+        }
+
+        let tenant = TenantId(forward.tenant);
+        self.work.push_back(Work::Program(ProgramEvent::Request { ticket, tenant, key, request }));
+    }
+
+    /// A message was not sent, and never will be.
+    pub(super) fn on_unsent(&mut self, to: HostId, message: PeerMessage, out: &mut Vec<Action>) {
+        if let Some(Body::Forward(forward)) = message.body {
+            let reply = no_home("the program's home cannot be reached", HOME_MOVES);
+            self.answer_here(RequestId(forward.request), reply, out);
+            self.work.push_back(Work::Lease(LeaseEvent::Suspect));
+        }
+        let _ = to;
+    }
+
+    /// The connection to a host broke: requests passed on to it may or may not have arrived.
+    pub(super) fn on_peer_down(&mut self, host: HostId, out: &mut Vec<Action>) {
+        let lost = |w: &Waiting| w.home == host;
+        let mut requests: Vec<_> = self
+            .waiting
+            .iter()
+            .filter(|(_, w)| lost(w))
+            .map(|(request, w)| (*request, *w))
+            .collect();
+        requests.sort_unstable_by_key(|(request, _)| *request);
+
+        for (request, waiting) in requests {
+            let reply = if waiting.may_run {
+                let message = "the program's home went away; repeat with the same key";
+                let refusal = Refusal::not_run(Code::OutcomeUnknown, message);
+                Reply::Refused(refusal.ran(Ran::Maybe).retry_after(ANSWER_LOST))
+            } else {
+                no_home("the program's home went away", ANSWER_LOST)
+            };
+            self.answer_here(request, reply, out);
+        }
+    }
+
+    /// A host has gone silent.
+    pub(super) fn on_gone(&mut self, now: Instant, host: HostId, out: &mut Vec<Action>) {
+        self.work.push_back(Work::Lease(LeaseEvent::Suspect));
+        self.work.push_back(Work::Queue(crate::queue::QueueEvent::HostGone(host)));
+        self.on_peer_down(host, out);
+        self.ask_again(now, host, out);
+    }
+}
+
+/// Returns the program that a request is about.
+fn program_of(request: &Request) -> ProgramId {
+    match request {
+        Request::Open(open) => open.program,
+        Request::Call(call) => call.program,
+        Request::View { program }
+        | Request::Outcome { program, .. }
+        | Request::History { program, .. }
+        | Request::End { program } => *program,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/scheduler/work.rs
@@ -0,0 +1,332 @@
+//! Hands events to the controllers and turns what they want into events and actions.
+
+use camphorwalk_core::calls::{Code, Refusal, Reply};
+use camphorwalk_core::config::Config;
+use camphorwalk_core::ids::{PartitionId, Ticket};
+use camphorwalk_core::messages::forward::Answer;
+use camphorwalk_core::messages::{Body, PeerMessage};
+use camphorwalk_core::time::Instant;
+
+use super::{Action, Event, OpId, Scheduler, Waiting};
+use crate::configs::{ConfigEvent, ConfigNext};
+use crate::leases::{LeaseEvent, LeaseName, LeaseNext, Wanted};
+use crate::membership::MembershipNext;
+use crate::programs::{ProgramEvent, ProgramNext};
+use crate::queue::{QueueEvent, QueueNext};
+use crate::slices::{self, SliceEvent, SliceHost, SliceNext, TakeId};
+
+/// An event for one controller.
+#[derive(Clone, Debug)]
+pub(super) enum Work {
+    Lease(LeaseEvent),
+    Config(ConfigEvent),
+    Program(ProgramEvent),
+    Queue(QueueEvent),
+    Slice(SliceEvent),
+}
+
+impl Scheduler {
+    /// Puts an event of the outside where it belongs.
+    pub(super) fn take_in(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Request { request, tenant, key, body } => {
+                self.on_request(request, tenant, key, body, out);
+            }
+            Event::CallerGone(request) => self.on_caller_gone(request, out),
+            Event::Peer { from, message } => self.on_peer(now, from, message, out),
+            Event::Unsent { to, message } => self.on_unsent(to, message, out),
+            Event::PeerDown(host) => self.on_peer_down(host, out),
+            Event::Platform { op, reply } => self.work.push_back(match op {
+                OpId::Lease(op) => Work::Lease(LeaseEvent::Platform { op, reply }),
+                OpId::Config(op) => Work::Config(ConfigEvent::Platform { op, reply }),
+                OpId::Program(op) => Work::Program(ProgramEvent::Platform { op, reply }),
+            }),
+            Event::Hosts(hosts) => {
+                let mut next = Vec::new();
+                for host in hosts {
+                    let (name, zone) = (&host.name, &host.zone);
+                    self.membership.learn(name, zone, host.peer_address, host.leaving, &mut next);
+                }
+                self.on_membership(now, next, out);
+            }
+            Event::Ended { attempt, end } => {
+                self.work.push_back(Work::Program(ProgramEvent::Ended { attempt, end }));
+            }
+            Event::Load { target, report } => {
+                self.work.push_back(Work::Queue(QueueEvent::Load { target, report }));
+            }
+            Event::Evicted { target, program } => {
+                self.work.push_back(Work::Queue(QueueEvent::Evicted { target, program }));
+            }
+            Event::Operator { ask, request } => self.on_operator(now, ask, request, out),
+            Event::Drain => self.drain(),
+            Event::Wake => {}
+        }
+    }
+
+    /// Starts leaving.
+    pub(super) fn drain(&mut self) {
+        self.board.leaving = true;
+        self.membership.leave();
+        self.work.push_back(Work::Lease(LeaseEvent::Leave));
+    }
+
+    /// Wakes the controllers whose time has come.
+    pub(super) fn wake_controllers(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let mut next = Vec::new();
+        self.membership.wake(now, &mut next);
+        self.on_membership(now, next, out);
+        self.repeat_asks(now, out);
+
+        let due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
+        if due(self.leases.wake_at()) {
+            let busy = self.programs.busy_partitions();
+            self.work.push_back(Work::Lease(LeaseEvent::Busy(busy)));
+        }
+        if due(self.configs.wake_at()) {
+            self.work.push_back(Work::Config(ConfigEvent::Wake));
+        }
+        if due(self.programs.wake_at()) {
+            self.work.push_back(Work::Program(ProgramEvent::Wake));
+        }
+        if due(self.queues.wake_at()) {
+            self.work.push_back(Work::Queue(QueueEvent::Wake));
+        }
+        if due(self.slices.wake_at()) {
+            self.work.push_back(Work::Slice(SliceEvent::Wake));
+        }
+    }
+
+    /// Runs the controllers until none has anything left for another.
+    pub(super) fn finish_work(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while let Some(work) = self.work.pop_front() {
+            match work {
+                Work::Lease(event) => {
+                    let mut next = Vec::new();
+                    self.leases.step(now, event, &mut next);
+                    next.into_iter().for_each(|next| self.on_lease(now, next, out));
+                }
+                Work::Config(event) => {
+                    let mut next = Vec::new();
+                    self.configs.step(now, event, &mut next);
+                    next.into_iter().for_each(|next| self.on_config(now, next, out));
+                }
+                Work::Program(event) => {
+                    let mut next = Vec::new();
+                    self.programs.step(now, event, &mut next);
+                    next.into_iter().for_each(|next| self.on_program(now, next, out));
+                }
+                Work::Queue(event) => {
+                    let mut next = Vec::new();
+                    self.queues.step(now, event, &mut next);
+                    next.into_iter().for_each(|next| self.on_queue(next, out));
+                }
+                Work::Slice(event) => {
+                    let mut next = Vec::new();
+                    self.slices.step(now, event, &mut next);
+                    next.into_iter().for_each(|next| self.on_slice(next, out));
+                }
+            }
+        }
+    }
+
+    fn on_lease(&mut self, now: Instant, next: LeaseNext, out: &mut Vec<Action>) {
+        match next {
+            LeaseNext::Platform { op, request } => {
+                out.push(Action::Platform { op: OpId::Lease(op), request });
+            }
+            LeaseNext::Acquired { name: LeaseName::Partition(partition), epoch, version } => {
+                self.board.homes.insert(partition);
+                let event = ProgramEvent::Acquired { partition, epoch, lease: version };
+                self.work.push_back(Work::Program(event));
+                self.tell_homes(out);
+            }
+            LeaseNext::Acquired { name: LeaseName::Column(column), .. } => {
+                let until = self.board.leases_until;
+                let event = SliceEvent::Owned { column, until, fresh: true };
+                self.work.push_back(Work::Slice(event));
+            }
+            LeaseNext::Lost { name: LeaseName::Partition(partition) } => {
+                self.board.homes.remove(&partition);
+                self.work.push_back(Work::Program(ProgramEvent::Lost { partition }));
+            }
+            LeaseNext::Lost { name: LeaseName::Column(column) } => {
+                self.work.push_back(Work::Slice(SliceEvent::Lost { column }));
+            }
+            LeaseNext::Renewed { until } => {
+                self.board.leases_until = until;
+                for column in self.leases.columns() {
+                    let event = SliceEvent::Owned { column, until, fresh: false };
+                    self.work.push_back(Work::Slice(event));
+                }
+            }
+            LeaseNext::Seen { routes, hosts } => self.on_tables(now, routes, hosts, out),
+            LeaseNext::Left => out.push(Action::Left),
+        }
+    }
+
+    fn on_tables(
+        &mut self,
+        now: Instant,
+        routes: Vec<(LeaseName, crate::leases::Holder)>,
+        hosts: Vec<crate::leases::rows::SessionRow>,
+        out: &mut Vec<Action>,
+    ) {
+        for (name, holder) in routes {
+            if let LeaseName::Partition(partition) = name {
+                self.board.learn_route(partition, holder);
+            }
+        }
+
+        let mut next = Vec::new();
+        for host in &hosts {
+            let (name, zone) = (&host.host, &host.zone);
+            self.membership.learn(name, zone, host.peer_address, host.leaving, &mut next);
+        }
+        self.board.sessions = hosts;
+        self.on_membership(now, next, out);
+    }
+
+    fn on_config(&mut self, now: Instant, next: ConfigNext, out: &mut Vec<Action>) {
+        match next {
+            ConfigNext::Platform { op, request } => {
+                out.push(Action::Platform { op: OpId::Config(op), request });
+            }
+            ConfigNext::Adopted(config) => {
+                self.adopted_at = now;
+                let tenant = |t: &camphorwalk_core::config::Tenant| {
+                    (camphorwalk_core::ids::TenantId::from_name(&t.name), t.name.clone())
+                };
+                self.board.tenants = config.tenants.iter().map(tenant).collect();
+                self.board.config = Some(config.clone());
+                self.work.push_back(Work::Lease(LeaseEvent::Wanted(wanted(&config))));
+                self.work.push_back(Work::Program(ProgramEvent::Config(config.clone())));
+                self.work.push_back(Work::Queue(QueueEvent::Config(config.clone())));
+                self.work.push_back(Work::Slice(SliceEvent::Config(config.clone())));
+                out.push(Action::Adopted(config));
+            }
+            ConfigNext::KeyWithdrawn(key) => {
+                self.work.push_back(Work::Program(ProgramEvent::KeyWithdrawn(key)));
+                out.push(Action::KeyWithdrawn(key));
+            }
+            ConfigNext::Published { ask, answer } => self.on_published(ask, answer, out),
+        }
+    }
+
+    fn on_program(&mut self, now: Instant, next: ProgramNext, out: &mut Vec<Action>) {
+        match next {
+            ProgramNext::Answer { ticket, reply } => self.answer(ticket, reply, out),
+            ProgramNext::Admit { call, tenant } => {
+                self.next_take += 1;
+                let take = TakeId(self.next_take);
+                self.takes.insert(take, call);
+                self.work.push_back(Work::Slice(SliceEvent::Take { take, tenant }));
+            }
+            ProgramNext::Place { call, request } => self.ask(now, call, request, out),
+            ProgramNext::Vacate { call, end } => self.vacate(call, end, out),
+            ProgramNext::Dispatch(dispatch) => out.push(Action::Dispatch(Box::new(dispatch))),
+            ProgramNext::Cancel { attempt } => out.push(Action::Cancel(attempt)),
+            ProgramNext::Platform { op, request } => {
+                out.push(Action::Platform { op: OpId::Program(op), request });
+            }
+            ProgramNext::Over { program } => out.push(Action::Free(program)),
+        }
+    }
+
+    fn on_queue(&mut self, next: QueueNext, out: &mut Vec<Action>) {
+        match next {
+            QueueNext::Grant { asker, target } => self.grant(asker, target, out),
+            QueueNext::Refuse { asker, retry_after } => self.refuse_ask(asker, retry_after, out),
+        }
+    }
+
+    fn on_slice(&mut self, next: SliceNext, out: &mut Vec<Action>) {
+        match next {
+            SliceNext::Verdict { take, verdict } => {
+                if let Some(call) = self.takes.remove(&take) {
+                    self.work.push_back(Work::Program(ProgramEvent::Verdict { call, verdict }));
+                }
+            }
+            SliceNext::Send { to, message } => {
+                out.push(Action::Send { to, message: Body::Slices(message).into() });
+            }
+        }
+    }
+
+    pub(super) fn on_membership(
+        &mut self,
+        now: Instant,
+        next: Vec<MembershipNext>,
+        out: &mut Vec<Action>,
+    ) {
+        for item in next {
+            match item {
+                MembershipNext::Address { host, address } => {
+                    out.push(Action::Address { host, address });
+                }
+                MembershipNext::Gossip { to, news } => self.gossip(to, news, out),
+                MembershipNext::Changed => self.on_alive_changed(),
+                MembershipNext::Gone(host) => self.on_gone(now, host, out),
+            }
+        }
+    }
+
+    fn on_alive_changed(&mut self) {
+        let stays = |m: &&&crate::membership::Member| !m.leaving;
+        let alive = self.membership.alive();
+        self.board.alive = alive.iter().filter(stays).map(|m| (m.host, m.zone)).collect();
+
+        let me = SliceHost { host: self.board.me, zone: self.board.zone };
+        let mut hosts: Vec<_> =
+            alive.iter().map(|m| SliceHost { host: m.host, zone: m.zone }).collect();
+        hosts.push(me);
+        hosts.sort_unstable_by_key(|h| h.host);
+        self.work.push_back(Work::Slice(SliceEvent::Hosts(hosts)));
+    }
+
+    /// Answers a request, on this host or through the host that it came from.
+    pub(super) fn answer(&mut self, ticket: Ticket, reply: Reply, out: &mut Vec<Action>) {
+        if ticket.entry == self.board.me {
+            self.answer_here(ticket.request, reply, out);
+            return;
+        }
+
+        let body = serde_json::to_vec(&reply).expect("a reply is plain data").into();
+        let answer = Answer { request: ticket.request.0, chunks: 0, body };
+        let message: PeerMessage = Body::Answer(answer).into();
+        out.push(Action::Send { to: ticket.entry, message });
+    }
+
+    /// Answers a caller of this host, once.
+    pub(super) fn answer_here(
+        &mut self,
+        request: camphorwalk_core::ids::RequestId,
+        reply: Reply,
+        out: &mut Vec<Action>,
+    ) {
+        if self.waiting.remove(&request).is_some() {
+            out.push(Action::Answer { request, reply: Box::new(reply) });
+        }
+    }
+
+    /// Notes that a caller waits for a host.
+    pub(super) fn wait_for(&mut self, request: camphorwalk_core::ids::RequestId, waiting: Waiting) {
+        self.waiting.insert(request, waiting);
+    }
+}
+
+/// Returns the leases that a configuration calls for.
+fn wanted(config: &Config) -> Vec<Wanted> {
+    let partitions = (0..config.fleet.partitions)
+        .map(|p| Wanted { name: LeaseName::Partition(PartitionId(p)), zone: None });
+    let columns = slices::columns(config)
+        .into_iter()
+        .map(|(column, zone)| Wanted { name: LeaseName::Column(column), zone: Some(zone) });
+
+    partitions.chain(columns).collect()
+}
+
+/// Makes the refusal of a request whose home cannot be reached now.
+pub(super) fn no_home(message: &'static str, retry_after: std::time::Duration) -> Reply {
+    Reply::Refused(Refusal::not_run(Code::Leaving, message).retry_after(retry_after))
+}
