peer: authenticated frames between hosts

Cause: hosts pass requests on and gossip; nothing carried that yet.

A frame is a length, a MAC of 16 bytes and a PeerMessage. Both ends prove the fleet's secret at connect by HMAC-SHA256 over both sides' fresh nonces, names, zones, sessions and the protocol version, with the role in the MAC.

Ruled out: frames without a MAC after the handshake. Whoever relays a connection (an address in the gossip is enough) could then put frames of its own behind a true handshake. Not encrypted: the network is trusted not to listen.

Messages that wait when a dial fails are dropped and counted: by the next connect they are stale, and the layers above cope with loss.

--- /dev/null
+++ b/crates/peer/src/incoming.rs
@@ -0,0 +1,184 @@
+//! Incoming connections: they deliver messages.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::{SinkExt as _, StreamExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tracing::{debug, warn};
+
+use crate::codec::Frame;
+use crate::errors::{Error, Result};
+use crate::handshake::{Connection, Identity, accept};
+use crate::peers::{Inbound, Shared};
+
+/// The direction of this module's connections in the counters.
+const DIRECTION: &str = "in";
+
+/// The pause after a failed accept, for example when there are no file descriptors left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The connection of one host that delivers at present.
+pub(crate) struct Current {
+    /// Ends it.
+    stop: CancellationToken,
+    /// Resolves when it has delivered its last.
+    over: oneshot::Receiver<()>,
+}
+
+/// Accepts connections until the part is stopped.
+pub(crate) async fn listen(shared: Arc<Shared>, listener: TcpListener, inbound: Sender<Inbound>) {
+    let handshakes = Arc::new(Semaphore::new(shared.options.max_handshakes));
+
+    loop {
+        let accepted = tokio::select! {
+            () = shared.stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let (stream, remote) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!("peer: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+
+        // Strangers that connect and say nothing must not pile up.
+        let Ok(permit) = Arc::clone(&handshakes).try_acquire_owned() else {
+            close(&shared, remote, &Error::Crowded);
+            continue;
+        };
+
+        let shared = Arc::clone(&shared);
+        let inbound = inbound.clone();
+        tokio::spawn(async move {
+            let admitted = admit(&shared, stream).await;
+            drop(permit);
+
+            let ended = match admitted {
+                Ok(connection) => serve(&shared, connection, &inbound).await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = ended {
+                close(&shared, remote, &error);
+            }
+        });
+    }
+}
+
+/// Counts a closed connection, and logs it once for each reason and remote address.
+fn close(shared: &Shared, remote: SocketAddr, error: &Error) {
+    let reason = error.reason();
+    shared.metrics.closed.with_label_values(&[reason]).inc();
+
+    if shared.notices.is_new(reason, remote.ip()) {
+        warn!("peer: connection from {remote} closed: {error}");
+    }
+}
+
+/// Performs the handshake within its time limit.
+async fn admit(shared: &Shared, stream: TcpStream) -> Result<Connection<TcpStream>> {
+    stream.set_nodelay(true)?;
+
+    let options = &shared.options;
+    let handshake = accept(stream, &shared.identity, &options.secret, options.max_frame_bytes);
+
+    timeout(options.connect_timeout, handshake).await.map_err(|_| Error::Timeout)?
+}
+
+/// Delivers the messages of a connection, in place of the host's former one.
+async fn serve(
+    shared: &Shared,
+    mut connection: Connection<TcpStream>,
+    inbound: &Sender<Inbound>,
+) -> Result<()> {
+    let identity = connection.identity.clone();
+    let stop = shared.stop.child_token();
+    let (over_tx, over) = oneshot::channel();
+
+    // The former connection ends first, so that nothing of it comes after this one's `Up`.
+    let current = Current { stop: stop.clone(), over };
+    let former = shared.lock_current().insert(identity.host, current);
+    if let Some(former) = former {
+        former.stop.cancel();
+        let _ = former.over.await;
+    }
+
+    let ended = tokio::select! {
+        () = stop.cancelled() => Ok(()),
+        ended = deliver(shared, &mut connection, inbound) => ended,
+    };
+
+    let _ = inbound.send(Inbound::Down { host: identity.host }).await;
+    debug!("peer: {} is down", identity.name);
+
+    // A newer connection has put itself in this one's place; it cancelled this one then.
+    if !stop.is_cancelled() {
+        shared.lock_current().remove(&identity.host);
+    }
+    let _ = over_tx.send(());
+    ended
+}
+
+/// Delivers messages until the connection ends.
+async fn deliver(
+    shared: &Shared,
+    connection: &mut Connection<TcpStream>,
+    inbound: &Sender<Inbound>,
+) -> Result<()> {
+    let Identity { host, name, zone, session } = connection.identity.clone();
+    let limit = shared.options.silence_limit;
+
+    debug!("peer: {name} is up");
+    let gauge = shared.metrics.connections.with_label_values(&[DIRECTION]);
+    let _open = OpenGuard::new(gauge);
+    if inbound.send(Inbound::Up { host, name, zone, session }).await.is_err() {
+        return Ok(());
+    }
+
+    loop {
+        let next = timeout(limit, connection.frames.next()).await;
+        let Some(frame) = next.map_err(|_| Error::Timeout)? else {
+            return Ok(());
+        };
+        let frame = frame?;
+        shared.metrics.frame(DIRECTION, frame.wire_bytes());
+
+        match frame {
+            // The dialler learns by the answer that the whole way still works.
+            Frame::Keepalive => {
+                let answer = connection.frames.send(Frame::Keepalive);
+                timeout(limit, answer).await.map_err(|_| Error::Timeout)??;
+            }
+            Frame::Message(message) => {
+                if inbound.send(Inbound::Message { from: host, message }).await.is_err() {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+/// Counts a connection as open until dropped.
+pub(crate) struct OpenGuard(prometheus::IntGauge);
+
+impl OpenGuard {
+    /// Counts one more.
+    pub(crate) fn new(gauge: prometheus::IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
--- /dev/null
+++ b/crates/peer/src/metrics.rs
@@ -0,0 +1,68 @@
+//! Counters.
+
+use prometheus::{IntCounterVec, IntGaugeVec, Opts, Registry};
+
+/// What the peer part counts.
+pub(crate) struct Metrics {
+    /// Frames by `direction`.
+    pub(crate) frames: IntCounterVec,
+    /// Bytes of frames by `direction`.
+    pub(crate) bytes: IntCounterVec,
+    /// Open connections by `direction`.
+    pub(crate) connections: IntGaugeVec,
+    /// Incoming connections that were closed, by `reason`.
+    pub(crate) closed: IntCounterVec,
+    /// Outgoing connections that failed or ended, by `reason`.
+    pub(crate) failed: IntCounterVec,
+    /// Messages that were not taken or were lost, by `reason`.
+    pub(crate) dropped: IntCounterVec,
+}
+
+impl Metrics {
+    /// Makes the counters, registered nowhere yet.
+    pub(crate) fn new() -> Self {
+        Self {
+            frames: counters("frames_total", "Frames between hosts.", "direction"),
+            bytes: counters("bytes_total", "Bytes of frames between hosts.", "direction"),
+            connections: gauges("connections", "Open connections between hosts.", "direction"),
+            closed: counters("closed_total", "Incoming connections closed.", "reason"),
+            failed: counters("failed_total", "Outgoing connections failed or ended.", "reason"),
+            dropped: counters("dropped_total", "Messages not taken or lost.", "reason"),
+        }
+    }
+
+    /// Registers the counters.
+    pub(crate) fn register(&self, registry: &Registry) -> prometheus::Result<()> {
+        for counter in [&self.frames, &self.bytes, &self.closed, &self.failed, &self.dropped] {
+            registry.register(Box::new(counter.clone()))?;
+        }
+
+        registry.register(Box::new(self.connections.clone()))
+    }
+
+    /// Counts one frame.
+    pub(crate) fn frame(&self, direction: &str, bytes: usize) {
+        self.frames.with_label_values(&[direction]).inc();
+        self.bytes.with_label_values(&[direction]).inc_by(bytes as u64);
+    }
+
+    /// Counts messages that were not taken or were lost.
+    pub(crate) fn drop_messages(&self, reason: &str, count: usize) {
+        self.dropped.with_label_values(&[reason]).inc_by(count as u64);
+    }
+}
+
+/// Makes the options of a metric of this part.
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(name, help).namespace("camphorwalk").subsystem("peer")
+}
+
+/// Makes counters with one label. The names are constants, so this cannot fail.
+fn counters(name: &str, help: &str, label: &str) -> IntCounterVec {
+    IntCounterVec::new(opts(name, help), &[label]).expect("a valid metric name")
+}
+
+/// Makes gauges with one label. The names are constants, so this cannot fail.
+fn gauges(name: &str, help: &str, label: &str) -> IntGaugeVec {
+    IntGaugeVec::new(opts(name, help), &[label]).expect("a valid metric name")
+}
--- /dev/null
+++ b/crates/peer/src/options.rs
@@ -0,0 +1,98 @@
+//! The options of [`Peers`](crate::Peers).
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use camphorwalk_core::ids::HostId;
+
+use crate::errors::{Error, Result};
+use crate::handshake::Identity;
+use crate::secret::Secret;
+
+/// The longest name of a host or zone that fits a handshake, in bytes.
+pub const MAX_NAME_BYTES: usize = 256;
+
+/// The options of [`Peers`](crate::Peers).
+#[derive(Clone, Debug)]
+pub struct PeerOptions {
+    /// Where to listen; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// This host; the id of `name`.
+    pub host: HostId,
+    /// This host's name.
+    pub name: Box<str>,
+    /// Its availability zone.
+    pub zone: Box<str>,
+    /// The random number of this run of its process.
+    pub session: u64,
+    /// The fleet's secret.
+    pub secret: Secret,
+    /// The longest message, in bytes. The same on all hosts.
+    pub max_frame_bytes: usize,
+    /// The most frames that wait for one peer.
+    pub send_queue: usize,
+    /// How long a connect and its handshake may take.
+    pub connect_timeout: Duration,
+    /// How often an idle connection is tried.
+    pub keepalive: Duration,
+    /// How long the other end may be silent, or take nothing, before it counts as gone.
+    pub silence_limit: Duration,
+    /// The pause after the first failed connect.
+    pub min_backoff: Duration,
+    /// The longest pause after failed connects.
+    pub max_backoff: Duration,
+    /// The most incoming connections that wait for their handshake.
+    pub max_handshakes: usize,
+}
+
+impl PeerOptions {
+    /// Makes the options of the host with this name, with the usual limits.
+    ///
+    /// ```
+    /// use camphorwalk_peer::{PeerOptions, Secret};
+    /// let listen = "127.0.0.1:0".parse().unwrap();
+    /// let options = PeerOptions::new(listen, "host-1", "zone-a", 7, Secret::new([1; 32]));
+    /// assert_eq!(options.max_frame_bytes, 4 << 20);
+    /// ```
+    pub fn new(listen: SocketAddr, name: &str, zone: &str, session: u64, secret: Secret) -> Self {
+        Self {
+            listen,
+            host: HostId::from_name(name),
+            name: name.into(),
+            zone: zone.into(),
+            session,
+            secret,
+            max_frame_bytes: 4 << 20,
+            send_queue: 1024,
+            connect_timeout: Duration::from_secs(2),
+            keepalive: Duration::from_secs(2),
+            silence_limit: Duration::from_secs(6),
+            min_backoff: Duration::from_millis(50),
+            max_backoff: Duration::from_secs(1),
+            max_handshakes: 128,
+        }
+    }
+
+    /// Returns what this host says of itself.
+    pub(crate) fn identity(&self) -> Identity {
+        Identity::new(&self.name, &self.zone, self.session)
+    }
+
+    /// Checks these options against each other.
+    pub(crate) fn check(&self) -> Result<()> {
+        if self.host != HostId::from_name(&self.name) {
+            return Err(Error::BadOptions("host is not the id of name"));
+        }
+        if self.name.len() > MAX_NAME_BYTES || self.zone.len() > MAX_NAME_BYTES {
+            return Err(Error::BadOptions("name or zone is longer than 256 bytes"));
+        }
+        if self.send_queue == 0 || self.max_frame_bytes == 0 || self.max_handshakes == 0 {
+            return Err(Error::BadOptions("a limit is zero"));
+        }
+        if self.keepalive.is_zero() || self.silence_limit <= self.keepalive {
+            return Err(Error::BadOptions("silence_limit must be longer than keepalive"));
+        }
+
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/delivery.rs
@@ -0,0 +1,171 @@
+//! Messages between hosts that belong to one fleet.
+
+mod fixtures;
+
+use camphorwalk_peer::{Error, Inbound, Peers};
+use fixtures::{closed_address, id, large_message, message, options, pair, start};
+
+#[tokio::test]
+async fn messages_arrive_in_order_after_up() {
+    let (one, mut two) = pair().await;
+
+    for number in 0..50 {
+        assert!(one.peers.send(id("host-2"), message(number)));
+    }
+
+    let up = two.next().await;
+    let name = "host-1".into();
+    assert_eq!(up, Inbound::Up { host: id("host-1"), name, zone: "zone-a".into(), session: 1 });
+    for number in 0..50 {
+        let expected = Inbound::Message { from: id("host-1"), message: message(number) };
+        assert_eq!(two.next().await, expected);
+    }
+}
+
+#[tokio::test]
+async fn both_directions_are_counted() {
+    let (mut one, mut two) = pair().await;
+
+    one.peers.send(id("host-2"), message(1));
+    two.peers.send(id("host-1"), message(2));
+    one.next_message().await;
+    two.next_message().await;
+
+    one.wait_count("connections", "out", 1).await;
+    one.wait_count("connections", "in", 1).await;
+    assert!(one.count("frames_total", "out") >= 1);
+    assert!(two.count("bytes_total", "in") > 20);
+}
+
+#[tokio::test]
+async fn an_unknown_peer_gets_nothing() {
+    let (one, _two) = pair().await;
+
+    assert!(!one.peers.send(id("host-9"), message(1)));
+
+    assert_eq!(one.count("dropped_total", "unknown"), 1);
+}
+
+#[tokio::test]
+async fn a_forgotten_peer_is_unknown() {
+    let (one, mut two) = pair().await;
+    one.peers.send(id("host-2"), message(1));
+    two.next_message().await;
+
+    one.peers.forget(id("host-2"));
+
+    assert!(!one.peers.send(id("host-2"), message(2)));
+    assert_eq!(two.next().await, Inbound::Down { host: id("host-1") });
+}
+
+#[tokio::test]
+async fn a_message_over_the_limit_is_not_taken() {
+    let (one, _two) = pair().await;
+
+    assert!(!one.peers.send(id("host-2"), large_message(5 << 20)));
+
+    assert_eq!(one.count("dropped_total", "too_large"), 1);
+}
+
+#[tokio::test]
+async fn a_message_near_the_limit_arrives() {
+    let (one, mut two) = pair().await;
+    let large = large_message((4 << 20) - 100);
+
+    assert!(one.peers.send(id("host-2"), large.clone()));
+
+    assert_eq!(two.next_message().await, large);
+}
+
+// A peer takes nothing in: its queue here fills. The sender sees `false` at once and goes
+// on; what does not fit is counted and never held, since the layers above cope with loss.
+#[tokio::test]
+async fn a_full_queue_refuses_at_once() {
+    let mut narrow = options("host-1");
+    narrow.send_queue = 2;
+    let one = start(narrow).await;
+    one.peers.set_address(id("host-2"), closed_address().await);
+
+    let taken = (0..20).filter(|number| one.peers.send(id("host-2"), message(*number))).count();
+
+    assert_eq!(taken, 2);
+    assert_eq!(one.count("dropped_total", "queue_full"), 18);
+}
+
+// A host is replaced: its process ends, a new one starts elsewhere under the same name.
+// The sender sees its connection end and dials the new address; the receiver is told of
+// the new session.
+#[tokio::test]
+async fn a_restarted_peer_is_dialled_again() {
+    let (one, mut two) = pair().await;
+    one.peers.send(id("host-2"), message(1));
+    two.next_message().await;
+
+    let old_address = two.peers.local_address();
+    drop(two);
+    let mut again = options("host-2");
+    again.session = 2;
+    let mut two = start(again).await;
+    assert_ne!(two.peers.local_address(), old_address);
+    one.peers.set_address(id("host-2"), two.peers.local_address());
+
+    one.send_until_heard(&mut two, id("host-2"), message(2)).await;
+}
+
+// The same, but at the same address, so that nothing tells the sender but the connection
+// itself.
+#[tokio::test]
+async fn a_peer_restarted_at_its_address_is_dialled_again() {
+    let (one, mut two) = pair().await;
+    one.peers.send(id("host-2"), message(1));
+    two.next_message().await;
+
+    let mut again = options("host-2");
+    again.listen = two.peers.local_address();
+    again.session = 2;
+    drop(two);
+    let mut two = loop {
+        // The old listener closes a moment after its drop.
+        let (tx, inbound) = tokio::sync::mpsc::channel(64);
+        match Peers::start(again.clone(), tx).await {
+            Ok(peers) => break fixtures::Host { peers, inbound, registry: Default::default() },
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+
+    one.send_until_heard(&mut two, id("host-2"), message(2)).await;
+}
+
+// A sender comes back under its name before the receiver has noticed that the old process
+// is gone. The receiver must not take the two for one: the old connection's end is told
+// before the new one's start, and nothing of the old follows.
+#[tokio::test]
+async fn a_new_session_takes_the_place_of_the_old() {
+    let mut two = start(options("host-2")).await;
+    let old = start(options("host-1")).await;
+    old.peers.set_address(id("host-2"), two.peers.local_address());
+    old.peers.send(id("host-2"), message(1));
+    two.next_message().await;
+
+    let mut again = options("host-1");
+    again.session = 2;
+    let new = start(again).await;
+    new.peers.set_address(id("host-2"), two.peers.local_address());
+    new.peers.send(id("host-2"), message(2));
+
+    assert_eq!(two.next().await, Inbound::Down { host: id("host-1") });
+    assert!(matches!(two.next().await, Inbound::Up { session: 2, .. }));
+    assert_eq!(two.next_message().await, message(2));
+    two.wait_count("connections", "in", 1).await;
+}
+
+#[tokio::test]
+async fn options_that_contradict_each_other_are_refused() {
+    let mut bad = options("host-1");
+    bad.host = id("host-2");
+    let (tx, _rx) = tokio::sync::mpsc::channel(1);
+
+    let started = Peers::start(bad, tx).await;
+
+    assert!(matches!(started, Err(Error::BadOptions(_))));
+}
