queue: bounded windows, class order, places that come back

Cause: the node needs a queue to compose with. First whole-shape version: class rank then arrival, the least loaded target with the own zone first, a repeated Ask gets the same grant, Vacate and HostGone give places back, a place whose Vacate is lost comes back five seconds after its call's deadline.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,13 +1,23 @@
 //! The queues of the pools that this host keeps: which call next, and at which target.
+//!
+//! [`Queues`] owns the parts and moves calls between them: [`waiting`] holds the calls that
+//! wait and their order, [`targets`] the windows.
 
+pub mod targets;
+pub mod waiting;
+
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use camphorwalk_core::config::Config;
-use camphorwalk_core::ids::{HostId, ProgramId, TargetId, ZoneId};
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::{HostId, PoolId, ProgramId, TargetId, ZoneId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 
+use self::targets::Targets;
+use self::waiting::{Call, Waiting};
 use crate::wire::{Asker, PlaceEnd, PlaceRequest};
 
 /// What an engine says of its load; it lags.
@@ -86,21 +96,165 @@
     pub zone: ZoneId,
 }
 
+/// How long after its deadline a place is taken for abandoned.
+const HOLD_GRACE: Duration = Duration::from_secs(5);
+
+/// When to come back after a refusal for want of any target.
+const RETRY_NO_TARGET: Duration = Duration::from_secs(5);
+
+/// A place that a call holds at a target.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    request: PlaceRequest,
+    target: TargetId,
+    /// When it is taken back, should no [`QueueEvent::Vacate`] come.
+    expires: Instant,
+}
+
 /// The queues that this host keeps.
 #[derive(Debug)]
-pub struct Queues {}
+pub struct Queues {
+    options: QueueOptions,
+    targets: Targets,
+    waiting: Waiting,
+    places: Map<Asker, Place>,
+    expiries: BTreeSet<(Instant, Asker)>,
+}
 
 impl Queues {
     /// Makes empty queues.
-    pub fn new(_options: QueueOptions) -> Self {
-        Self {}
+    pub fn new(options: QueueOptions) -> Self {
+        Self {
+            options,
+            targets: Targets::default(),
+            waiting: Waiting::default(),
+            places: Map::default(),
+            expiries: BTreeSet::new(),
+        }
     }
 
     /// Takes in an event and appends what to do next to `out`.
-    pub fn step(&mut self, _now: Instant, _event: QueueEvent, _out: &mut Vec<QueueNext>) {}
+    pub fn step(&mut self, now: Instant, event: QueueEvent, out: &mut Vec<QueueNext>) {
+        match event {
+            QueueEvent::Config(config) => self.configure(&config, now, out),
+            QueueEvent::Ask { asker, request } => self.ask(now, asker, request, out),
+            QueueEvent::Vacate { asker, end } => self.vacate(now, asker, end, out),
+            QueueEvent::HostGone(host) => self.host_gone(now, host, out),
+            QueueEvent::Load { target, report } => self.targets.report(target, report),
+            QueueEvent::Evicted { .. } => {}
+            QueueEvent::Wake => self.expire(now, out),
+        }
+    }
 
     /// Returns when [`QueueEvent::Wake`] is due.
     pub fn wake_at(&self) -> Option<Instant> {
-        None
+        let place = self.expiries.first().map(|(at, _)| *at);
+        let call = self.waiting.first_deadline();
+
+        place.into_iter().chain(call).min()
+    }
+
+    /// Returns how many calls wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns how many calls this host has in flight at a target.
+    pub fn in_flight(&self, target: TargetId) -> u32 {
+        self.targets.get(target).map_or(0, |target| target.in_flight)
+    }
+
+    fn configure(&mut self, config: &Config, now: Instant, out: &mut Vec<QueueNext>) {
+        self.targets.configure(config, self.options.zone);
+        self.waiting.configure(config);
+
+        for pool in self.waiting.pools() {
+            self.serve(now, pool, out);
+        }
+    }
+
+    fn ask(&mut self, now: Instant, asker: Asker, request: PlaceRequest, out: &mut Vec<QueueNext>) {
+        // A message sent again after a reconnect must not take a second place.
+        if let Some(place) = self.places.get(&asker) {
+            out.push(QueueNext::Grant { asker, target: place.target });
+            return;
+        }
+
+        if self.waiting.contains(asker) {
+            return;
+        }
+
+        if !self.targets.can_serve(request.pool) {
+            out.push(QueueNext::Refuse { asker, retry_after: RETRY_NO_TARGET });
+            return;
+        }
+
+        self.waiting.insert(now, asker, request);
+        self.serve(now, request.pool, out);
+    }
+
+    fn vacate(&mut self, now: Instant, asker: Asker, _end: PlaceEnd, out: &mut Vec<QueueNext>) {
+        self.waiting.remove(asker);
+
+        if let Some(pool) = self.free(asker) {
+            self.serve(now, pool, out);
+        }
+    }
+
+    fn host_gone(&mut self, now: Instant, host: HostId, out: &mut Vec<QueueNext>) {
+        self.waiting.remove_host(host);
+
+        let mut held: Vec<Asker> =
+            self.places.keys().copied().filter(|asker| asker.host == host).collect();
+        held.sort_unstable();
+
+        for asker in held {
+            if let Some(pool) = self.free(asker) {
+                self.serve(now, pool, out);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Instant, out: &mut Vec<QueueNext>) {
+        for asker in self.waiting.take_overdue(now) {
+            out.push(QueueNext::Refuse { asker, retry_after: RETRY_NO_TARGET });
+        }
+
+        while let Some((at, asker)) = self.expiries.first().copied().filter(|(at, _)| *at <= now) {
+            self.expiries.remove(&(at, asker));
+
+            if let Some(pool) = self.free(asker) {
+                self.serve(now, pool, out);
+            }
+        }
+    }
+
+    /// Takes a place back and returns its pool.
+    fn free(&mut self, asker: Asker) -> Option<PoolId> {
+        let place = self.places.remove(&asker)?;
+        self.expiries.remove(&(place.expires, asker));
+        self.targets.leave(place.target);
+
+        Some(place.request.pool)
+    }
+
+    /// Grants places of a pool for as long as one is free and a call can take it.
+    fn serve(&mut self, now: Instant, pool: PoolId, out: &mut Vec<QueueNext>) {
+        if !self.targets.can_serve(pool) {
+            for asker in self.waiting.take_pool(pool) {
+                out.push(QueueNext::Refuse { asker, retry_after: RETRY_NO_TARGET });
+            }
+            return;
+        }
+
+        while let Some(call) = self.waiting.next(pool, |request| self.targets.choose(request)) {
+            let Call { asker, request, target } = call;
+            let expires = now + request.deadline_left + HOLD_GRACE;
+
+            self.targets.enter(target, request.suspect);
+            self.places.insert(asker, Place { request, target, expires });
+            self.expiries.insert((expires, asker));
+            out.push(QueueNext::Grant { asker, target });
+        }
     }
 }
