--- a/crates/policy/src/slices.rs
+++ b/crates/policy/src/slices.rs
@@ -1,5 +1,8 @@
 //! Rates and bursts over the whole fleet, cut into slices that one host at a time uses.
 
+mod bucket;
+mod split;
+
 use std::sync::Arc;
 
 use camphorwalk_core::config::Config;
@@ -9,6 +12,9 @@
 
 use crate::wire::Verdict;
 
+pub use bucket::{Bucket, Share, TOKEN, Taken, take};
+pub use split::{columns, rate_of, share, split};
+
 /// A question whether a tenant may make one more call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TakeId(pub u64);
@@ -96,6 +102,8 @@
     pub host: HostId,
     /// Its availability zone.
     pub zone: ZoneId,
+    /// A random number of this run of its process, as in gossip.
+    pub session: u64,
 }
 
 /// The slices that this host owns or has borrowed.
