--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -5,6 +5,7 @@
 
 use camphorwalk_core::calls::{Reply, Request};
 use camphorwalk_core::config::Config;
+use camphorwalk_core::hash::Digest;
 use camphorwalk_core::ids::{
     AttemptId, Epoch, HostId, KeyId, PartitionId, ProgramId, TargetId, TenantId, Ticket,
 };
@@ -90,6 +91,8 @@
     },
     /// A key was withdrawn: its calls that wait or stream are ended.
     KeyWithdrawn(KeyId),
+    /// Another host found that the request with this digest crashes targets.
+    Quarantined(Digest),
     /// Time has passed; see [`Programs::wake_at`].
     Wake,
 }
@@ -145,6 +148,19 @@
         /// The program.
         program: ProgramId,
     },
+    /// Tell every host that the request with this digest crashes targets.
+    Quarantine {
+        /// The digest of the request.
+        digest: Digest,
+    },
+    /// The platform refused a journal write because another host took the partition's
+    /// lease: this host is not its home any more, whatever its own clock says.
+    Fenced {
+        /// The partition.
+        partition: PartitionId,
+        /// The epoch that this host held.
+        epoch: Epoch,
+    },
 }
 
 /// Settings of [`Programs`].
