--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use camphorwalk_core::hash::{Map, Set, rendezvous, stable_hash};
-use camphorwalk_core::ids::{Epoch, HostId, PartitionId};
+use camphorwalk_core::ids::{Epoch, HostId, PartitionId, ZoneId};
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
 };
@@ -84,12 +84,12 @@
 }
 
 /// A lease that this host should see to, and the zone whose hosts alone may hold it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Wanted {
     /// The lease.
     pub name: LeaseName,
-    /// The zone's name, or `None` if any host may hold it.
-    pub zone: Option<Box<str>>,
+    /// The zone, or `None` if any host may hold it.
+    pub zone: Option<ZoneId>,
 }
 
 /// A platform operation that the leases wait for.
@@ -581,8 +581,9 @@
     /// Returns whether the rendezvous hash over the live sessions picks this host.
     fn should_hold(&self, wanted: &Wanted) -> bool {
         let sessions = self.observer.sessions();
-        let may =
-            |s: &&SessionRow| !s.leaving && wanted.zone.as_ref().is_none_or(|zone| *zone == s.zone);
+        let may = |s: &&SessionRow| {
+            !s.leaving && wanted.zone.is_none_or(|zone| zone == ZoneId::from_name(&s.zone))
+        };
         let hosts = sessions.iter().filter(may).map(|s| HostId::from_name(&s.host).0);
 
         rendezvous(wanted.name.item(), hosts) == Some(HostId::from_name(&self.options.host).0)
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -341,7 +341,7 @@
                 commit_interval: times.commit_interval,
             }),
             queues: Queues::new(QueueOptions { zone }),
-            slices: Slices::new(SliceOptions { host: me, zone }),
+            slices: Slices::new(SliceOptions { host: me, zone, session: options.session }),
             waiting: Map::default(),
             asks: Asks::default(),
             takes: Map::default(),
--- a/crates/policy/src/scheduler/gossip.rs
+++ b/crates/policy/src/scheduler/gossip.rs
@@ -14,6 +14,7 @@
 use super::{Action, Scheduler};
 use crate::configs::{ConfigEvent, Pointer};
 use crate::leases::Holder;
+use crate::programs::ProgramEvent;
 
 /// How long a peer that is behind is left to read the configuration from the platform,
 /// before it is sent the whole of it. Also the time between two such sendings.
@@ -131,6 +132,8 @@
 
     /// Notes a request that brings targets down.
     pub(super) fn quarantine(&mut self, digest: Digest) {
-        self.quarantined.insert(digest);
+        if self.quarantined.insert(digest) {
+            self.work.push_back(Work::Program(ProgramEvent::Quarantined(digest)));
+        }
     }
 }
--- a/crates/policy/src/scheduler/work.rs
+++ b/crates/policy/src/scheduler/work.rs
@@ -230,6 +230,9 @@
                 out.push(Action::Platform { op: OpId::Program(op), request });
             }
             ProgramNext::Over { program } => out.push(Action::Free(program)),
+            ProgramNext::Quarantine { digest } => self.quarantine(digest),
+            // The tables say who holds it now; what is left is to look.
+            ProgramNext::Fenced { .. } => self.work.push_back(Work::Lease(LeaseEvent::Suspect)),
         }
     }
 
--- a/crates/policy/src/slices.rs
+++ b/crates/policy/src/slices.rs
@@ -124,12 +124,3 @@
         None
     }
 }
-
-/// Returns the columns that a configuration calls for, with the zone that owns each.
-pub fn columns(config: &Config) -> Vec<(ColumnId, Box<str>)> {
-    let mut zones: Vec<_> = config.fleet.zones.iter().map(|zone| &zone.name).collect();
-    zones.sort_unstable();
-    let zone_of = |c: u16| zones.get(usize::from(c) % zones.len().max(1));
-
-    (0..config.fleet.slices).filter_map(|c| Some((ColumnId(c), (*zone_of(c)?).clone()))).collect()
-}
