--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,209 @@
+//! A host's own settings: one JSON file.
+
+mod reader;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use camphorwalk_policy::scheduler::Times;
+
+use self::reader::Reader;
+use crate::errors::{Error, Result, unreadable};
+
+/// The largest body of a request, if the settings do not say: 1 MiB.
+pub const DEFAULT_BODY_BYTES: usize = 1 << 20;
+
+/// The most requests that a host has open at a time, if the settings do not say.
+pub const DEFAULT_OPEN_REQUESTS: usize = 8_192;
+
+/// The threads for traffic, if the settings do not say.
+const DEFAULT_TRAFFIC_THREADS: usize = 2;
+
+/// The settings of a host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The host's name, unique in the fleet.
+    pub name: Box<str>,
+    /// Its availability zone's name, as declared in `fleet.json`.
+    pub zone: Box<str>,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+    /// The file with the operators' key.
+    pub operator_key_file: PathBuf,
+    /// Where other hosts reach it.
+    pub peers: SocketAddr,
+    /// The file with the fleet's secret: 64 hexadecimal digits.
+    pub fleet_secret_file: PathBuf,
+    /// The platform.
+    pub platform: PlatformSettings,
+    /// What it takes on at most.
+    pub limits: Limits,
+    /// The times it works with.
+    pub times: Times,
+    /// How long a host that is leaving goes on taking requests, so that the balancer in
+    /// front has heard of it.
+    pub drain_delay: Duration,
+    /// The threads for traffic, the control thread aside.
+    pub traffic_threads: usize,
+    /// How it logs.
+    pub log: LogSettings,
+}
+
+/// How the platform is reached.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlatformSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// How long one try may take.
+    pub deadline: Duration,
+    /// This host's share of the platform's reads a second.
+    pub reads_per_second: f64,
+    /// This host's share of the platform's writes a second.
+    pub writes_per_second: f64,
+}
+
+/// What a host takes on at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// The most requests that are open at a time.
+    pub open_requests: usize,
+}
+
+/// How a host logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Whether each line is a JSON object.
+    pub json: bool,
+    /// The least severity: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: Box<str>,
+}
+
+/// A fault of the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsFault {
+    /// Where, as a JSON path such as `platform.address`.
+    pub path: Box<str>,
+    /// What is wrong.
+    pub reason: Box<str>,
+}
+
+impl fmt::Display for SettingsFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.reason)
+    }
+}
+
+impl Settings {
+    /// Reads the settings from a file.
+    ///
+    /// Paths in it are taken from the folder that the file is in.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path).map_err(|source| unreadable(path, source))?;
+        let mut settings = Self::parse(&text)?;
+
+        let folder = path.parent().unwrap_or(Path::new("."));
+        settings.operator_key_file = folder.join(&settings.operator_key_file);
+        settings.fleet_secret_file = folder.join(&settings.fleet_secret_file);
+
+        Ok(settings)
+    }
+
+    /// Reads the settings from a text, and reports all faults at once.
+    ///
+    /// ```
+    /// use camphorwalk_node::Settings;
+    ///
+    /// let faults = Settings::parse(r#"{"name": "a1", "zone": 7, "colour": "red"}"#).unwrap_err();
+    /// let text = faults.to_string();
+    /// assert!(text.contains("zone: a text is expected"));
+    /// assert!(text.contains("colour: there is no such setting"));
+    /// assert!(text.contains("callers: it is missing"));
+    /// ```
+    pub fn parse(text: &str) -> Result<Self> {
+        let mut faults = Vec::new();
+        let settings = read(text, &mut faults);
+
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Error::Settings(faults)),
+        }
+    }
+}
+
+fn read(text: &str, faults: &mut Vec<SettingsFault>) -> Option<Settings> {
+    let mut r = Reader::new(text, faults)?;
+
+    let name = r.text("name");
+    let zone = r.text("zone");
+    let callers = r.address("callers");
+    let operators = r.address("operators");
+    let operator_key_file = r.text("operator_key_file");
+    let peers = r.address("peers");
+    let fleet_secret_file = r.text("fleet_secret_file");
+    let platform = r.section("platform", read_platform);
+    let limits = r.section("limits", read_limits);
+    let times = r.section("times", read_times);
+    let log = r.section("log", read_log);
+    let drain_delay = r.duration_or("drain_delay", Duration::from_secs(5));
+    let traffic_threads = r.count_or("traffic_threads", DEFAULT_TRAFFIC_THREADS);
+    r.finish();
+
+    Some(Settings {
+        name: name?,
+        zone: zone?,
+        callers: callers?,
+        operators: operators?,
+        operator_key_file: PathBuf::from(&*operator_key_file?),
+        peers: peers?,
+        fleet_secret_file: PathBuf::from(&*fleet_secret_file?),
+        platform: platform??,
+        limits: limits?,
+        times: times?,
+        drain_delay,
+        traffic_threads,
+        log: log?,
+    })
+}
+
+fn read_platform(r: &mut Reader<'_>) -> Option<PlatformSettings> {
+    let address = r.address("address");
+    let deadline = r.duration_or("deadline", Duration::from_secs(1));
+    let reads_per_second = r.rate_or("reads_per_second", 100.0);
+    let writes_per_second = r.rate_or("writes_per_second", 40.0);
+
+    Some(PlatformSettings { address: address?, deadline, reads_per_second, writes_per_second })
+}
+
+fn read_limits(r: &mut Reader<'_>) -> Limits {
+    Limits {
+        body_bytes: r.count_or("body_bytes", DEFAULT_BODY_BYTES),
+        open_requests: r.count_or("open_requests", DEFAULT_OPEN_REQUESTS),
+    }
+}
+
+fn read_times(r: &mut Reader<'_>) -> Times {
+    let default = Times::default();
+
+    Times {
+        session_lifetime: r.duration_or("session_lifetime", default.session_lifetime),
+        session_renewal: r.duration_or("session_renewal", default.session_renewal),
+        lease_poll: r.duration_or("lease_poll", default.lease_poll),
+        config_poll: r.duration_or("config_poll", default.config_poll),
+        gossip_period: r.duration_or("gossip_period", default.gossip_period),
+        suspect_after: r.duration_or("suspect_after", default.suspect_after),
+        commit_interval: r.duration_or("commit_interval", default.commit_interval),
+    }
+}
+
+fn read_log(r: &mut Reader<'_>) -> LogSettings {
+    LogSettings {
+        json: r.flag_or("json", false),
+        level: r.choice_or("level", &["error", "warn", "info", "debug", "trace"], "info"),
+    }
+}
--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -273,7 +273,8 @@
             return None;
         }
 
-        let poll = (self.round == Round::Idle).then_some(self.next_poll);
+        let polls = self.round == Round::Idle && self.session.is_live();
+        let poll = polls.then_some(self.next_poll);
 
         [poll, self.session.wake_at()].into_iter().flatten().min()
     }
