declare: read, check, compare and bundle declarations

Cause: a configuration must be checked the same way by operators before publishing and by hosts before adopting it, with all faults at once.

A walk over the JSON value finds unknown, missing and wrong fields of all files; serde has the last word; the cross checks run on whatever could be read, and references into files that could not be read are no faults.

Ruled out: serde alone, which stops at its first error.

--- /dev/null
+++ b/crates/declare/src/bundles.rs
@@ -0,0 +1,45 @@
+//! The bytes that a configuration is published as.
+
+use camphorwalk_core::config::Config;
+
+use crate::checks::check;
+use crate::documents::{Document, ROOT};
+use crate::errors::{Faults, Result};
+use crate::parts::WHOLE;
+use crate::schema;
+
+/// The largest bundle, in bytes. Hosts pass it on in one frame.
+pub const MAX_BUNDLE_BYTES: usize = 3 << 20;
+
+/// Returns the canonical JSON of a configuration: no spaces, fields in the order of the
+/// types, lists as they are.
+///
+/// ```
+/// use camphorwalk_declare::{bundle, load, unbundle};
+/// # let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deployments/inzira");
+/// let config = load(folder.as_ref()).unwrap();
+/// assert_eq!(unbundle(&bundle(&config)).unwrap(), config);
+/// ```
+pub fn bundle(config: &Config) -> Box<[u8]> {
+    // The type holds nothing that JSON cannot say; a number that is not finite becomes
+    // `null`, which no check lets pass.
+    serde_json::to_vec(config).expect("a configuration is JSON").into()
+}
+
+/// Reads a bundle back and checks it, as hosts do before they adopt it.
+pub fn unbundle(bytes: &[u8]) -> Result<Config> {
+    if bytes.len() > MAX_BUNDLE_BYTES {
+        let reason = format!("is larger than {MAX_BUNDLE_BYTES} bytes");
+        return Err(Faults::one(WHOLE, ROOT, reason));
+    }
+
+    let document = Document::parse(WHOLE, bytes.to_vec()).map_err(|f| Faults::of(vec![f]))?;
+    let faults = document.walk(schema::CONFIG);
+    if !faults.is_empty() {
+        return Err(Faults::of(faults));
+    }
+
+    let config = document.read().map_err(|fault| Faults::of(vec![fault]))?;
+    let faults = check(&config);
+    if faults.is_empty() { Ok(config) } else { Err(Faults::of(faults)) }
+}
