Slices: lender, borrower and questions to the pool host

Every change between a lender and a borrower goes through a numbered request and the grant that answers it, so that the lender knows what is held whenever a request arrives, and a renewal is a few bytes for all tenants together.

--- /dev/null
+++ b/crates/policy/src/slices/borrower.rs
@@ -0,0 +1,276 @@
+//! The slices that this host borrowed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use camphorwalk_core::ids::{HostId, TenantId};
+use camphorwalk_core::messages::slices::{LoanGrant, LoanRequest, LoanReturn};
+use camphorwalk_core::time::Instant;
+
+use super::bucket::{Bucket, Share};
+use super::pools::Pools;
+use super::{ColumnId, SliceTimes};
+
+/// A slice: of a tenant, in a column.
+type SliceKey = (TenantId, ColumnId);
+
+/// A request under way.
+#[derive(Clone, Copy, Debug)]
+struct Outstanding {
+    number: u64,
+    sent: Instant,
+    /// The number of returns it lists.
+    returns: usize,
+}
+
+/// What is between this host and one lender.
+#[derive(Debug, Default)]
+struct Account {
+    /// The session of the lender.
+    lender: u64,
+    /// The last grant that was taken in.
+    acknowledged: u64,
+    /// The slices that it lends to this host.
+    held: BTreeMap<SliceKey, Bucket>,
+    /// The same by the loan's number.
+    loans: BTreeMap<u64, SliceKey>,
+    /// When the loans of each column are over.
+    until: BTreeMap<ColumnId, Instant>,
+    /// Loans not used any more that the lender may not know of yet.
+    returns: Vec<LoanReturn>,
+    outstanding: Option<Outstanding>,
+    /// Whether there is something to say, or to hear, at once.
+    urgent: bool,
+    next_request: Instant,
+    /// Without news of the lender, requests stop here.
+    give_up: Instant,
+}
+
+/// The slices that are borrowed, and from whom.
+#[derive(Debug)]
+pub(super) struct Borrower {
+    session: u64,
+    times: SliceTimes,
+    accounts: BTreeMap<HostId, Account>,
+    /// The last number given to a request.
+    number: u64,
+}
+
+impl Borrower {
+    pub(super) fn new(session: u64, times: SliceTimes) -> Self {
+        Self { session, times, accounts: BTreeMap::new(), number: 0 }
+    }
+
+    /// Takes in that a lender has something to say.
+    pub(super) fn offer(&mut self, lender: HostId) {
+        self.accounts.entry(lender).or_default().urgent = true;
+    }
+
+    /// Takes in a lender's grant, if it answers the latest request.
+    pub(super) fn grant(&mut self, lender: HostId, grant: &LoanGrant, now: Instant) {
+        let Some(account) = self.accounts.get_mut(&lender) else { return };
+        let Some(request) = account.outstanding else { return };
+
+        // The lender counts a loan as not taken in once a later request does not
+        // acknowledge it. A grant for an earlier request must not be taken in after that.
+        if grant.session != self.session || grant.request != request.number {
+            return;
+        }
+
+        // The lender counts the lifetime from its sending, which was later.
+        let until = request.sent + Duration::from_millis(u64::from(grant.lifetime_ms));
+
+        if until <= now {
+            return;
+        }
+
+        account.outstanding = None;
+        account.returns.drain(..request.returns);
+        account.give_up = now + self.times.lifetime * 2;
+
+        if account.lender != grant.lender {
+            account.forget();
+            account.lender = grant.lender;
+        }
+
+        account.acknowledged = grant.number;
+        account.renew(grant, until);
+        account.change(grant, now);
+        account.recall(grant, now);
+        account.borrow(grant, now);
+    }
+
+    /// Ends loans whose time is over.
+    pub(super) fn expire(&mut self, now: Instant) {
+        for account in self.accounts.values_mut() {
+            if account.until.values().all(|until| now < *until) {
+                continue;
+            }
+
+            account.until.retain(|_, until| now < *until);
+            let columns = std::mem::take(&mut account.until);
+            account.drop_loans(|column| !columns.contains_key(&column));
+            account.until = columns;
+        }
+    }
+
+    /// Ends all loans, after a pause of this process.
+    pub(super) fn drop_all(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.until.clear();
+            account.drop_loans(|_| true);
+            account.urgent = true;
+        }
+    }
+
+    /// Returns the requests to be sent now, each with its lender.
+    pub(super) fn requests(&mut self, now: Instant) -> Vec<(HostId, LoanRequest)> {
+        let mut requests = Vec::new();
+
+        for (lender, account) in &mut self.accounts {
+            if account.request_at(&self.times).is_some_and(|at| at <= now) {
+                self.number += 1;
+                let req = account.request(self.session, self.number, &self.times, now);
+                requests.push((*lender, req));
+            }
+        }
+
+        requests
+    }
+
+    /// Forgets lenders that are gone and have nothing out.
+    pub(super) fn forget_gone(&mut self, pools: &Pools) {
+        self.accounts.retain(|lender, account| {
+            pools.reaches(*lender) || !account.loans.is_empty() || !account.returns.is_empty()
+        });
+    }
+
+    /// Returns the borrowed buckets of a tenant.
+    pub(super) fn usable(&mut self, tenant: TenantId) -> impl Iterator<Item = &mut Bucket> {
+        let all = (tenant, ColumnId(0))..=(tenant, ColumnId(u16::MAX));
+
+        self.accounts
+            .values_mut()
+            .flat_map(move |account| account.held.range_mut(all.clone()))
+            .map(|(_, bucket)| bucket)
+    }
+
+    /// Returns when something is due.
+    pub(super) fn wake_at(&self) -> Option<Instant> {
+        let requests = self.accounts.values().filter_map(|a| a.request_at(&self.times));
+        let ends = self.accounts.values().flat_map(|account| account.until.values().copied());
+
+        requests.chain(ends).min()
+    }
+}
+
+impl Account {
+    /// Returns when the next request is due.
+    fn request_at(&self, times: &SliceTimes) -> Option<Instant> {
+        let idle = self.loans.is_empty() && self.returns.is_empty();
+
+        // A lender that is gone gets no requests for good; one that is back sends an offer.
+        let gone = self.loans.is_empty() && self.give_up <= self.next_request;
+
+        let at = match (self.urgent, self.outstanding) {
+            (false, _) if idle || gone => return None,
+            (true, None) => Instant(0),
+            (false, None) => self.next_request,
+            (_, Some(request)) => request.sent + times.retry,
+        };
+
+        Some(at)
+    }
+
+    /// Makes a request.
+    fn request(
+        &mut self,
+        session: u64,
+        number: u64,
+        times: &SliceTimes,
+        now: Instant,
+    ) -> LoanRequest {
+        self.urgent = false;
+        self.next_request = now + times.renewal;
+        self.outstanding = Some(Outstanding { number, sent: now, returns: self.returns.len() });
+
+        LoanRequest {
+            session,
+            number,
+            lender: self.lender,
+            acknowledged: self.acknowledged,
+            returns: self.returns.clone(),
+        }
+    }
+
+    /// Forgets all loans: they were a former run's of the lender, which knows of none now.
+    fn forget(&mut self) {
+        self.until.clear();
+        self.drop_loans(|_| true);
+        self.returns.clear();
+    }
+
+    /// Renews the columns that the grant names. The others end when they would have: the
+    /// lender owns them no more.
+    fn renew(&mut self, grant: &LoanGrant, until: Instant) {
+        for column in &grant.columns {
+            self.until.insert(column_of(*column), until);
+        }
+    }
+
+    /// Takes in new shares.
+    fn change(&mut self, grant: &LoanGrant, now: Instant) {
+        for change in &grant.changes {
+            let Some(key) = self.loans.get(&change.loan) else { continue };
+            let Some(bucket) = self.held.get_mut(key) else { continue };
+
+            bucket.change(Share { rate: change.rate, burst: change.burst }, now);
+        }
+    }
+
+    /// Returns the loans that the grant asks back.
+    fn recall(&mut self, grant: &LoanGrant, now: Instant) {
+        for loan in &grant.recalls {
+            let Some(key) = self.loans.remove(loan) else { continue };
+            let Some(mut bucket) = self.held.remove(&key) else { continue };
+
+            let level = bucket.level(now);
+            self.returns.push(LoanReturn { loan: *loan, level });
+            self.urgent = true;
+        }
+    }
+
+    /// Takes up new loans.
+    fn borrow(&mut self, grant: &LoanGrant, now: Instant) {
+        for loan in &grant.loans {
+            let key = (TenantId(loan.tenant), column_of(loan.column));
+            let share = Share { rate: loan.rate, burst: loan.burst };
+            let bucket = Bucket::new(share, loan.level, now);
+
+            self.held.insert(key, bucket);
+            self.loans.insert(loan.loan, key);
+        }
+    }
+
+    /// Ends the loans of some columns. What was left in them is lost.
+    fn drop_loans(&mut self, over: impl Fn(ColumnId) -> bool) {
+        let Self { held, loans, returns, .. } = self;
+
+        loans.retain(|loan, key| {
+            if !over(key.1) {
+                return true;
+            }
+
+            held.remove(key);
+
+            // The lender may have renewed it in a grant that was lost; told that it is over,
+            // it need not wait.
+            returns.push(LoanReturn { loan: *loan, level: 0 });
+            false
+        });
+    }
+}
+
+fn column_of(column: u32) -> ColumnId {
+    ColumnId(u16::try_from(column).unwrap_or(u16::MAX))
+}
--- /dev/null
+++ b/crates/policy/src/slices/lender.rs
@@ -0,0 +1,452 @@
+//! The slices of the columns that this host owns, and whom it lent them to.
+//!
+//! A slice has one user at any instant: this host, or the one borrower it is lent to. What
+//! a borrower holds is known exactly whenever a request of it arrives: it takes in a grant
+//! only as the answer to its latest request, so a loan in a grant that the request does not
+//! acknowledge was not taken in and never will be.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use camphorwalk_core::config::Config;
+use camphorwalk_core::ids::{HostId, TenantId};
+use camphorwalk_core::messages::slices::{Loan, LoanChange, LoanGrant, LoanRequest, LoanReturn};
+use camphorwalk_core::time::Instant;
+
+use super::bucket::{Bucket, Share};
+use super::pools::Pools;
+use super::{ColumnId, SliceTimes, split};
+
+/// A run of a borrower's process. A restarted borrower does not know its former loans, and
+/// its former run may only be paused: their loans are never mixed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Borrower {
+    host: HostId,
+    session: u64,
+}
+
+/// What is lent to one borrower.
+#[derive(Debug, Default)]
+struct Account {
+    /// The highest request that was answered.
+    request: u64,
+    /// When all its loans are over, unless renewed.
+    until: Instant,
+    /// Its loans.
+    loans: BTreeMap<u64, (TenantId, ColumnId)>,
+}
+
+/// An owned column.
+#[derive(Clone, Copy, Debug)]
+struct Column {
+    /// Ownership ends here.
+    until: Instant,
+    /// Loans of former owners are over from here on.
+    usable_from: Instant,
+}
+
+impl Column {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.usable_from <= now && now < self.until
+    }
+}
+
+#[derive(Debug)]
+struct Slice {
+    share: Share,
+    place: Place,
+}
+
+/// Who may use a slice.
+#[derive(Debug)]
+enum Place {
+    /// This host.
+    Here(Bucket),
+    /// The borrower.
+    Lent(Lent),
+}
+
+#[derive(Debug)]
+struct Lent {
+    borrower: Borrower,
+    /// The grant that lent it.
+    grant: u64,
+    /// The bucket as it was lent, in case that the grant is lost.
+    bucket: Bucket,
+    /// The share that the borrower was told last, and by which grant.
+    told: Share,
+    told_by: u64,
+}
+
+/// The slices of owned columns.
+#[derive(Debug)]
+pub(super) struct Lender {
+    session: u64,
+    times: SliceTimes,
+    columns: BTreeMap<ColumnId, Column>,
+    slices: BTreeMap<(TenantId, ColumnId), Slice>,
+    accounts: BTreeMap<Borrower, Account>,
+    offered: BTreeMap<HostId, Instant>,
+    next_offers: Instant,
+    /// The last number given to a grant or a loan.
+    number: u64,
+}
+
+impl Lender {
+    pub(super) fn new(session: u64, times: SliceTimes) -> Self {
+        Self {
+            session,
+            times,
+            columns: BTreeMap::new(),
+            slices: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            offered: BTreeMap::new(),
+            next_offers: Instant(0),
+            number: 0,
+        }
+    }
+
+    /// Gives each owned slice the share that `cfg` says.
+    pub(super) fn configure(&mut self, cfg: &Config, now: Instant) {
+        let mut shares = BTreeMap::new();
+
+        for tenant in &cfg.tenants {
+            for column in self.columns.keys() {
+                let key = (TenantId::from_name(&tenant.name), *column);
+                shares.insert(key, split::share(tenant, cfg.fleet.slices, *column));
+            }
+        }
+
+        for (key, slice) in &mut self.slices {
+            slice.set_share(shares.remove(key).unwrap_or_default(), now);
+        }
+
+        // A tenant that is new here may be one that was withdrawn a moment ago and used its
+        // burst: slices begin at level zero.
+        for (key, share) in shares {
+            let from = self.columns[&key.1].usable_from.max(now);
+            let place = Place::Here(Bucket::new(share, 0, from));
+            self.slices.insert(key, Slice { share, place });
+        }
+
+        self.slices.retain(|_, slice| !slice.is_over());
+        self.next_offers = now;
+    }
+
+    /// Takes in ownership of a column, new or renewed. Returns whether it is new.
+    pub(super) fn own(
+        &mut self,
+        column: ColumnId,
+        until: Instant,
+        fresh: bool,
+        now: Instant,
+    ) -> bool {
+        if let Some(owned) = self.columns.get_mut(&column)
+            && !fresh
+        {
+            owned.until = until;
+            return false;
+        }
+
+        // A former owner may have lent slices just before it stopped; until those loans are
+        // over, a slice used or lent here would have two users.
+        let usable_from = now + self.times.lent_for();
+
+        self.lose(column);
+        self.columns.insert(column, Column { until, usable_from });
+        true
+    }
+
+    /// Forgets a column. Loans of it are renewed no more, and end by themselves.
+    pub(super) fn lose(&mut self, column: ColumnId) {
+        self.columns.remove(&column);
+        self.slices.retain(|(_, other), _| *other != column);
+
+        for account in self.accounts.values_mut() {
+            account.loans.retain(|_, (_, other)| *other != column);
+        }
+    }
+
+    /// Looks again at who should have which slice.
+    pub(super) fn hosts_changed(&mut self, now: Instant) {
+        self.next_offers = now;
+    }
+
+    /// Ends ownership and loans whose time is over.
+    pub(super) fn expire(&mut self, now: Instant) {
+        let over: Vec<ColumnId> =
+            self.columns.iter().filter(|(_, c)| c.until <= now).map(|(id, _)| *id).collect();
+
+        for column in over {
+            self.lose(column);
+        }
+
+        let slices = &mut self.slices;
+        let next_offers = &mut self.next_offers;
+
+        self.accounts.retain(|_, account| {
+            if now < account.until {
+                return true;
+            }
+
+            // What the borrower took until then is unknown: the slices go on from zero.
+            for key in account.loans.values() {
+                if let Some(slice) = slices.get_mut(key) {
+                    slice.place = Place::Here(Bucket::new(slice.share, 0, account.until));
+                }
+            }
+
+            *next_offers = now;
+            false
+        });
+    }
+
+    /// Answers a borrower's request. None for one that was overtaken by a later one.
+    pub(super) fn request(
+        &mut self,
+        from: HostId,
+        req: &LoanRequest,
+        pools: &mut Pools,
+        now: Instant,
+    ) -> Option<LoanGrant> {
+        let borrower = Borrower { host: from, session: req.session };
+        let account = self.accounts.entry(borrower).or_default();
+
+        if req.number <= account.request {
+            return None;
+        }
+
+        account.request = req.number;
+        account.until = now + self.times.lent_for();
+
+        // What it says of a former run of this process means nothing here.
+        let ours = req.lender == self.session;
+        let acknowledged = if ours { req.acknowledged } else { 0 };
+        let returns = if ours { &*req.returns } else { &[] };
+
+        self.take_back(borrower, returns, now);
+        self.undo_lost(borrower, acknowledged);
+
+        Some(self.grant(borrower, req.number, acknowledged, pools, now))
+    }
+
+    /// Takes back what the borrower returns.
+    fn take_back(&mut self, borrower: Borrower, returns: &[LoanReturn], now: Instant) {
+        let Some(account) = self.accounts.get_mut(&borrower) else { return };
+
+        for back in returns {
+            // A return is repeated until it is answered; the loan's number tells a repeat
+            // from the return of a later loan.
+            let Some(key) = account.loans.remove(&back.loan) else { continue };
+            let Some(slice) = self.slices.get_mut(&key) else { continue };
+
+            slice.place = Place::Here(Bucket::new(slice.share, back.level, now));
+            self.next_offers = now;
+        }
+    }
+
+    /// Takes back loans in grants that the borrower never took in.
+    ///
+    /// Without this a lost grant would leave its loans with a borrower that does not know of
+    /// them, renewed for good.
+    fn undo_lost(&mut self, borrower: Borrower, acknowledged: u64) {
+        let Some(account) = self.accounts.get_mut(&borrower) else { return };
+        let slices = &mut self.slices;
+
+        account.loans.retain(|_, key| {
+            let Some(slice) = slices.get_mut(key) else { return false };
+            let Place::Lent(lent) = &slice.place else { return false };
+
+            if lent.grant <= acknowledged {
+                return true;
+            }
+
+            slice.place = Place::Here(lent.bucket);
+            false
+        });
+    }
+
+    /// Makes the grant that answers a request.
+    fn grant(
+        &mut self,
+        borrower: Borrower,
+        request: u64,
+        acknowledged: u64,
+        pools: &mut Pools,
+        now: Instant,
+    ) -> LoanGrant {
+        self.number += 1;
+
+        let mut grant = LoanGrant {
+            session: borrower.session,
+            request,
+            lender: self.session,
+            number: self.number,
+            lifetime_ms: u32::try_from(self.times.lifetime.as_millis()).unwrap_or(u32::MAX),
+            ..LoanGrant::default()
+        };
+
+        self.review(borrower, acknowledged, pools, &mut grant);
+        self.lend(borrower, pools, now, &mut grant);
+
+        let account = self.accounts.entry(borrower).or_default();
+        let mut columns: Vec<u32> =
+            account.loans.values().map(|(_, column)| u32::from(column.0)).collect();
+        columns.sort_unstable();
+        columns.dedup();
+        grant.columns = columns;
+
+        grant
+    }
+
+    /// Asks back loans that belong with another host now, and tells of changed shares.
+    fn review(
+        &mut self,
+        borrower: Borrower,
+        acknowledged: u64,
+        pools: &mut Pools,
+        grant: &mut LoanGrant,
+    ) {
+        let Some(account) = self.accounts.get(&borrower) else { return };
+
+        for (loan, key) in &account.loans {
+            let Some(slice) = self.slices.get_mut(key) else { continue };
+            let Place::Lent(lent) = &mut slice.place else { continue };
+
+            if pools.of(key.0) != borrower.host {
+                grant.recalls.push(*loan);
+                continue;
+            }
+
+            if lent.told == slice.share && lent.told_by <= acknowledged {
+                continue;
+            }
+
+            let Share { rate, burst } = slice.share;
+            lent.told = slice.share;
+            lent.told_by = grant.number;
+            grant.changes.push(LoanChange { loan: *loan, rate, burst });
+        }
+    }
+
+    /// Lends what the borrower pools, as far as it is here.
+    fn lend(&mut self, borrower: Borrower, pools: &mut Pools, now: Instant, grant: &mut LoanGrant) {
+        let Some(account) = self.accounts.get_mut(&borrower) else { return };
+
+        for ((tenant, column), slice) in &mut self.slices {
+            let Place::Here(bucket) = &mut slice.place else { continue };
+
+            if pools.of(*tenant) != borrower.host || !self.columns[column].is_usable(now) {
+                continue;
+            }
+
+            self.number += 1;
+            let loan = self.number;
+            let level = bucket.level(now);
+            let Share { rate, burst } = slice.share;
+
+            grant.loans.push(Loan {
+                loan,
+                tenant: tenant.0,
+                column: u32::from(column.0),
+                level,
+                rate,
+                burst,
+            });
+            account.loans.insert(loan, (*tenant, *column));
+            slice.place = Place::Lent(Lent {
+                borrower,
+                grant: grant.number,
+                bucket: *bucket,
+                told: slice.share,
+                told_by: grant.number,
+            });
+        }
+    }
+
+    /// Returns the hosts that should send a request soon: slices here belong with them, or
+    /// loans with them are to be changed or returned.
+    pub(super) fn offers(&mut self, me: HostId, pools: &mut Pools, now: Instant) -> Vec<HostId> {
+        if now < self.next_offers {
+            return Vec::new();
+        }
+
+        self.next_offers = now + self.times.retry;
+        self.offered.retain(|_, again| now < *again);
+        let mut hosts = Vec::new();
+
+        for ((tenant, column), slice) in &self.slices {
+            let Some(host) = slice.waits_for(pools.of(*tenant)) else { continue };
+            let usable = self.columns[column].is_usable(now);
+
+            if usable && host != me && pools.reaches(host) && !self.offered.contains_key(&host) {
+                self.offered.insert(host, now + self.times.retry);
+                hosts.push(host);
+            }
+        }
+
+        hosts
+    }
+
+    /// Returns the buckets of a tenant that this host may use itself.
+    pub(super) fn usable(
+        &mut self,
+        tenant: TenantId,
+        now: Instant,
+    ) -> impl Iterator<Item = &mut Bucket> {
+        let columns = &self.columns;
+        let all = (tenant, ColumnId(0))..=(tenant, ColumnId(u16::MAX));
+
+        self.slices.range_mut(all).filter_map(move |((_, column), slice)| match &mut slice.place {
+            Place::Here(bucket) if columns[column].is_usable(now) => Some(bucket),
+            _ => None,
+        })
+    }
+
+    /// Returns how long it takes until the first column is usable that is not yet.
+    pub(super) fn usable_in(&self, now: Instant) -> Option<Duration> {
+        let waiting = self.columns.values().filter(|column| now < column.usable_from);
+
+        waiting.map(|column| column.usable_from - now).min()
+    }
+
+    /// Returns when something is due.
+    pub(super) fn wake_at(&self) -> Option<Instant> {
+        if self.columns.is_empty() && self.accounts.is_empty() {
+            return None;
+        }
+
+        let columns = self.columns.values().map(|column| column.until);
+        let accounts = self.accounts.values().map(|account| account.until);
+
+        columns.chain(accounts).chain([self.next_offers]).min()
+    }
+}
+
+impl Slice {
+    fn set_share(&mut self, share: Share, now: Instant) {
+        self.share = share;
+
+        // A borrower goes on with the old share until it takes in the grant that tells it.
+        match &mut self.place {
+            Place::Here(bucket) => bucket.change(share, now),
+            Place::Lent(lent) => lent.bucket.change(share, now),
+        }
+    }
+
+    /// Returns whether its tenant is gone and nobody uses it.
+    fn is_over(&self) -> bool {
+        self.share == Share::default() && matches!(self.place, Place::Here(_))
+    }
+
+    /// Returns the host whose next request this slice waits for, given its pool host.
+    fn waits_for(&self, pool: HostId) -> Option<HostId> {
+        match &self.place {
+            Place::Here(_) => Some(pool),
+            Place::Lent(lent) if lent.borrower.host != pool || lent.told != self.share => {
+                Some(lent.borrower.host)
+            }
+            Place::Lent(_) => None,
+        }
+    }
+}
