Stand-ins and the client of the platform, first working version

The other parts need something to talk to. The stand-ins answer the calls of docs/STANDINS.md over plain hyper, because dropshot cannot break a connection without an answer. The client classifies each try as answered, not done or lost, and sends a transaction again only if a row of it can witness that it took effect.

--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,213 @@
+//! The client: tries, retries, and what they come to.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use camphorwalk_core::platform::{HostListing, PlatformOp, PlatformReply};
+use http::StatusCode;
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use crate::errors::{Error, Result};
+use crate::limits::{Access, RetryBudget, Share};
+use crate::metrics::Metrics;
+use crate::operations::{self, OnLoss};
+use crate::options::{ClientOptions, RetryOptions};
+use crate::transport::{Attempt, Call, Transport};
+
+/// The name of listing the hosts in metrics.
+const HOSTS: &str = "hosts";
+
+/// A client of the platform. Clones share the connections, the host's share and the budget
+/// of retries.
+#[derive(Clone, Debug)]
+pub struct Client {
+    /// What all clones share.
+    inner: Arc<Inner>,
+}
+
+/// What all clones of a client share.
+#[derive(Debug)]
+struct Inner {
+    /// The connections.
+    transport: Transport,
+    /// When an operation is tried again.
+    retry: RetryOptions,
+    /// What is left to be asked.
+    limits: Mutex<Limits>,
+    /// What the client tells of itself.
+    metrics: Metrics,
+}
+
+/// What is left to be asked.
+#[derive(Debug)]
+struct Limits {
+    /// The host's share.
+    share: Share,
+    /// The budget of retries.
+    budget: RetryBudget,
+    /// The jitter between tries.
+    rng: SmallRng,
+}
+
+/// What the tries of an operation came to.
+enum Outcome {
+    /// The platform answered.
+    Answered {
+        /// The answer's status.
+        status: StatusCode,
+        /// The answer's body.
+        body: Bytes,
+        /// Whether the answer to an earlier try was lost.
+        lost: bool,
+    },
+    /// No try was answered.
+    Unanswered {
+        /// Whether the answer to any try was lost; else nothing was done.
+        lost: bool,
+    },
+    /// Nothing was tried, for want of share.
+    OverShare,
+}
+
+impl Client {
+    /// Makes a client; it connects when it is used.
+    pub fn new(options: ClientOptions) -> Result<Self> {
+        let limits = Limits {
+            share: Share::new(options.share, Instant::now()),
+            budget: RetryBudget::new(options.retry),
+            rng: SmallRng::seed_from_u64(options.seed),
+        };
+        let inner = Inner {
+            transport: Transport::new(&options)?,
+            retry: options.retry,
+            limits: Mutex::new(limits),
+            metrics: Metrics::new()?,
+        };
+
+        Ok(Self { inner: Arc::new(inner) })
+    }
+
+    /// Registers the client's metrics.
+    pub fn register(&self, registry: &prometheus::Registry) -> Result<()> {
+        Ok(self.inner.metrics.register(registry)?)
+    }
+
+    /// Runs an operation to its reply. It takes at most the tries of the retry options, of
+    /// one deadline each, and the pauses between them.
+    ///
+    /// Over the host's share the reply is `Unavailable` at once. Dropping the future of a
+    /// write leaves it as unknown as a lost answer does.
+    pub async fn run(&self, op: PlatformOp) -> PlatformReply {
+        let name = operations::name(&op);
+        let started = Instant::now();
+        let call = operations::call(&op);
+        let outcome = self.try_call(name, operations::access(&op), operations::on_loss(&op), &call);
+
+        let reply = match outcome.await {
+            Outcome::OverShare => {
+                self.inner.metrics.over_share(name);
+                return PlatformReply::Unavailable;
+            }
+            Outcome::Unanswered { lost } => operations::unanswered(&op, lost),
+            Outcome::Answered { status, body, lost } => operations::reply(&op, lost, status, &body)
+                .unwrap_or_else(|| senseless(&op, lost, status)),
+        };
+
+        self.inner.metrics.finished(name, outcome_name(&reply), started.elapsed());
+        reply
+    }
+
+    /// Lists the hosts as the platform knows them; the list lags.
+    pub async fn hosts(&self) -> Result<Vec<HostListing>> {
+        let started = Instant::now();
+        let call = operations::hosts_call();
+
+        let hosts = match self.try_call(HOSTS, Access::Read, OnLoss::SendAgain, &call).await {
+            Outcome::OverShare => {
+                self.inner.metrics.over_share(HOSTS);
+                return Err(Error::OverShare);
+            }
+            Outcome::Unanswered { .. } => None,
+            Outcome::Answered { status, body, .. } => operations::read_hosts(status, &body),
+        };
+
+        let outcome = if hosts.is_some() { "ok" } else { "unavailable" };
+        self.inner.metrics.finished(HOSTS, outcome, started.elapsed());
+        hosts.ok_or(Error::Unavailable)
+    }
+
+    /// Tries a call until it is answered, or may not or need not be tried again.
+    async fn try_call(&self, name: &str, access: Access, on_loss: OnLoss, call: &Call) -> Outcome {
+        if !self.limits().share.take(access, Instant::now()) {
+            return Outcome::OverShare;
+        }
+
+        self.limits().budget.first_try();
+        let mut lost = false;
+        let mut tries = 1;
+
+        loop {
+            match self.inner.transport.send(call).await {
+                Attempt::Answered(status, body) => return Outcome::Answered { status, body, lost },
+                Attempt::NotDone => {}
+                Attempt::Lost => lost = true,
+            }
+
+            if lost && on_loss == OnLoss::GiveUp {
+                return Outcome::Unanswered { lost };
+            }
+
+            let Some(pause) = self.next_pause(tries, access) else {
+                return Outcome::Unanswered { lost };
+            };
+
+            self.inner.metrics.retried(name);
+            tokio::time::sleep(pause).await;
+            tries += 1;
+        }
+    }
+
+    /// Returns how long to wait before a further try, or none if there is to be none.
+    fn next_pause(&self, tries: u32, access: Access) -> Option<Duration> {
+        let retry = self.inner.retry;
+        let mut limits = self.limits();
+
+        if tries >= retry.most_tries
+            || !limits.budget.take()
+            || !limits.share.take(access, Instant::now())
+        {
+            return None;
+        }
+
+        // Jitter keeps the hosts that failed together from coming back together.
+        let jitter = limits.rng.random_range(0.5..1.5);
+
+        Some(retry.pause.mul_f64(f64::from(1 << (tries - 1).min(10)) * jitter))
+    }
+
+    /// Locks the limits; they are plain numbers, which a panic leaves usable.
+    fn limits(&self) -> MutexGuard<'_, Limits> {
+        self.inner.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the reply to an answer that makes no sense.
+fn senseless(op: &PlatformOp, lost: bool, status: StatusCode) -> PlatformReply {
+    tracing::warn!(%status, operation = operations::name(op), "platform: senseless answer");
+
+    // A success that cannot be read may well have taken effect.
+    operations::unanswered(op, lost || status.is_success())
+}
+
+/// Returns the name of a reply in metrics.
+fn outcome_name(reply: &PlatformReply) -> &'static str {
+    match reply {
+        PlatformReply::Committed(_) => "committed",
+        PlatformReply::Conflict(_) => "conflict",
+        PlatformReply::Rows(_) | PlatformReply::Stored(_) | PlatformReply::Object(_) => "ok",
+        PlatformReply::Unavailable => "unavailable",
+        PlatformReply::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/platform/src/limits.rs
@@ -0,0 +1,115 @@
+//! Token buckets: the host's share of the platform, and the budget of retries.
+//!
+//! Time is passed in.
+
+use std::time::Instant;
+
+use crate::options::{RetryOptions, ShareOptions};
+
+/// A token bucket.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    /// The tokens in it.
+    level: f64,
+    /// The most tokens it holds; at least one, or nothing would ever pass.
+    most: f64,
+}
+
+impl Bucket {
+    /// Makes a full bucket.
+    fn full(most: f64) -> Self {
+        let most = most.max(1.0);
+
+        Self { level: most, most }
+    }
+
+    /// Adds tokens, up to the most.
+    fn add(&mut self, tokens: f64) {
+        self.level = (self.level + tokens).min(self.most);
+    }
+
+    /// Takes a token; returns false if there is none.
+    fn take(&mut self) -> bool {
+        if self.level < 1.0 {
+            return false;
+        }
+
+        self.level -= 1.0;
+        true
+    }
+}
+
+/// What an operation counts against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Access {
+    /// The share of reads.
+    Read,
+    /// The share of writes.
+    Write,
+}
+
+/// The host's share of the platform.
+#[derive(Debug)]
+pub(crate) struct Share {
+    /// What is declared.
+    options: ShareOptions,
+    /// The reads left.
+    reads: Bucket,
+    /// The writes left.
+    writes: Bucket,
+    /// When the buckets were filled up last.
+    filled: Instant,
+}
+
+impl Share {
+    /// Makes a share that is unused at `now`.
+    pub(crate) fn new(options: ShareOptions, now: Instant) -> Self {
+        Self {
+            options,
+            reads: Bucket::full(options.reads_per_second * options.saved_seconds),
+            writes: Bucket::full(options.writes_per_second * options.saved_seconds),
+            filled: now,
+        }
+    }
+
+    /// Takes one access from the share; returns false if it is used up.
+    pub(crate) fn take(&mut self, access: Access, now: Instant) -> bool {
+        let seconds = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.filled = self.filled.max(now);
+        self.reads.add(seconds * self.options.reads_per_second);
+        self.writes.add(seconds * self.options.writes_per_second);
+
+        match access {
+            Access::Read => self.reads.take(),
+            Access::Write => self.writes.take(),
+        }
+    }
+}
+
+/// The budget of retries: a fraction of first tries.
+///
+/// Without it, retries would multiply the load on a platform that is failing under load.
+#[derive(Debug)]
+pub(crate) struct RetryBudget {
+    /// How many retries each first try allows.
+    ratio: f64,
+    /// The retries left.
+    retries: Bucket,
+}
+
+impl RetryBudget {
+    /// Makes a budget with all that can be saved up.
+    pub(crate) fn new(options: RetryOptions) -> Self {
+        Self { ratio: options.ratio, retries: Bucket::full(options.saved) }
+    }
+
+    /// Notes a first try.
+    pub(crate) fn first_try(&mut self) {
+        self.retries.add(self.ratio);
+    }
+
+    /// Takes a retry; returns false if the budget is used up.
+    pub(crate) fn take(&mut self) -> bool {
+        self.retries.take()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/metrics.rs
@@ -0,0 +1,67 @@
+//! What the client tells of itself.
+
+use std::time::Duration;
+
+use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry};
+
+/// The bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
+/// The metrics of a client; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    /// Operations by kind and outcome.
+    operations: IntCounterVec,
+    /// Retries by kind.
+    retries: IntCounterVec,
+    /// How long operations took, tries and pauses together, by kind.
+    seconds: HistogramVec,
+}
+
+impl Metrics {
+    /// Makes metrics that are not registered yet.
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let operations = Opts::new(
+            "camphorwalk_platform_operations_total",
+            "Operations on the platform, by kind and outcome.",
+        );
+        let retries = Opts::new(
+            "camphorwalk_platform_retries_total",
+            "Operations on the platform that were tried again, by kind.",
+        );
+        let seconds = HistogramOpts::new(
+            "camphorwalk_platform_operation_seconds",
+            "How long operations on the platform took, in seconds, with all tries.",
+        );
+
+        Ok(Self {
+            operations: IntCounterVec::new(operations, &["operation", "outcome"])?,
+            retries: IntCounterVec::new(retries, &["operation"])?,
+            seconds: HistogramVec::new(seconds.buckets(LATENCY_BOUNDS.to_vec()), &["operation"])?,
+        })
+    }
+
+    /// Registers the metrics.
+    pub(crate) fn register(&self, registry: &Registry) -> prometheus::Result<()> {
+        registry.register(Box::new(self.operations.clone()))?;
+        registry.register(Box::new(self.retries.clone()))?;
+        registry.register(Box::new(self.seconds.clone()))
+    }
+
+    /// Notes the end of an operation.
+    pub(crate) fn finished(&self, operation: &str, outcome: &str, took: Duration) {
+        self.operations.with_label_values(&[operation, outcome]).inc();
+        self.seconds.with_label_values(&[operation]).observe(took.as_secs_f64());
+    }
+
+    /// Notes an operation that was not tried, for want of share.
+    pub(crate) fn over_share(&self, operation: &str) {
+        self.operations.with_label_values(&[operation, "over_share"]).inc();
+    }
+
+    /// Notes a retry.
+    pub(crate) fn retried(&self, operation: &str) {
+        self.retries.with_label_values(&[operation]).inc();
+    }
+}
--- /dev/null
+++ b/crates/platform/src/operations.rs
@@ -0,0 +1,221 @@
+//! Each operation as a request, and each answer as a reply.
+
+use bytes::Bytes;
+use camphorwalk_core::platform::{
+    HostListing, ObjectName, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction,
+};
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::limits::Access;
+use crate::transport::Call;
+use crate::witness;
+
+/// What may be done when the answer to a try was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OnLoss {
+    /// Sending again is harmless, and the answer to it is as good as the first.
+    SendAgain,
+    /// Nothing: a second sending could not be told from the first.
+    GiveUp,
+}
+
+/// Returns the operation's name in metrics.
+pub(crate) fn name(op: &PlatformOp) -> &'static str {
+    match op {
+        PlatformOp::Commit(_) => "commit",
+        PlatformOp::Read(_) => "read",
+        PlatformOp::Scan { .. } => "scan",
+        PlatformOp::PutObject(_) => "put_object",
+        PlatformOp::GetObject(_) => "get_object",
+    }
+}
+
+/// Returns the share that the operation counts against.
+pub(crate) fn access(op: &PlatformOp) -> Access {
+    match op {
+        PlatformOp::Commit(_) | PlatformOp::PutObject(_) => Access::Write,
+        PlatformOp::Read(_) | PlatformOp::Scan { .. } | PlatformOp::GetObject(_) => Access::Read,
+    }
+}
+
+/// Returns what may be done when the answer was lost.
+pub(crate) fn on_loss(op: &PlatformOp) -> OnLoss {
+    match op {
+        // Objects are named by their content, so that a second put changes nothing; the
+        // others write nothing.
+        PlatformOp::PutObject(_)
+        | PlatformOp::Read(_)
+        | PlatformOp::Scan { .. }
+        | PlatformOp::GetObject(_) => OnLoss::SendAgain,
+        PlatformOp::Commit(tx) if tx.writes.is_empty() => OnLoss::SendAgain,
+        // The module `witness` tells why this is safe.
+        PlatformOp::Commit(tx) if witness::has_witness(tx) => OnLoss::SendAgain,
+        PlatformOp::Commit(_) => OnLoss::GiveUp,
+    }
+}
+
+/// Returns the reply when no try was answered.
+pub(crate) fn unanswered(op: &PlatformOp, lost: bool) -> PlatformReply {
+    match op {
+        PlatformOp::Commit(tx) if lost && !tx.writes.is_empty() => PlatformReply::Unknown,
+        PlatformOp::PutObject(_) if lost => PlatformReply::Unknown,
+        _ => PlatformReply::Unavailable,
+    }
+}
+
+/// A read of rows by key.
+#[derive(Debug, Serialize)]
+struct ReadRequest<'a> {
+    /// The rows.
+    keys: &'a [RowKey],
+}
+
+/// A scan of a table.
+#[derive(Debug, Serialize)]
+struct ScanRequest<'a> {
+    /// The table.
+    table: &'a str,
+    /// What keys begin with.
+    prefix: &'a str,
+    /// The last key already seen, or empty.
+    after: &'a str,
+    /// The most rows to return.
+    limit: u32,
+}
+
+/// Returns the request of an operation.
+pub(crate) fn call(op: &PlatformOp) -> Call {
+    match op {
+        PlatformOp::Commit(tx) => post("/v1/tx", tx),
+        PlatformOp::Read(keys) => post("/v1/read", &ReadRequest { keys }),
+        PlatformOp::Scan { table, prefix, after, limit } => {
+            post("/v1/scan", &ScanRequest { table, prefix, after, limit: *limit })
+        }
+        PlatformOp::PutObject(content) => Call {
+            method: Method::PUT,
+            path: object_path(&ObjectName::of(content)),
+            body: Bytes::copy_from_slice(content),
+        },
+        PlatformOp::GetObject(name) => get(object_path(name)),
+    }
+}
+
+/// Returns the request for the list of hosts.
+pub(crate) fn hosts_call() -> Call {
+    get("/v1/hosts".into())
+}
+
+/// Returns the path of an object.
+fn object_path(name: &ObjectName) -> Box<str> {
+    format!("/v1/objects/{}", name.0).into()
+}
+
+/// Makes a request that asks for something.
+fn get(path: Box<str>) -> Call {
+    Call { method: Method::GET, path, body: Bytes::new() }
+}
+
+/// Makes a request with a JSON body; the types of this module cannot fail to be written.
+fn post<T: Serialize>(path: &str, body: &T) -> Call {
+    let body = serde_json::to_vec(body).unwrap_or_default().into();
+
+    Call { method: Method::POST, path: path.into(), body }
+}
+
+/// The answer to a transaction.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum CommitAnswer {
+    /// It took effect with this version.
+    Committed(RowVersion),
+    /// These checked rows stand differently.
+    Conflict(Vec<Row>),
+}
+
+/// Rows as answered.
+#[derive(Debug, Deserialize)]
+struct RowsAnswer {
+    /// The rows, in key order.
+    rows: Vec<Row>,
+}
+
+/// The list of hosts as answered.
+#[derive(Debug, Deserialize)]
+struct HostsAnswer {
+    /// The hosts.
+    hosts: Vec<HostListing>,
+}
+
+/// Reads the list of hosts; returns none if the answer is not one.
+pub(crate) fn read_hosts(status: StatusCode, body: &Bytes) -> Option<Vec<HostListing>> {
+    let answer: HostsAnswer = parse(status, body)?;
+
+    Some(answer.hosts)
+}
+
+/// Returns the reply that an answer gives, or none if it makes no sense.
+///
+/// `lost` tells that the answer to an earlier try was lost.
+pub(crate) fn reply(
+    op: &PlatformOp,
+    lost: bool,
+    status: StatusCode,
+    body: &Bytes,
+) -> Option<PlatformReply> {
+    match op {
+        PlatformOp::Commit(tx) => commit_reply(tx, lost, status, body),
+        PlatformOp::Read(_) | PlatformOp::Scan { .. } => {
+            parse(status, body).map(|answer: RowsAnswer| PlatformReply::Rows(answer.rows))
+        }
+        PlatformOp::PutObject(content) => {
+            status.is_success().then(|| PlatformReply::Stored(ObjectName::of(content)))
+        }
+        PlatformOp::GetObject(name) => object_reply(name, status, body),
+    }
+}
+
+/// Returns the reply that an answer to a transaction gives.
+fn commit_reply(
+    tx: &Transaction,
+    lost: bool,
+    status: StatusCode,
+    body: &Bytes,
+) -> Option<PlatformReply> {
+    if status != StatusCode::OK && status != StatusCode::CONFLICT {
+        return None;
+    }
+
+    match serde_json::from_slice(body).ok()? {
+        CommitAnswer::Committed(version) => Some(PlatformReply::Committed(version)),
+        // The conflict may be with this very transaction, sent before.
+        CommitAnswer::Conflict(rows) if lost => match witness::witnessed(tx, &rows) {
+            Some(version) => Some(PlatformReply::Committed(version)),
+            None => Some(PlatformReply::Conflict(rows)),
+        },
+        CommitAnswer::Conflict(rows) => Some(PlatformReply::Conflict(rows)),
+    }
+}
+
+/// Returns the reply that an answer to reading an object gives.
+fn object_reply(name: &ObjectName, status: StatusCode, body: &Bytes) -> Option<PlatformReply> {
+    if status == StatusCode::NOT_FOUND {
+        return Some(PlatformReply::Object(None));
+    }
+
+    // A damaged history must not be taken for the program's own.
+    if status != StatusCode::OK || ObjectName::of(body) != *name {
+        return None;
+    }
+
+    Some(PlatformReply::Object(Some(body.to_vec().into())))
+}
+
+/// Reads the JSON body of a good answer.
+fn parse<T: serde::de::DeserializeOwned>(status: StatusCode, body: &Bytes) -> Option<T> {
+    if status != StatusCode::OK {
+        return None;
+    }
+
+    serde_json::from_slice(body).ok()
+}
--- /dev/null
+++ b/crates/platform/src/options.rs
@@ -0,0 +1,78 @@
+//! What a client starts with.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What a client starts with.
+#[derive(Clone, Debug)]
+pub struct ClientOptions {
+    /// Where the platform listens.
+    pub address: SocketAddr,
+    /// The host's availability zone, which the platform is told.
+    pub zone: Box<str>,
+    /// How long one try may take; an operation may take some of these.
+    pub deadline: Duration,
+    /// When an operation is tried again.
+    pub retry: RetryOptions,
+    /// How much the host may ask of the platform.
+    pub share: ShareOptions,
+    /// The seed of the jitter between tries.
+    pub seed: u64,
+}
+
+impl ClientOptions {
+    /// Makes the options for the platform at `address`, with defaults for the rest.
+    ///
+    /// ```
+    /// use camphorwalk_platform::ClientOptions;
+    /// let options = ClientOptions::new("127.0.0.1:9000".parse().unwrap(), "a");
+    /// assert_eq!(options.retry.most_tries, 3);
+    /// ```
+    pub fn new(address: SocketAddr, zone: &str) -> Self {
+        Self {
+            address,
+            zone: zone.into(),
+            deadline: Duration::from_millis(500),
+            retry: RetryOptions::default(),
+            share: ShareOptions::default(),
+            seed: 0,
+        }
+    }
+}
+
+/// When an operation is tried again.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryOptions {
+    /// The most tries of one operation, the first included.
+    pub most_tries: u32,
+    /// How many retries each first try allows, over all operations.
+    pub ratio: f64,
+    /// The most retries that are saved up; the budget starts with these.
+    pub saved: f64,
+    /// The mean pause before the first retry; it doubles with each further one.
+    pub pause: Duration,
+}
+
+impl Default for RetryOptions {
+    fn default() -> Self {
+        Self { most_tries: 3, ratio: 0.2, saved: 10.0, pause: Duration::from_millis(10) }
+    }
+}
+
+/// How much a host may ask of the platform, as its operators declare.
+#[derive(Clone, Copy, Debug)]
+pub struct ShareOptions {
+    /// Reads, scans, object reads and host lists a second.
+    pub reads_per_second: f64,
+    /// Transactions and object writes a second.
+    pub writes_per_second: f64,
+    /// For how many seconds an unused share is saved up.
+    pub saved_seconds: f64,
+}
+
+impl Default for ShareOptions {
+    /// A host's share where eleven hosts share what the platform handles.
+    fn default() -> Self {
+        Self { reads_per_second: 180.0, writes_per_second: 30.0, saved_seconds: 2.0 }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder crate page.
+//! Small fakes of what camphorwalk meets: the platform, model engines and plain services.
+//!
+//! They are test side only. `docs/STANDINS.md` gives the calls that each one answers.
+
+#![warn(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod engine;
+pub mod platform;
+mod requests;
+mod server;
+pub mod service;
+
+pub use engine::{Engine, EngineOptions};
+pub use platform::{Platform, PlatformOptions};
+pub use service::{Service, ServiceOptions};
--- /dev/null
+++ b/crates/standin/src/platform/store.rs
@@ -0,0 +1,110 @@
+//! The rows and objects of the platform stand-in; no I/O.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use bytes::Bytes;
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::platform::{ObjectName, Row, RowKey, RowVersion, Transaction};
+
+/// Rows with versions, and objects by the hash of their content.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    /// The rows with the version and the content of each.
+    rows: BTreeMap<RowKey, (RowVersion, Box<str>)>,
+    /// The number of the last commit, over all tables.
+    last_commit: u64,
+    /// The objects.
+    objects: Map<ObjectName, Bytes>,
+}
+
+impl Store {
+    /// Runs a transaction, or returns the checked rows that stand differently and are there.
+    pub(crate) fn commit(&mut self, tx: Transaction) -> Result<RowVersion, Vec<Row>> {
+        let failed: Vec<_> =
+            tx.checks.iter().filter(|check| self.version(&check.key) != check.version).collect();
+
+        if !failed.is_empty() {
+            return Err(failed.into_iter().filter_map(|check| self.get(&check.key)).collect());
+        }
+
+        // Counting over all tables keeps a version from being used twice for one key,
+        // also after the row was deleted.
+        self.last_commit += 1;
+        let version = RowVersion(self.last_commit);
+
+        for write in tx.writes {
+            match write.value {
+                Some(value) => {
+                    self.rows.insert(write.key, (version, value));
+                }
+                None => {
+                    self.rows.remove(&write.key);
+                }
+            }
+        }
+
+        Ok(version)
+    }
+
+    /// Returns those of the rows that are there, in key order.
+    pub(crate) fn read(&self, keys: &[RowKey]) -> Vec<Row> {
+        let mut keys: Vec<_> = keys.iter().collect();
+        keys.sort();
+        keys.dedup();
+
+        keys.into_iter().filter_map(|key| self.get(key)).collect()
+    }
+
+    /// Returns the rows of `table` whose keys begin with `prefix` and come after `after`.
+    pub(crate) fn scan(&self, table: &str, prefix: &str, after: &str, limit: usize) -> Vec<Row> {
+        let start = if after >= prefix && !after.is_empty() {
+            Bound::Excluded(RowKey::new(table, after))
+        } else {
+            Bound::Included(RowKey::new(table, prefix))
+        };
+
+        self.rows
+            .range((start, Bound::Unbounded))
+            .take_while(|(key, _)| &*key.table == table && key.key.starts_with(prefix))
+            .take(limit)
+            .map(|(key, (version, value))| Row {
+                key: key.clone(),
+                version: *version,
+                value: value.clone(),
+            })
+            .collect()
+    }
+
+    /// Stores an object; returns false if the name is not the hash of the content.
+    pub(crate) fn put_object(&mut self, name: ObjectName, content: Bytes) -> bool {
+        if ObjectName::of(&content) != name {
+            return false;
+        }
+
+        self.objects.insert(name, content);
+        true
+    }
+
+    /// Puts an object under a name that need not be its hash, as a faulty store would.
+    pub(crate) fn corrupt_object(&mut self, name: ObjectName, content: Bytes) {
+        self.objects.insert(name, content);
+    }
+
+    /// Returns the content of an object.
+    pub(crate) fn get_object(&self, name: &ObjectName) -> Option<Bytes> {
+        self.objects.get(name).cloned()
+    }
+
+    /// Returns the version of a row, or that of a missing one.
+    fn version(&self, key: &RowKey) -> RowVersion {
+        self.rows.get(key).map_or(RowVersion::ABSENT, |(version, _)| *version)
+    }
+
+    /// Returns a row.
+    fn get(&self, key: &RowKey) -> Option<Row> {
+        let (version, value) = self.rows.get(key)?;
+
+        Some(Row { key: key.clone(), version: *version, value: value.clone() })
+    }
+}
