--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,343 @@
+//! The API for operators, health and metrics.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use camphorwalk_core::config::Config;
+use camphorwalk_core::units::ConfigVersion;
+use camphorwalk_policy::configs::{OperatorId, Published};
+use camphorwalk_policy::scheduler::{Event, OperatorReply, OperatorRequest, Status};
+use dropshot::{
+    ApiDescription, ApiDescriptionRegisterError, Body, ConfigDropshot, HttpError, HttpServer,
+    Query, RequestContext, ServerBuilder, TypedBody, endpoint,
+};
+use http::{Response, StatusCode, header};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq as _;
+use tokio::sync::oneshot;
+
+use crate::errors::cannot_listen;
+use crate::host::{Phase, Shared};
+
+/// The largest body of an operator's request, in bytes: a configuration of hundreds of
+/// tenants is well below.
+const LARGEST_BODY: usize = 8 << 20;
+
+/// How long an operator's question may take: a publication waits for the platform.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+type Context = RequestContext<Arc<Shared>>;
+type Answer = Result<Response<Body>, HttpError>;
+
+/// The listener for operators.
+pub struct OperatorServer {
+    server: HttpServer<Arc<Shared>>,
+}
+
+impl OperatorServer {
+    /// Starts to listen.
+    pub fn start(listen: SocketAddr, shared: Arc<Shared>) -> crate::Result<Self> {
+        let config = ConfigDropshot {
+            bind_address: listen,
+            default_request_body_max_bytes: LARGEST_BODY,
+            ..ConfigDropshot::default()
+        };
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let server = ServerBuilder::new(description(), shared, log)
+            .config(config)
+            .start()
+            .map_err(|e| cannot_listen("operators", e))?;
+
+        Ok(Self { server })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+}
+
+fn description() -> ApiDescription<Arc<Shared>> {
+    let mut description = ApiDescription::new();
+
+    register(&mut description).expect("the API's paths are distinct");
+
+    description
+}
+
+/// Returns the OpenAPI document of the API, as JSON.
+pub fn openapi() -> serde_json::Value {
+    let version = semver::Version::new(1, 0, 0);
+
+    description()
+        .openapi("camphorwalk operators", version)
+        .json()
+        .expect("the description is a valid document")
+}
+
+fn register(
+    description: &mut ApiDescription<Arc<Shared>>,
+) -> Result<(), ApiDescriptionRegisterError> {
+    description.register(health_live)?;
+    description.register(health_ready)?;
+    description.register(metrics_text)?;
+    description.register(fleet_status)?;
+    description.register(config_in_force)?;
+    description.register(publish_config)?;
+    description.register(config_confirmations)?;
+    description.register(withdraw_key)?;
+    description.register(drain_host)
+}
+
+/// A publication.
+#[derive(Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct PublishBody {
+    /// The version that the operator read; 0 for the first.
+    base: u64,
+    /// The new configuration.
+    config: serde_json::Value,
+}
+
+/// A withdrawal.
+#[derive(Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct WithdrawBody {
+    /// The key's public name.
+    key: String,
+}
+
+/// An order to leave.
+#[derive(Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct DrainBody {
+    /// The host's name.
+    host: String,
+}
+
+/// Which version is asked about.
+#[derive(Deserialize, JsonSchema)]
+struct VersionQuery {
+    /// The version.
+    version: u64,
+}
+
+/// Whether a host has a version in force.
+#[derive(Serialize)]
+struct Confirmation {
+    name: Box<str>,
+    zone: Box<str>,
+    version: ConfigVersion,
+    reachable: bool,
+    confirmed: bool,
+}
+
+/// Says that the process runs.
+#[endpoint { method = GET, path = "/health/live" }]
+async fn health_live(_cx: Context) -> Answer {
+    Ok(json(StatusCode::OK, &serde_json::json!({ "live": true })))
+}
+
+/// Says whether the balancer should send callers here.
+#[endpoint { method = GET, path = "/health/ready" }]
+async fn health_ready(cx: Context) -> Answer {
+    let ready = *cx.context().phase.borrow() == Phase::Serving;
+    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+
+    Ok(json(status, &serde_json::json!({ "ready": ready })))
+}
+
+/// Gets the metrics in the text format of Prometheus.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn metrics_text(cx: Context) -> Answer {
+    let text = cx.context().metrics.text();
+
+    Ok(Response::builder()
+        .header(header::CONTENT_TYPE, "text/plain; version=0.0.4")
+        .body(text.into())
+        .expect("a fixed header makes an answer"))
+}
+
+/// Gets how the fleet looks from this host.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn fleet_status(cx: Context) -> Answer {
+    match ask(&cx, OperatorRequest::Status).await? {
+        OperatorReply::Status(status) => Ok(json(StatusCode::OK, &status)),
+        _ => Err(unexpected()),
+    }
+}
+
+/// Gets the configuration in force here.
+#[endpoint { method = GET, path = "/v1/config" }]
+async fn config_in_force(cx: Context) -> Answer {
+    match ask(&cx, OperatorRequest::Config).await? {
+        OperatorReply::Config(Some(config)) => Ok(json(StatusCode::OK, &current(&config))),
+        OperatorReply::Config(None) => {
+            Ok(json(StatusCode::OK, &serde_json::json!({ "version": 0, "config": null })))
+        }
+        _ => Err(unexpected()),
+    }
+}
+
+/// Publishes a configuration.
+#[endpoint { method = POST, path = "/v1/config" }]
+async fn publish_config(cx: Context, body: TypedBody<PublishBody>) -> Answer {
+    authorize(&cx)?;
+    let body = body.into_inner();
+    let config = match camphorwalk_declare::unbundle(body.config.to_string().as_bytes()) {
+        Ok(config) => Box::new(config),
+        Err(e) => {
+            let faults: Vec<_> = e.to_string().lines().map(str::to_owned).collect();
+            let body =
+                serde_json::json!({ "error": "the configuration is refused", "faults": faults });
+            return Ok(json(StatusCode::BAD_REQUEST, &body));
+        }
+    };
+
+    let base = ConfigVersion(body.base);
+    match ask(&cx, OperatorRequest::Publish { base, config }).await? {
+        OperatorReply::Published(answer) => Ok(published(&answer)),
+        _ => Err(unexpected()),
+    }
+}
+
+/// Gets which hosts have a version in force.
+#[endpoint { method = GET, path = "/v1/config/confirmations" }]
+async fn config_confirmations(cx: Context, query: Query<VersionQuery>) -> Answer {
+    let version = ConfigVersion(query.into_inner().version);
+
+    match ask(&cx, OperatorRequest::Status).await? {
+        OperatorReply::Status(status) => {
+            let hosts = confirm(status, version);
+            Ok(json(StatusCode::OK, &serde_json::json!({ "hosts": hosts })))
+        }
+        _ => Err(unexpected()),
+    }
+}
+
+/// Withdraws a key.
+#[endpoint { method = POST, path = "/v1/keys/withdraw" }]
+async fn withdraw_key(cx: Context, body: TypedBody<WithdrawBody>) -> Answer {
+    let key = body.into_inner().key.into();
+
+    accepted(ask(&cx, OperatorRequest::Withdraw { key }).await?, "there is no such key")
+}
+
+/// Has a host leave.
+#[endpoint { method = POST, path = "/v1/drain" }]
+async fn drain_host(cx: Context, body: TypedBody<DrainBody>) -> Answer {
+    let host: Box<str> = body.into_inner().host.into();
+    if host == cx.context().name {
+        authorize(&cx)?;
+        cx.context().phase.send_replace(Phase::Leaving);
+    }
+
+    accepted(ask(&cx, OperatorRequest::Drain { host }).await?, "there is no such host in reach")
+}
+
+fn accepted(reply: OperatorReply, unknown: &str) -> Answer {
+    match reply {
+        OperatorReply::Accepted => {
+            Ok(json(StatusCode::OK, &serde_json::json!({ "accepted": true })))
+        }
+        OperatorReply::Unknown => {
+            Ok(json(StatusCode::NOT_FOUND, &serde_json::json!({ "error": unknown })))
+        }
+        _ => Err(unexpected()),
+    }
+}
+
+fn published(answer: &Published) -> Response<Body> {
+    match answer {
+        Published::Done(version) => {
+            json(StatusCode::OK, &serde_json::json!({ "version": version }))
+        }
+        Published::Conflict(config) => {
+            let current = config.as_deref().map(current);
+            let error = "another change came first";
+            json(StatusCode::CONFLICT, &serde_json::json!({ "error": error, "current": current }))
+        }
+        Published::Unavailable => {
+            let error = "the platform is away; nothing was published";
+            json(StatusCode::SERVICE_UNAVAILABLE, &serde_json::json!({ "error": error }))
+        }
+        Published::Unknown => {
+            let error = "the platform's answer was lost; see `status` for the version in force";
+            json(StatusCode::BAD_GATEWAY, &serde_json::json!({ "error": error }))
+        }
+    }
+}
+
+fn current(config: &Config) -> serde_json::Value {
+    serde_json::json!({ "version": config.version, "config": config })
+}
+
+fn confirm(status: Status, version: ConfigVersion) -> Vec<Confirmation> {
+    let confirmation = |host: camphorwalk_policy::scheduler::HostStatus| Confirmation {
+        confirmed: host.version >= version,
+        name: host.name,
+        zone: host.zone,
+        version: host.version,
+        reachable: host.reachable,
+    };
+
+    status.hosts.into_iter().map(confirmation).collect()
+}
+
+/// Asks the control thread on behalf of an operator.
+async fn ask(cx: &Context, request: OperatorRequest) -> Result<OperatorReply, HttpError> {
+    authorize(cx)?;
+    let shared = cx.context();
+    let ask = OperatorId(shared.number());
+    let (tx, rx) = oneshot::channel();
+    shared.operators.lock().unwrap_or_else(PoisonError::into_inner).insert(ask, tx);
+    shared.control.send(Event::Operator { ask, request });
+
+    match tokio::time::timeout(ANSWER_TIMEOUT, rx).await {
+        Ok(Ok(reply)) => Ok(reply),
+        _ => {
+            shared.operators.lock().unwrap_or_else(PoisonError::into_inner).remove(&ask);
+            Err(HttpError::for_unavail(None, "no answer in time".into()))
+        }
+    }
+}
+
+/// Checks the operators' key; health and metrics need none.
+fn authorize(cx: &Context) -> Result<(), HttpError> {
+    let given = cx
+        .request
+        .headers()
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .unwrap_or_default();
+    let digest: [u8; 32] = Sha256::digest(given.as_bytes()).into();
+
+    // Digests are compared, in constant time: the time taken tells nothing of the key.
+    if bool::from(digest.ct_eq(&cx.context().operator_key)) {
+        return Ok(());
+    }
+
+    Err(HttpError::for_client_error(
+        None,
+        dropshot::ClientErrorStatusCode::UNAUTHORIZED,
+        "the operators' key is needed: Authorization: Bearer KEY".into(),
+    ))
+}
+
+fn unexpected() -> HttpError {
+    HttpError::for_internal_error("the control thread gave another kind of answer".into())
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(body).expect("an answer is plain data");
+
+    Response::builder()
+        .status(status)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(body.into())
+        .expect("a status and a fixed header make an answer")
+}
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -41,17 +41,21 @@
         let unknown: Vec<_> = self.fields.keys().cloned().collect();
 
         for field in unknown {
-            self.fault(&field, "there is no such setting");
+            self.fault::<()>(&field, "there is no such setting");
         }
     }
 
     /// Reads an object within this one; an absent one counts as empty.
-    pub fn section<T>(&mut self, field: &str, read: impl FnOnce(&mut Reader<'_>) -> T) -> Option<T> {
+    pub fn section<T>(
+        &mut self,
+        field: &str,
+        read: impl FnOnce(&mut Reader<'_>) -> T,
+    ) -> Option<T> {
         let fields = match self.fields.remove(field) {
             None => Map::new(),
             Some(Value::Object(fields)) => fields,
             Some(_) => {
-                self.fault(field, "an object is expected");
+                self.fault::<()>(field, "an object is expected");
                 return None;
             }
         };
@@ -88,7 +92,10 @@
         match self.fields.remove(field) {
             None => default,
             Some(Value::String(text)) => parse_duration(&text).unwrap_or_else(|| {
-                self.fault::<()>(field, "a time above zero such as \"250ms\" or \"5s\" is expected");
+                self.fault::<()>(
+                    field,
+                    "a time above zero such as \"250ms\" or \"5s\" is expected",
+                );
                 default
             }),
             Some(_) => {
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -341,7 +341,12 @@
                 commit_interval: times.commit_interval,
             }),
             queues: Queues::new(QueueOptions { zone }),
-            slices: Slices::new(SliceOptions { host: me, zone, session: options.session }),
+            slices: Slices::new(SliceOptions {
+                host: me,
+                zone,
+                session: options.session,
+                times: Default::default(),
+            }),
             waiting: Map::default(),
             asks: Asks::default(),
             takes: Map::default(),
