--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -1,18 +1,46 @@
 //! Programs at their home: order, history, budget, and at most one run of what may not be
 //! repeated.
 
+mod answers;
+mod attempts;
+mod budget;
+mod calls;
+mod commits;
+mod entries;
+mod journal;
+mod keys;
+mod lifecycle;
+mod lookup;
+mod open;
+mod recovery;
+mod requests;
+mod retry;
+mod state;
+mod steps;
+mod tail;
+mod timers;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
-use camphorwalk_core::calls::{Reply, Request};
+use camphorwalk_core::calls::{Refusal, Reply, Request};
 use camphorwalk_core::config::Config;
-use camphorwalk_core::hash::Digest;
+use camphorwalk_core::hash::{Digest, Map};
 use camphorwalk_core::ids::{
     AttemptId, Epoch, HostId, KeyId, PartitionId, ProgramId, TargetId, TenantId, Ticket,
 };
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowVersion};
 use camphorwalk_core::time::Instant;
-use std::time::Duration;
+use slotmap::SlotMap;
 
+use self::budget::{Account, AccountKey};
+use self::journal::{Journal, Tenure};
+use self::lookup::Lookup;
+use self::requests::Asked;
+use self::retry::{RetryBudget, Suspects};
+use self::state::{Call, Program, ProgramKey, ProgramState, Recovering};
+use self::timers::{Timer, Timers};
 use crate::wire::{AttemptEnd, CallId, Dispatch, PlaceEnd, PlaceRequest, Verdict};
 
 /// A platform operation that the programs wait for.
@@ -178,24 +206,162 @@
 
 /// The programs whose home this host is.
 #[derive(Debug)]
-pub struct Programs {}
+pub struct Programs {
+    /// The settings.
+    options: ProgramOptions,
+    /// The configuration in force, once there is one.
+    cfg: Option<Lookup>,
+    /// The partitions whose journal is read.
+    tenures: BTreeMap<PartitionId, Tenure>,
+    /// The partitions whose journal is being read.
+    recovering: BTreeMap<PartitionId, Recovering>,
+    /// The reads under way.
+    scans: Map<ProgramOp, (PartitionId, Epoch)>,
+    /// The write under way.
+    writing: Option<ProgramOp>,
+    /// The programs, orphans included.
+    programs: SlotMap<ProgramKey, Program>,
+    /// The programs by id, without orphans.
+    index: BTreeMap<ProgramId, ProgramKey>,
+    /// The budgets.
+    accounts: SlotMap<AccountKey, Account>,
+    /// The calls under way.
+    calls: SlotMap<CallId, Call>,
+    /// The call of each attempt that was sent.
+    attempts: Map<AttemptId, CallId>,
+    /// The call that each caller waits for.
+    tickets: Map<Ticket, CallId>,
+    /// Entries on their way to the platform.
+    journal: Journal,
+    /// What is due when.
+    timers: Timers,
+    /// The retries that may be made.
+    retries: RetryBudget,
+    /// The requests that crash targets.
+    suspects: Suspects,
+    /// The number of the last platform operation.
+    last_op: u64,
+    /// The number of the last attempt.
+    last_attempt: u64,
+}
+
+/// What a step reads and writes besides the state.
+struct Cx<'a> {
+    /// The time of the step.
+    now: Instant,
+    /// What to do next.
+    out: &'a mut Vec<ProgramNext>,
+}
 
 impl Programs {
     /// Makes the home of no partitions.
-    pub fn new(_options: ProgramOptions) -> Self {
-        Self {}
+    ///
+    /// ```
+    /// use camphorwalk_core::ids::HostId;
+    /// use camphorwalk_policy::programs::{ProgramOptions, Programs};
+    ///
+    /// let options = ProgramOptions {
+    ///     host: HostId::from_name("a1"),
+    ///     session: 1,
+    ///     seal_key: [7; 32],
+    ///     commit_interval: std::time::Duration::from_millis(10),
+    /// };
+    /// assert_eq!(Programs::new(options).open_programs().count(), 0);
+    /// ```
+    pub fn new(options: ProgramOptions) -> Self {
+        Self {
+            journal: Journal::new(options.session, options.commit_interval),
+            options,
+            cfg: None,
+            tenures: BTreeMap::new(),
+            recovering: BTreeMap::new(),
+            scans: Map::default(),
+            writing: None,
+            programs: SlotMap::with_key(),
+            index: BTreeMap::new(),
+            accounts: SlotMap::with_key(),
+            calls: SlotMap::with_key(),
+            attempts: Map::default(),
+            tickets: Map::default(),
+            timers: Timers::default(),
+            retries: RetryBudget::new(),
+            suspects: Suspects::default(),
+            last_op: 0,
+            last_attempt: 0,
+        }
     }
 
     /// Takes in an event and appends what to do next to `out`.
-    pub fn step(&mut self, _now: Instant, _event: ProgramEvent, _out: &mut Vec<ProgramNext>) {}
+    pub fn step(&mut self, now: Instant, event: ProgramEvent, out: &mut Vec<ProgramNext>) {
+        let cx = &mut Cx { now, out };
+
+        match event {
+            ProgramEvent::Config(cfg) => self.cfg = Some(Lookup::new(cfg)),
+            ProgramEvent::Acquired { partition, epoch, lease } => {
+                self.acquired(cx, partition, epoch, lease);
+            }
+            ProgramEvent::Lost { partition } => self.lost(cx, partition),
+            ProgramEvent::Request { ticket, tenant, key, request } => {
+                self.request(cx, Asked { ticket, tenant, key, request });
+            }
+            ProgramEvent::CallerGone { ticket } => self.caller_gone(cx, ticket),
+            ProgramEvent::Verdict { call, verdict } => self.on_verdict(cx, call, verdict),
+            ProgramEvent::Placed { call, target } => self.on_placed(cx, call, target),
+            ProgramEvent::Unplaced { call, retry_after } => {
+                self.on_unplaced(cx, call, retry_after);
+            }
+            ProgramEvent::Ended { attempt, end } => self.on_ended(cx, attempt, end),
+            ProgramEvent::Platform { op, reply } => self.on_platform(cx, op, reply),
+            ProgramEvent::KeyWithdrawn(key) => self.key_withdrawn(cx, key),
+            ProgramEvent::Quarantined(digest) => self.suspects.quarantine(digest),
+            ProgramEvent::Wake => {}
+        }
+
+        self.run_timers(cx);
+        self.flush(cx);
+    }
 
     /// Returns when [`ProgramEvent::Wake`] is due.
     pub fn wake_at(&self) -> Option<Instant> {
-        None
+        [self.timers.next_at(), self.journal.wake_at()].into_iter().flatten().min()
     }
 
     /// Returns the programs that are open here.
     pub fn open_programs(&self) -> impl Iterator<Item = ProgramId> + '_ {
-        std::iter::empty()
+        self.index
+            .iter()
+            .filter(|(_, key)| self.programs[**key].state == ProgramState::Open)
+            .map(|(id, _)| *id)
+    }
+
+    /// Answers a request.
+    fn answer(&mut self, cx: &mut Cx<'_>, ticket: Ticket, reply: Reply) {
+        self.tickets.remove(&ticket);
+        cx.out.push(ProgramNext::Answer { ticket, reply });
+    }
+
+    /// Refuses a request.
+    fn refuse(&mut self, cx: &mut Cx<'_>, ticket: Ticket, refusal: Refusal) {
+        self.answer(cx, ticket, Reply::Refused(refusal));
+    }
+
+    /// Runs an operation on the platform and returns its number.
+    fn platform(&mut self, cx: &mut Cx<'_>, request: PlatformOp) -> ProgramOp {
+        self.last_op += 1;
+        let op = ProgramOp(self.last_op);
+        cx.out.push(ProgramNext::Platform { op, request });
+
+        op
+    }
+
+    /// Runs what is due.
+    fn run_timers(&mut self, cx: &mut Cx<'_>) {
+        while let Some(timer) = self.timers.take_due(cx.now) {
+            match timer {
+                Timer::Call(call) => self.stage_timed_out(cx, call),
+                Timer::Program(program) => self.program_due(cx, program),
+                Timer::Partition(partition) => self.recovery_due(cx, partition),
+            }
+        }
     }
 }
--- /dev/null
+++ b/crates/policy/src/programs/recovery.rs
@@ -0,0 +1,260 @@
+//! Reading a partition's journal on its new home.
+
+use std::time::Duration;
+
+use camphorwalk_core::ids::{Epoch, PartitionId};
+use camphorwalk_core::platform::{PlatformOp, PlatformReply, Row, RowVersion};
+
+use super::entries::{
+    Entry, IntentEntry, JOURNAL, JournalRow, OutcomeEntry, Recorded, TurnEntry, journal_prefix,
+    sequence_of,
+};
+use super::journal::Tenure;
+use super::requests::Asked;
+use super::state::{Parked, Program, ProgramState, Recovering};
+use super::timers::Timer;
+use super::{Cx, ProgramOp, Programs, answers};
+
+/// The rows read at once.
+const PAGE_ROWS: u32 = 256;
+
+/// The wait before a page is asked for again.
+const SCAN_RETRY: Duration = Duration::from_millis(200);
+
+/// How long a request waits for the journal to be read.
+const PARK_WAIT: Duration = Duration::from_secs(2);
+
+/// The most requests that wait for one partition.
+const MAX_PARKED: usize = 256;
+
+impl Programs {
+    /// This host holds a partition's lease.
+    pub(super) fn acquired(
+        &mut self,
+        cx: &mut Cx<'_>,
+        partition: PartitionId,
+        epoch: Epoch,
+        lease: RowVersion,
+    ) {
+        let reading = self.recovering.get_mut(&partition).map(|r| &mut r.tenure);
+        let held = self.tenures.get_mut(&partition).or(reading);
+
+        // The same lease, renewed: its row has a new version.
+        if let Some(tenure) = held.filter(|tenure| tenure.epoch == epoch) {
+            tenure.lease = lease;
+            return;
+        }
+
+        self.lost(cx, partition);
+        let tenure = Tenure { epoch, lease, next: 1 };
+        let recovering =
+            Recovering { tenure, after: "".into(), parked: Vec::new(), retry_at: None };
+        self.recovering.insert(partition, recovering);
+        self.scan(cx, partition);
+    }
+
+    /// Asks for the next rows of a journal.
+    fn scan(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
+        let Some(recovering) = self.recovering.get_mut(&partition) else { return };
+        recovering.retry_at = None;
+        let epoch = recovering.tenure.epoch;
+        let after = recovering.after.clone();
+
+        let op = self.platform(
+            cx,
+            PlatformOp::Scan {
+                table: JOURNAL.into(),
+                prefix: journal_prefix(partition),
+                after,
+                limit: PAGE_ROWS,
+            },
+        );
+        self.scans.insert(op, (partition, epoch));
+    }
+
+    /// Rows of a journal came in.
+    pub(super) fn on_scan(&mut self, cx: &mut Cx<'_>, op: ProgramOp, reply: PlatformReply) {
+        let Some((partition, epoch)) = self.scans.remove(&op) else { return };
+        let Some(recovering) = self.recovering.get_mut(&partition) else { return };
+
+        if recovering.tenure.epoch != epoch {
+            return;
+        }
+
+        let PlatformReply::Rows(rows) = reply else {
+            let at = cx.now + SCAN_RETRY;
+            recovering.retry_at = Some(at);
+            return self.timers.set(at, Timer::Partition(partition));
+        };
+
+        if let Some(last) = rows.last() {
+            recovering.after = last.key.key.clone();
+            recovering.tenure.next = sequence_of(&last.key).map_or(0, |sequence| sequence) + 1;
+        }
+
+        let whole = rows.len() < PAGE_ROWS as usize;
+        self.replay_rows(cx, rows);
+
+        if whole { self.recovered(cx, partition) } else { self.scan(cx, partition) }
+    }
+
+    /// Takes in the rows of a journal.
+    fn replay_rows(&mut self, cx: &mut Cx<'_>, rows: Vec<Row>) {
+        for row in rows {
+            let Ok(row) = serde_json::from_str::<JournalRow>(&row.value) else { continue };
+
+            for entry in row.entries {
+                self.replay(cx, entry);
+            }
+        }
+    }
+
+    /// Takes in one entry of a journal.
+    fn replay(&mut self, cx: &mut Cx<'_>, entry: Entry) {
+        match entry {
+            Entry::Opened(opened) => {
+                let granted = opened.granted;
+                let key = self.insert_program(cx, &opened);
+                self.accounts[self.programs[key].account].granted(granted);
+            }
+            Entry::Intent(intent) => self.replay_intent(cx, intent),
+            Entry::Outcome(outcome) => self.replay_outcome(outcome),
+            Entry::Turn(turn) => self.replay_turn(cx, turn),
+            Entry::Granted(grant) => {
+                if let Some(key) = self.index.get(&grant.program) {
+                    self.accounts[self.programs[*key].account].granted(grant.granted);
+                }
+            }
+            Entry::Ended { program } => {
+                if let Some(key) = self.index.get(&program) {
+                    self.programs[*key].state = ProgramState::Ended;
+                }
+            }
+        }
+    }
+
+    /// Takes in an intent.
+    fn replay_intent(&mut self, cx: &mut Cx<'_>, intent: IntentEntry) {
+        let Some(key) = self.index.get(&intent.program) else { return };
+        let program = &mut self.programs[*key];
+        close_intent(program);
+        program.open_intent = Some((intent.attempt, intent.call));
+        program.deadline = cx.now + intent.left;
+    }
+
+    /// Takes in what became of an intent.
+    fn replay_outcome(&mut self, entry: OutcomeEntry) {
+        let Some(key) = self.index.get(&entry.program) else { return };
+        let program = &mut self.programs[*key];
+
+        // The outcome of an intent that was given up long ago says nothing new.
+        let Some((_, call)) = program.open_intent.take_if(|(name, _)| *name == entry.attempt)
+        else {
+            return;
+        };
+
+        if let Some(outcome) = entry.outcome {
+            program.append(call, outcome);
+        }
+    }
+
+    /// Takes in a finished repeatable call.
+    fn replay_turn(&mut self, cx: &mut Cx<'_>, turn: TurnEntry) {
+        let Some(key) = self.index.get(&turn.program) else { return };
+        let program = &mut self.programs[*key];
+        close_intent(program);
+        program.append(turn.call, turn.outcome);
+        program.deadline = cx.now + turn.left;
+        self.accounts[program.account].granted(turn.granted);
+    }
+
+    /// A journal is read: its programs are served from now on.
+    fn recovered(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
+        let Some(recovering) = self.recovering.remove(&partition) else { return };
+        self.tenures.insert(partition, recovering.tenure);
+
+        let keys: Vec<_> = self
+            .index
+            .values()
+            .copied()
+            .filter(|key| self.programs[*key].partition == partition)
+            .collect();
+
+        for key in keys {
+            self.recovered_program(cx, key);
+        }
+
+        for parked in recovering.parked {
+            self.serve(cx, Asked::unparked(parked));
+        }
+    }
+
+    /// Makes a program ready that was read from a journal.
+    fn recovered_program(&mut self, cx: &mut Cx<'_>, key: super::ProgramKey) {
+        let program = &mut self.programs[key];
+
+        // The former home may have sent the call, and may yet. It counts as run with an
+        // unknown outcome; sending it again could take a second deposit. Should the former
+        // home have seen the answer, its sealed tail settles the matter.
+        if let Some((_, call)) = program.open_intent.clone() {
+            program.append(call, Recorded::Unknown);
+        }
+
+        program.stored = program.head();
+        let account = &mut self.accounts[program.account];
+        account.recovered();
+
+        let due = match program.state {
+            ProgramState::Ended => {
+                let at = cx.now + super::lifecycle::REMEMBERED;
+                program.forget_at = Some(at);
+                at
+            }
+            _ => program.deadline,
+        };
+        self.timers.set(due, Timer::Program(key));
+    }
+
+    /// Lets a request wait until its partition's journal is read.
+    pub(super) fn park(&mut self, cx: &mut Cx<'_>, partition: PartitionId, asked: Asked) {
+        let Some(recovering) = self.recovering.get_mut(&partition) else { return };
+
+        if recovering.parked.len() >= MAX_PARKED {
+            return self.refuse(cx, asked.ticket, answers::leaving());
+        }
+
+        let until = cx.now + PARK_WAIT;
+        recovering.parked.push(Parked {
+            ticket: asked.ticket,
+            tenant: asked.tenant,
+            key: asked.key,
+            request: asked.request,
+            until,
+        });
+        self.timers.set(until, Timer::Partition(partition));
+    }
+
+    /// Something is due for a partition whose journal is being read.
+    pub(super) fn recovery_due(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
+        let Some(recovering) = self.recovering.get_mut(&partition) else { return };
+        let late: Vec<_> =
+            recovering.parked.extract_if(.., |parked| parked.until <= cx.now).collect();
+        let retry = recovering.retry_at.is_some_and(|at| at <= cx.now);
+
+        for parked in late {
+            self.refuse(cx, parked.ticket, answers::leaving());
+        }
+
+        if retry {
+            self.scan(cx, partition);
+        }
+    }
+}
+
+/// Takes an intent whose outcome never came for one with an unknown outcome, because the
+/// program went on after it.
+fn close_intent(program: &mut Program) {
+    if let Some((_, call)) = program.open_intent.take() {
+        program.append(call, Recorded::Unknown);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/programs_home/main.rs
@@ -0,0 +1,6 @@
+//! Stories of programs at their home, and a fuzz of several homes against an oracle.
+
+mod fixture;
+mod intent;
+mod opening;
+mod order;
--- /dev/null
+++ b/crates/policy/tests/programs_home/order.rs
@@ -0,0 +1,89 @@
+//! Order, repeats and history of a program's calls.
+
+use camphorwalk_core::calls::{CallOutcome, Code, Ran, Reply, Request};
+
+use crate::fixture::{Home, PROGRAM, Platform, call, call_request, done};
+
+#[test]
+fn calls_follow_the_head() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+
+    let first = home.run(platform, call("model", "k1", 0), "\"one\"");
+    let stale = home.ask(platform, call("model", "k2", 0));
+    let second = home.run(platform, call("deposit", "k2", 1), "\"two\"");
+
+    assert_eq!((first.call, first.stored), (1, true));
+    assert_eq!((second.call, second.stored), (2, true));
+    let refusal = home.refusal(stale);
+    assert_eq!((refusal.code, refusal.ran, refusal.head), (Code::OutOfOrder, Ran::No, Some(1)));
+    let keys: Vec<_> = home.history(platform).into_iter().map(|call| call.key).collect();
+    assert_eq!(keys, ["k1".into(), "k2".into()]);
+}
+
+#[test]
+fn a_repeat_gets_the_recorded_answer() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    let first = home.run(platform, call("deposit", "k1", 0), "\"paid\"");
+
+    let again = home.ask(platform, call("deposit", "k1", 0));
+
+    assert_eq!(home.called(again), first);
+    assert_eq!(home.sent.len(), 1);
+}
+
+#[test]
+fn a_repeat_joins_the_call_that_runs() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+
+    let first = home.ask(platform, call("deposit", "k1", 0));
+    let joined = home.ask(platform, call("deposit", "k1", 0));
+    let other = home.ask(platform, call("deposit", "k2", 0));
+    home.finish(platform, done("\"paid\""));
+
+    assert_eq!(home.called(first), home.called(joined));
+    assert_eq!(home.refusal(other).code, Code::OutOfOrder);
+    assert_eq!(home.sent.len(), 1);
+}
+
+#[test]
+fn a_key_with_another_body_is_refused() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    home.run(platform, call("deposit", "k1", 0), "\"paid\"");
+    let mut other = call_request("deposit", "k1", 1);
+    other.body = [1; 32];
+
+    let ticket = home.ask(platform, Request::Call(other));
+
+    assert_eq!(home.refusal(ticket).code, Code::KeyReused);
+}
+
+#[test]
+fn another_tenants_program_looks_like_none() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+
+    let theirs = home.ask_as(platform, ("inzira", 2), call("model", "k1", 0));
+    let none = home.ask_as(platform, ("inzira", 2), Request::View { program: PROGRAM });
+
+    assert_eq!(home.refusal(theirs), home.refusal(none));
+    assert_eq!(home.refusal(none).code, Code::NotFound);
+}
+
+#[test]
+fn a_new_home_reads_the_history_and_outcomes() {
+    let platform = &mut Platform::new();
+    let mut old = Home::with_program(platform, 1);
+    let first = old.run(platform, call("deposit", "k1", 0), "\"paid\"");
+    old.run(platform, call("model", "k2", 1), "\"text\"");
+    let before = old.history(platform);
+
+    let mut new = Home::new(platform, 2);
+    let outcome = new.ask(platform, Request::Outcome { program: PROGRAM, key: "k1".into() });
+
+    assert_eq!(new.history(platform), before);
+    assert_eq!(new.reply(outcome), &Reply::Outcome(CallOutcome::Done(first)));
+}
