The thin whole path: daemon, demo, and a program served from end to end

Cause: nothing ran yet. Now `camphorwalk demo` starts stand-ins and three hosts in two zones, and drives one program through different hosts. Not yet: separate processes under test, bad input, faults.

--- /dev/null
+++ b/crates/camphorwalk/src/commands.rs
@@ -0,0 +1,3 @@
+//! The subcommands of `camphorwalk`, one module each.
+
+pub mod demo;
--- a/crates/camphorwalk/src/lib.rs
+++ b/crates/camphorwalk/src/lib.rs
@@ -1,1 +1,19 @@
-//! Front door.
+//! The front door of camphorwalk: re-exports its crates, and holds what the two programs
+//! `camphorwalkd` (an entry host) and `camphorwalk` (the operators' command) are made of.
+
+#![warn(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod client;
+pub mod commands;
+pub mod demo;
+pub mod exit;
+pub mod logs;
+
+pub use camphorwalk_bench as bench;
+pub use camphorwalk_core as core;
+pub use camphorwalk_declare as declare;
+pub use camphorwalk_node as node;
+pub use camphorwalk_peer as peer;
+pub use camphorwalk_platform as platform;
+pub use camphorwalk_policy as policy;
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -14,15 +14,15 @@
 use camphorwalk_policy::scheduler::{Action, Event, OperatorReply, SchedulerOptions};
 use camphorwalk_policy::wire::AttemptEnd;
 use rand::RngCore as _;
-use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::auth::Keys;
 use crate::callers::CallerServer;
 use crate::control::Control;
-use crate::errors::{Result, unreadable};
+use crate::errors::Result;
 use crate::metrics::Metrics;
 use crate::operators::OperatorServer;
+use crate::secrets::Secrets;
 use crate::settings::Settings;
 use crate::streams::{Part, Streams};
 use crate::targets::Targets;
@@ -88,9 +88,8 @@
 
 impl Host {
     /// Starts a host on the current tokio runtime.
-    pub async fn start(settings: Settings) -> Result<Self> {
-        let secret = read_secret(&settings)?;
-        let operator_key = read_operator_key(&settings)?;
+    pub async fn start(settings: Settings, secrets: Secrets) -> Result<Self> {
+        let secret = secrets.fleet;
         let metrics = Metrics::new()?;
         let session = new_session();
 
@@ -119,7 +118,7 @@
             keys: RwLock::default(),
             metrics,
             limits: settings.limits,
-            operator_key,
+            operator_key: secrets.operator_key_digest(),
             phase: watch::Sender::new(Phase::Starting),
             operators: Mutex::default(),
             counter: std::sync::atomic::AtomicU64::new(1),
@@ -353,8 +352,6 @@
         read_config: |bytes| camphorwalk_declare::unbundle(bytes).map_err(|e| e.to_string().into()),
         write_config: camphorwalk_declare::bundle,
     };
-    let _runtime = Handle::current();
-
     let carry_out = move |_: &_, action| {
         // The carrier ends only with the whole host.
         let _ = actions.send(action);
@@ -376,30 +373,6 @@
     Ok(client)
 }
 
-fn read_secret(settings: &Settings) -> Result<[u8; 32]> {
-    let path = &settings.fleet_secret_file;
-    let text = std::fs::read_to_string(path).map_err(|source| unreadable(path, source))?;
-
-    let mut secret = [0; 32];
-    hex::decode_to_slice(text.trim(), &mut secret).map_err(|_| {
-        let reason = "64 hexadecimal digits are expected in the file".into();
-        crate::Error::Settings(vec![crate::settings::SettingsFault {
-            path: "fleet_secret_file".into(),
-            reason,
-        }])
-    })?;
-
-    Ok(secret)
-}
-
-fn read_operator_key(settings: &Settings) -> Result<[u8; 32]> {
-    use sha2::Digest as _;
-    let path = &settings.operator_key_file;
-    let text = std::fs::read_to_string(path).map_err(|source| unreadable(path, source))?;
-
-    Ok(sha2::Sha256::digest(text.trim().as_bytes()).into())
-}
-
 /// Makes the number of this run: seconds since 1970 above, random bits below, so that a
 /// later run of a host has a higher one.
 fn new_session() -> u64 {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,10 +14,12 @@
 pub mod host;
 pub mod metrics;
 pub mod operators;
+pub mod secrets;
 pub mod settings;
 pub mod streams;
 pub mod targets;
 
 pub use errors::{Error, Result};
 pub use host::Host;
+pub use secrets::Secrets;
 pub use settings::Settings;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -84,6 +84,18 @@
     pub level: Box<str>,
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        Self { body_bytes: DEFAULT_BODY_BYTES, open_requests: DEFAULT_OPEN_REQUESTS }
+    }
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { json: false, level: "info".into() }
+    }
+}
+
 /// A fault of the settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsFault {
--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -26,7 +26,7 @@
 
 use camphorwalk_core::calls::{Refusal, Reply, Request};
 use camphorwalk_core::config::Config;
-use camphorwalk_core::hash::{Digest, Map};
+use camphorwalk_core::hash::{Digest, Map, Set};
 use camphorwalk_core::ids::{
     AttemptId, Epoch, HostId, KeyId, PartitionId, ProgramId, TargetId, TenantId, Ticket,
 };
@@ -327,8 +327,8 @@
     }
 
     /// Returns the partitions that have calls under way.
-    pub fn busy_partitions(&self) -> camphorwalk_core::hash::Set<PartitionId> {
-        Default::default()
+    pub fn busy_partitions(&self) -> Set<PartitionId> {
+        self.calls.values().map(|call| self.programs[call.program].partition).collect()
     }
 
     /// Returns the programs that are open here.
