queue: fair shares, prefixes, early refusal, suspects alone

Cause: the thin queue knew class and arrival only. Now: lanes of tenant and class, class rank first while the tenant is within its share, start-time fair shares by attained service, one grant in eight to the lane that waited longest; inside a lane new programs, then least service, then deadline. Targets by tokens to be computed, the worth of prefixes that would have to go, and load; a call waits up to two seconds for the full target that holds its prefix. Windows narrow when engines report waiting calls; a target that went away is left alone for a growing time. Other zones' targets are a capped spill-over (module page). Calls that cannot be served in time are refused at once.

The events are unchanged.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,24 +1,45 @@
 //! The queues of the pools that this host keeps: which call next, and at which target.
 //!
-//! [`Queues`] owns the parts and moves calls between them: [`waiting`] holds the calls that
-//! wait and their order, [`targets`] the windows.
-
+//! [`Queues`] moves calls from [`waiting`] to [`places`]. A [`pool`] says which call is next,
+//! in the order of its [`lanes`] (class rank, then fair [`shares`] between tenants, then the
+//! program's service and deadline); [`targets`] say where it may go, by [`window`], [`health`]
+//! and the prefixes that are [`residents`] there; [`estimates`] are learned on the way.
+//!
+//! # Targets of other zones
+//!
+//! They get calls only while no target of this zone has a place for the call. Each zone's
+//! queue knows its own grants alone, so a target of another zone is used up to half its
+//! window divided by the number of other zones (at least one call), and not at all
+//! while it reports waiting calls. All zones together then add at most half a window to what
+//! the target's own zone sends; its reports make that zone narrow its window.
+
+pub mod estimates;
+pub mod health;
+pub mod lanes;
+pub mod places;
+pub mod pool;
+pub mod residents;
+pub mod shares;
 pub mod targets;
 pub mod waiting;
+pub mod window;
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use camphorwalk_core::config::Config;
 use camphorwalk_core::hash::Map;
-use camphorwalk_core::ids::{HostId, PoolId, ProgramId, TargetId, ZoneId};
+use camphorwalk_core::ids::{ClassId, HostId, PoolId, ProgramId, TargetId, TenantId, ZoneId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 
-use self::targets::Targets;
-use self::waiting::{Call, Waiting};
-use crate::wire::{Asker, PlaceEnd, PlaceRequest};
+use self::lanes::LaneId;
+use self::places::{Place, Places};
+use self::pool::{Pick, Pool, retry_after};
+use self::targets::{Candidate, Targets};
+use self::waiting::{Waiter, Waiting};
+use crate::wire::{Asker, PlaceEnd, PlaceEndKind, PlaceRequest};
 
 /// What an engine says of its load; it lags.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -96,62 +117,72 @@
     pub zone: ZoneId,
 }
 
-/// How long after its deadline a place is taken for abandoned.
-const HOLD_GRACE: Duration = Duration::from_secs(5);
-
 /// When to come back after a refusal for want of any target.
 const RETRY_NO_TARGET: Duration = Duration::from_secs(5);
 
-/// A place that a call holds at a target.
-#[derive(Clone, Copy, Debug)]
-struct Place {
-    request: PlaceRequest,
-    target: TargetId,
-    /// When it is taken back, should no [`QueueEvent::Vacate`] come.
-    expires: Instant,
-}
+/// The most calls of one tenant that wait here.
+const MOST_OF_TENANT: usize = 4_096;
+
+/// The most calls that wait here.
+const MOST_WAITING: usize = 16_384;
 
 /// The queues that this host keeps.
 #[derive(Debug)]
 pub struct Queues {
     options: QueueOptions,
+    ranks: Map<ClassId, u8>,
+    weights: Map<TenantId, u32>,
     targets: Targets,
+    pools: BTreeMap<PoolId, Pool>,
     waiting: Waiting,
-    places: Map<Asker, Place>,
-    expiries: BTreeSet<(Instant, Asker)>,
+    places: Places,
+    arrivals: u64,
 }
 
 impl Queues {
     /// Makes empty queues.
+    ///
+    /// ```
+    /// use camphorwalk_core::ids::ZoneId;
+    /// use camphorwalk_policy::queue::{QueueOptions, Queues};
+    /// let queues = Queues::new(QueueOptions { zone: ZoneId::from_name("a") });
+    /// assert_eq!((queues.waiting(), queues.placed(), queues.wake_at()), (0, 0, None));
+    /// ```
     pub fn new(options: QueueOptions) -> Self {
         Self {
             options,
+            ranks: Map::default(),
+            weights: Map::default(),
             targets: Targets::default(),
+            pools: BTreeMap::new(),
             waiting: Waiting::default(),
-            places: Map::default(),
-            expiries: BTreeSet::new(),
+            places: Places::default(),
+            arrivals: 0,
         }
     }
 
     /// Takes in an event and appends what to do next to `out`.
     pub fn step(&mut self, now: Instant, event: QueueEvent, out: &mut Vec<QueueNext>) {
         match event {
-            QueueEvent::Config(config) => self.configure(&config, now, out),
+            QueueEvent::Config(config) => self.configure(now, &config, out),
             QueueEvent::Ask { asker, request } => self.ask(now, asker, request, out),
             QueueEvent::Vacate { asker, end } => self.vacate(now, asker, end, out),
             QueueEvent::HostGone(host) => self.host_gone(now, host, out),
-            QueueEvent::Load { target, report } => self.targets.report(target, report),
-            QueueEvent::Evicted { .. } => {}
-            QueueEvent::Wake => self.expire(now, out),
+            QueueEvent::Load { target, report } => {
+                if let Some(pool) = self.targets.report(now, target, report) {
+                    self.serve(now, pool, out);
+                }
+            }
+            QueueEvent::Evicted { target, program } => self.targets.evicted(now, target, program),
+            QueueEvent::Wake => self.wake(now, out),
         }
     }
 
     /// Returns when [`QueueEvent::Wake`] is due.
     pub fn wake_at(&self) -> Option<Instant> {
-        let place = self.expiries.first().map(|(at, _)| *at);
-        let call = self.waiting.first_deadline();
+        let pools = self.pools.values().filter_map(|pool| pool.look_again);
 
-        place.into_iter().chain(call).min()
+        pools.chain(self.places.next_expiry()).chain(self.waiting.next_refusal()).min()
     }
 
     /// Returns how many calls wait.
@@ -159,102 +190,246 @@
         self.waiting.len()
     }
 
+    /// Returns how many places are granted and not given back.
+    pub fn placed(&self) -> usize {
+        self.places.len()
+    }
+
     /// Returns how many calls this host has in flight at a target.
     pub fn in_flight(&self, target: TargetId) -> u32 {
-        self.targets.get(target).map_or(0, |target| target.in_flight)
+        self.targets.get(target).map_or(0, |target| target.in_flight())
     }
 
-    fn configure(&mut self, config: &Config, now: Instant, out: &mut Vec<QueueNext>) {
-        self.targets.configure(config, self.options.zone);
-        self.waiting.configure(config);
+    fn configure(&mut self, now: Instant, config: &Config, out: &mut Vec<QueueNext>) {
+        let classes = config.fleet.classes.iter();
+        self.ranks = classes.map(|class| (ClassId::from_name(&class.name), class.rank)).collect();
 
-        for pool in self.waiting.pools() {
-            self.serve(now, pool, out);
-        }
+        let tenants = config.tenants.iter();
+        self.weights = tenants.map(|t| (TenantId::from_name(&t.name), t.weight)).collect();
+
+        self.targets.configure(config, self.options.zone);
+        self.serve_all(now, out);
     }
 
     fn ask(&mut self, now: Instant, asker: Asker, request: PlaceRequest, out: &mut Vec<QueueNext>) {
-        // A message sent again after a reconnect must not take a second place.
-        if let Some(place) = self.places.get(&asker) {
+        // A question sent again after a reconnect must not take a second place: its first
+        // grant may be under way, and nobody would ever give that place back.
+        if let Some(place) = self.places.get(asker) {
             out.push(QueueNext::Grant { asker, target: place.target });
             return;
         }
 
-        if self.waiting.contains(asker) {
+        if self.waiting.get(asker).is_some() {
             return;
         }
 
-        if !self.targets.can_serve(request.pool) {
-            out.push(QueueNext::Refuse { asker, retry_after: RETRY_NO_TARGET });
-            return;
+        match self.admit(now, asker, request) {
+            Ok(waiter) => {
+                self.enqueue(asker, waiter);
+                self.serve(now, request.pool, out);
+            }
+            Err(retry_after) => out.push(QueueNext::Refuse { asker, retry_after }),
+        }
+    }
+
+    /// Returns the call as it is to wait, or when to come back if it cannot be served.
+    fn admit(
+        &mut self,
+        now: Instant,
+        asker: Asker,
+        request: PlaceRequest,
+    ) -> std::result::Result<Waiter, Duration> {
+        if !self.targets.can_serve(&request) {
+            return Err(RETRY_NO_TARGET);
         }
 
-        self.waiting.insert(now, asker, request);
-        self.serve(now, request.pool, out);
+        self.arrivals += 1;
+
+        let rank = self.ranks.get(&request.class).copied().unwrap_or(u8::MAX);
+        let lane = LaneId { rank, tenant: request.tenant };
+        let deadline = now + request.deadline_left;
+        let position = Pool::position(&request, asker, deadline, self.arrivals);
+        let pause = self.targets.idle(now, request.pool, request.program);
+        let room = self.targets.room(now, request.pool);
+        let pool = self.pools.entry(request.pool).or_default();
+
+        pool.estimates.asked(request.class, request.attained == Tokens(0), pause);
+
+        let wait = pool.wait(lane, &position, room, &self.weights);
+        let refuse_at = pool.refuse_at(&request, deadline);
+        let is_full = self.waiting.len() >= MOST_WAITING
+            || self.waiting.of_tenant(request.tenant) >= MOST_OF_TENANT;
+
+        if is_full || now + wait >= refuse_at {
+            return Err(retry_after(wait));
+        }
+
+        Ok(Waiter { request, since: now, deadline, refuse_at, lane, position })
+    }
+
+    fn enqueue(&mut self, asker: Asker, waiter: Waiter) {
+        let pool = self.pools.entry(waiter.request.pool).or_default();
+
+        pool.shares.enter(waiter.request.tenant);
+        pool.lanes.insert(waiter.lane, waiter.position);
+        self.waiting.insert(asker, waiter);
     }
 
-    fn vacate(&mut self, now: Instant, asker: Asker, _end: PlaceEnd, out: &mut Vec<QueueNext>) {
-        self.waiting.remove(asker);
+    /// Takes a call out of the queue; it stays counted among its tenant's calls.
+    fn dequeue(&mut self, asker: Asker) -> Option<Waiter> {
+        let waiter = self.waiting.remove(asker)?;
 
-        if let Some(pool) = self.free(asker) {
-            self.serve(now, pool, out);
+        if let Some(pool) = self.pools.get_mut(&waiter.request.pool) {
+            pool.lanes.remove(waiter.lane, &waiter.position);
         }
+
+        Some(waiter)
     }
 
-    fn host_gone(&mut self, now: Instant, host: HostId, out: &mut Vec<QueueNext>) {
-        self.waiting.remove_host(host);
+    /// Takes a call that will not be served out of the queue.
+    fn withdraw(&mut self, asker: Asker) -> Option<Waiter> {
+        let waiter = self.dequeue(asker)?;
+        let PlaceRequest { pool, tenant, .. } = waiter.request;
+        self.targets.unreserve(pool, asker);
 
-        let mut held: Vec<Asker> =
-            self.places.keys().copied().filter(|asker| asker.host == host).collect();
-        held.sort_unstable();
+        if let Some(pool) = self.pools.get_mut(&pool) {
+            pool.shares.leave(tenant);
+        }
 
-        for asker in held {
-            if let Some(pool) = self.free(asker) {
-                self.serve(now, pool, out);
-            }
+        Some(waiter)
+    }
+
+    fn vacate(&mut self, now: Instant, asker: Asker, end: PlaceEnd, out: &mut Vec<QueueNext>) {
+        let withdrawn = self.withdraw(asker).map(|waiter| waiter.request);
+        let freed = self.free(now, asker, end).map(|place| place.request);
+        let Some(request) = withdrawn.or(freed) else { return };
+
+        if end.program_over {
+            self.targets.forget(request.program);
+        }
+
+        self.serve(now, request.pool, out);
+    }
+
+    fn host_gone(&mut self, now: Instant, host: HostId, out: &mut Vec<QueueNext>) {
+        for asker in self.waiting.of_host(host) {
+            self.withdraw(asker);
+        }
+
+        for asker in self.places.of_host(host) {
+            self.free(now, asker, UNKNOWN_END);
         }
+
+        self.serve_all(now, out);
     }
 
-    fn expire(&mut self, now: Instant, out: &mut Vec<QueueNext>) {
-        for asker in self.waiting.take_overdue(now) {
-            out.push(QueueNext::Refuse { asker, retry_after: RETRY_NO_TARGET });
+    fn wake(&mut self, now: Instant, out: &mut Vec<QueueNext>) {
+        while let Some(asker) = self.waiting.overdue(now) {
+            self.refuse(asker, out);
         }
 
-        while let Some((at, asker)) = self.expiries.first().copied().filter(|(at, _)| *at <= now) {
-            self.expiries.remove(&(at, asker));
+        while let Some(asker) = self.places.expired(now) {
+            self.free(now, asker, UNKNOWN_END);
+        }
 
-            if let Some(pool) = self.free(asker) {
-                self.serve(now, pool, out);
+        self.serve_all(now, out);
+    }
+
+    fn refuse(&mut self, asker: Asker, out: &mut Vec<QueueNext>) {
+        let Some(waiter) = self.withdraw(asker) else { return };
+        let retry_after = retry_after(Duration::from_micros(waiter.refuse_at.0 - waiter.since.0));
+
+        out.push(QueueNext::Refuse { asker, retry_after });
+    }
+
+    /// Takes a place back.
+    fn free(&mut self, now: Instant, asker: Asker, end: PlaceEnd) -> Option<Place> {
+        let place = self.places.remove(asker)?;
+        let PlaceRequest { pool, tenant, class, prompt, .. } = place.request;
+        let held = prompt.plus(end.output);
+        let used = end.computed.plus(end.output);
+        let weight = self.weights.get(&tenant).copied().unwrap_or(1);
+
+        self.targets.learn(now, place.target, &place.request, end.how, held);
+        self.targets.leave(place.target, asker);
+
+        if let Some(pool) = self.pools.get_mut(&pool) {
+            pool.shares.refund(tenant, weight, place.charged.minus(used));
+            pool.shares.charge(tenant, weight, used.minus(place.charged));
+            pool.shares.leave(tenant);
+
+            if end.how == PlaceEndKind::Finished {
+                let time = now.since(place.granted);
+                pool.estimates.served(class, end.computed, end.output, time);
             }
         }
+
+        Some(place)
     }
 
-    /// Takes a place back and returns its pool.
-    fn free(&mut self, asker: Asker) -> Option<PoolId> {
-        let place = self.places.remove(&asker)?;
-        self.expiries.remove(&(place.expires, asker));
-        self.targets.leave(place.target);
+    fn serve_all(&mut self, now: Instant, out: &mut Vec<QueueNext>) {
+        let pools: Vec<PoolId> = self.pools.keys().copied().collect();
 
-        Some(place.request.pool)
+        pools.into_iter().for_each(|pool| self.serve(now, pool, out));
     }
 
     /// Grants places of a pool for as long as one is free and a call can take it.
-    fn serve(&mut self, now: Instant, pool: PoolId, out: &mut Vec<QueueNext>) {
-        if !self.targets.can_serve(pool) {
-            for asker in self.waiting.take_pool(pool) {
-                out.push(QueueNext::Refuse { asker, retry_after: RETRY_NO_TARGET });
+    fn serve(&mut self, now: Instant, id: PoolId, out: &mut Vec<QueueNext>) {
+        while let Some(pool) = self.pools.get_mut(&id) {
+            pool.look_again = None;
+
+            if pool.lanes.is_empty() {
+                return;
             }
-            return;
-        }
 
-        while let Some(call) = self.waiting.next(pool, |request| self.targets.choose(request)) {
-            let Call { asker, request, target } = call;
-            let expires = now + request.deadline_left + HOLD_GRACE;
+            match pool.pick(now, id, &self.waiting, &mut self.targets) {
+                Pick::Grant(asker, target, computed) => {
+                    self.grant(now, asker, target, computed, out);
+                }
+                Pick::Refuse(asker) => {
+                    self.withdraw(asker);
+                    out.push(QueueNext::Refuse { asker, retry_after: RETRY_NO_TARGET });
+                }
+                Pick::Nothing(look_again) => {
+                    pool.look_again = look_again;
+                    return;
+                }
+            }
+        }
+    }
 
-            self.targets.enter(target, request.suspect);
-            self.places.insert(asker, Place { request, target, expires });
-            self.expiries.insert((expires, asker));
-            out.push(QueueNext::Grant { asker, target });
+    fn grant(
+        &mut self,
+        now: Instant,
+        asker: Asker,
+        target: TargetId,
+        computed: Tokens,
+        out: &mut Vec<QueueNext>,
+    ) {
+        let Some(waiter) = self.waiting.get(asker).copied() else { return };
+        let request = waiter.request;
+        let weight = self.weights.get(&request.tenant).copied().unwrap_or(1);
+
+        if let Some(pool) = self.pools.get_mut(&request.pool) {
+            let output = pool.estimates.output(request.class, request.output);
+            let charged = computed.plus(output);
+            let candidate = Candidate { asker, request: &request, since: waiter.since };
+
+            pool.lanes.granted(waiter.lane);
+            pool.shares.charge(request.tenant, weight, charged);
+            self.targets.enter(now, target, candidate, output);
+            self.places.insert(now, asker, request, target, charged, waiter.deadline);
         }
+
+        self.dequeue(asker);
+        out.push(QueueNext::Grant { asker, target });
     }
 }
+
+/// The end of a place that nobody told about.
+const UNKNOWN_END: PlaceEnd = PlaceEnd {
+    how: PlaceEndKind::Failed,
+    computed: Tokens(0),
+    output: Tokens(0),
+    program_over: false,
+};
--- /dev/null
+++ b/crates/policy/src/queue/places.rs
@@ -0,0 +1,100 @@
+//! The places that are granted and not yet given back.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::{HostId, TargetId};
+use camphorwalk_core::time::Instant;
+use camphorwalk_core::units::Tokens;
+
+use crate::wire::{Asker, PlaceRequest};
+
+/// How long after its call's deadline a place is taken back.
+///
+/// The message that gives a place back can be lost with its connection, and a question can
+/// arrive after its own withdrawal on another connection. Either would keep a place for ever
+/// and shrink the window for good. No attempt runs past its deadline, so a place this much
+/// older is certainly free.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// A place that a call holds at a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// What was asked.
+    pub request: PlaceRequest,
+    /// The target.
+    pub target: TargetId,
+    /// When it was granted.
+    pub granted: Instant,
+    /// What its tenant was charged.
+    pub charged: Tokens,
+    expires: Instant,
+}
+
+/// All places.
+#[derive(Debug, Default)]
+pub struct Places {
+    places: Map<Asker, Place>,
+    expiries: BTreeSet<(Instant, Asker)>,
+}
+
+impl Places {
+    /// Returns how many places are held.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Returns whether no place is held.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Returns the place of an asker.
+    pub fn get(&self, asker: Asker) -> Option<&Place> {
+        self.places.get(&asker)
+    }
+
+    /// Adds a place of a call with this deadline.
+    pub fn insert(
+        &mut self,
+        now: Instant,
+        asker: Asker,
+        request: PlaceRequest,
+        target: TargetId,
+        charged: Tokens,
+        deadline: Instant,
+    ) {
+        let expires = deadline + GRACE;
+
+        self.places.insert(asker, Place { request, target, granted: now, charged, expires });
+        self.expiries.insert((expires, asker));
+    }
+
+    /// Removes a place.
+    pub fn remove(&mut self, asker: Asker) -> Option<Place> {
+        let place = self.places.remove(&asker)?;
+        self.expiries.remove(&(place.expires, asker));
+
+        Some(place)
+    }
+
+    /// Returns the askers of a host, in order.
+    pub fn of_host(&self, host: HostId) -> Vec<Asker> {
+        let mut askers: Vec<Asker> =
+            self.places.keys().copied().filter(|asker| asker.host == host).collect();
+        askers.sort_unstable();
+
+        askers
+    }
+
+    /// Returns a place that is to be taken back by now.
+    pub fn expired(&self, now: Instant) -> Option<Asker> {
+        self.expiries.first().filter(|(at, _)| *at <= now).map(|(_, asker)| *asker)
+    }
+
+    /// Returns when the next place is to be taken back.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.expiries.first().map(|(at, _)| *at)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/queue/pool.rs
@@ -0,0 +1,167 @@
+//! One pool's order, accounts and estimates, and the search for the call that is next.
+
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::{PoolId, TargetId, TenantId};
+use camphorwalk_core::time::Instant;
+use camphorwalk_core::units::Tokens;
+
+use super::estimates::Estimates;
+use super::lanes::{LaneId, Lanes, Position};
+use super::shares::Shares;
+use super::targets::{Candidate, Choice, Targets};
+use super::waiting::Waiting;
+use crate::wire::{Asker, PlaceRequest};
+
+/// How many calls of a lane are looked at for one that can be placed.
+const LOOK_IN_LANE: usize = 4;
+
+/// How many calls of a pool are looked at for one that can be placed.
+const LOOK_AHEAD: usize = 32;
+
+/// The least and the most time after which a refused call is told to come back.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+
+/// A program has not yet attained more than this many tokens at level 1, four times as many at
+/// the next, and so on.
+const FIRST_LEVEL: u64 = 4_096;
+
+/// The number of levels for programs under way.
+const LEVELS: u8 = 4;
+
+/// The queue of one pool.
+#[derive(Debug, Default)]
+pub struct Pool {
+    /// The order of the calls that wait.
+    pub lanes: Lanes,
+    /// The tenants' accounts.
+    pub shares: Shares,
+    /// What is known of calls.
+    pub estimates: Estimates,
+    /// When to look again although nothing has changed.
+    pub look_again: Option<Instant>,
+}
+
+/// What comes next in a pool.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pick {
+    /// This call may go to this target, and so many prompt tokens will be computed.
+    Grant(Asker, TargetId, Tokens),
+    /// No target can ever take this call.
+    Refuse(Asker),
+    /// No call can be placed before this instant, unless something changes.
+    Nothing(Option<Instant>),
+}
+
+impl Pool {
+    /// Returns the next call to be placed, and keeps a target empty for a suspect whose turn
+    /// has come.
+    pub fn pick(&self, now: Instant, id: PoolId, waiting: &Waiting, targets: &mut Targets) -> Pick {
+        // An empty target that is kept for a suspect would stand idle if the suspect were
+        // only looked for in the order.
+        if let Some((asker, target)) = targets.ready_suspect(id, now)
+            && let Some(waiter) = waiting.get(asker)
+        {
+            return Pick::Grant(asker, target, waiter.request.prompt);
+        }
+
+        let mut look_again = targets.next_probe(now, id);
+
+        if !targets.has_room(now, id) {
+            return Pick::Nothing(look_again);
+        }
+
+        let mut last = None;
+        let mut looked = 0;
+
+        while let Some(order) = self.lanes.after(last, &self.shares).filter(|_| looked < LOOK_AHEAD)
+        {
+            for asker in self.lanes.first(order.2, LOOK_IN_LANE) {
+                let Some(waiter) = waiting.get(asker) else { continue };
+                let request = &waiter.request;
+                let candidate = Candidate { asker, request, since: waiter.since };
+                looked += 1;
+
+                match targets.choose(now, candidate, &self.estimates) {
+                    Choice::Take(target, computed) => return Pick::Grant(asker, target, computed),
+                    Choice::Never => return Pick::Refuse(asker),
+                    Choice::Wait(at) => look_again = look_again.into_iter().chain(at).min(),
+                }
+
+                targets.reserve(asker, request);
+            }
+
+            last = Some(order);
+        }
+
+        Pick::Nothing(look_again)
+    }
+
+    /// Returns the place of a new call in its lane.
+    pub fn position(
+        request: &PlaceRequest,
+        asker: Asker,
+        deadline: Instant,
+        arrival: u64,
+    ) -> Position {
+        Position { level: level(request), deadline, arrival, asker }
+    }
+
+    /// Returns from when a call can no longer be served in time.
+    ///
+    /// It is too late for a call once even half the time that such a call takes is more
+    /// than is left, and for a new program once that holds for the whole of it: what is given
+    /// to a program that cannot finish is lost to those that can.
+    pub fn refuse_at(&self, request: &PlaceRequest, deadline: Instant) -> Instant {
+        let output = self.estimates.output(request.class, request.output);
+        let call = self.estimates.hold(Tokens(1), output) / 2;
+        let is_first = request.attained == Tokens(0);
+        let program = if is_first { self.estimates.span(request.class) / 2 } else { call };
+        let needed = u64::try_from(program.max(call).as_micros()).unwrap_or(u64::MAX);
+
+        Instant(deadline.0.saturating_sub(needed))
+    }
+
+    /// Returns how long a call will wait at least, by what waits before it in its lane and the
+    /// lane's share of the pool.
+    pub fn wait(
+        &self,
+        lane: LaneId,
+        position: &Position,
+        room: u32,
+        weights: &Map<TenantId, u32>,
+    ) -> Duration {
+        let weight = |tenant: &TenantId| f64::from(weights.get(tenant).copied().unwrap_or(1));
+        let all: f64 = self.shares.active().map(|tenant| weight(&tenant)).sum();
+        let share = (weight(&lane.tenant) / all.max(weight(&lane.tenant))).min(1.0);
+        let ahead = self.lanes.ahead(lane, position) as f64;
+        let seconds = ahead * self.estimates.mean_hold() / (f64::from(room.max(1)) * share);
+
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+}
+
+/// Returns a time to come back after, within reason.
+pub fn retry_after(wait: Duration) -> Duration {
+    wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1)
+}
+
+/// Returns the level of service that a call's program has attained: 0 for a new program.
+fn level(request: &PlaceRequest) -> u8 {
+    let Tokens(attained) = request.attained;
+
+    if attained == 0 {
+        return 0;
+    }
+
+    let mut bound = FIRST_LEVEL;
+    let mut level = 1;
+
+    while attained > bound && level < LEVELS {
+        bound *= 4;
+        level += 1;
+    }
+
+    level
+}
--- a/crates/policy/src/queue/targets.rs
+++ b/crates/policy/src/queue/targets.rs
@@ -1,29 +1,105 @@
-//! The targets of each pool and their windows.
+//! The targets of each pool: who may get a call, and which is the best place for it.
+
+use std::time::Duration;
 
 use camphorwalk_core::config::Config;
 use camphorwalk_core::hash::Map;
-use camphorwalk_core::ids::{PoolId, TargetId, ZoneId};
+use camphorwalk_core::ids::{PoolId, ProgramId, TargetId, ZoneId};
+use camphorwalk_core::time::Instant;
+use camphorwalk_core::units::Tokens;
 
 use super::LoadReport;
-use crate::wire::PlaceRequest;
+use super::estimates::Estimates;
+use super::health::Health;
+use super::residents::{Resident, Residents};
+use super::window::Window;
+use crate::wire::{Asker, PlaceEndKind, PlaceRequest};
+
+/// A call waits no longer than this for the target that holds its prefix.
+const LONGEST_PREFIX_WAIT: Duration = Duration::from_secs(2);
+
+/// An eviction told this soon after a use may be older than the use.
+const EVENT_LAG: Duration = Duration::from_secs(3);
+
+/// What a call in flight at a target counts for when targets are compared, in tokens to be
+/// computed.
+const LOAD_TOKENS: f64 = 400.0;
 
 /// A target as its queue sees it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct TargetState {
-    /// The pool.
-    pub pool: PoolId,
+    pool: PoolId,
     /// Whether it stands in the zone of this host.
-    pub near: bool,
+    near: bool,
     /// Whether it is leaving, and gets nothing new.
-    pub leaving: bool,
-    /// The most calls in flight.
-    pub window: u32,
-    /// The calls in flight.
-    pub in_flight: u32,
-    /// Whether a call runs alone on it.
-    pub alone: bool,
-    /// The last report.
-    pub report: LoadReport,
+    leaving: bool,
+    /// The most calls in flight if it stands in another zone.
+    far_cap: u32,
+    window: Window,
+    in_flight: u32,
+    /// The suspect that runs alone, or that the target is kept empty for.
+    alone: Option<Asker>,
+    health: Health,
+    report: LoadReport,
+    residents: Residents,
+}
+
+impl TargetState {
+    /// Returns the calls in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the most calls that may be in flight now.
+    pub fn limit(&self, now: Instant) -> u32 {
+        let window = if self.near { self.window.size() } else { self.far_limit() };
+
+        self.health.limit(now, window)
+    }
+
+    /// Returns how many more calls another zone's target may get.
+    ///
+    /// Its own zone's queue knows nothing of what is sent from here. So little is sent, and
+    /// nothing while it says that calls wait there.
+    fn far_limit(&self) -> u32 {
+        if self.report.waiting > 0 { 0 } else { self.far_cap.min(self.window.size()) }
+    }
+
+    /// Returns whether the call could ever go here.
+    fn suits(&self, id: TargetId, request: &PlaceRequest) -> bool {
+        !self.leaving && self.window.declared() > 0 && request.avoid != Some(id)
+    }
+
+    /// Returns whether the call can go here now.
+    fn is_free(&self, now: Instant, asker: Asker, request: &PlaceRequest) -> bool {
+        match self.alone {
+            Some(alone) if alone != asker => false,
+            _ if request.suspect => self.in_flight == 0 && self.limit(now) > 0,
+            _ => self.in_flight < self.limit(now),
+        }
+    }
+}
+
+/// What to do with a call that is first in the order.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Choice {
+    /// Place it here; so many prompt tokens will be computed.
+    Take(TargetId, Tokens),
+    /// Let it wait, and look again at this instant if nothing changes before.
+    Wait(Option<Instant>),
+    /// No target of the pool can ever take it.
+    Never,
+}
+
+/// A call for which a target is sought.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Who asked.
+    pub asker: Asker,
+    /// For what.
+    pub request: &'a PlaceRequest,
+    /// Since when it waits.
+    pub since: Instant,
 }
 
 /// All targets.
@@ -38,38 +114,45 @@
     ///
     /// A target that is no longer declared stays known, as leaving, until its calls end.
     pub fn configure(&mut self, config: &Config, zone: ZoneId) {
-        for state in self.states.values_mut() {
-            state.leaving = true;
-        }
+        let other_zones = config.fleet.zones.len().saturating_sub(1).max(1) as u32;
+        self.states.values_mut().for_each(|state| state.leaving = true);
 
         for target in &config.targets {
             let id = TargetId::from_name(&target.name);
-            let state = self.states.entry(id).or_insert(TargetState {
+            let state = self.states.entry(id).or_insert_with(|| TargetState {
                 pool: PoolId::from_name(&target.pool),
                 near: true,
                 leaving: false,
-                window: 0,
+                far_cap: 0,
+                window: Window::new(target.window),
                 in_flight: 0,
-                alone: false,
+                alone: None,
+                health: Health::default(),
                 report: LoadReport::default(),
+                residents: Residents::default(),
             });
 
             state.pool = PoolId::from_name(&target.pool);
             state.near = ZoneId::from_name(&target.zone) == zone;
             state.leaving = target.leaving;
-            state.window = target.window;
+            state.far_cap = (target.window / (2 * other_zones)).max(1);
+            state.window.declare(target.window);
+            state.residents.resize(target.cache_tokens);
         }
 
         self.states.retain(|_, state| !state.leaving || state.in_flight > 0);
+        self.states.values_mut().filter(|state| state.leaving).for_each(|state| state.alone = None);
+        self.index();
+    }
+
+    fn index(&mut self) {
         self.pools.clear();
 
         for (id, state) in &self.states {
             self.pools.entry(state.pool).or_default().push(*id);
         }
 
-        for members in self.pools.values_mut() {
-            members.sort_unstable();
-        }
+        self.pools.values_mut().for_each(|members| members.sort_unstable());
     }
 
     /// Returns a target.
@@ -77,50 +160,225 @@
         self.states.get(&target)
     }
 
-    /// Takes in a load report.
-    pub fn report(&mut self, target: TargetId, report: LoadReport) {
-        if let Some(state) = self.states.get_mut(&target) {
-            state.report = report;
+    /// Takes in a load report, and returns the target's pool.
+    pub fn report(&mut self, now: Instant, target: TargetId, report: LoadReport) -> Option<PoolId> {
+        let state = self.states.get_mut(&target)?;
+        state.report = report;
+        state.window.adapt(now, report);
+
+        Some(state.pool)
+    }
+
+    /// Takes in that a target dropped a prefix, unless that may be older than its last use.
+    pub fn evicted(&mut self, now: Instant, target: TargetId, program: ProgramId) {
+        let Some(state) = self.states.get_mut(&target) else { return };
+        let Some(resident) = state.residents.get(program) else { return };
+
+        if !resident.in_flight && now.since(resident.used) > EVENT_LAG {
+            state.residents.drop(program);
         }
     }
 
-    /// Returns whether any target of the pool takes calls.
-    pub fn can_serve(&self, pool: PoolId) -> bool {
-        self.members(pool).any(|(_, state)| !state.leaving && state.window > 0)
+    /// Returns whether any target of the pool could ever take the call.
+    pub fn can_serve(&self, request: &PlaceRequest) -> bool {
+        self.members(request.pool).any(|(id, state)| state.suits(id, request))
     }
 
-    /// Returns the least loaded target that has a place for the call, in this zone if it can be.
-    pub fn choose(&self, request: &PlaceRequest) -> Option<TargetId> {
+    /// Returns whether any target of the pool has a place now.
+    pub fn has_room(&self, now: Instant, pool: PoolId) -> bool {
+        self.members(pool).any(|(_, state)| !state.leaving && state.in_flight < state.limit(now))
+    }
+
+    /// Returns the calls that the pool's targets of this zone can have in flight together.
+    pub fn room(&self, now: Instant, pool: PoolId) -> u32 {
+        let limits = self.members(pool).filter(|(_, state)| state.near && !state.leaving);
+
+        limits.map(|(_, state)| state.limit(now)).sum()
+    }
+
+    /// Returns when a target of the pool that went away is tried again.
+    pub fn next_probe(&self, now: Instant, pool: PoolId) -> Option<Instant> {
+        let probes = self.members(pool).filter(|(_, state)| !state.leaving);
+
+        probes.filter_map(|(_, state)| state.health.probe_at(now)).min()
+    }
+
+    /// Returns how long ago a program was last served in the pool.
+    pub fn idle(&self, now: Instant, pool: PoolId, program: ProgramId) -> Option<Duration> {
+        let uses = self.members(pool).filter_map(|(_, state)| state.residents.get(program));
+
+        uses.map(|resident| now.since(resident.used)).min()
+    }
+
+    /// Returns the best place for a call.
+    pub fn choose(&self, now: Instant, call: Candidate<'_>, estimates: &Estimates) -> Choice {
+        let request = call.request;
+
+        if !self.can_serve(request) {
+            return Choice::Never;
+        }
+
         let free = self.members(request.pool).filter(|(id, state)| {
-            !state.leaving
-                && !state.alone
-                && state.in_flight < state.window
-                && (!request.suspect || state.in_flight == 0)
-                && request.avoid != Some(*id)
+            state.suits(*id, request) && state.is_free(now, call.asker, request)
         });
+        let worth =
+            |resident: &Resident| estimates.returns(resident.class, now.since(resident.used));
+        let best = free
+            .map(|(id, state)| (!state.near, cost(state, request, worth), id))
+            .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+
+        let Some((_, _, target)) = best else { return Choice::Wait(None) };
+
+        match self.better_soon(now, call, target, estimates) {
+            Some(until) => Choice::Wait(Some(until)),
+            None => Choice::Take(target, missing(&self.states[&target], request)),
+        }
+    }
+
+    /// Returns until when the call had better wait for a full target that holds its prefix.
+    ///
+    /// Waiting is worth less than the time that computing the prefix anew would take.
+    fn better_soon(
+        &self,
+        now: Instant,
+        call: Candidate<'_>,
+        target: TargetId,
+        estimates: &Estimates,
+    ) -> Option<Instant> {
+        let request = call.request;
+        let here = missing(&self.states[&target], request);
+        let (_, state) = self
+            .members(request.pool)
+            .filter(|(id, state)| state.near && state.suits(*id, request) && !request.suspect)
+            .filter(|(_, state)| state.health.limit(now, 1) > 0 && state.alone.is_none())
+            .min_by_key(|(id, state)| (missing(state, request), *id))?;
+
+        let saved = here.minus(missing(state, request)).0 as f64 * estimates.seconds_per_computed();
+        let next_place = estimates.mean_hold() / f64::from(state.in_flight.max(1));
+        let worth = Duration::try_from_secs_f64(saved).unwrap_or_default();
+        let until = call.since + worth.min(LONGEST_PREFIX_WAIT);
+
+        (saved > next_place && until > now).then_some(until)
+    }
+
+    /// Keeps a target of this zone empty for a suspect, unless one is kept already.
+    pub fn reserve(&mut self, asker: Asker, request: &PlaceRequest) {
+        let kept = self.members(request.pool).any(|(_, state)| state.alone.is_some());
+
+        if kept || !request.suspect {
+            return;
+        }
+
+        let target = self
+            .members(request.pool)
+            .filter(|(id, state)| state.suits(*id, request))
+            .min_by_key(|(id, state)| (!state.near, state.in_flight, *id))
+            .map(|(id, _)| id);
+
+        if let Some(state) = target.and_then(|target| self.states.get_mut(&target)) {
+            state.alone = Some(asker);
+        }
+    }
+
+    /// Returns a suspect and the empty target that is kept for it.
+    pub fn ready_suspect(&self, pool: PoolId, now: Instant) -> Option<(Asker, TargetId)> {
+        let empty = self
+            .members(pool)
+            .filter(|(_, state)| !state.leaving && state.in_flight == 0 && state.limit(now) > 0);
 
-        free.min_by_key(|(id, state)| (!state.near, state.in_flight, *id)).map(|(id, _)| id)
+        empty.filter_map(|(id, state)| Some((state.alone?, id))).next()
+    }
+
+    /// Keeps no target empty any more for a suspect that is withdrawn.
+    pub fn unreserve(&mut self, pool: PoolId, asker: Asker) {
+        for id in self.pools.get(&pool).into_iter().flatten() {
+            if let Some(state) = self.states.get_mut(id).filter(|state| state.alone == Some(asker))
+            {
+                state.alone = None;
+            }
+        }
     }
 
     /// Counts a call in.
-    pub fn enter(&mut self, target: TargetId, alone: bool) {
-        if let Some(state) = self.states.get_mut(&target) {
-            state.in_flight += 1;
-            state.alone = alone;
+    pub fn enter(&mut self, now: Instant, target: TargetId, call: Candidate<'_>, output: Tokens) {
+        let Some(state) = self.states.get_mut(&target) else { return };
+        let PlaceRequest { pool, program, class, prompt, suspect, .. } = *call.request;
+
+        state.in_flight += 1;
+        state.residents.hold(now, program, class, prompt.plus(output), true);
+
+        if suspect {
+            // Another target may have been kept empty for it meanwhile.
+            self.unreserve(pool, call.asker);
+            self.states.entry(target).and_modify(|state| state.alone = Some(call.asker));
         }
     }
 
     /// Counts a call out.
-    pub fn leave(&mut self, target: TargetId) {
-        if let Some(state) = self.states.get_mut(&target) {
-            state.in_flight = state.in_flight.saturating_sub(1);
-            state.alone = false;
+    pub fn leave(&mut self, target: TargetId, asker: Asker) {
+        let Some(state) = self.states.get_mut(&target) else { return };
+
+        state.in_flight = state.in_flight.saturating_sub(1);
+
+        if state.alone == Some(asker) {
+            state.alone = None;
+        }
+
+        if state.leaving && state.in_flight == 0 {
+            self.states.remove(&target);
+            self.index();
+        }
+    }
+
+    /// Learns from how a call ended that held `held` tokens at the end.
+    pub fn learn(
+        &mut self,
+        now: Instant,
+        target: TargetId,
+        request: &PlaceRequest,
+        how: PlaceEndKind,
+        held: Tokens,
+    ) {
+        let Some(state) = self.states.get_mut(&target) else { return };
+
+        match how {
+            PlaceEndKind::NotSent => state.residents.drop(request.program),
+            PlaceEndKind::Finished => {
+                state.health.worked();
+                state.residents.hold(now, request.program, request.class, held, false);
+            }
+            PlaceEndKind::Failed => {
+                state.residents.hold(now, request.program, request.class, request.prompt, false);
+            }
+            PlaceEndKind::Crashed => {
+                state.health.crashed(now);
+                state.residents.clear();
+            }
         }
     }
 
+    /// Forgets a program that is over.
+    pub fn forget(&mut self, program: ProgramId) {
+        self.states.values_mut().for_each(|state| state.residents.drop(program));
+    }
+
     fn members(&self, pool: PoolId) -> impl Iterator<Item = (TargetId, &TargetState)> {
         let ids = self.pools.get(&pool).map_or(&[][..], Vec::as_slice);
 
         ids.iter().filter_map(|id| Some((*id, self.states.get(id)?)))
     }
 }
+
+/// Returns the prompt tokens that a target would have to compute.
+fn missing(state: &TargetState, request: &PlaceRequest) -> Tokens {
+    request.prompt.minus(state.residents.cached(request.program, request.prompt))
+}
+
+/// Returns what placing a call here costs, in tokens to be computed: those of its own prompt,
+/// those of prefixes that have to go and may come back, and the slowdown by a fuller batch.
+fn cost(state: &TargetState, request: &PlaceRequest, worth: impl Fn(&Resident) -> f64) -> f64 {
+    let missing = missing(state, request);
+    let room = state.residents.cost_of_room(missing.plus(request.output), worth);
+
+    missing.0 as f64 + room + LOAD_TOKENS * f64::from(state.in_flight)
+}
--- a/crates/policy/src/queue/waiting.rs
+++ b/crates/policy/src/queue/waiting.rs
@@ -1,153 +1,99 @@
-//! The calls that wait, in the order in which they are served.
+//! The calls that wait, and until when each can still be served in time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-use camphorwalk_core::config::Config;
 use camphorwalk_core::hash::Map;
-use camphorwalk_core::ids::{ClassId, HostId, PoolId, TargetId};
+use camphorwalk_core::ids::{HostId, TenantId};
 use camphorwalk_core::time::Instant;
 
+use super::lanes::{LaneId, Position};
 use crate::wire::{Asker, PlaceRequest};
 
-/// A call that was chosen, with its target.
+/// A call that waits.
 #[derive(Clone, Copy, Debug)]
-pub struct Call {
-    /// Who asked.
-    pub asker: Asker,
-    /// For what.
+pub struct Waiter {
+    /// What was asked.
     pub request: PlaceRequest,
-    /// Where it may go.
-    pub target: TargetId,
-}
-
-/// A call's place in the order: class rank, then arrival.
-type Position = (u8, u64);
-
-#[derive(Clone, Copy, Debug)]
-struct Entry {
-    request: PlaceRequest,
-    deadline: Instant,
-    position: Position,
+    /// Since when it waits.
+    pub since: Instant,
+    /// Its program's deadline.
+    pub deadline: Instant,
+    /// From when it can no longer be served in time, and is refused.
+    pub refuse_at: Instant,
+    /// Its lane.
+    pub lane: LaneId,
+    /// Its place in the lane.
+    pub position: Position,
 }
 
 /// All calls that wait.
 #[derive(Debug, Default)]
 pub struct Waiting {
-    entries: Map<Asker, Entry>,
-    pools: BTreeMap<PoolId, BTreeMap<Position, Asker>>,
-    deadlines: BTreeSet<(Instant, Asker)>,
-    ranks: Map<ClassId, u8>,
-    arrivals: u64,
+    calls: Map<Asker, Waiter>,
+    refusals: BTreeSet<(Instant, Asker)>,
+    tenants: Map<TenantId, usize>,
 }
 
 impl Waiting {
-    /// Takes over the declared ranks, for calls that come from now on.
-    pub fn configure(&mut self, config: &Config) {
-        let classes = config.fleet.classes.iter();
-
-        self.ranks = classes.map(|class| (ClassId::from_name(&class.name), class.rank)).collect();
-    }
-
     /// Returns how many calls wait.
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.calls.len()
     }
 
     /// Returns whether no call waits.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-
-    /// Returns whether this asker waits.
-    pub fn contains(&self, asker: Asker) -> bool {
-        self.entries.contains_key(&asker)
+        self.calls.is_empty()
     }
 
-    /// Returns the pools that calls wait for.
-    pub fn pools(&self) -> Vec<PoolId> {
-        self.pools.keys().copied().collect()
+    /// Returns how many calls of a tenant wait.
+    pub fn of_tenant(&self, tenant: TenantId) -> usize {
+        self.tenants.get(&tenant).copied().unwrap_or_default()
     }
 
-    /// Returns the first deadline of a call that waits.
-    pub fn first_deadline(&self) -> Option<Instant> {
-        self.deadlines.first().map(|(at, _)| *at)
+    /// Returns a call.
+    pub fn get(&self, asker: Asker) -> Option<&Waiter> {
+        self.calls.get(&asker)
     }
 
     /// Adds a call.
-    pub fn insert(&mut self, now: Instant, asker: Asker, request: PlaceRequest) {
-        let rank = self.ranks.get(&request.class).copied().unwrap_or(u8::MAX);
-        let deadline = now + request.deadline_left;
-        let position = (rank, self.arrivals);
-
-        self.arrivals += 1;
-        self.entries.insert(asker, Entry { request, deadline, position });
-        self.pools.entry(request.pool).or_default().insert(position, asker);
-        self.deadlines.insert((deadline, asker));
+    pub fn insert(&mut self, asker: Asker, waiter: Waiter) {
+        *self.tenants.entry(waiter.request.tenant).or_default() += 1;
+        self.refusals.insert((waiter.refuse_at, asker));
+        self.calls.insert(asker, waiter);
     }
 
-    /// Removes a call, if it waits.
-    pub fn remove(&mut self, asker: Asker) {
-        let Some(entry) = self.entries.remove(&asker) else { return };
-        self.deadlines.remove(&(entry.deadline, asker));
+    /// Removes a call.
+    pub fn remove(&mut self, asker: Asker) -> Option<Waiter> {
+        let waiter = self.calls.remove(&asker)?;
+        self.refusals.remove(&(waiter.refuse_at, asker));
 
-        if let Some(pool) = self.pools.get_mut(&entry.request.pool) {
-            pool.remove(&entry.position);
+        if let Some(count) = self.tenants.get_mut(&waiter.request.tenant) {
+            *count -= 1;
 
-            if pool.is_empty() {
-                self.pools.remove(&entry.request.pool);
+            if *count == 0 {
+                self.tenants.remove(&waiter.request.tenant);
             }
         }
-    }
-
-    /// Removes the calls of a host.
-    pub fn remove_host(&mut self, host: HostId) {
-        let askers: Vec<Asker> =
-            self.entries.keys().copied().filter(|asker| asker.host == host).collect();
 
-        for asker in askers {
-            self.remove(asker);
-        }
+        Some(waiter)
     }
 
-    /// Removes and returns the calls of a pool.
-    pub fn take_pool(&mut self, pool: PoolId) -> Vec<Asker> {
-        let askers: Vec<Asker> =
-            self.pools.get(&pool).into_iter().flat_map(|calls| calls.values().copied()).collect();
-
-        for asker in &askers {
-            self.remove(*asker);
-        }
+    /// Returns the askers of a host, in order.
+    pub fn of_host(&self, host: HostId) -> Vec<Asker> {
+        let mut askers: Vec<Asker> =
+            self.calls.keys().copied().filter(|asker| asker.host == host).collect();
+        askers.sort_unstable();
 
         askers
     }
 
-    /// Removes and returns the calls whose deadline has passed.
-    pub fn take_overdue(&mut self, now: Instant) -> Vec<Asker> {
-        let overdue = self.deadlines.iter().take_while(|(at, _)| *at <= now);
-        let askers: Vec<Asker> = overdue.map(|(_, asker)| *asker).collect();
-
-        for asker in &askers {
-            self.remove(*asker);
-        }
-
-        askers
+    /// Returns a call that is to be refused by now.
+    pub fn overdue(&self, now: Instant) -> Option<Asker> {
+        self.refusals.first().filter(|(at, _)| *at <= now).map(|(_, asker)| *asker)
     }
 
-    /// Removes and returns the first call of a pool for which `choose` finds a target.
-    pub fn next(
-        &mut self,
-        pool: PoolId,
-        choose: impl Fn(&PlaceRequest) -> Option<TargetId>,
-    ) -> Option<Call> {
-        let call = self.pools.get(&pool)?.values().find_map(|asker| {
-            let request = self.entries.get(asker)?.request;
-            let target = choose(&request)?;
-
-            Some(Call { asker: *asker, request, target })
-        })?;
-
-        self.remove(call.asker);
-
-        Some(call)
+    /// Returns when the next call is to be refused.
+    pub fn next_refusal(&self) -> Option<Instant> {
+        self.refusals.first().map(|(at, _)| *at)
     }
 }
