bench: queues against two baselines in virtual time

Cause: no policy can be judged without figures. Seeded programs shaped like both deployments before small fakes of engines; FIFO with round robin and with least loaded in the same run; table, JSON, SVG. A program that is not finished counts with its whole deadline, so refusing makes no latency better; 'alone p95' is the floor for any policy.

--- /dev/null
+++ b/crates/bench/src/figures.rs
@@ -0,0 +1,214 @@
+//! What a run is judged by.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::drive::{End, Trace};
+use crate::engine::EngineShape;
+use crate::fleet::Engines;
+use crate::workload::{Program, Workload, micros};
+
+/// Programs that arrive before this many seconds only warm the caches up.
+pub const WARM_UP_SECONDS: f64 = 60.0;
+
+/// The longest latency that histograms tell apart, in milliseconds.
+const LONGEST_MILLIS: u64 = 3_600_000;
+
+/// The figures of one run. A program that was not finished in time counts with its whole
+/// deadline, so that refusing makes no latency better.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Figures {
+    /// Median program latency, in milliseconds.
+    pub p50_ms: f64,
+    /// 95th percentile of program latency, in milliseconds.
+    pub p95_ms: f64,
+    /// 99th percentile of program latency, in milliseconds.
+    pub p99_ms: f64,
+    /// 95th percentile of the first class's program latency, in milliseconds.
+    pub first_class_p95_ms: f64,
+    /// 95th percentile of the time that programs take alone on an engine: no policy's
+    /// program latency can be lower.
+    pub alone_p95_ms: f64,
+    /// The same of the first class's programs.
+    pub first_class_alone_p95_ms: f64,
+    /// Thousands of prompt tokens computed although an earlier turn had computed them.
+    pub recomputed_kilotokens: f64,
+    /// The mean slowdown of the worst-served tenant within its rate.
+    pub worst_slowdown: f64,
+    /// The mean of the slowdowns of the tenants within their rate.
+    pub mean_slowdown: f64,
+    /// Their quotient.
+    pub worst_to_mean: f64,
+    /// The mean slowdown of the surging tenant.
+    pub surging_slowdown: f64,
+    /// Programs refused in each thousand of the tenants within their rate.
+    pub refused_within_rate: f64,
+    /// Programs given up by their callers in each thousand of the tenants within their rate.
+    pub timed_out_within_rate: f64,
+    /// Programs finished in time, a second.
+    pub goodput: f64,
+}
+
+/// A figure's name, as tables show it, and how to get it.
+pub type Column = (&'static str, fn(&Figures) -> f64);
+
+/// The figures in the order of tables.
+pub const COLUMNS: [Column; 14] = [
+    ("p50 ms", |f| f.p50_ms),
+    ("p95 ms", |f| f.p95_ms),
+    ("p99 ms", |f| f.p99_ms),
+    ("first class p95 ms", |f| f.first_class_p95_ms),
+    ("alone p95 ms", |f| f.alone_p95_ms),
+    ("first class alone p95 ms", |f| f.first_class_alone_p95_ms),
+    ("re-computed ktok", |f| f.recomputed_kilotokens),
+    ("worst slowdown", |f| f.worst_slowdown),
+    ("mean slowdown", |f| f.mean_slowdown),
+    ("worst / mean", |f| f.worst_to_mean),
+    ("surging slowdown", |f| f.surging_slowdown),
+    ("refused in rate /1000", |f| f.refused_within_rate),
+    ("timed out in rate /1000", |f| f.timed_out_within_rate),
+    ("goodput /s", |f| f.goodput),
+];
+
+/// The smallest, middle and largest of several runs.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Spread {
+    /// The smallest.
+    pub min: f64,
+    /// The median.
+    pub median: f64,
+    /// The largest.
+    pub max: f64,
+}
+
+impl Spread {
+    /// Returns the spread of some values; zeros if there are none.
+    ///
+    /// ```
+    /// use camphorwalk_bench::figures::Spread;
+    /// let spread = Spread::of(vec![3.0, 1.0, 2.0]);
+    /// assert_eq!((spread.min, spread.median, spread.max), (1.0, 2.0, 3.0));
+    /// ```
+    pub fn of(mut values: Vec<f64>) -> Self {
+        values.sort_by(f64::total_cmp);
+
+        let at = |index: usize| values.get(index).copied().unwrap_or_default();
+        let last = values.len().saturating_sub(1);
+
+        Self { min: at(0), median: at(last / 2), max: at(last) }
+    }
+}
+
+/// Counts of one tenant.
+#[derive(Clone, Copy, Debug, Default)]
+struct TenantCount {
+    programs: u64,
+    refused: u64,
+    timed_out: u64,
+    slowdown: f64,
+}
+
+impl TenantCount {
+    fn mean_slowdown(&self) -> f64 {
+        self.slowdown / self.programs.max(1) as f64
+    }
+}
+
+/// Judges a run; `surging` is the tenant that was over its rate, if one was.
+pub fn judge(
+    workload: &Workload,
+    programs: &[Program],
+    engines: &Engines,
+    trace: &Trace,
+    seconds: f64,
+    surging: Option<usize>,
+) -> Figures {
+    let mut tenants = vec![TenantCount::default(); workload.tenant_parts.len()];
+    let mut latencies = histogram();
+    let mut first_class = histogram();
+    let mut alone_latencies = histogram();
+    let mut first_class_alone = histogram();
+    let mut finished = 0_u64;
+
+    for (number, program) in programs.iter().enumerate() {
+        if program.parent.is_some() || program.arrival < micros(WARM_UP_SECONDS) {
+            continue;
+        }
+
+        let kind = &workload.kinds[program.kind];
+        let outcome = trace.outcomes[number];
+        let end = outcome.map_or(End::TimedOut, |outcome| outcome.end);
+        let latency = match outcome {
+            Some(outcome) if end == End::Finished => outcome.at - program.arrival,
+            _ => micros(kind.deadline),
+        };
+        let tenant = &mut tenants[program.tenant];
+
+        let alone = alone(programs, number, &engines.shape);
+
+        latencies.saturating_record(latency / 1_000);
+        alone_latencies.saturating_record(alone / 1_000);
+
+        if kind.rank == 0 {
+            first_class.saturating_record(latency / 1_000);
+            first_class_alone.saturating_record(alone / 1_000);
+        }
+
+        tenant.programs += 1;
+        tenant.refused += u64::from(end == End::Refused);
+        tenant.timed_out += u64::from(end == End::TimedOut);
+        tenant.slowdown += latency as f64 / alone as f64;
+        finished += u64::from(end == End::Finished);
+    }
+
+    let in_rate: Vec<TenantCount> = (0..tenants.len())
+        .filter(|tenant| surging != Some(*tenant))
+        .map(|tenant| tenants[tenant])
+        .collect();
+    let total: u64 = in_rate.iter().map(|tenant| tenant.programs).sum();
+    let per_thousand = |count: u64| 1_000.0 * count as f64 / total.max(1) as f64;
+    let slowdowns: Vec<f64> = in_rate.iter().map(TenantCount::mean_slowdown).collect();
+    let mean = slowdowns.iter().sum::<f64>() / slowdowns.len().max(1) as f64;
+    let worst = slowdowns.iter().copied().fold(0.0, f64::max);
+
+    Figures {
+        p50_ms: latencies.value_at_quantile(0.5) as f64,
+        p95_ms: latencies.value_at_quantile(0.95) as f64,
+        p99_ms: latencies.value_at_quantile(0.99) as f64,
+        first_class_p95_ms: first_class.value_at_quantile(0.95) as f64,
+        alone_p95_ms: alone_latencies.value_at_quantile(0.95) as f64,
+        first_class_alone_p95_ms: first_class_alone.value_at_quantile(0.95) as f64,
+        recomputed_kilotokens: trace.recomputed as f64 / 1_000.0,
+        worst_slowdown: worst,
+        mean_slowdown: mean,
+        worst_to_mean: worst / mean,
+        surging_slowdown: surging.map_or(0.0, |tenant| tenants[tenant].mean_slowdown()),
+        refused_within_rate: per_thousand(in_rate.iter().map(|tenant| tenant.refused).sum()),
+        timed_out_within_rate: per_thousand(in_rate.iter().map(|tenant| tenant.timed_out).sum()),
+        goodput: finished as f64 / (seconds - WARM_UP_SECONDS),
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(LONGEST_MILLIS, 3).expect("the bounds are valid")
+}
+
+/// Returns the time that a program takes alone on an engine with its prefix kept, in
+/// microseconds.
+pub fn alone(programs: &[Program], number: usize, shape: &EngineShape) -> u64 {
+    let mut cached = 0;
+    let mut time = 0;
+
+    for turn in &programs[number].turns {
+        let computed = (turn.prompt - cached).max(1);
+        let chunks = computed.div_ceil(shape.prompt_chunk);
+        let children = turn.children.iter().map(|child| alone(programs, *child, shape)).max();
+
+        time += chunks * shape.iteration + computed * shape.prompt_token_nanos / 1_000;
+        time += turn.output * (shape.iteration + shape.decode_sequence);
+        time += turn.pause.max(children.unwrap_or(0));
+        cached = turn.prompt + turn.output;
+    }
+
+    time
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder crate page.
+//! Measures the queues of camphorwalk against baselines, in virtual time.
+//!
+//! [`run`] drives [`camphorwalk_policy::queue::Queues`] and two baselines through the same
+//! seeded programs before small fakes of engines. It simulates no cluster: one queue host,
+//! several engines. The same options give the same report, byte for byte.
+
+#![warn(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod baseline;
+pub mod drive;
+pub mod engine;
+pub mod experiment;
+pub mod figures;
+pub mod fleet;
+pub mod plot;
+pub mod report;
+pub mod scheduler;
+pub mod workload;
+
+pub use experiment::{BenchOptions, run};
+pub use report::Report;
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,209 @@
+//! The report of a bench run: as a table, as JSON and as a plot.
+
+use std::fmt::Write as _;
+use std::path::Path;
+
+use anyhow::Context as _;
+use serde::Serialize;
+
+use crate::figures::{COLUMNS, Figures, Spread};
+use crate::fleet::Engines;
+use crate::scheduler::Policy;
+use crate::workload::Workload;
+
+/// The traffic of a group of runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Scenario {
+    /// 90 in 100 of the better baseline's capacity.
+    Steady,
+    /// The same, and one tenant sends several times its rate.
+    Surge,
+}
+
+impl Scenario {
+    /// Returns its name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Steady => "steady, 90% load",
+            Self::Surge => "one tenant over its rate",
+        }
+    }
+}
+
+/// The runs of one policy in one scenario, one for each seed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Cell {
+    /// The workload's name.
+    pub workload: &'static str,
+    /// The traffic.
+    pub scenario: Scenario,
+    /// The policy.
+    pub policy: Policy,
+    /// The figures of each seed.
+    pub runs: Vec<Figures>,
+}
+
+impl Cell {
+    /// Returns the spread of a figure over the seeds.
+    pub fn spread(&self, figure: fn(&Figures) -> f64) -> Spread {
+        Spread::of(self.runs.iter().map(figure).collect())
+    }
+}
+
+/// Programs finished in time at a load.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct GoodputPoint {
+    /// The workload's name.
+    pub workload: &'static str,
+    /// The policy.
+    pub policy: Policy,
+    /// The load, as a part of the policy's own capacity.
+    pub load: f64,
+    /// Programs a second.
+    pub goodput: Spread,
+}
+
+/// What a policy carries with every window full.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Capacity {
+    /// The workload's name.
+    pub workload: &'static str,
+    /// The policy.
+    pub policy: Policy,
+    /// Programs a second.
+    pub programs_per_second: f64,
+}
+
+/// A figure that was aimed at.
+#[derive(Clone, Debug, Serialize)]
+pub struct Aim {
+    /// The workload's name.
+    pub workload: &'static str,
+    /// What is aimed at.
+    pub name: &'static str,
+    /// The bound.
+    pub bound: f64,
+    /// The figure of each seed.
+    pub measured: Spread,
+    /// Whether the median is within the bound.
+    pub met: bool,
+}
+
+/// The result of [`crate::run`].
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The seeds.
+    pub seeds: Vec<u64>,
+    /// How long programs arrive in each run, in seconds.
+    pub seconds: f64,
+    /// How long capacity was measured, in seconds.
+    pub capacity_seconds: f64,
+    /// How many times its rate the surging tenant sends.
+    pub surge: f64,
+    /// The engines.
+    pub engines: Engines,
+    /// The workloads with all their parameters.
+    pub workloads: Vec<Workload>,
+    /// The capacities.
+    pub capacities: Vec<Capacity>,
+    /// The figures.
+    pub cells: Vec<Cell>,
+    /// Goodput by load.
+    pub goodput: Vec<GoodputPoint>,
+    /// The aims.
+    pub aims: Vec<Aim>,
+}
+
+impl Report {
+    /// Returns the report as JSON.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string_pretty(self).expect("a report has only text keys")
+    }
+
+    /// Returns the report as text.
+    pub fn table(&self) -> String {
+        let mut text = String::new();
+
+        self.head(&mut text);
+        self.cells.iter().for_each(|cell| cell_lines(&mut text, cell));
+        self.goodput_lines(&mut text);
+        self.aim_lines(&mut text);
+        self.parameter_lines(&mut text);
+
+        text
+    }
+
+    /// Writes the goodput by load as an SVG picture.
+    pub fn plot(&self, path: &Path) -> anyhow::Result<()> {
+        std::fs::write(path, crate::plot::goodput(self)?)
+            .with_context(|| format!("bench: cannot write the plot to {}", path.display()))
+    }
+
+    fn head(&self, text: &mut String) {
+        line(text, format_args!("seeds {:?}, {} s each", self.seeds, self.seconds));
+        line(text, format_args!("figures: median [min .. max] over the seeds"));
+
+        for Capacity { workload, policy, programs_per_second } in &self.capacities {
+            let name = policy.name();
+            line(
+                text,
+                format_args!("capacity {workload}, {name}: {programs_per_second:.3} programs/s"),
+            );
+        }
+    }
+
+    fn goodput_lines(&self, text: &mut String) {
+        line(text, format_args!("\ngoodput by load (1 is the policy's own capacity), programs/s"));
+
+        for GoodputPoint { workload, policy, load, goodput } in &self.goodput {
+            let name = policy.name();
+            let spread = show(goodput);
+            line(text, format_args!("  {workload}, {name:<20} load {load:<5} {spread}"));
+        }
+    }
+
+    fn aim_lines(&self, text: &mut String) {
+        line(text, format_args!("\naims"));
+
+        for Aim { workload, name, bound, measured, met } in &self.aims {
+            let met = if *met { "met" } else { "NOT MET" };
+            let spread = show(measured);
+            line(text, format_args!("  {workload}, {name}: {spread}, bound {bound}: {met}"));
+        }
+    }
+
+    fn parameter_lines(&self, text: &mut String) {
+        line(text, format_args!("\nparameters"));
+        line(text, format_args!("  surge: {} times the rate", self.surge));
+        line(text, format_args!("  engines: {}", json(&self.engines)));
+
+        for workload in &self.workloads {
+            line(text, format_args!("  workload: {}", json(workload)));
+        }
+    }
+}
+
+fn cell_lines(text: &mut String, cell: &Cell) {
+    let (workload, scenario, policy) = (cell.workload, cell.scenario.name(), cell.policy.name());
+    line(text, format_args!("\n{workload}, {scenario}: {policy}"));
+
+    for (name, figure) in COLUMNS {
+        let spread = show(&cell.spread(figure));
+        line(text, format_args!("  {name:<24} {spread}"));
+    }
+}
+
+fn show(spread: &Spread) -> String {
+    let Spread { min, median, max } = spread;
+
+    format!("{median:>10.3} [{min:.3} .. {max:.3}]")
+}
+
+fn json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).expect("a report has only text keys")
+}
+
+fn line(text: &mut String, line: std::fmt::Arguments<'_>) {
+    writeln!(text, "{line}").expect("writing to a string does not fail");
+}
