--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -158,7 +158,7 @@
     }
 
     let zone = req.headers().get(ZONE_HEADER).and_then(|zone| zone.to_str().ok()).unwrap_or("");
-    let mode = lock(&state).modes.of(zone);
+    let mode = lock(&state).modes.next(zone);
 
     match mode {
         Mode::Ok => serve(&state, req),
