queue: start-time fair shares by waiting tenants; rules and tests of places

Cause: the test tenants_share_by_attained_service was red: a tenant that came back was set level with the one just served, and a tenant with a call always in flight could save up credit. Now the floor is the start tag of the last grant, and only waiting tenants count. Also: a question of a restarted host is not given its old process's place (it could be of another pool), calls without any target left are refused when the configuration changes, each call is charged a fixed part (plain services know no tokens), an unsent call leaves the believed prefix as it was.

--- a/crates/bench/src/experiment.rs
+++ b/crates/bench/src/experiment.rs
@@ -44,7 +44,7 @@
     fn default() -> Self {
         Self {
             seeds: vec![1, 2, 3, 4, 5],
-            seconds: 900.0,
+            seconds: 1_800.0,
             capacity_seconds: 2_400.0,
             workloads: vec![Workload::inkwick(), Workload::inzira()],
             engines: Engines::default(),
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -126,6 +126,11 @@
 /// The most calls that wait here.
 const MOST_WAITING: usize = 16_384;
 
+/// What each call is charged besides its tokens.
+///
+/// Plain services know no tokens: without it no tenant's account would ever move there.
+const CALL_TOKENS: Tokens = Tokens(32);
+
 /// The queues that this host keeps.
 #[derive(Debug)]
 pub struct Queues {
@@ -208,6 +213,12 @@
         self.weights = tenants.map(|t| (TenantId::from_name(&t.name), t.weight)).collect();
 
         self.targets.configure(config, self.options.zone);
+
+        for asker in self.waiting.matching(|waiter| !self.targets.can_serve(&waiter.request)) {
+            self.withdraw(asker);
+            out.push(QueueNext::Refuse { asker, retry_after: RETRY_NO_TARGET });
+        }
+
         self.serve_all(now, out);
     }
 
@@ -215,12 +226,20 @@
         // A question sent again after a reconnect must not take a second place: its first
         // grant may be under way, and nobody would ever give that place back.
         if let Some(place) = self.places.get(asker) {
-            out.push(QueueNext::Grant { asker, target: place.target });
-            return;
+            if is_same(&place.request, &request) {
+                out.push(QueueNext::Grant { asker, target: place.target });
+                return;
+            }
+
+            self.free(now, asker, UNKNOWN_END);
         }
 
-        if self.waiting.get(asker).is_some() {
-            return;
+        if let Some(waiter) = self.waiting.get(asker) {
+            if is_same(&waiter.request, &request) {
+                return;
+            }
+
+            self.withdraw(asker);
         }
 
         match self.admit(now, asker, request) {
@@ -275,12 +294,13 @@
         self.waiting.insert(asker, waiter);
     }
 
-    /// Takes a call out of the queue; it stays counted among its tenant's calls.
+    /// Takes a call out of the queue.
     fn dequeue(&mut self, asker: Asker) -> Option<Waiter> {
         let waiter = self.waiting.remove(asker)?;
 
         if let Some(pool) = self.pools.get_mut(&waiter.request.pool) {
             pool.lanes.remove(waiter.lane, &waiter.position);
+            pool.shares.leave(waiter.request.tenant);
         }
 
         Some(waiter)
@@ -289,12 +309,7 @@
     /// Takes a call that will not be served out of the queue.
     fn withdraw(&mut self, asker: Asker) -> Option<Waiter> {
         let waiter = self.dequeue(asker)?;
-        let PlaceRequest { pool, tenant, .. } = waiter.request;
-        self.targets.unreserve(pool, asker);
-
-        if let Some(pool) = self.pools.get_mut(&pool) {
-            pool.shares.leave(tenant);
-        }
+        self.targets.unreserve(waiter.request.pool, asker);
 
         Some(waiter)
     }
@@ -345,18 +360,19 @@
     /// Takes a place back.
     fn free(&mut self, now: Instant, asker: Asker, end: PlaceEnd) -> Option<Place> {
         let place = self.places.remove(asker)?;
-        let PlaceRequest { pool, tenant, class, prompt, .. } = place.request;
-        let held = prompt.plus(end.output);
-        let used = end.computed.plus(end.output);
+        let PlaceRequest { pool, tenant, class, .. } = place.request;
+        let used = match end.how {
+            PlaceEndKind::NotSent => Tokens(0),
+            _ => CALL_TOKENS.plus(end.computed).plus(end.output),
+        };
         let weight = self.weights.get(&tenant).copied().unwrap_or(1);
 
-        self.targets.learn(now, place.target, &place.request, end.how, held);
+        self.targets.learn(now, &place, end);
         self.targets.leave(place.target, asker);
 
         if let Some(pool) = self.pools.get_mut(&pool) {
             pool.shares.refund(tenant, weight, place.charged.minus(used));
             pool.shares.charge(tenant, weight, used.minus(place.charged));
-            pool.shares.leave(tenant);
 
             if end.how == PlaceEndKind::Finished {
                 let time = now.since(place.granted);
@@ -386,10 +402,6 @@
                 Pick::Grant(asker, target, computed) => {
                     self.grant(now, asker, target, computed, out);
                 }
-                Pick::Refuse(asker) => {
-                    self.withdraw(asker);
-                    out.push(QueueNext::Refuse { asker, retry_after: RETRY_NO_TARGET });
-                }
                 Pick::Nothing(look_again) => {
                     pool.look_again = look_again;
                     return;
@@ -412,13 +424,16 @@
 
         if let Some(pool) = self.pools.get_mut(&request.pool) {
             let output = pool.estimates.output(request.class, request.output);
-            let charged = computed.plus(output);
+            let charged = CALL_TOKENS.plus(computed).plus(output);
+            let deadline = waiter.deadline;
+            let place = Place { request, target, granted: now, computed, charged, deadline };
             let candidate = Candidate { asker, request: &request, since: waiter.since };
 
             pool.lanes.granted(waiter.lane);
+            pool.shares.advance();
             pool.shares.charge(request.tenant, weight, charged);
             self.targets.enter(now, target, candidate, output);
-            self.places.insert(now, asker, request, target, charged, waiter.deadline);
+            self.places.insert(asker, place);
         }
 
         self.dequeue(asker);
@@ -433,3 +448,11 @@
     output: Tokens(0),
     program_over: false,
 };
+
+/// Returns whether two requests of one asker are the same question.
+///
+/// A host that was restarted counts its questions from the start again. If its old process's
+/// place were taken for the answer, a call would go to a target of another pool.
+fn is_same(a: &PlaceRequest, b: &PlaceRequest) -> bool {
+    (a.pool, a.tenant, a.program, a.prompt) == (b.pool, b.tenant, b.program, b.prompt)
+}
--- a/crates/policy/src/queue/lanes.rs
+++ b/crates/policy/src/queue/lanes.rs
@@ -105,19 +105,19 @@
 
     /// Returns the lane that comes next after `last` in the order, from the first if `None`.
     pub fn after(&self, last: Option<LaneOrder>, shares: &Shares) -> Option<LaneOrder> {
-        let floor = shares.floor();
-        let orders = self.lanes.iter().map(|(id, lane)| self.order(*id, lane, shares, floor));
+        let least = shares.least();
+        let orders = self.lanes.iter().map(|(id, lane)| self.order(*id, lane, shares, least));
 
         orders.filter(|order| last.is_none_or(|last| *order > last)).min()
     }
 
-    fn order(&self, id: LaneId, lane: &Lane, shares: &Shares, floor: u64) -> LaneOrder {
+    fn order(&self, id: LaneId, lane: &Lane, shares: &Shares, least: u64) -> LaneOrder {
         if self.grants_since_aged + 1 >= AGED_TURN {
             return (lane.since, 0, id);
         }
 
         let service = shares.service(id.tenant);
-        let in_credit = service <= floor.saturating_add(CLASS_CREDIT);
+        let in_credit = service <= least.saturating_add(CLASS_CREDIT);
         let rank = if in_credit { u64::from(id.rank) } else { u64::from(u8::MAX) };
 
         (rank, service, id)
--- a/crates/policy/src/queue/places.rs
+++ b/crates/policy/src/queue/places.rs
@@ -27,9 +27,19 @@
     pub target: TargetId,
     /// When it was granted.
     pub granted: Instant,
+    /// The prompt tokens that were expected to be computed.
+    pub computed: Tokens,
     /// What its tenant was charged.
     pub charged: Tokens,
-    expires: Instant,
+    /// Its call's deadline.
+    pub deadline: Instant,
+}
+
+impl Place {
+    /// Returns when it is taken back, if nobody gives it back before.
+    fn expiry(&self) -> Instant {
+        self.deadline + GRACE
+    }
 }
 
 /// All places.
@@ -55,26 +65,16 @@
         self.places.get(&asker)
     }
 
-    /// Adds a place of a call with this deadline.
-    pub fn insert(
-        &mut self,
-        now: Instant,
-        asker: Asker,
-        request: PlaceRequest,
-        target: TargetId,
-        charged: Tokens,
-        deadline: Instant,
-    ) {
-        let expires = deadline + GRACE;
-
-        self.places.insert(asker, Place { request, target, granted: now, charged, expires });
-        self.expiries.insert((expires, asker));
+    /// Adds a place.
+    pub fn insert(&mut self, asker: Asker, place: Place) {
+        self.places.insert(asker, place);
+        self.expiries.insert((place.expiry(), asker));
     }
 
     /// Removes a place.
     pub fn remove(&mut self, asker: Asker) -> Option<Place> {
         let place = self.places.remove(&asker)?;
-        self.expiries.remove(&(place.expires, asker));
+        self.expiries.remove(&(place.expiry(), asker));
 
         Some(place)
     }
--- a/crates/policy/src/queue/pool.rs
+++ b/crates/policy/src/queue/pool.rs
@@ -48,8 +48,6 @@
 pub enum Pick {
     /// This call may go to this target, and so many prompt tokens will be computed.
     Grant(Asker, TargetId, Tokens),
-    /// No target can ever take this call.
-    Refuse(Asker),
     /// No call can be placed before this instant, unless something changes.
     Nothing(Option<Instant>),
 }
@@ -85,11 +83,10 @@
 
                 match targets.choose(now, candidate, &self.estimates) {
                     Choice::Take(target, computed) => return Pick::Grant(asker, target, computed),
-                    Choice::Never => return Pick::Refuse(asker),
                     Choice::Wait(at) => look_again = look_again.into_iter().chain(at).min(),
                 }
 
-                targets.reserve(asker, request);
+                targets.reserve(now, asker, request);
             }
 
             last = Some(order);
@@ -133,8 +130,9 @@
         weights: &Map<TenantId, u32>,
     ) -> Duration {
         let weight = |tenant: &TenantId| f64::from(weights.get(tenant).copied().unwrap_or(1));
-        let all: f64 = self.shares.active().map(|tenant| weight(&tenant)).sum();
-        let share = (weight(&lane.tenant) / all.max(weight(&lane.tenant))).min(1.0);
+        let others = self.shares.waiting().filter(|tenant| *tenant != lane.tenant);
+        let others: f64 = others.map(|tenant| weight(&tenant)).sum();
+        let share = weight(&lane.tenant) / (weight(&lane.tenant) + others);
         let ahead = self.lanes.ahead(lane, position) as f64;
         let seconds = ahead * self.estimates.mean_hold() / (f64::from(room.max(1)) * share);
 
--- a/crates/policy/src/queue/residents.rs
+++ b/crates/policy/src/queue/residents.rs
@@ -68,7 +68,7 @@
     ) {
         self.drop(program);
 
-        if self.capacity == Tokens(0) {
+        if self.capacity == Tokens(0) || tokens == Tokens(0) {
             return;
         }
 
--- a/crates/policy/src/queue/shares.rs
+++ b/crates/policy/src/queue/shares.rs
@@ -12,54 +12,57 @@
 struct Account {
     /// Service attained over weight.
     service: u64,
-    /// Calls that wait or are in flight.
-    active: u32,
+    /// Calls that wait.
+    waiting: u32,
 }
 
-/// The accounts of the tenants that have calls in a pool.
+/// The accounts of the tenants of a pool.
 ///
-/// Start-time fair queueing: who comes back after a pause begins where the least served
-/// of the active tenants stands. So idleness saves up no credit with which to lock the
-/// others out, and a tenant that sends more than its share only waits longer itself.
+/// Start-time fair queueing: who begins to wait starts no lower than the floor, where the
+/// least served waiting tenant stood at the last grant. So idleness saves up no credit with
+/// which to lock the others out, and a tenant that sends more than its share only waits
+/// longer itself.
 #[derive(Debug, Default)]
 pub struct Shares {
     accounts: Map<TenantId, Account>,
-    /// The service of the least served active tenant, when last there was one.
     floor: u64,
 }
 
 impl Shares {
-    /// Counts a call in.
+    /// Counts a waiting call in.
     pub fn enter(&mut self, tenant: TenantId) {
-        self.floor = self.floor();
-
         let account = self.accounts.entry(tenant).or_default();
 
-        if account.active == 0 {
+        if account.waiting == 0 {
             account.service = account.service.max(self.floor);
         }
 
-        account.active += 1;
+        account.waiting += 1;
     }
 
-    /// Counts a call out.
+    /// Counts a waiting call out.
     pub fn leave(&mut self, tenant: TenantId) {
-        self.floor = self.floor();
-
         if let Some(account) = self.accounts.get_mut(&tenant) {
-            account.active = account.active.saturating_sub(1);
+            account.waiting = account.waiting.saturating_sub(1);
         }
 
         // An idle account at or below the floor says nothing that a new one would not.
         let floor = self.floor;
-        self.accounts.retain(|_, account| account.active > 0 || account.service > floor);
+        self.accounts.retain(|_, account| account.waiting > 0 || account.service > floor);
+    }
+
+    /// Moves the floor up to the least served tenant that waits; to be called at each grant,
+    /// before its charge.
+    pub fn advance(&mut self) {
+        self.floor = self.least();
     }
 
     /// Charges service to a tenant.
     pub fn charge(&mut self, tenant: TenantId, weight: u32, tokens: Tokens) {
-        if let Some(account) = self.accounts.get_mut(&tenant) {
-            account.service = account.service.saturating_add(units(weight, tokens));
-        }
+        let floor = self.floor;
+        let account = self.accounts.entry(tenant).or_insert(Account { service: floor, waiting: 0 });
+
+        account.service = account.service.saturating_add(units(weight, tokens));
     }
 
     /// Gives back service that was charged but not used.
@@ -74,16 +77,16 @@
         self.accounts.get(&tenant).map_or(self.floor, |account| account.service)
     }
 
-    /// Returns the service of the least served active tenant.
-    pub fn floor(&self) -> u64 {
-        let active = self.accounts.values().filter(|account| account.active > 0);
+    /// Returns the service of the least served tenant that waits, never below the floor.
+    pub fn least(&self) -> u64 {
+        let waiting = self.accounts.values().filter(|account| account.waiting > 0);
 
-        active.map(|account| account.service).min().unwrap_or(self.floor).max(self.floor)
+        waiting.map(|account| account.service).min().unwrap_or(self.floor).max(self.floor)
     }
 
-    /// Returns the active tenants.
-    pub fn active(&self) -> impl Iterator<Item = TenantId> + '_ {
-        self.accounts.iter().filter(|(_, account)| account.active > 0).map(|(id, _)| *id)
+    /// Returns the tenants that wait.
+    pub fn waiting(&self) -> impl Iterator<Item = TenantId> + '_ {
+        self.accounts.iter().filter(|(_, account)| account.waiting > 0).map(|(id, _)| *id)
     }
 }
 
--- a/crates/policy/src/queue/targets.rs
+++ b/crates/policy/src/queue/targets.rs
@@ -11,9 +11,10 @@
 use super::LoadReport;
 use super::estimates::Estimates;
 use super::health::Health;
+use super::places::Place;
 use super::residents::{Resident, Residents};
 use super::window::Window;
-use crate::wire::{Asker, PlaceEndKind, PlaceRequest};
+use crate::wire::{Asker, PlaceEnd, PlaceEndKind, PlaceRequest};
 
 /// A call waits no longer than this for the target that holds its prefix.
 const LONGEST_PREFIX_WAIT: Duration = Duration::from_secs(2);
@@ -87,8 +88,6 @@
     Take(TargetId, Tokens),
     /// Let it wait, and look again at this instant if nothing changes before.
     Wait(Option<Instant>),
-    /// No target of the pool can ever take it.
-    Never,
 }
 
 /// A call for which a target is sought.
@@ -214,10 +213,6 @@
     pub fn choose(&self, now: Instant, call: Candidate<'_>, estimates: &Estimates) -> Choice {
         let request = call.request;
 
-        if !self.can_serve(request) {
-            return Choice::Never;
-        }
-
         let free = self.members(request.pool).filter(|(id, state)| {
             state.suits(*id, request) && state.is_free(now, call.asker, request)
         });
@@ -262,7 +257,7 @@
     }
 
     /// Keeps a target of this zone empty for a suspect, unless one is kept already.
-    pub fn reserve(&mut self, asker: Asker, request: &PlaceRequest) {
+    pub fn reserve(&mut self, now: Instant, asker: Asker, request: &PlaceRequest) {
         let kept = self.members(request.pool).any(|(_, state)| state.alone.is_some());
 
         if kept || !request.suspect {
@@ -271,7 +266,7 @@
 
         let target = self
             .members(request.pool)
-            .filter(|(id, state)| state.suits(*id, request))
+            .filter(|(id, state)| state.suits(*id, request) && state.limit(now) > 0)
             .min_by_key(|(id, state)| (!state.near, state.in_flight, *id))
             .map(|(id, _)| id);
 
@@ -330,26 +325,21 @@
         }
     }
 
-    /// Learns from how a call ended that held `held` tokens at the end.
-    pub fn learn(
-        &mut self,
-        now: Instant,
-        target: TargetId,
-        request: &PlaceRequest,
-        how: PlaceEndKind,
-        held: Tokens,
-    ) {
-        let Some(state) = self.states.get_mut(&target) else { return };
+    /// Learns from how a call ended.
+    pub fn learn(&mut self, now: Instant, place: &Place, end: PlaceEnd) {
+        let Some(state) = self.states.get_mut(&place.target) else { return };
+        let PlaceRequest { program, class, prompt, .. } = place.request;
 
-        match how {
-            PlaceEndKind::NotSent => state.residents.drop(request.program),
+        match end.how {
+            PlaceEndKind::NotSent => {
+                let before = prompt.minus(place.computed);
+                state.residents.hold(now, program, class, before, false);
+            }
             PlaceEndKind::Finished => {
                 state.health.worked();
-                state.residents.hold(now, request.program, request.class, held, false);
-            }
-            PlaceEndKind::Failed => {
-                state.residents.hold(now, request.program, request.class, request.prompt, false);
+                state.residents.hold(now, program, class, prompt.plus(end.output), false);
             }
+            PlaceEndKind::Failed => state.residents.hold(now, program, class, prompt, false),
             PlaceEndKind::Crashed => {
                 state.health.crashed(now);
                 state.residents.clear();
--- a/crates/policy/src/queue/waiting.rs
+++ b/crates/policy/src/queue/waiting.rs
@@ -80,8 +80,13 @@
 
     /// Returns the askers of a host, in order.
     pub fn of_host(&self, host: HostId) -> Vec<Asker> {
-        let mut askers: Vec<Asker> =
-            self.calls.keys().copied().filter(|asker| asker.host == host).collect();
+        self.matching(|waiter| waiter.position.asker.host == host)
+    }
+
+    /// Returns the askers of the calls that `which` picks, in order.
+    pub fn matching(&self, which: impl Fn(&Waiter) -> bool) -> Vec<Asker> {
+        let calls = self.calls.iter().filter(|(_, waiter)| which(waiter));
+        let mut askers: Vec<Asker> = calls.map(|(asker, _)| *asker).collect();
         askers.sort_unstable();
 
         askers
--- a/crates/policy/tests/queue_rules.rs
+++ b/crates/policy/tests/queue_rules.rs
@@ -1,143 +1,248 @@
-//! The rules of the queues, one by one.
+//! The order of calls, and the life of a place.
+
+mod queue_support;
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use camphorwalk_core::config::{Class, Config, Fleet, Target, TargetKind, Zone};
-use camphorwalk_core::ids::{ClassId, HostId, PoolId, ProgramId, TargetId, TenantId, ZoneId};
-use camphorwalk_core::time::Instant;
-use camphorwalk_core::units::{ConfigVersion, Tokens};
-use camphorwalk_policy::queue::{QueueEvent, QueueNext, QueueOptions, Queues};
-use camphorwalk_policy::wire::{Asker, PlaceEnd, PlaceEndKind, PlaceRequest};
-
-fn target(name: &str, zone: &str, window: u32) -> Target {
-    Target {
-        name: name.into(),
-        pool: "m".into(),
-        kind: TargetKind::Engine,
-        zone: zone.into(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        window,
-        cache_tokens: Tokens(10_000),
-        checks_fencing: false,
-        leaving: false,
-    }
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::units::Tokens;
+use camphorwalk_policy::queue::{QueueEvent, QueueNext};
+use camphorwalk_policy::wire::{PlaceEnd, PlaceEndKind, PlaceRequest};
+use queue_support::{Bench, asker, end, grant, id, leaving, request, target};
+
+#[test]
+fn a_window_bounds_what_is_in_flight() {
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+
+    let first = bench.ask(1, request("x", "chat", 1));
+    let second = bench.ask(2, request("x", "chat", 2));
+    let after = bench.vacate(1);
+
+    assert_eq!(first, grant(1, "t"));
+    assert_eq!(second, []);
+    assert_eq!(after, grant(2, "t"));
 }
 
-fn config(targets: Vec<Target>) -> Config {
-    let zone = |name: &str| Zone { name: name.into(), region: "r".into() };
-    let class = |name: &str, rank| Class { name: name.into(), rank };
-
-    Config {
-        version: ConfigVersion(1),
-        fleet: Fleet {
-            name: "f".into(),
-            zones: vec![zone("a"), zone("b")],
-            classes: vec![class("arrival", 0), class("chat", 1)],
-            partitions: 64,
-            slices: 16,
-        },
-        targets,
-        templates: Vec::new(),
-        tenants: Vec::new(),
-    }
+#[test]
+fn asking_again_takes_no_second_place() {
+    // A connection breaks after a question. The asker connects again and repeats it; the
+    // first grant may have arrived or not. Both must be the same place.
+    let mut bench = Bench::new(vec![target("t", "a", 2)]);
+
+    let first = bench.ask(1, request("x", "chat", 1));
+    let again = bench.ask(1, request("x", "chat", 1));
+
+    assert_eq!(first, again);
+    assert_eq!(bench.queues.in_flight(id("t")), 1);
 }
 
-fn request(tenant: &str, class: &str) -> PlaceRequest {
-    PlaceRequest {
-        pool: PoolId::from_name("m"),
-        tenant: TenantId::from_name(tenant),
-        class: ClassId::from_name(class),
-        program: ProgramId(1),
-        attained: Tokens(0),
-        prompt: Tokens(100),
-        output: Tokens(100),
-        deadline_left: Duration::from_secs(10),
-        avoid: None,
-        suspect: false,
-    }
+#[test]
+fn asking_again_while_waiting_waits_once() {
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    bench.ask(1, request("x", "chat", 1));
+
+    bench.ask(2, request("x", "chat", 2));
+    let again = bench.ask(2, request("x", "chat", 2));
+
+    assert_eq!(again, []);
+    assert_eq!(bench.queues.waiting(), 1);
+}
+
+#[test]
+fn a_restarted_host_is_not_given_the_place_of_its_old_process() {
+    // A host restarts and counts its questions from 1 again, before anyone noticed that it
+    // was gone. Its new question 1 is for another pool. The old grant would send the call
+    // to a target that does not serve it.
+    let mut service = target("s", "a", 1);
+    service.pool = "other".into();
+    let mut bench = Bench::new(vec![target("t", "a", 1), service]);
+    bench.ask(1, request("x", "chat", 1));
+
+    let other = PlaceRequest { pool: pool("other"), ..request("x", "chat", 9) };
+    let out = bench.ask(1, other);
+
+    assert_eq!(out, grant(1, "s"));
+    assert_eq!(bench.queues.in_flight(id("t")), 0);
+}
+
+fn pool(name: &str) -> camphorwalk_core::ids::PoolId {
+    camphorwalk_core::ids::PoolId::from_name(name)
+}
+
+#[test]
+fn vacating_twice_or_for_nobody_is_harmless() {
+    let mut bench = Bench::new(vec![target("t", "a", 2)]);
+    bench.ask(1, request("x", "chat", 1));
+    bench.ask(2, request("x", "chat", 2));
+
+    bench.vacate(1);
+    bench.vacate(1);
+    bench.vacate(7);
+
+    assert_eq!(bench.queues.in_flight(id("t")), 1);
 }
 
-fn asker(number: u64) -> Asker {
-    Asker { host: HostId(number / 100), number }
+#[test]
+fn a_place_whose_vacate_is_lost_comes_back_after_the_deadline() {
+    // The message that gives a place back is lost with its connection. Until the call's
+    // deadline it may still run; then a margin passes and the place is free again.
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    bench
+        .ask(1, PlaceRequest { deadline_left: Duration::from_secs(10), ..request("x", "chat", 1) });
+    bench.ask(2, request("x", "chat", 2));
+
+    let before = bench.pass(Duration::from_secs(10));
+    let after = bench.pass(Duration::from_secs(10));
+
+    assert_eq!(before, []);
+    assert_eq!(after, grant(2, "t"));
 }
 
-fn queues(targets: Vec<Target>) -> Queues {
-    let mut queues = Queues::new(QueueOptions { zone: ZoneId::from_name("a") });
-    let config = Arc::new(config(targets));
-    queues.step(Instant(0), QueueEvent::Config(config), &mut Vec::new());
+#[test]
+fn a_host_that_is_gone_gives_back_all_its_places() {
+    let mut bench = Bench::new(vec![target("t", "a", 2)]);
+    bench.ask(1, request("x", "chat", 1));
+    bench.ask(2, request("x", "chat", 2));
+    bench.ask(3, request("x", "chat", 3));
+    bench.ask(100, request("x", "chat", 4));
+
+    let out = bench.step(QueueEvent::HostGone(HostId(0)));
 
-    queues
+    assert_eq!(out, grant(100, "t"));
+    assert_eq!((bench.queues.placed(), bench.queues.waiting()), (1, 0));
 }
 
-fn ask(queues: &mut Queues, number: u64, request: PlaceRequest) -> Vec<QueueNext> {
-    let mut out = Vec::new();
-    queues.step(Instant(0), QueueEvent::Ask { asker: asker(number), request }, &mut out);
+#[test]
+fn the_first_class_goes_first() {
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    bench.ask(1, request("x", "chat", 1));
+    bench.ask(2, request("x", "chat", 2));
+    bench.ask(3, request("y", "arrival", 3));
+
+    let next = bench.vacate(1);
 
-    out
+    assert_eq!(next, grant(3, "t"));
 }
 
-fn vacate(queues: &mut Queues, number: u64) -> Vec<QueueNext> {
-    let end = PlaceEnd {
-        how: PlaceEndKind::Finished,
-        computed: Tokens(100),
-        output: Tokens(10),
-        program_over: false,
-    };
-    let mut out = Vec::new();
-    queues.step(Instant(0), QueueEvent::Vacate { asker: asker(number), end }, &mut out);
+#[test]
+fn tenants_share_by_attained_service() {
+    // One tenant sends many calls before another sends one. The other has attained less, and
+    // does not wait for the many.
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    (1..=5).for_each(|n| drop(bench.ask(n, request("x", "chat", n.into()))));
+    bench.ask(6, request("y", "chat", 6));
+
+    let next = bench.vacate(1);
 
-    out
+    assert_eq!(next, grant(6, "t"));
 }
 
-fn grant(number: u64, target: &str) -> Vec<QueueNext> {
-    vec![QueueNext::Grant { asker: asker(number), target: TargetId::from_name(target) }]
+#[test]
+fn a_tenant_far_over_its_share_loses_its_class() {
+    // A tenant sends all its work in the first class. After it has got far more than the
+    // others, its class counts for nothing until they have caught up.
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    bench.ask(1, request("x", "arrival", 1));
+    bench.ask(2, request("x", "arrival", 2));
+    bench.ask(3, request("y", "chat", 3));
+
+    let used = PlaceEnd { computed: Tokens(50_000), ..end(PlaceEndKind::Finished) };
+    let next = bench.vacate_with(1, used);
+
+    assert_eq!(next, grant(3, "t"));
 }
 
 #[test]
-fn a_window_bounds_what_is_in_flight() {
-    let mut queues = queues(vec![target("t", "a", 1)]);
+fn a_lower_class_is_not_starved() {
+    // The first class alone could fill the only place for ever. One grant in eight goes to
+    // whoever has waited longest, so the lower class is served within two lanes' turns.
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    bench.ask(0, request("x", "arrival", 1));
+    bench.ask(99, request("y", "chat", 99));
+
+    let grants = (1..=16).position(|n| {
+        bench.ask(n, request("x", "arrival", n.into()));
+        bench.vacate(n - 1) == grant(99, "t")
+    });
+
+    assert!(grants.is_some());
+}
+
+#[test]
+fn within_a_tenant_the_least_served_program_goes_first() {
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    bench.ask(1, request("x", "chat", 1));
+    bench.ask(2, PlaceRequest { attained: Tokens(100_000), ..request("x", "chat", 2) });
+    bench.ask(3, request("x", "chat", 3));
 
-    let first = ask(&mut queues, 1, request("x", "chat"));
-    let second = ask(&mut queues, 2, request("x", "chat"));
-    let after = vacate(&mut queues, 1);
+    let next = bench.vacate(1);
 
-    assert_eq!(first, grant(1, "t"));
-    assert_eq!(second, []);
-    assert_eq!(after, grant(2, "t"));
+    assert_eq!(next, grant(3, "t"));
 }
 
 #[test]
-fn asking_again_takes_no_second_place() {
-    let mut queues = queues(vec![target("t", "a", 2)]);
+fn a_call_that_nothing_can_serve_is_refused_at_once() {
+    let mut bench = Bench::new(vec![leaving("t", "a", 2)]);
 
-    let first = ask(&mut queues, 1, request("x", "chat"));
-    let again = ask(&mut queues, 1, request("x", "chat"));
+    let out = bench.ask(1, request("x", "chat", 1));
 
-    assert_eq!(first, again);
-    assert_eq!(queues.in_flight(TargetId::from_name("t")), 1);
+    assert!(matches!(out[..], [QueueNext::Refuse { .. }]));
 }
 
 #[test]
-fn vacating_twice_or_for_nobody_is_harmless() {
-    let mut queues = queues(vec![target("t", "a", 2)]);
-    ask(&mut queues, 1, request("x", "chat"));
-    ask(&mut queues, 2, request("x", "chat"));
+fn a_waiting_call_is_refused_when_its_last_target_is_withdrawn() {
+    // A call waits; the operator withdraws the pool's only target. No event would ever
+    // serve the call, and its caller would wait until the deadline for nothing.
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    bench.ask(1, request("x", "chat", 1));
+    bench.ask(2, request("x", "chat", 2));
 
-    vacate(&mut queues, 1);
-    vacate(&mut queues, 1);
-    vacate(&mut queues, 7);
+    let out = bench.configure(vec![leaving("t", "a", 1)]);
 
-    assert_eq!(queues.in_flight(TargetId::from_name("t")), 1);
+    assert!(matches!(out[..], [QueueNext::Refuse { asker: a, .. }] if a == asker(2)));
 }
 
 #[test]
-fn a_call_that_nothing_can_serve_is_refused_at_once() {
-    let mut leaving = target("t", "a", 2);
-    leaving.leaving = true;
-    let mut queues = queues(vec![leaving]);
+fn a_call_is_refused_once_its_deadline_cannot_be_met() {
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    bench.ask(1, request("x", "chat", 1));
+    bench.ask(2, PlaceRequest { deadline_left: Duration::from_secs(3), ..request("x", "chat", 2) });
 
-    let out = ask(&mut queues, 1, request("x", "chat"));
+    let out = bench.pass(Duration::from_secs(3));
+
+    assert!(matches!(out[..], [QueueNext::Refuse { asker: a, .. }] if a == asker(2)));
+}
+
+#[test]
+fn a_hopeless_call_is_refused_at_once() {
+    // Calls take a second each. A call with little time left comes behind a hundred others
+    // of its tenant: its turn would come too late, so it is told now when to come back.
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+
+    for n in 0..30 {
+        bench.ask(n, request("x", "chat", n.into()));
+        bench.pass(Duration::from_secs(1));
+        bench.vacate(n);
+    }
+
+    (100..200).for_each(|n| drop(bench.ask(n, request("x", "chat", n.into()))));
+    let late = PlaceRequest { attained: Tokens(9_000), ..request("x", "chat", 300) };
+    let out = bench.ask(300, PlaceRequest { deadline_left: Duration::from_secs(20), ..late });
 
     assert!(matches!(out[..], [QueueNext::Refuse { .. }]));
 }
+
+#[test]
+fn a_tenant_cannot_fill_the_queue() {
+    // A tenant asks without end while nothing moves: memory stays bounded, and another
+    // tenant still finds room.
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+
+    let refused = (0..5_000).filter(|n| {
+        let out = bench.ask(*n, request("x", "chat", (*n).into()));
+        matches!(out[..], [QueueNext::Refuse { .. }])
+    });
+
+    assert_eq!(refused.count(), 5_000 - 4_096 - 1);
+    assert_eq!(bench.ask(5_001, request("y", "chat", 5_001)), []);
+}
