--- a/crates/camphorwalk/src/bin/camphorwalk.rs
+++ b/crates/camphorwalk/src/bin/camphorwalk.rs
@@ -17,6 +17,7 @@
 #[argh(subcommand)]
 enum Command {
     Demo(Demo),
+    Standin(camphorwalk_standin::program::Args),
 }
 
 #[tokio::main]
@@ -26,6 +27,13 @@
 
     let exit: Exit = match args.command {
         Command::Demo(demo) => demo.run().await,
+        Command::Standin(args) => match camphorwalk_standin::program::run(args).await {
+            Ok(()) => Exit::Done,
+            Err(e) => {
+                eprintln!("standin: {e:#}");
+                Exit::Refused
+            }
+        },
     };
 
     exit.into()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod engine;
 pub mod platform;
+pub mod program;
 mod requests;
 mod server;
 pub mod service;
