--- a/crates/camphorwalk/src/client.rs
+++ b/crates/camphorwalk/src/client.rs
@@ -35,12 +35,11 @@
 }
 
 impl Answer {
-    /// Returns when to come back, if the request did not run and may be sent again.
+    /// Returns when to come back with the same idempotency key, if that can help.
     pub fn retry_after(&self) -> Option<Duration> {
-        let error = &self.body["error"];
-        let millis = error["retry_after_ms"].as_u64()?;
+        let millis = self.body["error"]["retry_after_ms"].as_u64()?;
 
-        (error["ran"] == "no").then(|| Duration::from_millis(millis))
+        Some(Duration::from_millis(millis))
     }
 }
 
@@ -94,7 +93,7 @@
     }
 
     /// Posts a body as a caller does: with an idempotency key, and again when told to come
-    /// back, as long as the request did not run.
+    /// back. The key makes that safe, also where the first request may have run.
     pub async fn call(
         &self,
         host: SocketAddr,
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -184,6 +184,11 @@
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
+impl Epoch {
+    /// The epoch of a lease that nobody held before.
+    pub const FIRST: Self = Self(1);
+}
+
 /// One attempt of a call at a target. Unique in the fleet: host session, then a counter.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId(pub u128);
--- a/crates/policy/src/scheduler/work.rs
+++ b/crates/policy/src/scheduler/work.rs
@@ -2,7 +2,7 @@
 
 use camphorwalk_core::calls::{Code, Refusal, Reply};
 use camphorwalk_core::config::Config;
-use camphorwalk_core::ids::{PartitionId, Ticket};
+use camphorwalk_core::ids::{Epoch, PartitionId, Ticket};
 use camphorwalk_core::messages::forward::Answer;
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
@@ -80,8 +80,7 @@
 
         let due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
         if due(self.leases.wake_at()) {
-            let busy = self.programs.busy_partitions();
-            self.work.push_back(Work::Lease(LeaseEvent::Busy(busy)));
+            self.work.push_back(Work::Lease(LeaseEvent::Wake));
         }
         if due(self.configs.wake_at()) {
             self.work.push_back(Work::Config(ConfigEvent::Wake));
@@ -102,7 +101,11 @@
         while let Some(work) = self.work.pop_front() {
             match work {
                 Work::Lease(event) => {
+                    // What is busy is looked up just before each step, not at some earlier
+                    // wake: a partition given back under a running call would cut that call.
                     let mut next = Vec::new();
+                    let busy = self.programs.busy_partitions();
+                    self.leases.step(now, LeaseEvent::Busy(busy), &mut next);
                     self.leases.step(now, event, &mut next);
                     next.into_iter().for_each(|next| self.on_lease(now, next, out));
                 }
@@ -141,9 +144,13 @@
                 self.work.push_back(Work::Program(event));
                 self.tell_homes(out);
             }
-            LeaseNext::Acquired { name: LeaseName::Column(column), .. } => {
+            LeaseNext::Acquired { name: LeaseName::Column(column), epoch, .. } => {
                 let until = self.board.leases_until;
-                let event = SliceEvent::Owned { column, until, fresh: true };
+                let event = if epoch == Epoch::FIRST {
+                    SliceEvent::First { column, until }
+                } else {
+                    SliceEvent::Owned { column, until, fresh: true }
+                };
                 self.work.push_back(Work::Slice(event));
             }
             LeaseNext::Lost { name: LeaseName::Partition(partition) } => {
--- a/crates/policy/src/slices.rs
+++ b/crates/policy/src/slices.rs
@@ -64,6 +64,13 @@
         /// Whether ownership is new, not a renewal.
         fresh: bool,
     },
+    /// This host owns a column that no host ever owned before: its slices begin full.
+    First {
+        /// The column.
+        column: ColumnId,
+        /// Until when, as with `Owned`.
+        until: Instant,
+    },
     /// This host no longer owns a column.
     Lost {
         /// The column.
@@ -293,6 +300,10 @@
                 self.borrower.forget_gone(&self.pools);
                 self.lender.hosts_changed(now);
             }
+            SliceEvent::First { column, until } => {
+                self.lender.own_first(column, until, now);
+                self.configure(now);
+            }
             SliceEvent::Owned { column, until, fresh } => {
                 if self.lender.own(column, until, fresh, now) {
                     self.configure(now);
--- a/crates/policy/src/slices/lender.rs
+++ b/crates/policy/src/slices/lender.rs
@@ -43,6 +43,8 @@
     until: Instant,
     /// Loans of former owners are over from here on.
     usable_from: Instant,
+    /// Whether no host ever owned it and its slices are still to be made: they begin full.
+    begins_full: bool,
 }
 
 impl Column {
@@ -124,10 +126,12 @@
         // A tenant that is new here may be one that was withdrawn a moment ago and used its
         // burst: slices begin at level zero.
         for (key, share) in shares {
-            let from = self.columns[&key.1].usable_from.max(now);
-            let place = Place::Here(Bucket::new(share, 0, from));
+            let column = self.columns[&key.1];
+            let level = if column.begins_full { share.burst } else { 0 };
+            let place = Place::Here(Bucket::new(share, level, column.usable_from.max(now)));
             self.slices.insert(key, Slice { share, place });
         }
+        self.columns.values_mut().for_each(|column| column.begins_full = false);
 
         self.slices.retain(|_, slice| !slice.is_over());
         self.next_offers = now;
@@ -153,10 +157,18 @@
         let usable_from = now + self.times.lent_for();
 
         self.lose(column);
-        self.columns.insert(column, Column { until, usable_from });
+        self.columns.insert(column, Column { until, usable_from, begins_full: false });
         true
     }
 
+    /// Takes in ownership of a column that no host ever owned.
+    ///
+    /// Nobody can have used or been lent its slices, so they begin full and at once. Without
+    /// this a new fleet refuses for seconds what its tenants send within their rate.
+    pub(super) fn own_first(&mut self, column: ColumnId, until: Instant, now: Instant) {
+        self.columns.insert(column, Column { until, usable_from: now, begins_full: true });
+    }
+
     /// Forgets a column. Loans of it are renewed no more, and end by themselves.
     pub(super) fn lose(&mut self, column: ColumnId) {
         self.columns.remove(&column);
