--- a/crates/camphorwalk/src/bin/camphorwalk.rs
+++ b/crates/camphorwalk/src/bin/camphorwalk.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use camphorwalk::commands::bench::Bench;
 use camphorwalk::commands::demo::Demo;
 use camphorwalk::exit::Exit;
 
@@ -16,6 +17,7 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 enum Command {
+    Bench(Bench),
     Demo(Demo),
     Standin(camphorwalk_standin::program::Args),
 }
@@ -26,6 +28,7 @@
     camphorwalk::logs::start(false, "warn");
 
     let exit: Exit = match args.command {
+        Command::Bench(bench) => bench.run().await,
         Command::Demo(demo) => demo.run().await,
         Command::Standin(args) => match camphorwalk_standin::program::run(args).await {
             Ok(()) => Exit::Done,
--- a/crates/camphorwalk/src/commands.rs
+++ b/crates/camphorwalk/src/commands.rs
@@ -1,3 +1,4 @@
 //! The subcommands of `camphorwalk`, one module each.
 
+pub mod bench;
 pub mod demo;
--- a/crates/camphorwalk/src/demo.rs
+++ b/crates/camphorwalk/src/demo.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Result;
 
-use self::fleet::Fleet;
+pub(crate) use self::fleet::{Fleet, TEMPLATE};
 
 /// Runs one program from its opening to its end, and fails if anything is not as promised.
 pub async fn run() -> Result<()> {
--- a/crates/camphorwalk/src/lib.rs
+++ b/crates/camphorwalk/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod exit;
 pub mod logs;
+pub mod measure;
 
 pub use camphorwalk_bench as bench;
 pub use camphorwalk_core as core;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod service;
 
 pub use engine::{Engine, EngineOptions};
-pub use platform::{Platform, PlatformOptions};
+pub use platform::{Platform, PlatformOptions, Store};
 pub use service::{Service, ServiceOptions};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -14,11 +14,10 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 use tokio::time::Instant;
 
-pub use modes::{Mode, ModeSetting};
-
 use crate::server::{Answer, Server, Stopper, empty, fault, json, parse, raw};
 use modes::Modes;
-use store::Store;
+pub use modes::{Mode, ModeSetting};
+pub use store::Store;
 
 /// The header in which a client names its availability zone.
 pub const ZONE_HEADER: &str = "x-zone";
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -5,11 +5,13 @@
 
 use bytes::Bytes;
 use camphorwalk_core::hash::Map;
-use camphorwalk_core::platform::{ObjectName, Row, RowKey, RowVersion, Transaction};
+use camphorwalk_core::platform::{
+    ObjectName, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction,
+};
 
 /// Rows with versions, and objects by the hash of their content.
 #[derive(Debug, Default)]
-pub(crate) struct Store {
+pub struct Store {
     /// The rows with the version and the content of each.
     rows: BTreeMap<RowKey, (RowVersion, Box<str>)>,
     /// The number of the last commit, over all tables.
@@ -19,8 +21,37 @@
 }
 
 impl Store {
+    /// Runs an operation, as a platform that is well and at hand does.
+    ///
+    /// ```
+    /// use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowKey};
+    /// use camphorwalk_standin::Store;
+    /// let reply = Store::default().run(PlatformOp::Read(vec![RowKey::new("t", "k")]));
+    /// assert_eq!(reply, PlatformReply::Rows(Vec::new()));
+    /// ```
+    pub fn run(&mut self, op: PlatformOp) -> PlatformReply {
+        match op {
+            PlatformOp::Commit(tx) => match self.commit(tx) {
+                Ok(version) => PlatformReply::Committed(version),
+                Err(rows) => PlatformReply::Conflict(rows),
+            },
+            PlatformOp::Read(keys) => PlatformReply::Rows(self.read(&keys)),
+            PlatformOp::Scan { table, prefix, after, limit } => {
+                PlatformReply::Rows(self.scan(&table, &prefix, &after, limit as usize))
+            }
+            PlatformOp::PutObject(content) => {
+                let name = ObjectName::of(&content);
+                self.put_object(name.clone(), Bytes::from(content));
+                PlatformReply::Stored(name)
+            }
+            PlatformOp::GetObject(name) => {
+                PlatformReply::Object(self.get_object(&name).map(|content| (*content).into()))
+            }
+        }
+    }
+
     /// Runs a transaction, or returns the checked rows that stand differently and are there.
-    pub(crate) fn commit(&mut self, tx: Transaction) -> Result<RowVersion, Vec<Row>> {
+    pub fn commit(&mut self, tx: Transaction) -> Result<RowVersion, Vec<Row>> {
         let failed: Vec<_> =
             tx.checks.iter().filter(|check| self.version(&check.key) != check.version).collect();
 
@@ -48,7 +79,7 @@
     }
 
     /// Returns those of the rows that are there, in key order.
-    pub(crate) fn read(&self, keys: &[RowKey]) -> Vec<Row> {
+    pub fn read(&self, keys: &[RowKey]) -> Vec<Row> {
         let mut keys: Vec<_> = keys.iter().collect();
         keys.sort();
         keys.dedup();
@@ -57,7 +88,7 @@
     }
 
     /// Returns the rows of `table` whose keys begin with `prefix` and come after `after`.
-    pub(crate) fn scan(&self, table: &str, prefix: &str, after: &str, limit: usize) -> Vec<Row> {
+    pub fn scan(&self, table: &str, prefix: &str, after: &str, limit: usize) -> Vec<Row> {
         let start = if after >= prefix && !after.is_empty() {
             Bound::Excluded(RowKey::new(table, after))
         } else {
@@ -77,7 +108,7 @@
     }
 
     /// Stores an object; returns false if the name is not the hash of the content.
-    pub(crate) fn put_object(&mut self, name: ObjectName, content: Bytes) -> bool {
+    pub fn put_object(&mut self, name: ObjectName, content: Bytes) -> bool {
         if ObjectName::of(&content) != name {
             return false;
         }
@@ -87,12 +118,12 @@
     }
 
     /// Puts an object under a name that need not be its hash, as a faulty store would.
-    pub(crate) fn corrupt_object(&mut self, name: ObjectName, content: Bytes) {
+    pub fn corrupt_object(&mut self, name: ObjectName, content: Bytes) {
         self.objects.insert(name, content);
     }
 
     /// Returns the content of an object.
-    pub(crate) fn get_object(&self, name: &ObjectName) -> Option<Bytes> {
+    pub fn get_object(&self, name: &ObjectName) -> Option<Bytes> {
         self.objects.get(name).cloned()
     }
 
