--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -2,8 +2,7 @@
 //! objects and the list of hosts.
 
 use serde::{Deserialize, Serialize};
-
-use crate::hash::{Digest, digest};
+use sha2::{Digest as _, Sha256};
 
 /// The place of a row.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -135,10 +134,13 @@
 
 impl ObjectName {
     /// Returns the name of the object with this content.
+    ///
+    /// ```
+    /// use camphorwalk_core::platform::ObjectName;
+    /// assert!(ObjectName::of(b"").0.starts_with("e3b0c442"));
+    /// ```
     pub fn of(content: &[u8]) -> Self {
-        let digest: Digest = digest(&[content]);
-
-        Self(hex::encode(digest).into())
+        Self(hex::encode(Sha256::digest(content)).into())
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -164,6 +164,9 @@
     let log = r.section("log", read_log);
     let drain_delay = r.duration_or("drain_delay", Duration::from_secs(5));
     let traffic_threads = r.count_or("traffic_threads", DEFAULT_TRAFFIC_THREADS);
+    if let (Some(Some(platform)), Some(times)) = (&platform, &times) {
+        check_share(&mut r, platform, times);
+    }
     r.finish();
 
     Some(Settings {
@@ -192,6 +195,25 @@
     Some(PlatformSettings { address: address?, deadline, reads_per_second, writes_per_second })
 }
 
+/// What of a host's share of writes is left to the journal; the rest renews and publishes.
+const JOURNAL_SHARE: f64 = 0.9;
+
+/// Checks that the journal alone cannot use up the host's share of the platform's writes.
+///
+/// It would then be refused what it needs to answer, and callers would be told that the
+/// platform is away while it is well.
+fn check_share(r: &mut Reader<'_>, platform: &PlatformSettings, times: &Times) {
+    let writes = 1.0 / times.commit_interval.as_secs_f64();
+
+    if writes > platform.writes_per_second * JOURNAL_SHARE {
+        let reason = format!(
+            "it leads to {writes:.0} writes a second; platform.writes_per_second must be more \
+             than a tenth above that"
+        );
+        r.report("times.commit_interval", &reason);
+    }
+}
+
 fn read_limits(r: &mut Reader<'_>) -> Limits {
     Limits {
         body_bytes: r.count_or("body_bytes", DEFAULT_BODY_BYTES),
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Reports a fault that lies between settings.
+    pub fn report(&mut self, field: &str, reason: &str) {
+        self.fault::<()>(field, reason);
+    }
+
     fn required(&mut self, field: &str) -> Option<Value> {
         match self.fields.remove(field) {
             Some(value) => Some(value),
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -216,7 +216,8 @@
     pub gossip_period: Duration,
     /// How long a host may be silent before it counts as gone.
     pub suspect_after: Duration,
-    /// How long journal entries gather before they are written together.
+    /// The time from one write of the journal to the next, in which entries gather. It bounds
+    /// this host's writes a second; an entry after an idle time is written at once.
     pub commit_interval: Duration,
 }
 
@@ -230,7 +231,7 @@
             config_poll: Duration::from_secs(2),
             gossip_period: Duration::from_millis(500),
             suspect_after: Duration::from_millis(2_500),
-            commit_interval: Duration::from_millis(20),
+            commit_interval: Duration::from_millis(30),
         }
     }
 }
