peer: strangers, silence and a flush before shutdown

Cause: the listener meets strangers, and hosts vanish without closing their connections; a host that shuts down must not lose its last answers.

Keepalives are sent within 2 s of a message and every 20 s when idle; the other end answers each, so an answer also proves that all before it was taken in. An outgoing connection that owes an answer for 6 s is closed. Peers::flush waits for such an answer from each peer.

Ruled out: a keepalive every 2 s on idle connections, which at 390 hosts would alone pass 16 KB a second (389 x 60 bytes on the wire a way every 2 s, reckoned, not measured); TCP_USER_TIMEOUT, which needs one more dependency; closing idle connections, because Down would then no longer be a sign of anything.

--- a/crates/peer/src/incoming.rs
+++ b/crates/peer/src/incoming.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::{SinkExt as _, StreamExt as _};
@@ -16,6 +17,7 @@
 use crate::codec::Frame;
 use crate::errors::{Error, Result};
 use crate::handshake::{Connection, Identity, accept};
+use crate::metrics::OpenGuard;
 use crate::peers::{Inbound, Shared};
 
 /// The direction of this module's connections in the counters.
@@ -26,6 +28,8 @@
 
 /// The connection of one host that delivers at present.
 pub(crate) struct Current {
+    /// Its number among all of this process.
+    number: u64,
     /// Ends it.
     stop: CancellationToken,
     /// Resolves when it has delivered its last.
@@ -104,7 +108,8 @@
     let (over_tx, over) = oneshot::channel();
 
     // The former connection ends first, so that nothing of it comes after this one's `Up`.
-    let current = Current { stop: stop.clone(), over };
+    let number = shared.next_connection.fetch_add(1, Ordering::Relaxed);
+    let current = Current { number, stop: stop.clone(), over };
     let former = shared.lock_current().insert(identity.host, current);
     if let Some(former) = former {
         former.stop.cancel();
@@ -119,10 +124,13 @@
     let _ = inbound.send(Inbound::Down { host: identity.host }).await;
     debug!("peer: {} is down", identity.name);
 
-    // A newer connection has put itself in this one's place; it cancelled this one then.
-    if !stop.is_cancelled() {
-        shared.lock_current().remove(&identity.host);
+    // A newer connection may have put itself in this one's place.
+    let mut delivering = shared.lock_current();
+    if delivering.get(&identity.host).is_some_and(|current| current.number == number) {
+        delivering.remove(&identity.host);
     }
+    drop(delivering);
+
     let _ = over_tx.send(());
     ended
 }
@@ -135,16 +143,16 @@
 ) -> Result<()> {
     let Identity { host, name, zone, session } = connection.identity.clone();
     let limit = shared.options.silence_limit;
+    let idle_limit = shared.options.idle_keepalive + limit;
 
     debug!("peer: {name} is up");
-    let gauge = shared.metrics.connections.with_label_values(&[DIRECTION]);
-    let _open = OpenGuard::new(gauge);
+    let _open = OpenGuard::new(&shared.metrics, DIRECTION);
     if inbound.send(Inbound::Up { host, name, zone, session }).await.is_err() {
         return Ok(());
     }
 
     loop {
-        let next = timeout(limit, connection.frames.next()).await;
+        let next = timeout(idle_limit, connection.frames.next()).await;
         let Some(frame) = next.map_err(|_| Error::Timeout)? else {
             return Ok(());
         };
@@ -165,20 +173,3 @@
         }
     }
 }
-
-/// Counts a connection as open until dropped.
-pub(crate) struct OpenGuard(prometheus::IntGauge);
-
-impl OpenGuard {
-    /// Counts one more.
-    pub(crate) fn new(gauge: prometheus::IntGauge) -> Self {
-        gauge.inc();
-        Self(gauge)
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.dec();
-    }
-}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,7 +24,9 @@
 mod options;
 mod outgoing;
 mod peers;
+mod pulse;
 pub mod secret;
+mod sending;
 
 pub use errors::{Error, Result};
 pub use options::PeerOptions;
--- a/crates/peer/src/metrics.rs
+++ b/crates/peer/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters.
 
-use prometheus::{IntCounterVec, IntGaugeVec, Opts, Registry};
+use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
 
 /// What the peer part counts.
 pub(crate) struct Metrics {
@@ -52,6 +52,25 @@
     }
 }
 
+/// Counts a connection as open until dropped.
+pub(crate) struct OpenGuard(IntGauge);
+
+impl OpenGuard {
+    /// Counts one more connection in this direction.
+    pub(crate) fn new(metrics: &Metrics, direction: &str) -> Self {
+        let gauge = metrics.connections.with_label_values(&[direction]);
+        gauge.inc();
+
+        Self(gauge)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 /// Makes the options of a metric of this part.
 fn opts(name: &str, help: &str) -> Opts {
     Opts::new(name, help).namespace("camphorwalk").subsystem("peer")
--- a/crates/peer/src/notices.rs
+++ b/crates/peer/src/notices.rs
@@ -24,3 +24,6 @@
         seen.len() < MAX_NOTICES && seen.insert((reason, address))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/peer/src/options.rs
+++ b/crates/peer/src/options.rs
@@ -7,11 +7,15 @@
 
 use crate::errors::{Error, Result};
 use crate::handshake::Identity;
+use crate::pulse::Times;
 use crate::secret::Secret;
 
 /// The longest name of a host or zone that fits a handshake, in bytes.
 pub const MAX_NAME_BYTES: usize = 256;
 
+/// The shortest time between keepalives.
+const MIN_KEEPALIVE: Duration = Duration::from_millis(2);
+
 /// The options of [`Peers`](crate::Peers).
 #[derive(Clone, Debug)]
 pub struct PeerOptions {
@@ -33,9 +37,12 @@
     pub send_queue: usize,
     /// How long a connect and its handshake may take.
     pub connect_timeout: Duration,
-    /// How often an idle connection is tried.
+    /// The longest time from a message to the keepalive that asks for its receipt.
     pub keepalive: Duration,
-    /// How long the other end may be silent, or take nothing, before it counts as gone.
+    /// The time between keepalives on a connection that sends nothing else. The same on
+    /// all hosts.
+    pub idle_keepalive: Duration,
+    /// How long the other end may owe an answer, or take nothing, before it counts as gone.
     pub silence_limit: Duration,
     /// The pause after the first failed connect.
     pub min_backoff: Duration,
@@ -66,6 +73,7 @@
             send_queue: 1024,
             connect_timeout: Duration::from_secs(2),
             keepalive: Duration::from_secs(2),
+            idle_keepalive: Duration::from_secs(20),
             silence_limit: Duration::from_secs(6),
             min_backoff: Duration::from_millis(50),
             max_backoff: Duration::from_secs(1),
@@ -78,6 +86,13 @@
         Identity::new(&self.name, &self.zone, self.session)
     }
 
+    /// Returns the times of an outgoing connection.
+    pub(crate) fn times(&self) -> Times {
+        let Self { keepalive, idle_keepalive, silence_limit, .. } = *self;
+
+        Times { keepalive, idle_keepalive, silence_limit }
+    }
+
     /// Checks these options against each other.
     pub(crate) fn check(&self) -> Result<()> {
         if self.host != HostId::from_name(&self.name) {
@@ -89,8 +104,8 @@
         if self.send_queue == 0 || self.max_frame_bytes == 0 || self.max_handshakes == 0 {
             return Err(Error::BadOptions("a limit is zero"));
         }
-        if self.keepalive.is_zero() || self.silence_limit <= self.keepalive {
-            return Err(Error::BadOptions("silence_limit must be longer than keepalive"));
+        if self.keepalive < MIN_KEEPALIVE || self.idle_keepalive < self.keepalive {
+            return Err(Error::BadOptions("keepalive or idle_keepalive is too short"));
         }
 
         Ok(())
--- a/crates/peer/src/outgoing.rs
+++ b/crates/peer/src/outgoing.rs
@@ -6,59 +6,61 @@
 
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::PeerMessage;
-use futures::{SinkExt, StreamExt as _};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tracing::{debug, info};
 
-use crate::codec::Frame;
 use crate::errors::{Error, Result};
 use crate::handshake::{Connection, dial};
-use crate::incoming::OpenGuard;
 use crate::peers::Shared;
-
-/// The direction of this module's connections in the counters.
-const DIRECTION: &str = "out";
-
-/// The most messages taken from the queue at once.
-const BATCH: usize = 64;
+use crate::sending::{Ended, Sending};
+
+/// The most items taken from the queue at once.
+pub(crate) const BATCH: usize = 64;
+
+/// What waits in a peer's queue.
+#[derive(Debug)]
+pub(crate) enum Item {
+    /// A message to send.
+    Message(PeerMessage),
+    /// Tells when all before it was taken in; dropped if that cannot be known.
+    Flush(oneshot::Sender<()>),
+}
 
 /// The sending side of one peer, as the rest of the process sees it.
 pub(crate) struct Link {
     /// The peer's queue.
-    pub(crate) tx: mpsc::Sender<PeerMessage>,
+    pub(crate) tx: mpsc::Sender<Item>,
     /// The peer's address.
     pub(crate) address: watch::Sender<SocketAddr>,
     /// Ends the connection.
     pub(crate) stop: CancellationToken,
 }
 
-/// The task that sends to one peer.
-pub(crate) struct Sending {
+/// What one peer's task reads from.
+pub(crate) struct Queue {
+    /// What waits.
+    pub(crate) rx: mpsc::Receiver<Item>,
+    /// Items taken from `rx` and not sent yet.
+    pub(crate) batch: Vec<Item>,
+    /// The peer's address.
+    pub(crate) address: watch::Receiver<SocketAddr>,
+}
+
+/// Connects to one peer, again and again.
+struct Dialler {
     /// What all of this part share.
     shared: Arc<Shared>,
     /// The peer.
     host: HostId,
-    /// Its queue.
-    rx: mpsc::Receiver<PeerMessage>,
-    /// Its address.
-    address: watch::Receiver<SocketAddr>,
-    /// Messages taken from the queue and not sent yet.
-    batch: Vec<PeerMessage>,
+    /// What is to be sent.
+    queue: Queue,
     /// The pause after the next failure.
     backoff: Duration,
 }
 
-/// What to do after a connection ended or could not be made.
-enum Next {
-    /// Waits for the next message, then dials.
-    OnDemand,
-    /// Dials the new address.
-    NewAddress,
-}
-
 /// Starts the task that sends to one peer.
 pub(crate) fn start(shared: Arc<Shared>, host: HostId, address: SocketAddr) -> Link {
     let (tx, rx) = mpsc::channel(shared.options.send_queue);
@@ -66,43 +68,65 @@
     let stop = shared.stop.child_token();
 
     let backoff = shared.options.min_backoff;
-    let mut sending = Sending { shared, host, rx, address, batch: Vec::new(), backoff };
+    let queue = Queue { rx, batch: Vec::new(), address };
+    let mut dialler = Dialler { shared, host, queue, backoff };
     let stopped = stop.clone();
     tokio::spawn(async move {
         tokio::select! {
             () = stopped.cancelled() => {}
-            () = sending.run() => {}
+            () = dialler.run() => {}
         }
     });
 
     Link { tx, address: address_tx, stop }
 }
 
-impl Sending {
+impl Dialler {
     /// Dials on demand and sends, until the queue's other end is gone.
     async fn run(&mut self) {
-        while self.wait_for_message().await {
+        while self.wait_for_item().await {
+            // Nothing is under way without a connection, so there is nothing to dial for.
+            if let Some(done) = self.take_flush() {
+                let _ = done.send(());
+                continue;
+            }
+
             let started = Instant::now();
-            let address = *self.address.borrow_and_update();
+            let address = *self.queue.address.borrow_and_update();
 
             let ended = match self.dial(address).await {
-                Ok(connection) => self.send_all(connection).await,
+                Ok(connection) => Sending::new(&self.shared, connection).run(&mut self.queue).await,
                 Err(error) => Err(error),
             };
 
             match ended {
-                Ok(Next::NewAddress) => continue,
-                Ok(Next::OnDemand) => {}
-                Err(error) => self.note_failure(address, &error),
+                Ok(Ended::NewAddress) => {}
+                Ok(Ended::NoMore) => return,
+                Err(error) => {
+                    self.note_failure(address, &error);
+                    self.drop_waiting();
+                    self.pause(started).await;
+                }
             }
-            self.drop_waiting();
-            self.pause(started).await;
         }
     }
 
     /// Waits until there is something to send; false when nothing can come any more.
-    async fn wait_for_message(&mut self) -> bool {
-        !self.batch.is_empty() || self.rx.recv_many(&mut self.batch, BATCH).await > 0
+    async fn wait_for_item(&mut self) -> bool {
+        let Queue { rx, batch, .. } = &mut self.queue;
+
+        !batch.is_empty() || rx.recv_many(batch, BATCH).await > 0
+    }
+
+    /// Takes the first item that waits if it is a flush.
+    fn take_flush(&mut self) -> Option<oneshot::Sender<()>> {
+        match self.queue.batch.remove(0) {
+            Item::Flush(done) => Some(done),
+            message => {
+                self.queue.batch.insert(0, message);
+                None
+            }
+        }
     }
 
     /// Connects and performs the handshake within the time limit.
@@ -126,78 +150,6 @@
         Ok(connection)
     }
 
-    /// Sends messages until the connection ends or the peer's address changes.
-    async fn send_all(&mut self, mut connection: Connection<TcpStream>) -> Result<Next> {
-        let shared = Arc::clone(&self.shared);
-        let gauge = shared.metrics.connections.with_label_values(&[DIRECTION]);
-        let _open = OpenGuard::new(gauge);
-
-        let limit = shared.options.silence_limit;
-        let mut keepalive = interval(shared.options.keepalive);
-        keepalive.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut heard = Instant::now();
-
-        loop {
-            self.send_batch(&mut connection).await?;
-
-            tokio::select! {
-                count = self.rx.recv_many(&mut self.batch, BATCH) => {
-                    if count == 0 {
-                        return Ok(Next::OnDemand);
-                    }
-                }
-                _ = keepalive.tick() => {
-                    // Without this, frames for a peer that was cut off would wait for
-                    // TCP's own retries, which come minutes after the cut is mended.
-                    if heard.elapsed() > limit {
-                        return Err(Error::Timeout);
-                    }
-                    self.send_frame(&mut connection, Frame::Keepalive).await?;
-                    self.flush(&mut connection).await?;
-                }
-                answer = connection.frames.next() => {
-                    answer.ok_or(Error::Closed)??;
-                    heard = Instant::now();
-                }
-                _ = self.address.changed() => return Ok(Next::NewAddress),
-            }
-        }
-    }
-
-    /// Sends the messages taken from the queue.
-    async fn send_batch(&mut self, connection: &mut Connection<TcpStream>) -> Result<()> {
-        if self.batch.is_empty() {
-            return Ok(());
-        }
-
-        // A message leaves the batch once it is written: those left are counted as lost.
-        self.batch.reverse();
-        while let Some(message) = self.batch.last().cloned() {
-            self.send_frame(connection, Frame::Message(message)).await?;
-            self.batch.pop();
-        }
-
-        self.flush(connection).await
-    }
-
-    /// Puts one frame into the connection's buffer, and writes it out when that is full.
-    async fn send_frame(&self, connection: &mut Connection<TcpStream>, frame: Frame) -> Result<()> {
-        let bytes = frame.wire_bytes();
-        let limit = self.shared.options.silence_limit;
-
-        timeout(limit, connection.frames.feed(frame)).await.map_err(|_| Error::Timeout)??;
-        self.shared.metrics.frame(DIRECTION, bytes);
-        Ok(())
-    }
-
-    /// Writes out the connection's buffer.
-    async fn flush(&self, connection: &mut Connection<TcpStream>) -> Result<()> {
-        let limit = self.shared.options.silence_limit;
-        let flush = SinkExt::<Frame>::flush(&mut connection.frames);
-
-        timeout(limit, flush).await.map_err(|_| Error::Timeout)?
-    }
-
     /// Counts a failure, and logs it once for each reason and address.
     fn note_failure(&self, address: SocketAddr, error: &Error) {
         let reason = error.reason();
@@ -208,26 +160,28 @@
         }
     }
 
-    /// Drops the messages that wait: by the next connect they would be stale.
+    /// Drops what waits: by the next connect it would be stale.
     fn drop_waiting(&mut self) {
-        while let Ok(message) = self.rx.try_recv() {
-            self.batch.push(message);
+        let Queue { rx, batch, .. } = &mut self.queue;
+        while let Ok(item) = rx.try_recv() {
+            batch.push(item);
         }
 
-        self.shared.metrics.drop_messages("unsent", self.batch.len());
-        self.batch.clear();
+        let lost = batch.iter().filter(|item| matches!(item, Item::Message(_))).count();
+        self.shared.metrics.drop_messages("unsent", lost);
+        batch.clear();
     }
 
     /// Pauses after a failure: longer each time, until a connection lasts.
     async fn pause(&mut self, started: Instant) {
         let options = &self.shared.options;
-        if started.elapsed() > options.max_backoff {
+        if started.elapsed() > options.connect_timeout + options.max_backoff {
             self.backoff = options.min_backoff;
         }
 
         // The random half keeps the hosts from dialling a restarted peer all at once.
         let pause = self.backoff.mul_f64(rand::random_range(0.5..1.0));
-        let _ = timeout(pause, self.address.changed()).await;
+        let _ = timeout(pause, self.queue.address.changed()).await;
         self.backoff = (self.backoff * 2).min(options.max_backoff);
     }
 }
--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -1,7 +1,9 @@
 //! The front of this crate.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::HostId;
@@ -9,8 +11,10 @@
 use prometheus::Registry;
 use prost::Message as _;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::Sender;
 use tokio::sync::mpsc::error::TrySendError;
+use tokio::sync::mpsc::{self, Sender};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tracing::info;
 
@@ -20,7 +24,7 @@
 use crate::metrics::Metrics;
 use crate::notices::Notices;
 use crate::options::PeerOptions;
-use crate::outgoing::{self, Link};
+use crate::outgoing::{self, Item, Link};
 
 /// What comes in from other hosts.
 #[derive(Clone, Debug, PartialEq)]
@@ -79,6 +83,8 @@
     links: Mutex<Map<HostId, Link>>,
     /// The delivering connection of each host.
     current: Mutex<Map<HostId, Current>>,
+    /// The number of the next delivering connection.
+    pub(crate) next_connection: AtomicU64,
 }
 
 impl Shared {
@@ -122,6 +128,7 @@
             stop: stop.clone(),
             links: Mutex::default(),
             current: Mutex::default(),
+            next_connection: AtomicU64::new(0),
         });
         tokio::spawn(incoming::listen(Arc::clone(&shared), listener, inbound));
 
@@ -183,14 +190,34 @@
 
         let links = self.shared.lock_links();
         let link = links.get(&host).ok_or("unknown")?;
-        link.tx.try_send(message).map_err(|error| match error {
+        link.tx.try_send(Item::Message(message)).map_err(|error| match error {
             TrySendError::Full(_) => "queue_full",
             TrySendError::Closed(_) => "unknown",
         })
     }
 
+    /// Waits until all that is queued was taken in by the peers, or `limit` is over.
+    ///
+    /// Returns the number of peers of which that is not known. What was lost and counted
+    /// before is not waited for. A host that shuts down
+    /// calls this last: what stands in a socket's buffer may be lost when its process ends.
+    pub async fn flush(&self, limit: Duration) -> usize {
+        let queues: Vec<_> = self.shared.lock_links().values().map(|l| l.tx.clone()).collect();
+        let flushes = queues.into_iter().map(|tx| timeout(limit, flush(tx)));
+
+        let confirmed = futures::future::join_all(flushes).await;
+        confirmed.into_iter().filter(|c| !matches!(c, Ok(true))).count()
+    }
+
     /// Registers the counters.
     pub fn register(&self, registry: &Registry) -> prometheus::Result<()> {
         self.shared.metrics.register(registry)
     }
 }
+
+/// Waits until all in a queue was taken in; false if that cannot be known.
+async fn flush(tx: mpsc::Sender<Item>) -> bool {
+    let (done, flushed) = oneshot::channel();
+
+    tx.send(Item::Flush(done)).await.is_ok() && flushed.await.is_ok()
+}
