--- /dev/null
+++ b/crates/policy/src/queue/waiting.rs
@@ -0,0 +1,104 @@
+//! The calls that wait, and until when each can still be served in time.
+
+use std::collections::BTreeSet;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::{HostId, TenantId};
+use camphorwalk_core::time::Instant;
+
+use super::lanes::{LaneId, Position};
+use crate::wire::{Asker, PlaceRequest};
+
+/// A call that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiter {
+    /// What was asked.
+    pub request: PlaceRequest,
+    /// Since when it waits.
+    pub since: Instant,
+    /// Its program's deadline.
+    pub deadline: Instant,
+    /// From when it can no longer be served in time, and is refused.
+    pub refuse_at: Instant,
+    /// Its lane.
+    pub lane: LaneId,
+    /// Its place in the lane.
+    pub position: Position,
+}
+
+/// All calls that wait.
+#[derive(Debug, Default)]
+pub struct Waiting {
+    calls: Map<Asker, Waiter>,
+    refusals: BTreeSet<(Instant, Asker)>,
+    tenants: Map<TenantId, usize>,
+}
+
+impl Waiting {
+    /// Returns how many calls wait.
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Returns how many calls of a tenant wait.
+    pub fn of_tenant(&self, tenant: TenantId) -> usize {
+        self.tenants.get(&tenant).copied().unwrap_or_default()
+    }
+
+    /// Returns a call.
+    pub fn get(&self, asker: Asker) -> Option<&Waiter> {
+        self.calls.get(&asker)
+    }
+
+    /// Adds a call.
+    pub fn insert(&mut self, asker: Asker, waiter: Waiter) {
+        *self.tenants.entry(waiter.request.tenant).or_default() += 1;
+        self.refusals.insert((waiter.refuse_at, asker));
+        self.calls.insert(asker, waiter);
+    }
+
+    /// Removes a call.
+    pub fn remove(&mut self, asker: Asker) -> Option<Waiter> {
+        let waiter = self.calls.remove(&asker)?;
+        self.refusals.remove(&(waiter.refuse_at, asker));
+
+        if let Some(count) = self.tenants.get_mut(&waiter.request.tenant) {
+            *count -= 1;
+
+            if *count == 0 {
+                self.tenants.remove(&waiter.request.tenant);
+            }
+        }
+
+        Some(waiter)
+    }
+
+    /// Returns the askers of a host, in order.
+    pub fn of_host(&self, host: HostId) -> Vec<Asker> {
+        self.matching(|waiter| waiter.position.asker.host == host)
+    }
+
+    /// Returns the askers of the calls that `which` picks, in order.
+    pub fn matching(&self, which: impl Fn(&Waiter) -> bool) -> Vec<Asker> {
+        let calls = self.calls.iter().filter(|(_, waiter)| which(waiter));
+        let mut askers: Vec<Asker> = calls.map(|(asker, _)| *asker).collect();
+        askers.sort_unstable();
+
+        askers
+    }
+
+    /// Returns a call that is to be refused by now.
+    pub fn overdue(&self, now: Instant) -> Option<Asker> {
+        self.refusals.first().filter(|(at, _)| *at <= now).map(|(_, asker)| *asker)
+    }
+
+    /// Returns when the next call is to be refused.
+    pub fn next_refusal(&self) -> Option<Instant> {
+        self.refusals.first().map(|(at, _)| *at)
+    }
+}
