--- a/crates/declare/src/bundles.rs
+++ b/crates/declare/src/bundles.rs
@@ -3,7 +3,7 @@
 use camphorwalk_core::config::Config;
 
 use crate::checks::check;
-use crate::documents::{Document, ROOT};
+use crate::documents::{Document, ROOT, Reading};
 use crate::errors::{Faults, Result};
 use crate::parts::WHOLE;
 use crate::schema;
@@ -33,13 +33,14 @@
         return Err(Faults::one(WHOLE, ROOT, reason));
     }
 
-    let document = Document::parse(WHOLE, bytes.to_vec()).map_err(|f| Faults::of(vec![f]))?;
-    let faults = document.walk(schema::CONFIG);
-    if !faults.is_empty() {
-        return Err(Faults::of(faults));
+    let document = Document::parse(WHOLE, bytes).map_err(|f| Faults::of(vec![f]))?;
+    let Reading { item, mut faults, placeholders } = document.read::<Config>(schema::CONFIG);
+    if let Some(config) = &item {
+        faults.extend(check(config).into_iter().filter(|fault| !placeholders.cover(fault)));
     }
 
-    let config = document.read().map_err(|fault| Faults::of(vec![fault]))?;
-    let faults = check(&config);
-    if faults.is_empty() { Ok(config) } else { Err(Faults::of(faults)) }
+    match item {
+        Some(config) if faults.is_empty() => Ok(config),
+        _ => Err(Faults::of(faults)),
+    }
 }
--- a/crates/declare/src/folder.rs
+++ b/crates/declare/src/folder.rs
@@ -3,17 +3,17 @@
 use std::fs;
 use std::io::Read as _;
 use std::path::Path;
+use std::rc::Rc;
 
 use camphorwalk_core::config::{Config, Target};
 use camphorwalk_core::units::ConfigVersion;
 use serde::de::DeserializeOwned;
-use serde_json::Value;
 
 use crate::bundles::{MAX_BUNDLE_BYTES, bundle};
 use crate::checks::check_parts;
-use crate::documents::{Document, ROOT, fault};
+use crate::documents::{Document, Placeholders, ROOT, fault};
 use crate::errors::{Fault, Faults, Result};
-use crate::parts::{Names, Parts, Placed};
+use crate::parts::{Parts, Placed};
 use crate::schema;
 use crate::shapes::Shape;
 
@@ -42,17 +42,18 @@
 /// assert_eq!(&*faults.as_slice()[0].file, "fleet.json");
 /// ```
 pub fn load(dir: &Path) -> Result<Config> {
-    let mut reader = Reader { dir, parts: Parts::default(), faults: Vec::new() };
+    let mut reader = Reader::new(dir);
     reader.read_fleet();
     reader.read_targets();
     reader.read_templates();
     reader.read_tenants();
     reader.find_strays();
 
-    let Reader { mut parts, mut faults, .. } = reader;
+    let Reader { mut parts, mut faults, placeholders, .. } = reader;
     parts.templates.sort_by(|a, b| a.item.name.cmp(&b.item.name));
     parts.tenants.sort_by(|a, b| a.item.name.cmp(&b.item.name));
-    faults.extend(check_parts(&parts));
+    let is_real = |fault: &Fault| !placeholders.iter().any(|p| p.cover(fault));
+    faults.extend(check_parts(&parts).into_iter().filter(is_real));
 
     match parts.fleet.take() {
         Some(fleet) if faults.is_empty() => within_limit(Config {
@@ -90,38 +91,32 @@
     parts: Parts,
     /// What is wrong.
     faults: Vec<Fault>,
+    /// Where placeholders stand, for each file that could be read.
+    placeholders: Vec<Rc<Placeholders>>,
 }
 
-impl Reader<'_> {
+impl<'a> Reader<'a> {
+    /// Makes a reader that has read nothing yet.
+    fn new(dir: &'a Path) -> Self {
+        Self { dir, parts: Parts::default(), faults: Vec::new(), placeholders: Vec::new() }
+    }
+
     /// Reads `fleet.json`.
     fn read_fleet(&mut self) {
-        let Some(document) = self.parse(FLEET_FILE) else {
-            self.parts.unread.zones.any = true;
-            self.parts.unread.classes.any = true;
-            return;
-        };
+        let reading = self.read(FLEET_FILE, schema::FLEET);
+        self.parts.unread.zones |= reading.misses("$.zones");
+        self.parts.unread.classes |= reading.misses("$.classes");
 
-        match self.read(&document, schema::FLEET) {
-            Some(fleet) => self.parts.fleet = Some(Placed::new(FLEET_FILE, ROOT, fleet)),
-            None => {
-                add_names(&mut self.parts.unread.zones, &document.value["zones"], "name");
-                add_names(&mut self.parts.unread.classes, &document.value["classes"], "name");
-            }
-        }
+        self.parts.fleet = reading.item.map(|fleet| Placed::new(FLEET_FILE, ROOT, fleet));
     }
 
     /// Reads `targets.json`.
     fn read_targets(&mut self) {
-        let Some(document) = self.parse(TARGETS_FILE) else {
-            self.parts.unread.pools.any = true;
-            return;
-        };
-        let Some(file) = self.read::<TargetsFile>(&document, schema::TARGETS) else {
-            add_names(&mut self.parts.unread.pools, &document.value["targets"], "pool");
-            return;
-        };
+        let reading = self.read::<TargetsFile>(TARGETS_FILE, schema::TARGETS);
+        self.parts.unread.pools |= reading.misses("$.targets");
 
-        for (index, target) in file.targets.into_iter().enumerate() {
+        let targets = reading.item.map(|file| file.targets).unwrap_or_default();
+        for (index, target) in targets.into_iter().enumerate() {
             let path = format!("{ROOT}.targets[{index}]");
             self.parts.targets.push(Placed::new(TARGETS_FILE, &path, target));
         }
@@ -129,62 +124,54 @@
 
     /// Reads the files of `templates`.
     fn read_templates(&mut self) {
-        for file in self.list(TEMPLATES_FOLDER) {
-            let Some(document) = self.parse(&file) else {
-                self.parts.unread.templates.any = true;
-                continue;
-            };
-
-            match self.read(&document, schema::TEMPLATE) {
-                Some(template) => {
-                    self.parts.templates.push(Placed::new(&file, ROOT, template));
-                }
-                None => add_name(&mut self.parts.unread.templates, &document.value["name"]),
-            }
+        let files = self.list(TEMPLATES_FOLDER);
+        self.parts.unread.templates |= files.is_none();
+
+        for file in files.unwrap_or_default() {
+            let reading = self.read(&file, schema::TEMPLATE);
+            self.parts.unread.templates |= reading.misses("$.name");
+
+            let template = reading.item.map(|template| Placed::new(&file, ROOT, template));
+            self.parts.templates.extend(template);
         }
     }
 
     /// Reads the files of `tenants`.
     fn read_tenants(&mut self) {
-        for file in self.list(TENANTS_FOLDER) {
-            let Some(document) = self.parse(&file) else { continue };
-
-            if let Some(tenant) = self.read(&document, schema::TENANT) {
-                self.parts.tenants.push(Placed::new(&file, ROOT, tenant));
-            }
-        }
-    }
+        for file in self.list(TENANTS_FOLDER).unwrap_or_default() {
+            let reading = self.read(&file, schema::TENANT);
 
-    /// Turns a document into a type, noting all its faults.
-    fn read<T: DeserializeOwned>(&mut self, document: &Document, shape: Shape) -> Option<T> {
-        let faults = document.walk(shape);
-        if !faults.is_empty() {
-            self.faults.extend(faults);
-            return None;
+            let tenant = reading.item.map(|tenant| Placed::new(&file, ROOT, tenant));
+            self.parts.tenants.extend(tenant);
         }
-
-        document.read().map_err(|fault| self.faults.push(fault)).ok()
     }
 
-    /// Reads and parses a file.
-    fn parse(&mut self, file: &str) -> Option<Document> {
+    /// Turns a file into a type, noting all its faults.
+    fn read<T: DeserializeOwned>(&mut self, file: &str, shape: Shape) -> FileReading<T> {
         let parsed = match read_file(&self.dir.join(file)) {
-            Ok(bytes) => Document::parse(file, bytes),
+            Ok(bytes) => Document::parse(file, &bytes),
             Err(reason) => Err(fault(file, ROOT, reason)),
         };
+        let document = match parsed {
+            Ok(document) => document,
+            Err(fault) => {
+                self.faults.push(fault);
+                return FileReading { item: None, placeholders: None };
+            }
+        };
 
-        parsed.map_err(|fault| self.faults.push(fault)).ok()
+        let reading = document.read(shape);
+        self.faults.extend(reading.faults);
+        let placeholders = Rc::new(reading.placeholders);
+        self.placeholders.push(Rc::clone(&placeholders));
+        FileReading { item: reading.item, placeholders: Some(placeholders) }
     }
 
-    /// Lists the declarations in a folder, sorted.
-    fn list(&mut self, folder: &str) -> Vec<String> {
-        let names = match entry_names(&self.dir.join(folder)) {
-            Ok(names) => names,
-            Err(reason) => {
-                self.faults.push(fault(folder, ROOT, reason));
-                return Vec::new();
-            }
-        };
+    /// Lists the declarations in a folder, sorted; none if it cannot be listed.
+    fn list(&mut self, folder: &str) -> Option<Vec<String>> {
+        let names = own_folder(&self.dir.join(folder))
+            .map_err(|reason| self.faults.push(fault(folder, ROOT, reason)))
+            .ok()?;
 
         let (files, strays): (Vec<_>, Vec<_>) = names.into_iter().partition(|n| is_json(n));
         for stray in strays {
@@ -192,7 +179,7 @@
             let reason = "only files that end in .json belong here";
             self.faults.push(fault(&format!("{folder}/{stray}"), ROOT, reason));
         }
-        files.into_iter().map(|name| format!("{folder}/{name}")).collect()
+        Some(files.into_iter().map(|name| format!("{folder}/{name}")).collect())
     }
 
     /// Finds JSON files in the folder itself that nothing reads.
@@ -219,21 +206,18 @@
     targets: Vec<Target>,
 }
 
-/// Adds a name, if it is one.
-fn add_name(names: &mut Names, value: &Value) {
-    match value.as_str() {
-        Some(name) => {
-            names.some.insert(name.into());
-        }
-        None => names.any = true,
-    }
+/// What a file was read as.
+struct FileReading<T> {
+    /// The type, if the file could be read.
+    item: Option<T>,
+    /// Where placeholders stand, if the file could be read.
+    placeholders: Option<Rc<Placeholders>>,
 }
 
-/// Adds the names in a field of each entry of a list.
-fn add_names(names: &mut Names, list: &Value, field: &str) {
-    match list.as_array() {
-        Some(entries) => entries.iter().for_each(|entry| add_name(names, &entry[field])),
-        None => names.any = true,
+impl<T> FileReading<T> {
+    /// Returns whether something at this path could not be read.
+    fn misses(&self, path: &str) -> bool {
+        self.item.is_none() || self.placeholders.as_ref().is_none_or(|p| p.touch(path))
     }
 }
 
@@ -259,6 +243,14 @@
     Ok(names)
 }
 
+/// Lists the entries of a folder that is no link, for the same reason as with files.
+fn own_folder(dir: &Path) -> std::result::Result<Vec<String>, String> {
+    match fs::symlink_metadata(dir) {
+        Ok(metadata) if !metadata.is_dir() => Err("is not a plain folder".to_owned()),
+        _ => entry_names(dir),
+    }
+}
+
 /// Reads a file of at most [`MAX_FILE_BYTES`].
 fn read_file(path: &Path) -> std::result::Result<Vec<u8>, String> {
     let unreadable = |error| format!("cannot be read: {error}");
--- a/crates/declare/src/lib.rs
+++ b/crates/declare/src/lib.rs
@@ -25,6 +25,7 @@
 mod parts;
 mod schema;
 mod shapes;
+mod values;
 
 pub use bundles::{MAX_BUNDLE_BYTES, bundle, unbundle};
 pub use changes::{Change, diff};
--- a/crates/declare/src/parts.rs
+++ b/crates/declare/src/parts.rs
@@ -1,7 +1,5 @@
 //! The declared things, each with the place that faults in it are reported at.
 
-use std::collections::BTreeSet;
-
 use camphorwalk_core::config::{Config, Fleet, Target, TargetKind, Template, Tenant};
 
 use crate::documents::{ROOT, fault};
@@ -44,37 +42,21 @@
     pub(crate) templates: Vec<Placed<Template>>,
     /// The tenants.
     pub(crate) tenants: Vec<Placed<Tenant>>,
-    /// Names in things that could not be read, so that references to them are no faults.
+    /// Where names could not be read, so that references to them are no faults.
     pub(crate) unread: Unread,
 }
 
-/// Names in things that could not be read as a whole.
-#[derive(Clone, Debug, Default)]
+/// Of which things some names could not be read.
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Unread {
     /// Availability zones.
-    pub(crate) zones: Names,
+    pub(crate) zones: bool,
     /// Classes.
-    pub(crate) classes: Names,
-    /// Pools.
-    pub(crate) pools: Names,
+    pub(crate) classes: bool,
+    /// Pools, or their kinds.
+    pub(crate) pools: bool,
     /// Templates.
-    pub(crate) templates: Names,
-}
-
-/// Some names, or all there could be.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Names {
-    /// The names that could be read.
-    pub(crate) some: BTreeSet<Box<str>>,
-    /// Whether there may be any other.
-    pub(crate) any: bool,
-}
-
-impl Names {
-    /// Returns whether this name may be among them.
-    fn may_hold(&self, name: &str) -> bool {
-        self.any || self.some.contains(name)
-    }
+    pub(crate) templates: bool,
 }
 
 impl Parts {
@@ -93,34 +75,36 @@
     pub(crate) fn has_zone(&self, name: &str) -> bool {
         let declared = |fleet: &Fleet| fleet.zones.iter().any(|zone| &*zone.name == name);
 
-        self.fleet.as_ref().is_some_and(|fleet| declared(&fleet.item))
-            || self.unread.zones.may_hold(name)
+        self.fleet.as_ref().is_some_and(|fleet| declared(&fleet.item)) || self.unread.zones
     }
 
     /// Returns whether there is, or may be, a class with this name.
     pub(crate) fn has_class(&self, name: &str) -> bool {
         let declared = |fleet: &Fleet| fleet.classes.iter().any(|class| &*class.name == name);
 
-        self.fleet.as_ref().is_some_and(|fleet| declared(&fleet.item))
-            || self.unread.classes.may_hold(name)
+        self.fleet.as_ref().is_some_and(|fleet| declared(&fleet.item)) || self.unread.classes
     }
 
     /// Returns whether there is, or may be, a template with this name.
     pub(crate) fn has_template(&self, name: &str) -> bool {
-        self.templates.iter().any(|template| &*template.item.name == name)
-            || self.unread.templates.may_hold(name)
+        self.templates.iter().any(|template| &*template.item.name == name) || self.unread.templates
     }
 
     /// Returns whether there is, or may be, a pool with this name.
     pub(crate) fn has_pool(&self, name: &str) -> bool {
-        self.pool_kind(name).is_some() || self.unread.pools.may_hold(name)
+        self.first_of_pool(name).is_some() || self.unread.pools
     }
 
-    /// Returns the kind of a pool, as its first target says.
+    /// Returns the kind of a pool, as its first target says; none if that is not known.
     pub(crate) fn pool_kind(&self, name: &str) -> Option<TargetKind> {
-        let first = self.targets.iter().find(|target| &*target.item.pool == name)?;
+        let first = self.first_of_pool(name).filter(|_| !self.unread.pools)?;
+
+        Some(first.kind)
+    }
 
-        Some(first.item.kind)
+    /// Returns the first target of a pool.
+    fn first_of_pool(&self, name: &str) -> Option<&Target> {
+        self.targets.iter().map(|target| &target.item).find(|target| &*target.pool == name)
     }
 }
 
--- a/crates/declare/src/shapes.rs
+++ b/crates/declare/src/shapes.rs
@@ -1,4 +1,4 @@
-//! What JSON values may look like, and a walk that finds all faults of one.
+//! What JSON values may look like, and a walk that finds and mends all faults of one.
 //!
 //! `serde` stops at its first error; operators want all of them. The walk goes first, and
 //! `serde` has the last word on what the walk lets pass.
@@ -47,47 +47,75 @@
     Field { name, required: false, shape }
 }
 
-/// A fault of a value: where, and what.
-pub(crate) type Finding = (String, String);
+/// All faults of a value.
+#[derive(Debug, Default)]
+pub(crate) struct Findings {
+    /// Where, and what.
+    pub(crate) faults: Vec<(String, String)>,
+    /// Where placeholders stand now.
+    pub(crate) placeholders: Vec<String>,
+}
 
-/// Finds all faults of `value` at `path`.
-pub(crate) fn walk(shape: Shape, value: &Value, path: &str, found: &mut Vec<Finding>) {
-    match (shape, value) {
-        (Shape::Object(fields), Value::Object(object)) => walk_object(fields, object, path, found),
-        (Shape::List(item), Value::Array(items)) => {
-            for (index, value) in items.iter().enumerate() {
-                walk(*item, value, &format!("{path}[{index}]"), found);
+impl Findings {
+    /// Finds all faults of `value` at `path`, and mends it: unknown fields go, and what is
+    /// missing or of another kind becomes a placeholder. So the rest of it can be read, and
+    /// one fault does not hide the next.
+    pub(crate) fn walk(&mut self, shape: Shape, value: &mut Value, path: &str) {
+        match (shape, &mut *value) {
+            (Shape::Object(fields), Value::Object(object)) => {
+                self.walk_object(fields, object, path);
             }
-        }
-        _ => {
-            if let Some(expected) = mismatch(shape, value) {
-                found
-                    .push((path.to_owned(), format!("expected {expected}, found {}", show(value))));
+            (Shape::List(item), Value::Array(items)) => {
+                for (index, value) in items.iter_mut().enumerate() {
+                    self.walk(*item, value, &format!("{path}[{index}]"));
+                }
+            }
+            _ => {
+                if let Some(expected) = mismatch(shape, value) {
+                    let reason = format!("expected {expected}, found {}", show(value));
+                    self.faults.push((path.to_owned(), reason));
+                    self.placeholders.push(path.to_owned());
+                    *value = placeholder(shape);
+                }
             }
         }
     }
-}
 
-/// Finds all faults of an object.
-fn walk_object(
-    fields: &[Field],
-    object: &Map<String, Value>,
-    path: &str,
-    found: &mut Vec<Finding>,
-) {
-    for field in fields {
-        match object.get(field.name) {
-            Some(value) => walk(field.shape, value, &format!("{path}.{}", field.name), found),
-            None if field.required => {
-                found.push((path.to_owned(), format!("missing field `{}`", field.name)));
+    /// Finds all faults of an object.
+    fn walk_object(&mut self, fields: &[Field], object: &mut Map<String, Value>, path: &str) {
+        for field in fields {
+            let below = format!("{path}.{}", field.name);
+            if let Some(value) = object.get_mut(field.name) {
+                self.walk(field.shape, value, &below);
+            } else if field.required {
+                self.faults.push((path.to_owned(), format!("missing field `{}`", field.name)));
+                self.placeholders.push(below);
+                object.insert(field.name.to_owned(), placeholder(field.shape));
             }
-            None => {}
         }
+
+        object.retain(|name, _| {
+            let is_known = fields.iter().any(|field| field.name == name);
+            if !is_known {
+                self.faults.push((field_path(path, name), "unknown field".to_owned()));
+            }
+            is_known
+        });
     }
+}
 
-    for name in object.keys() {
-        if !fields.iter().any(|field| field.name == name) {
-            found.push((format!("{path}.{name}"), "unknown field".to_owned()));
+/// Returns the simplest value of a shape.
+fn placeholder(shape: Shape) -> Value {
+    match shape {
+        Shape::Text => Value::from(""),
+        Shape::OneOf(texts) => Value::from(texts[0]),
+        Shape::Address => Value::from("0.0.0.0:0"),
+        Shape::Bool => Value::from(false),
+        Shape::Number | Shape::Whole(_) => Value::from(0),
+        Shape::List(_) => Value::Array(Vec::new()),
+        Shape::Object(fields) => {
+            let required = fields.iter().filter(|field| field.required);
+            required.map(|field| (field.name.to_owned(), placeholder(field.shape))).collect()
         }
     }
 }
@@ -120,6 +148,17 @@
 /// The longest text that a fault repeats, in characters.
 const SHOWN_CHARS: usize = 60;
 
+/// Returns the JSON path of a field of the object at `path`.
+pub(crate) fn field_path(path: &str, name: &str) -> String {
+    let is_plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'_' | b'-');
+
+    // Any other name is quoted: a line break in it would look like a fault of its own.
+    if !name.is_empty() && name.len() <= SHOWN_CHARS && name.bytes().all(is_plain) {
+        return format!("{path}.{name}");
+    }
+    format!("{path}[{:?}]", name.chars().take(SHOWN_CHARS).collect::<String>())
+}
+
 /// Returns a value as a fault shows it.
 fn show(value: &Value) -> String {
     match value {
