Programs: stories of budget, tails, retries and callers

Cause: the fuzz says that promises hold, not what a caller sees. Each story gives one failure and the answer.

Found and mended: a turn that finished while the platform was known to be away held its answer for up to half a second; it now goes out at once, marked as not stored.

--- a/crates/policy/src/programs/attempts.rs
+++ b/crates/policy/src/programs/attempts.rs
@@ -209,6 +209,11 @@
             Some(attempt) => self.journal_outcome(key, attempt, Some(outcome), waiter),
             None => self.journal_turn(cx, key, number, waiter),
         }
+
+        // The caller is not held for a platform that is known to be away.
+        if self.journal.is_away(cx.now) {
+            self.answer_recorded(cx, id);
+        }
     }
 
     /// Journals a finished repeatable call, with room for the next ones.
--- a/crates/policy/tests/programs_home/fixture.rs
+++ b/crates/policy/tests/programs_home/fixture.rs
@@ -393,6 +393,13 @@
     AttemptEnd::Done { output: output.into(), usage }
 }
 
+/// Returns the opening of a sub-agent.
+pub fn open_child(child: ProgramId, parent: ProgramId) -> Request {
+    let Request::Open(request) = open(child) else { unreachable!("it is an opening") };
+
+    Request::Open(OpenRequest { parent: Some(parent), ..request })
+}
+
 /// Returns the end of an attempt whose connection broke.
 pub fn lost(crashed: bool) -> AttemptEnd {
     AttemptEnd::Lost { streamed: false, crashed }
--- a/crates/policy/tests/programs_home/main.rs
+++ b/crates/policy/tests/programs_home/main.rs
@@ -1,8 +1,12 @@
 //! Stories of programs at their home, and a fuzz of several homes against an oracle.
 
+mod budget;
+mod callers;
 mod fixture;
 mod fuzz;
 mod intent;
 mod opening;
 mod order;
+mod retries;
+mod tails;
 mod world;
--- a/crates/policy/tests/programs_home/opening.rs
+++ b/crates/policy/tests/programs_home/opening.rs
@@ -1,16 +1,9 @@
 //! Opening and ending programs, and the family of sub-agents.
 
-use camphorwalk_core::calls::{Code, OpenRequest, Ran, Reply, Request};
+use camphorwalk_core::calls::{Code, Ran, Reply, Request};
 use camphorwalk_core::ids::ProgramId;
 
-use crate::fixture::{Home, Mode, PROGRAM, Platform, call, done, open};
-
-/// Returns the opening of a sub-agent.
-fn open_child(child: ProgramId, parent: ProgramId) -> Request {
-    let Request::Open(request) = open(child) else { unreachable!("it is an opening") };
-
-    Request::Open(OpenRequest { parent: Some(parent), ..request })
-}
+use crate::fixture::{Home, Mode, PROGRAM, Platform, call, done, open, open_child};
 
 /// The caller hears that its program may be open; its repeat finds it. The opening's first
 /// sending is lost, the second takes effect.
