--- a/crates/policy/src/programs/open.rs
+++ b/crates/policy/src/programs/open.rs
@@ -184,6 +184,11 @@
 
     /// Adds a program, as opened or as read from the journal.
     pub(super) fn insert_program(&mut self, cx: &mut Cx<'_>, entry: &OpenedEntry) -> ProgramKey {
+        // A journal may hold a former program with the same id, ended and forgotten since.
+        if let Some(former) = self.index.get(&entry.program) {
+            self.remove_program(*former);
+        }
+
         let partition = self.partition_of(entry.program);
         let root = self.index.get(&entry.root).map(|key| self.programs[*key].account);
         let account = root.unwrap_or_else(|| {
--- a/crates/policy/tests/programs_home/intent.rs
+++ b/crates/policy/tests/programs_home/intent.rs
@@ -50,7 +50,8 @@
 
 /// The caller is told "not run" and the deposit is never taken for it. The intent's write
 /// took effect but its answer was lost: the home gives the call up, learns later that the
-/// intent stands, and writes that it did not run. A new home lets the key run.
+/// intent stands, and writes that it did not run. A refusal in between settles nothing. A new
+/// home lets the key run.
 #[test]
 fn an_intent_in_doubt_is_never_sent() {
     let platform = &mut Platform::new();
@@ -59,15 +60,19 @@
 
     let ticket = home.ask(platform, call("deposit", "k1", 0));
     let blocked = home.ask(platform, call("model", "k2", 0));
+    platform.mode = Mode::Away;
+    home.pass(platform, 1_000);
     platform.mode = Mode::Up;
     home.pass(platform, 5_000);
+    let settled = home.run(platform, call("model", "k2", 0), "\"text\"");
     let mut new = Home::new(platform, 2);
-    let again = new.run(platform, call("deposit", "k1", 0), "\"paid\"");
+    let again = new.run(platform, call("deposit", "k1", 1), "\"paid\"");
 
     assert_eq!(home.refusal(ticket).ran, Ran::No);
     assert_eq!(home.refusal(blocked).code, Code::PlatformUnavailable);
-    assert_eq!((home.sent.len(), new.sent.len()), (0, 1));
-    assert_eq!(again.call, 1);
+    assert_eq!((settled.stored, home.fenced), (true, 0));
+    assert_eq!((home.sent.len(), new.sent.len()), (1, 1));
+    assert_eq!(again.call, 2);
 }
 
 /// The caller is told that the deposit may have been taken; it is not taken again. The home
--- a/crates/policy/tests/programs_home/tails.rs
+++ b/crates/policy/tests/programs_home/tails.rs
@@ -1,5 +1,7 @@
 //! Turns that the platform does not hold yet, carried by their caller.
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD_NO_PAD;
 use camphorwalk_core::calls::{CallRequest, Code, Ran, Request};
 use camphorwalk_core::ids::ProgramId;
 
@@ -67,6 +69,38 @@
     assert_eq!(new.history(platform).len(), 1);
 }
 
+/// Returns a tail with another output.
+fn forge(tail: &str) -> Box<str> {
+    let mut bytes = STANDARD_NO_PAD.decode(tail).expect("a tail is base64");
+    let at = bytes.windows(4).position(|part| part == b"\"one").expect("the output is there");
+    bytes[at..at + 4].copy_from_slice(b"\"two");
+
+    STANDARD_NO_PAD.encode(bytes).into()
+}
+
+/// The caller reopened its program long after the first was forgotten. A tail of the first
+/// one is not mixed into the second.
+#[test]
+fn a_tail_of_a_former_program_is_refused() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    home.run(platform, call("model", "k1", 0), "\"one\"");
+    platform.mode = Mode::Away;
+    let tail = home.run(platform, call("model", "k2", 1), "\"two\"").tail;
+    platform.mode = Mode::Up;
+    home.pass(platform, 200_000);
+    home.ask(platform, open(PROGRAM));
+    home.run(platform, call("model", "other", 0), "\"other\"");
+
+    let ticket = home.ask(platform, call_with_tail("model", "k3", 2, tail));
+    let history = home.history(platform);
+    let mut new = Home::new(platform, 2);
+
+    assert_eq!(home.refusal(ticket).code, Code::OutOfOrder);
+    assert_eq!(history.len(), 1);
+    assert_eq!(new.history(platform), history);
+}
+
 /// The caller cannot write its own history: a tail that was changed, or that belongs to
 /// another program, is refused.
 #[test]
@@ -76,12 +110,9 @@
     let mut new = Home::new(platform, 2);
     let other = ProgramId(8);
     new.ask(platform, open(other));
-    let mut forged = tail.clone().expect("there is a tail").into_string();
-    let letter = if forged.ends_with('A') { 'B' } else { 'A' };
-    forged.replace_range(0..1, if forged.starts_with('A') { "B" } else { "A" });
-    forged.push(letter);
+    let forged = forge(tail.as_deref().expect("there is a tail"));
 
-    let changed = new.ask(platform, call_with_tail("model", "k3", 2, Some(forged.into())));
+    let changed = new.ask(platform, call_with_tail("model", "k3", 2, Some(forged)));
     let elsewhere = CallRequest { program: other, tail, ..call_request("model", "k3", 2) };
     let elsewhere = new.ask(platform, Request::Call(elsewhere));
 
