Programs: timers before events, engine's count before the estimate

Cause: a host that was paused past a program's deadline handled a durable intent before the deadline's timer, and sent the call with no time left. Timers now run first. And where an engine counts more tokens than four bytes each, later prompts were reserved too low.

--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -295,6 +295,10 @@
     pub fn step(&mut self, now: Instant, event: ProgramEvent, out: &mut Vec<ProgramNext>) {
         let cx = &mut Cx { now, out };
 
+        // First: a host that was paused past a deadline must not act on an older event as if
+        // there were time left, for example send a call whose caller was promised an answer.
+        self.run_timers(cx);
+
         match event {
             ProgramEvent::Config(cfg) => self.cfg = Some(Lookup::new(cfg)),
             ProgramEvent::Acquired { partition, epoch, lease } => {
@@ -317,7 +321,6 @@
             ProgramEvent::Wake => {}
         }
 
-        self.run_timers(cx);
         self.flush(cx);
     }
 
--- a/crates/policy/src/programs/recovery.rs
+++ b/crates/policy/src/programs/recovery.rs
@@ -1,4 +1,8 @@
 //! Reading a partition's journal on its new home.
+//!
+//! Clocks of two hosts cannot be compared, so entries hold the time left. A new home counts
+//! it from the moment it reads the entry: the time between the last entry and the change of
+//! home is not counted, and a program may live that much longer than its caller waits.
 
 use std::time::Duration;
 
--- a/crates/policy/src/programs/state.rs
+++ b/crates/policy/src/programs/state.rs
@@ -175,6 +175,13 @@
         }
 
         self.history = self.history.plus(tokens);
+
+        // Where the engine counts more than the estimate, its count holds.
+        if let Recorded::Done { usage, .. } = &outcome {
+            let counted = usage.prompt_tokens.plus(usage.output_tokens);
+            self.history = self.history.max(counted);
+        }
+
         self.calls.push(Record { call, outcome, hash, texts });
 
         self.head()
