Engines' memory: the keeper of a queue compares what is held with what is open

Cause: only the home that served a program ordered its engines to free it; when that home died, its engines held the prefix until eviction. Ruled out: cache events, which come late and with gaps. Load and evictions are read on the same way.

--- a/crates/camphorwalk/src/measure/driver.rs
+++ b/crates/camphorwalk/src/measure/driver.rs
@@ -212,6 +212,8 @@
             Action::Cancel(_)
             | Action::Address { .. }
             | Action::Free(_)
+            | Action::FreeAt { .. }
+            | Action::Watch(_)
             | Action::Adopted(_)
             | Action::KeyWithdrawn(_)
             | Action::OperatorAnswer { .. }
--- a/crates/camphorwalk/tests/faults.rs
+++ b/crates/camphorwalk/tests/faults.rs
@@ -172,6 +172,29 @@
     assert_eq!(fleet.runs("deposit-1").await, 1);
 }
 
+/// The home that sent a program's turns to an engine is killed, and the program is ended at
+/// its new home, which does not know where those turns ran. The engine's memory is freed all
+/// the same: the host that watches the engine compares what it holds with what is open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_are_freed_after_their_home_died() {
+    let mut fleet = Fleet::start(&["a1", "a2", "b1"]).await;
+    let program = open_at(&fleet, 0).await;
+    let turn = fleet.call(1, &program, "turn-1", 0, "model").await;
+    let held = fleet.held().await;
+
+    fleet.hosts[0].kill();
+    until("the program is ended", async || {
+        let client = caller(0);
+        let ended = client.send(Method::DELETE, fleet.callers(1), &program, None, None).await;
+        ended.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    until("the engines hold nothing", async || fleet.held().await == 0).await;
+
+    assert_eq!(turn.body["call"], 1, "{}", turn.body);
+    assert_eq!(held, 1);
+}
+
 /// A host gets SIGTERM while it serves a stream and a deposit. Neither is cut: both callers
 /// get their whole answers, the host hands its leases back and ends by itself, and another
 /// host goes on with the program at once.
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -6,6 +6,7 @@
 
 pub mod forward;
 pub mod gossip;
+pub mod live;
 pub mod queue;
 pub mod slices;
 
@@ -13,7 +14,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerMessage {
     /// The part it is for; `None` comes from a newer version and is passed over.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<Body>,
 }
 
@@ -44,6 +45,12 @@
     /// An operator wants the receiver to leave.
     #[prost(message, tag = "8")]
     Drain(forward::Drain),
+    /// Asking whether programs are still open.
+    #[prost(message, tag = "9")]
+    AskLive(live::AskLive),
+    /// Programs that are over.
+    #[prost(message, tag = "10")]
+    Over(live::Over),
 }
 
 impl From<Body> for PeerMessage {
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -126,7 +126,9 @@
         let targets = make_targets(&shared, &peers, &settings.name);
         tokio::spawn(route_inbound(shared.clone(), inbound));
         tokio::spawn(list_hosts(shared.clone(), platform.clone()));
-        let carrier = Carrier { shared: shared.clone(), peers, platform, targets };
+        let (watched, watched_rx) = watch::channel(Vec::new());
+        tokio::spawn(crate::watch::run(shared.clone(), targets.clone(), watched_rx));
+        let carrier = Carrier { shared: shared.clone(), peers, platform, targets, watched };
         tokio::spawn(carrier.run(actions));
 
         let callers = CallerServer::start(settings.callers, shared.clone())?;
@@ -180,6 +182,7 @@
     peers: Peers,
     platform: Client,
     targets: Targets,
+    watched: watch::Sender<Vec<camphorwalk_core::ids::TargetId>>,
 }
 
 impl Carrier {
@@ -207,6 +210,13 @@
                 let targets = self.targets.clone();
                 tokio::spawn(async move { targets.free(program).await });
             }
+            Action::FreeAt { target, program } => {
+                let targets = self.targets.clone();
+                tokio::spawn(async move { targets.free_at(target, program).await });
+            }
+            Action::Watch(engines) => {
+                self.watched.send_replace(engines);
+            }
             Action::Adopted(config) => self.adopt(&config),
             Action::KeyWithdrawn(key) => {
                 tracing::info!("config: key {key} withdrawn");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod settings;
 pub mod streams;
 pub mod targets;
+mod watch;
 
 pub use errors::{Error, Result};
 pub use host::Host;
--- a/crates/node/src/targets.rs
+++ b/crates/node/src/targets.rs
@@ -16,7 +16,7 @@
 use camphorwalk_core::ids::{AttemptId, ProgramId, TargetId, Ticket};
 use camphorwalk_policy::wire::{AttemptEnd, Dispatch, Work};
 use http::{Request, Uri};
-use http_body_util::Full;
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -25,6 +25,12 @@
 /// How long a connection to a target may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a reading of a target's load or cache may take.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The most programs whose engines are remembered; what is forgotten is freed by the sweep.
+const MOST_SERVED: usize = 65_536;
+
 /// The largest answer of a target that is read, in bytes.
 const LARGEST_ANSWER: usize = 16 << 20;
 
@@ -144,12 +150,34 @@
         let served = lock(&self.shared.served).remove(&program).unwrap_or_default();
 
         for target in served {
-            if let Some(target) = self.address(target) {
-                self.order_free(target, program).await;
-            }
+            self.free_at(target, program).await;
+        }
+    }
+
+    /// Has one engine free what it holds for a program.
+    pub async fn free_at(&self, target: TargetId, program: ProgramId) {
+        if let Some(target) = self.address(target) {
+            self.order_free(target, program).await;
         }
     }
 
+    /// Gets JSON from a target; `None` if it does not answer, or not with that.
+    pub(crate) async fn get_json<T: serde::de::DeserializeOwned>(
+        &self,
+        target: TargetId,
+        path: &str,
+    ) -> Option<T> {
+        let target = self.address(target)?;
+        let uri: Uri = format!("http://{}{path}", target.address).parse().ok()?;
+        let reading = async {
+            let response = self.shared.client.get(uri).await.ok()?;
+            let body = Limited::new(response.into_body(), LARGEST_ANSWER).collect().await.ok()?;
+            serde_json::from_slice(&body.to_bytes()).ok()
+        };
+
+        tokio::time::timeout(READ_TIMEOUT, reading).await.ok()?
+    }
+
     fn address(&self, target: TargetId) -> Option<TargetAddress> {
         let addresses = self.shared.addresses.read().unwrap_or_else(PoisonError::into_inner);
 
@@ -157,7 +185,11 @@
     }
 
     fn note_served(&self, program: ProgramId, target: TargetId) {
-        lock(&self.shared.served).entry(program).or_default().insert(target);
+        let mut served = lock(&self.shared.served);
+        if served.len() >= MOST_SERVED {
+            served.clear();
+        }
+        served.entry(program).or_default().insert(target);
     }
 }
 
--- /dev/null
+++ b/crates/node/src/watch.rs
@@ -0,0 +1,132 @@
+//! Watches the engines whose queue this host keeps: their load, what they dropped from their
+//! caches, and what they hold.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::{ProgramId, TargetId};
+use camphorwalk_core::units::Tokens;
+use camphorwalk_policy::queue::LoadReport;
+use camphorwalk_policy::scheduler::Event;
+use serde::Deserialize;
+use tokio::sync::watch;
+
+use crate::host::Shared;
+use crate::targets::Targets;
+
+/// How often load and events are read.
+const LOAD_PERIOD: Duration = Duration::from_millis(500);
+
+/// How many times load is read for each reading of what an engine holds.
+const LOADS_PER_HELD: u32 = 4;
+
+/// An engine's load.
+#[derive(Deserialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+    held_tokens: Tokens,
+}
+
+/// An engine's events.
+#[derive(Deserialize)]
+struct Events {
+    events: Vec<CacheEvent>,
+}
+
+/// A change of an engine's cache.
+#[derive(Deserialize)]
+struct CacheEvent {
+    number: u64,
+    kind: Box<str>,
+    program: Box<str>,
+}
+
+/// What an engine holds.
+#[derive(Deserialize)]
+struct HeldList {
+    programs: Vec<HeldProgram>,
+}
+
+/// A program that an engine holds something for.
+#[derive(Deserialize)]
+struct HeldProgram {
+    program: Box<str>,
+}
+
+/// Watches the engines named last on `watched`, until the sender is gone.
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    targets: Targets,
+    mut watched: watch::Receiver<Vec<TargetId>>,
+) {
+    let mut seen = Map::<TargetId, u64>::default();
+    let mut round = 0;
+
+    loop {
+        let engines = watched.borrow_and_update().clone();
+        seen.retain(|target, _| engines.contains(target));
+
+        let readings = engines.iter().map(|target| {
+            let after = seen.get(target).copied().unwrap_or(0);
+            read_engine(&shared, &targets, *target, after, round % LOADS_PER_HELD == 0)
+        });
+        let last = futures::future::join_all(readings).await;
+        seen.extend(engines.iter().copied().zip(last));
+
+        round = round.wrapping_add(1);
+        tokio::time::sleep(LOAD_PERIOD).await;
+        if watched.has_changed().is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads one engine and returns the number of its last event seen.
+async fn read_engine(
+    shared: &Shared,
+    targets: &Targets,
+    target: TargetId,
+    after: u64,
+    held: bool,
+) -> u64 {
+    if let Some(load) = targets.get_json::<Load>(target, "/v1/load").await {
+        let Load { running, waiting, held_tokens } = load;
+        let report = LoadReport { running, waiting, held: held_tokens };
+        shared.control.send(Event::Load { target, report });
+    }
+
+    if held {
+        read_held(shared, targets, target).await;
+    }
+
+    read_events(shared, targets, target, after).await
+}
+
+async fn read_held(shared: &Shared, targets: &Targets, target: TargetId) {
+    let Some(list) = targets.get_json::<HeldList>(target, "/v1/held").await else {
+        return;
+    };
+
+    let programs: Vec<ProgramId> =
+        list.programs.iter().filter_map(|held| held.program.parse().ok()).collect();
+    shared.control.send(Event::Held { target, programs });
+}
+
+async fn read_events(shared: &Shared, targets: &Targets, target: TargetId, after: u64) -> u64 {
+    let path = format!("/v1/events?after={after}");
+    let Some(events) = targets.get_json::<Events>(target, &path).await else {
+        return after;
+    };
+
+    let mut last = after;
+    for event in &events.events {
+        last = last.max(event.number);
+        if let ("evicted", Ok(program)) = (&*event.kind, event.program.parse()) {
+            shared.control.send(Event::Evicted { target, program });
+        }
+    }
+
+    last
+}
--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -334,6 +334,16 @@
         self.calls.values().map(|call| self.programs[call.program].partition).collect()
     }
 
+    /// Returns whether a program is open, or `None` if this host is not its home or has not
+    /// read its journal to the end.
+    pub fn is_open(&self, program: ProgramId) -> Option<bool> {
+        let partition = self.cfg.as_ref()?.partition(program);
+        self.tenures.get(&partition)?;
+        let open = |key: &ProgramKey| self.programs[*key].state == ProgramState::Open;
+
+        Some(self.index.get(&program).is_some_and(open))
+    }
+
     /// Returns the programs that are open here.
     pub fn open_programs(&self) -> impl Iterator<Item = ProgramId> + '_ {
         self.index
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod gossip;
 mod operators;
+mod sweep;
 mod work;
 
 use std::collections::VecDeque;
@@ -114,6 +115,13 @@
         /// The program.
         program: ProgramId,
     },
+    /// A target said which programs it holds something for.
+    Held {
+        /// The target.
+        target: TargetId,
+        /// The programs.
+        programs: Vec<ProgramId>,
+    },
     /// An operator asks something.
     Operator {
         /// The question.
@@ -164,6 +172,15 @@
     Cancel(AttemptId),
     /// Have engines free what they hold for a program that is over.
     Free(ProgramId),
+    /// Have one engine free what it holds for a program that is over.
+    FreeAt {
+        /// The engine.
+        target: TargetId,
+        /// The program.
+        program: ProgramId,
+    },
+    /// Watch the load and the cache of these engines, and of no others.
+    Watch(Vec<TargetId>),
     /// This configuration is in force from now on.
     Adopted(Arc<Config>),
     /// This key is withdrawn from now on.
@@ -281,6 +298,10 @@
     next_take: u64,
     /// Digests of requests that bring targets down.
     quarantined: Set<Digest>,
+    /// The engines that this host watches.
+    watched: Vec<TargetId>,
+    /// How far the last look at each engine's list of programs came.
+    held_turns: Map<TargetId, usize>,
     /// Counts the programs that were opened here, for their ids.
     opened: u64,
     session: u64,
@@ -353,6 +374,8 @@
             takes: Map::default(),
             next_take: 0,
             quarantined: Set::default(),
+            watched: Vec::new(),
+            held_turns: Map::default(),
             opened: 0,
             session: options.session,
             work: VecDeque::new(),
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -61,7 +61,7 @@
     }
 
     /// Returns the home of a partition, if it is known and can be reached.
-    fn home_of(&self, partition: PartitionId) -> Option<HostId> {
+    pub(super) fn home_of(&self, partition: PartitionId) -> Option<HostId> {
         if self.board.homes.contains(&partition) {
             return Some(self.board.me);
         }
@@ -144,6 +144,11 @@
             }
             Some(Body::Queue(message)) => self.on_queue_message(from, message, out),
             Some(Body::Drain(_)) => self.drain(),
+            Some(Body::AskLive(ask)) => self.on_ask_live(from, &ask, out),
+            Some(Body::Over(over)) => {
+                let programs = super::sweep::from_bytes(&over.programs);
+                self.on_over(camphorwalk_core::ids::TargetId(over.target), programs, out);
+            }
             // Chunks go from the connection straight to the caller's stream.
             Some(Body::Chunk(_)) | None => {}
         }
--- a/crates/policy/src/scheduler/work.rs
+++ b/crates/policy/src/scheduler/work.rs
@@ -58,6 +58,7 @@
             Event::Evicted { target, program } => {
                 self.work.push_back(Work::Queue(QueueEvent::Evicted { target, program }));
             }
+            Event::Held { target, programs } => self.on_held(target, programs, out),
             Event::Operator { ask, request } => self.on_operator(now, ask, request, out),
             Event::Drain => self.drain(),
             Event::Wake => {}
@@ -211,6 +212,7 @@
                 self.work.push_back(Work::Queue(QueueEvent::Config(config.clone())));
                 self.work.push_back(Work::Slice(SliceEvent::Config(config.clone())));
                 out.push(Action::Adopted(config));
+                self.update_watched(out);
             }
             ConfigNext::KeyWithdrawn(key) => {
                 self.work.push_back(Work::Program(ProgramEvent::KeyWithdrawn(key)));
@@ -275,13 +277,13 @@
                     out.push(Action::Address { host, address });
                 }
                 MembershipNext::Gossip { to, news } => self.gossip(to, news, out),
-                MembershipNext::Changed => self.on_alive_changed(),
+                MembershipNext::Changed => self.on_alive_changed(out),
                 MembershipNext::Gone(host) => self.on_gone(now, host, out),
             }
         }
     }
 
-    fn on_alive_changed(&mut self) {
+    fn on_alive_changed(&mut self, out: &mut Vec<Action>) {
         let stays = |m: &&&crate::membership::Member| !m.leaving;
         let alive = self.membership.alive();
         self.board.alive = alive.iter().filter(stays).map(|m| (m.host, m.zone)).collect();
@@ -292,6 +294,7 @@
         hosts.push(me);
         hosts.sort_unstable_by_key(|h| h.host);
         self.work.push_back(Work::Slice(SliceEvent::Hosts(hosts)));
+        self.update_watched(out);
     }
 
     /// Answers a request, on this host or through the host that it came from.
