Operators' commands: check, diff, apply, withdraw, status, drain

Cause: operators publish from version control; there was no command yet.

Each command is a module of commands; operator.rs is the typed client of the operator API.

declare::check_change refuses another number of partitions or slices and another fleet name; the operator API asks it too, and answers faults as objects {file, path, reason} instead of lines of text.

Ruled out: publishing again after a lost answer, which could undo another operator's change.

--- /dev/null
+++ b/crates/camphorwalk/src/arguments.rs
@@ -0,0 +1,73 @@
+//! The command line of the programs.
+
+use std::process;
+use std::time::Duration;
+
+use argh::TopLevelCommand;
+
+use crate::exit::Exit;
+use crate::output;
+
+/// Reads the command line. Prints help and ends with 0 if asked; on a usage error, prints it
+/// and ends with 2, where `argh` alone would end with 1, as a refusal does.
+pub fn from_env<T: TopLevelCommand>() -> T {
+    let words: Vec<String> =
+        std::env::args_os().map(|word| word.to_string_lossy().into_owned()).collect();
+
+    parse(&words).unwrap_or_else(|(text, exit)| {
+        if exit == Exit::Done {
+            output::line(&text)
+        } else {
+            eprintln!("{text}")
+        }
+        process::exit(exit.code().into())
+    })
+}
+
+/// Reads a command line, or returns what to print and how to end.
+///
+/// ```
+/// use argh::FromArgs;
+/// use camphorwalk::arguments::parse;
+/// use camphorwalk::exit::Exit;
+///
+/// /// Greets.
+/// #[derive(FromArgs, Debug)]
+/// struct Greet {
+///     /// who
+///     #[argh(positional)]
+///     name: String,
+/// }
+///
+/// let greet: Greet = parse(&["greet".into(), "world".into()]).unwrap();
+/// assert_eq!(greet.name, "world");
+/// assert_eq!(parse::<Greet>(&["greet".into()]).unwrap_err().1, Exit::Usage);
+/// ```
+pub fn parse<T: TopLevelCommand>(words: &[String]) -> Result<T, (String, Exit)> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (command, rest) = words.split_first().unwrap_or((&"camphorwalk", &[]));
+    let name = command.rsplit('/').next().unwrap_or(command);
+
+    T::from_args(&[name], rest).map_err(|early| {
+        let exit = if early.status.is_ok() { Exit::Done } else { Exit::Usage };
+        (early.output.trim_end().to_owned(), exit)
+    })
+}
+
+/// Reads a duration with its unit, for options.
+///
+/// ```
+/// use std::time::Duration;
+/// use camphorwalk::arguments::duration;
+/// assert_eq!(duration("250ms"), Ok(Duration::from_millis(250)));
+/// assert_eq!(duration("10s"), Ok(Duration::from_secs(10)));
+/// assert!(duration("10").is_err());
+/// ```
+pub fn duration(text: &str) -> Result<Duration, String> {
+    let parsed = match text.strip_suffix("ms") {
+        Some(number) => number.parse().map(Duration::from_millis).ok(),
+        None => text.strip_suffix('s').and_then(|n| n.parse().map(Duration::from_secs).ok()),
+    };
+
+    parsed.ok_or_else(|| "expected a duration such as 250ms or 10s".to_owned())
+}
--- a/crates/camphorwalk/src/bin/camphorwalkd.rs
+++ b/crates/camphorwalk/src/bin/camphorwalkd.rs
@@ -26,7 +26,7 @@
 }
 
 fn main() -> ExitCode {
-    let args: Args = argh::from_env();
+    let args: Args = camphorwalk::arguments::from_env();
 
     let exit = match load(&args.settings) {
         Err(e) => {
--- a/crates/camphorwalk/src/exit.rs
+++ b/crates/camphorwalk/src/exit.rs
@@ -15,13 +15,25 @@
     Unreachable,
 }
 
+impl Exit {
+    /// Returns the exit code.
+    ///
+    /// ```
+    /// use camphorwalk::exit::Exit;
+    /// assert_eq!(Exit::Usage.code(), 2);
+    /// ```
+    pub const fn code(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Refused => 1,
+            Self::Usage => 2,
+            Self::Unreachable => 3,
+        }
+    }
+}
+
 impl From<Exit> for ExitCode {
     fn from(exit: Exit) -> Self {
-        Self::from(match exit {
-            Exit::Done => 0,
-            Exit::Refused => 1,
-            Exit::Usage => 2,
-            Exit::Unreachable => 3,
-        })
+        Self::from(exit.code())
     }
 }
--- a/crates/camphorwalk/src/lib.rs
+++ b/crates/camphorwalk/src/lib.rs
@@ -4,12 +4,15 @@
 #![warn(rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod arguments;
 pub mod client;
 pub mod commands;
 pub mod demo;
 pub mod exit;
 pub mod logs;
 pub mod measure;
+pub mod operator;
+pub mod output;
 
 pub use camphorwalk_bench as bench;
 pub use camphorwalk_core as core;
--- a/crates/declare/src/lib.rs
+++ b/crates/declare/src/lib.rs
@@ -29,6 +29,6 @@
 
 pub use bundles::{MAX_BUNDLE_BYTES, bundle, unbundle};
 pub use changes::{Change, diff};
-pub use checks::check;
+pub use checks::{check, check_change};
 pub use errors::{Fault, Faults, Result};
 pub use folder::{MAX_FILE_BYTES, load};
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -189,13 +189,14 @@
     let body = body.into_inner();
     let config = match camphorwalk_declare::unbundle(body.config.to_string().as_bytes()) {
         Ok(config) => Box::new(config),
-        Err(e) => {
-            let faults: Vec<_> = e.to_string().lines().map(str::to_owned).collect();
-            let body =
-                serde_json::json!({ "error": "the configuration is refused", "faults": faults });
-            return Ok(json(StatusCode::BAD_REQUEST, &body));
-        }
+        Err(faults) => return Ok(faulty(faults.as_slice())),
     };
+    if let OperatorReply::Config(Some(old)) = ask(&cx, OperatorRequest::Config).await? {
+        let faults = camphorwalk_declare::check_change(&old, &config);
+        if !faults.is_empty() {
+            return Ok(faulty(&faults));
+        }
+    }
 
     let base = ConfigVersion(body.base);
     match ask(&cx, OperatorRequest::Publish { base, config }).await? {
@@ -271,6 +272,12 @@
     }
 }
 
+fn faulty(faults: &[camphorwalk_declare::Fault]) -> Response<Body> {
+    let error = "the configuration is refused";
+
+    json(StatusCode::BAD_REQUEST, &serde_json::json!({ "error": error, "faults": faults }))
+}
+
 fn current(config: &Config) -> serde_json::Value {
     serde_json::json!({ "version": config.version, "config": config })
 }
