--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,8 +1,8 @@
-//! Measures the queues of camphorwalk against baselines, in virtual time.
+//! Measures the queues and the limits of camphorwalk against baselines, in virtual time.
 //!
 //! [`run`] drives [`camphorwalk_policy::queue::Queues`] and two baselines through the same
-//! seeded programs before small fakes of engines. It simulates no cluster: one queue host,
-//! several engines. The same options give the same report, byte for byte.
+//! seeded programs before small fakes of engines. [`limits`] does the like for rate and
+//! burst. Neither simulates a cluster. The same options give the same report, byte for byte.
 
 #![warn(rust_2018_idioms)]
 #![forbid(unsafe_code)]
@@ -13,6 +13,7 @@
 pub mod experiment;
 pub mod figures;
 pub mod fleet;
+pub mod limits;
 pub mod plot;
 pub mod report;
 pub mod scheduler;
