Node: a drain by way of another host ends the host

Cause: a Drain message of a peer went to the control thread alone. The host handed back its leases, but its health stayed ready and its process never ended. An order to the host itself also skipped the balancer's delay before the leases went back.

Now both set the phase to leaving, and the daemon goes the one way of leaving: health, the balancer's delay, what runs, leases, end.

--- a/crates/camphorwalk/tests/operator_commands.rs
+++ b/crates/camphorwalk/tests/operator_commands.rs
@@ -153,6 +153,8 @@
     assert_eq!(other.status, 201, "{}", other.body);
 }
 
+// An operator has a host leave by asking another one. The message reaches it as a peer's;
+// it goes the same way as on a signal, from its health to the end of its process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_is_drained_through_another() {
     let mut desk = desk().await;
@@ -161,7 +163,7 @@
     let (unknown_code, _) = desk.run(&["drain", "no-such-host"]);
 
     assert_eq!((code, unknown_code), (0, 1), "{told}");
-    assert!(desk.fleet.hosts[2].ended_well());
+    until("the host ends", async || desk.fleet.hosts[2].has_ended_well()).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/camphorwalk/tests/support/mod.rs
+++ b/crates/camphorwalk/tests/support/mod.rs
@@ -64,6 +64,11 @@
         let _ = self.child.wait();
     }
 
+    /// Returns whether the process has ended by itself and well.
+    pub fn has_ended_well(&mut self) -> bool {
+        self.child.try_wait().expect("it can be asked").is_some_and(|status| status.success())
+    }
+
     /// Waits for the process to end by itself, and returns whether it ended well.
     pub fn ended_well(&mut self) -> bool {
         self.child.wait().expect("it can be waited for").success()
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -279,6 +279,11 @@
             } => {
                 pass_chunk(&shared.streams, chunk);
             }
+            // The whole way of leaving starts with the health that the balancer sees, so the
+            // control thread hears of it only after the balancer's delay.
+            Inbound::Message { message: PeerMessage { body: Some(Body::Drain(_)) }, .. } => {
+                shared.phase.send_replace(Phase::Leaving);
+            }
             Inbound::Message { from, message } => {
                 if let Some(Body::Answer(answer)) = &message.body {
                     shared.streams.expect(RequestId(answer.request), answer.chunks);
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -234,6 +234,7 @@
     if host == cx.context().name {
         authorize(&cx)?;
         cx.context().phase.send_replace(Phase::Leaving);
+        return accepted(OperatorReply::Accepted, "");
     }
 
     accepted(ask(&cx, OperatorRequest::Drain { host }).await?, "there is no such host in reach")
