--- a/crates/camphorwalk/src/operator.rs
+++ b/crates/camphorwalk/src/operator.rs
@@ -8,7 +8,8 @@
 use camphorwalk_core::units::ConfigVersion;
 use camphorwalk_declare::Fault;
 use camphorwalk_policy::scheduler::Status;
-use http::{Method, StatusCode};
+use http::StatusCode;
+use hyper_util::client::legacy::Error as HttpError;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -166,28 +167,20 @@
 
     /// Asks without changing anything.
     async fn get(&self, path: &str) -> Result<Answer> {
-        self.send(Method::GET, path, None).await.map_err(Error::Unreachable)
-    }
-
-    /// Asks for a change. Once the request may have been sent, silence tells nothing.
-    async fn post(&self, path: &str, body: &Value) -> Result<Answer> {
-        // A host that refuses connections has not got the request.
-        let connected = tokio::net::TcpStream::connect(self.host).await;
-        connected.map_err(|error| Error::Unreachable(self.explain(&error.into())))?;
+        let sent = self.client.get(self.host, path).await;
 
-        self.send(Method::POST, path, Some(body)).await.map_err(Error::Unknown)
+        sent.map_err(|error| Error::Unreachable(self.explain(&error)))
     }
 
-    /// Sends a request.
-    async fn send(
-        &self,
-        method: Method,
-        path: &str,
-        body: Option<&Value>,
-    ) -> std::result::Result<Answer, Box<str>> {
-        let sent = self.client.send(method, self.host, path, None, body).await;
+    /// Asks for a change.
+    async fn post(&self, path: &str, body: &Value) -> Result<Answer> {
+        let sent = self.client.post(self.host, path, body).await;
 
-        sent.map_err(|error| self.explain(&error))
+        // Once connected, the request may have been sent, and silence tells nothing.
+        sent.map_err(|error| match error.downcast_ref::<HttpError>() {
+            Some(http) if http.is_connect() => Error::Unreachable(self.explain(&error)),
+            _ => Error::Unknown(self.explain(&error)),
+        })
     }
 
     /// Returns an error of the connection as a text.
--- a/crates/camphorwalk/tests/operator_commands.rs
+++ b/crates/camphorwalk/tests/operator_commands.rs
@@ -108,6 +108,26 @@
     assert!(tenants.iter().any(|tenant| tenant["name"] == "red" && tenant["burst"] == 60));
 }
 
+// The platform is away. The command says so by its exit code, and nothing is published;
+// the same command works when the platform is back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_without_the_platform_is_not_published() {
+    let desk = desk().await;
+    let (_, before) = desk.run(&["status"]);
+    desk.set("tenants/red.json", "burst", 60);
+
+    desk.fleet.platform_mode("refuse").await;
+    let (away_code, _) = desk.run(&["apply", &desk.dir()]);
+    let (_, away) = desk.run(&["status"]);
+    desk.fleet.platform_mode("ok").await;
+    let (code, applied) = desk.run(&["apply", &desk.dir()]);
+
+    assert_eq!((away_code, code), (3, 0), "{applied}");
+    assert_eq!(away["version"], before["version"]);
+    let one_later = before["version"].as_u64().map(|version| version + 1);
+    assert_eq!(applied["version"].as_u64(), one_later, "{applied}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_is_fixed_for_life_is_refused_by_command_and_host() {
     let desk = desk().await;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -9,8 +9,8 @@
 use camphorwalk_policy::configs::{OperatorId, Published};
 use camphorwalk_policy::scheduler::{Event, OperatorReply, OperatorRequest, Status};
 use dropshot::{
-    ApiDescription, ApiDescriptionRegisterError, Body, ConfigDropshot, HttpError, HttpServer,
-    Query, RequestContext, ServerBuilder, TypedBody, endpoint,
+    ApiDescription, ApiDescriptionRegisterError, Body, ConfigDropshot, ErrorStatusCode, HttpError,
+    HttpServer, Query, RequestContext, ServerBuilder, TypedBody, endpoint,
 };
 use http::{Response, StatusCode, header};
 use schemars::JsonSchema;
@@ -308,7 +308,7 @@
         Ok(Ok(reply)) => Ok(reply),
         _ => {
             shared.operators.lock().unwrap_or_else(PoisonError::into_inner).remove(&ask);
-            Err(HttpError::for_unavail(None, "no answer in time".into()))
+            Err(no_answer_in_time())
         }
     }
 }
@@ -336,6 +336,19 @@
     ))
 }
 
+/// Says that it is not known whether the request took effect: 503 would say that it did not.
+fn no_answer_in_time() -> HttpError {
+    let message = "no answer in time; it may still take effect".to_owned();
+
+    HttpError {
+        status_code: ErrorStatusCode::GATEWAY_TIMEOUT,
+        error_code: None,
+        external_message: message.clone(),
+        internal_message: message,
+        headers: None,
+    }
+}
+
 fn unexpected() -> HttpError {
     HttpError::for_internal_error("the control thread gave another kind of answer".into())
 }
