Programs: a lease that is lost and found again, and a late tail

Cause: the lease part can tell a host that it lost a partition and, when its session turns out to be alive, that it holds it still, with the same epoch and version. The fuzz, told to do this, found a call twice in one history.

Ruled out: dropping a transaction in doubt with its tenure; it may still take effect.

--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -216,7 +216,7 @@
     /// The partitions whose journal is being read.
     recovering: BTreeMap<PartitionId, Recovering>,
     /// The reads under way.
-    scans: Map<ProgramOp, (PartitionId, Epoch)>,
+    scans: Map<ProgramOp, (PartitionId, u64)>,
     /// The write under way.
     writing: Option<ProgramOp>,
     /// The programs, orphans included.
@@ -239,6 +239,8 @@
     retries: RetryBudget,
     /// The requests that crash targets.
     suspects: Suspects,
+    /// The number of the last tenure of a partition.
+    last_tenure: u64,
     /// The number of the last platform operation.
     last_op: u64,
     /// The number of the last attempt.
@@ -286,6 +288,7 @@
             timers: Timers::default(),
             retries: RetryBudget::new(),
             suspects: Suspects::default(),
+            last_tenure: 0,
             last_op: 0,
             last_attempt: 0,
         }
--- a/crates/policy/src/programs/commits.rs
+++ b/crates/policy/src/programs/commits.rs
@@ -22,7 +22,7 @@
 
         self.journal.push(Pending {
             partition: program.partition,
-            epoch: tenure.epoch,
+            tenure: tenure.id,
             entry,
             waiter,
         });
@@ -66,6 +66,8 @@
             cx.out.push(ProgramNext::Fenced { partition, epoch });
             self.lost(cx, partition);
         }
+
+        self.scan_unblocked(cx);
     }
 
     /// The platform holds an entry.
--- a/crates/policy/src/programs/journal.rs
+++ b/crates/policy/src/programs/journal.rs
@@ -31,6 +31,10 @@
 /// Where a partition's journal stands, as far as writing goes.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Tenure {
+    /// A number of this process's own. A lease can be lost by this host's clock and found
+    /// to be still its own, with the same epoch; entries of before are void all the same,
+    /// as their programs were forgotten.
+    pub id: u64,
     /// The epoch of the lease.
     pub epoch: Epoch,
     /// The version of the lease row, which each write checks.
@@ -61,8 +65,8 @@
 pub(super) struct Pending {
     /// The partition.
     pub partition: PartitionId,
-    /// The epoch under which it was made: void under any other.
-    pub epoch: Epoch,
+    /// The tenure under which it was made: void under any other.
+    pub tenure: u64,
     /// The entry.
     pub entry: Entry,
     /// Who waits on it.
@@ -160,6 +164,11 @@
         self.flight.as_ref().is_some_and(|flight| flight.in_doubt)
     }
 
+    /// Tells whether the transaction under way writes to a partition's journal.
+    pub fn is_writing(&self, partition: PartitionId) -> bool {
+        self.flight.as_ref().is_some_and(|f| f.rows.iter().any(|(p, ..)| *p == partition))
+    }
+
     /// Returns how long a caller should wait before it tries again.
     pub fn retry_after(&self) -> Duration {
         self.backoff.max(Duration::from_millis(500))
@@ -210,7 +219,7 @@
     /// Takes what fits into one transaction off the entries that wait.
     fn gather(&mut self, tenures: &BTreeMap<PartitionId, Tenure>) -> Option<Flight> {
         // Entries of a former tenure are void: the journal they continue is another's now.
-        self.waiting.retain(|p| tenures.get(&p.partition).is_some_and(|t| t.epoch == p.epoch));
+        self.waiting.retain(|p| tenures.get(&p.partition).is_some_and(|t| t.id == p.tenure));
 
         let only = (self.alone > 0).then(|| self.waiting.first().map(|p| p.partition)).flatten();
         let mut bytes = 0;
@@ -302,7 +311,7 @@
 
         for (partition, written, _) in &flight.rows {
             if let Some(tenure) = tenures.get_mut(partition)
-                && tenure.epoch == written.epoch
+                && tenure.id == written.id
             {
                 tenure.next = written.next + 1;
             }
@@ -335,7 +344,7 @@
         self.due = now;
 
         for (partition, written, key) in &flight.rows {
-            let current = tenures.get(partition).filter(|t| t.epoch == written.epoch);
+            let current = tenures.get(partition).filter(|t| t.id == written.id);
             let taken = stands(found, key) || stands(found, &lease_key(*partition));
 
             match current {
@@ -357,8 +366,6 @@
 
         // Nothing took effect, nor can it later: a lease's version never comes back.
         self.put_back(flight.entries);
-        self.waiting.retain(|p| !resolved.fenced.contains(&(p.partition, p.epoch)));
-
         resolved
     }
 
--- a/crates/policy/src/programs/recovery.rs
+++ b/crates/policy/src/programs/recovery.rs
@@ -50,18 +50,43 @@
         }
 
         self.lost(cx, partition);
-        let tenure = Tenure { epoch, lease, next: 1 };
-        let recovering =
-            Recovering { tenure, after: "".into(), parked: Vec::new(), retry_at: None };
+        self.last_tenure += 1;
+        let tenure = Tenure { id: self.last_tenure, epoch, lease, next: 1 };
+        let recovering = Recovering {
+            tenure,
+            after: "".into(),
+            parked: Vec::new(),
+            retry_at: None,
+            blocked: true,
+        };
         self.recovering.insert(partition, recovering);
-        self.scan(cx, partition);
+        self.scan_unblocked(cx);
+    }
+
+    /// Begins to read the journals that this host itself does not write to any more.
+    ///
+    /// A lease can be lost and found again with the same version. A transaction of before,
+    /// whose answer was lost, could then take effect after the journal was read: the row
+    /// would be missing here, and what is written next would contradict it.
+    pub(super) fn scan_unblocked(&mut self, cx: &mut Cx<'_>) {
+        let free: Vec<_> = self
+            .recovering
+            .iter()
+            .filter(|(partition, r)| r.blocked && !self.journal.is_writing(**partition))
+            .map(|(partition, _)| *partition)
+            .collect();
+
+        for partition in free {
+            self.scan(cx, partition);
+        }
     }
 
     /// Asks for the next rows of a journal.
     fn scan(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
         let Some(recovering) = self.recovering.get_mut(&partition) else { return };
         recovering.retry_at = None;
-        let epoch = recovering.tenure.epoch;
+        recovering.blocked = false;
+        let tenure = recovering.tenure.id;
         let after = recovering.after.clone();
 
         let op = self.platform(
@@ -73,15 +98,15 @@
                 limit: PAGE_ROWS,
             },
         );
-        self.scans.insert(op, (partition, epoch));
+        self.scans.insert(op, (partition, tenure));
     }
 
     /// Rows of a journal came in.
     pub(super) fn on_scan(&mut self, cx: &mut Cx<'_>, op: ProgramOp, reply: PlatformReply) {
-        let Some((partition, epoch)) = self.scans.remove(&op) else { return };
+        let Some((partition, tenure)) = self.scans.remove(&op) else { return };
         let Some(recovering) = self.recovering.get_mut(&partition) else { return };
 
-        if recovering.tenure.epoch != epoch {
+        if recovering.tenure.id != tenure {
             return;
         }
 
--- a/crates/policy/src/programs/state.rs
+++ b/crates/policy/src/programs/state.rs
@@ -53,6 +53,8 @@
     pub after: Box<str>,
     /// Requests that came meanwhile.
     pub parked: Vec<Parked>,
+    /// Whether reading has not begun, because a write of this host is still under way.
+    pub blocked: bool,
     /// When the next page is asked for, after the platform was away.
     pub retry_at: Option<Instant>,
 }
--- a/crates/policy/src/programs/steps.rs
+++ b/crates/policy/src/programs/steps.rs
@@ -117,7 +117,10 @@
         self.set_stage(cx, id, Stage::Intending, Some(ASK_WAIT));
         let call = &self.calls[id];
         let key = call.program;
-        let program = &self.programs[key];
+        let program = &mut self.programs[key];
+
+        // Readers of the journal take an earlier intent for closed once another follows.
+        program.open_intent = None;
 
         let entry = IntentEntry {
             program: program.id,
--- a/crates/policy/tests/programs_home/world.rs
+++ b/crates/policy/tests/programs_home/world.rs
@@ -5,8 +5,10 @@
 
 use camphorwalk_core::calls::{CallRequest, HistoryCall, OpenRequest, Ran, Reply, Request, Usage};
 use camphorwalk_core::hash::digest;
-use camphorwalk_core::ids::{HostId, KeyId, PartitionId, ProgramId, RequestId, TargetId, Ticket};
-use camphorwalk_core::platform::{PlatformOp, PlatformReply, Transaction};
+use camphorwalk_core::ids::{
+    Epoch, HostId, KeyId, PartitionId, ProgramId, RequestId, TargetId, Ticket,
+};
+use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowVersion, Transaction};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 use camphorwalk_policy::programs::{ProgramEvent, ProgramNext, ProgramOptions, Programs};
@@ -76,8 +78,8 @@
     pub turns: Vec<(ProgramId, Box<str>)>,
     /// Tokens that the engine took and gave, for each family.
     pub tokens: BTreeMap<PartitionId, u64>,
-    /// The host that took each partition last.
-    holders: [usize; 2],
+    /// The host that took each partition last, its session and the lease.
+    holders: [(usize, u64, Epoch, RowVersion); 2],
     /// The last call and tail that a program's caller has seen.
     seen: BTreeMap<ProgramId, (u32, Option<Box<str>>)>,
 }
@@ -97,7 +99,7 @@
             ledger: Vec::new(),
             turns: Vec::new(),
             tokens: BTreeMap::new(),
-            holders: [0; 2],
+            holders: [(0, 0, Epoch(0), RowVersion(0)); 2],
             seen: BTreeMap::new(),
         };
 
@@ -139,7 +141,7 @@
 
     /// Returns the host that took a program's partition last.
     pub fn holder(&self, program: usize) -> usize {
-        self.holders[usize::from(PROGRAMS[program].partition(2).0)]
+        self.holders[usize::from(PROGRAMS[program].partition(2).0)].0
     }
 
     pub fn set_weather(&mut self, weather: Weather) {
@@ -160,9 +162,25 @@
 
     /// A host takes a partition's lease; its former holder is told nothing.
     pub fn take_over(&mut self, host: usize, partition: u16) {
-        self.holders[usize::from(partition)] = host;
+        let (epoch, lease) = self.platform.take_lease(PartitionId(partition));
+        let session = self.hosts[host].session;
+        self.holders[usize::from(partition)] = (host, session, epoch, lease);
+        self.acquired(partition);
+    }
+
+    /// The holder of a lease finds that it holds it still, after its clock said otherwise.
+    pub fn regain(&mut self, partition: u16) {
+        let (host, session, ..) = self.holders[usize::from(partition)];
+
+        if self.hosts[host].session == session {
+            self.expire(host, partition);
+            self.acquired(partition);
+        }
+    }
+
+    fn acquired(&mut self, partition: u16) {
+        let (host, _, epoch, lease) = self.holders[usize::from(partition)];
         let partition = PartitionId(partition);
-        let (epoch, lease) = self.platform.take_lease(partition);
         let event = ProgramEvent::Acquired { partition, epoch, lease };
         self.hosts[host].mailbox.push_back(event);
     }
