--- a/crates/bench/src/limits/bucket.rs
+++ b/crates/bench/src/limits/bucket.rs
@@ -19,6 +19,16 @@
         Self { level: u128::from(burst) * TOKEN, at: 0 }
     }
 
+    /// Makes an empty bucket at a time in microseconds.
+    ///
+    /// ```
+    /// use camphorwalk_bench::limits::ExactBucket;
+    /// assert!(!ExactBucket::empty(5).take(5, 2.0, 1));
+    /// ```
+    pub fn empty(at: u64) -> Self {
+        Self { level: 0, at }
+    }
+
     /// Takes a token at a time in microseconds, if there is one.
     ///
     /// ```
--- a/crates/bench/src/limits/fleet.rs
+++ b/crates/bench/src/limits/fleet.rs
@@ -319,6 +319,16 @@
         self.admitted.values().map(|calls| calls.len() as u64).sum()
     }
 
+    /// Returns what all hosts sent and received.
+    pub fn traffic(&self) -> Traffic {
+        let all = self.nodes.iter().map(|node| node.traffic);
+
+        all.fold(Traffic::default(), |sum, part| Traffic {
+            messages: sum.messages + part.messages,
+            bytes: sum.bytes + part.bytes,
+        })
+    }
+
     /// Returns whether the process of a host is there, paused or not.
     pub fn lives(&self, host: usize) -> bool {
         self.nodes[host].slices.is_some()
--- /dev/null
+++ b/crates/bench/src/limits/scenario.rs
@@ -0,0 +1,153 @@
+//! The calls and faults that each way of limiting is measured with.
+
+use std::sync::Arc;
+
+use camphorwalk_core::config::Config;
+use camphorwalk_core::hash::rendezvous;
+use camphorwalk_core::ids::{HostId, TenantId};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+use serde::Serialize;
+
+use super::fleet::{MILLI, SECOND, config};
+
+/// The time before the first call, in which columns are granted and slices fill up.
+pub(super) const WARM_UP: u64 = 30 * SECOND;
+
+/// The tenants: a few large ones, as at Inkwick and Inzira (name, rate a second, burst).
+const TENANTS: [(&str, f64, u32); 8] = [
+    ("t1", 40.0, 40),
+    ("t2", 20.0, 20),
+    ("t3", 10.0, 12),
+    ("t4", 5.0, 10),
+    ("t5", 4.0, 8),
+    ("t6", 3.0, 8),
+    ("t7", 2.0, 6),
+    ("t8", 1.0, 6),
+];
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+const SLICES: u16 = 16;
+
+/// What happens in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Scenario {
+    /// All well; four fifths of each tenant's calls enter at one host.
+    SkewedEntry,
+    /// All well; calls come in bursts of half the tenant's burst, each at one host.
+    SmallBursts,
+    /// One zone is cut off from the others and the platform for the middle third.
+    ZoneCut,
+    /// The host that pools the largest tenant dies after a third.
+    PoolKilled,
+    /// The largest tenant sends five times its rate.
+    FiveTimes,
+}
+
+impl Scenario {
+    /// All scenarios.
+    pub const ALL: [Self; 5] =
+        [Self::SkewedEntry, Self::SmallBursts, Self::ZoneCut, Self::PoolKilled, Self::FiveTimes];
+}
+
+/// A call that enters at a host.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Call {
+    /// When, in microseconds.
+    pub(super) at: u64,
+    pub(super) host: usize,
+    /// The tenant's place in the configuration.
+    pub(super) tenant: usize,
+}
+
+/// A scenario with its calls.
+#[derive(Clone, Debug)]
+pub(super) struct Plan {
+    pub(super) scenario: Scenario,
+    pub(super) cfg: Arc<Config>,
+    pub(super) hosts: usize,
+    /// In the order of time.
+    pub(super) calls: Vec<Call>,
+    /// The middle third: a zone is cut off.
+    pub(super) cut: (u64, u64),
+    pub(super) end: u64,
+    pub(super) seed: u64,
+}
+
+impl Plan {
+    pub(super) fn new(scenario: Scenario, hosts: usize, span: u64, seed: u64) -> Self {
+        let cfg = config(&ZONES, SLICES, &TENANTS);
+        let cut = (WARM_UP + span / 3, WARM_UP + span * 2 / 3);
+        let mut plan = Self { scenario, cfg, hosts, calls: vec![], cut, end: WARM_UP + span, seed };
+
+        let mut rng = SmallRng::seed_from_u64(seed);
+        (0..TENANTS.len()).for_each(|tenant| plan.add_calls(tenant, &mut rng));
+        plan.calls.sort_by_key(|call| call.at);
+        plan
+    }
+
+    /// Returns whether a host is in the zone that is cut off.
+    pub(super) fn is_cut(&self, host: usize) -> bool {
+        self.scenario == Scenario::ZoneCut && host % ZONES.len() == ZONES.len() - 1
+    }
+
+    /// Returns the host that dies, and when.
+    pub(super) fn killed(&self) -> Option<(usize, u64)> {
+        let pool = self.pool_of(0, |_| true);
+
+        (self.scenario == Scenario::PoolKilled).then_some((pool, self.cut.0))
+    }
+
+    /// Returns the host that pools a tenant if only some hosts are seen.
+    pub(super) fn pool_of(&self, tenant: usize, seen: impl Fn(usize) -> bool) -> usize {
+        let id = TenantId::from_name(TENANTS[tenant].0);
+        let hosts = (0..self.hosts).filter(|host| seen(*host));
+        let ids: Vec<(usize, HostId)> = hosts.map(|host| (host, host_id(host))).collect();
+        let winner = rendezvous(id.0, ids.iter().map(|(_, id)| id.0));
+
+        ids.iter().find(|(_, id)| Some(id.0) == winner).map_or(0, |(host, _)| *host)
+    }
+
+    /// Adds the calls of a tenant: bursts at random times.
+    fn add_calls(&mut self, tenant: usize, rng: &mut SmallRng) {
+        let (_, rate, burst) = TENANTS[tenant];
+        let load = if self.scenario == Scenario::FiveTimes && tenant == 0 { 5.0 } else { 0.8 };
+        let most = if self.scenario == Scenario::SmallBursts { burst / 2 } else { 3 };
+        let favourite = rng.random_range(0..self.hosts);
+        let mut at = WARM_UP as f64;
+
+        loop {
+            let calls = rng.random_range(1..=most.max(1));
+            let mean = f64::from(calls) / (rate * load) * SECOND as f64;
+            at += -mean * (1.0 - rng.random::<f64>()).ln();
+
+            if self.end as f64 <= at {
+                return;
+            }
+
+            let skewed = self.scenario == Scenario::SkewedEntry && rng.random_bool(0.8);
+            let host = if skewed { favourite } else { rng.random_range(0..self.hosts) };
+            let host = self.live_host(host, at as u64);
+            let call = Call { at: at as u64, host, tenant };
+            self.calls.extend((0..calls).map(|_| call));
+        }
+    }
+
+    /// Callers of a dead host come back at the next one.
+    fn live_host(&self, host: usize, at: u64) -> usize {
+        match self.killed() {
+            Some((dead, when)) if dead == host && when <= at => (host + 1) % self.hosts,
+            _ => host,
+        }
+    }
+}
+
+/// Returns the id of a host of a measured fleet.
+pub(super) fn host_id(host: usize) -> HostId {
+    HostId::from_name(&format!("host-{host}"))
+}
+
+/// The time after which the others have noticed that a host died or was cut off.
+pub(super) const NOTICED: u64 = 2_000 * MILLI;
