Slices: at most 64 pool hosts; withdrawn tenants are recalled and forgotten

The cause was the owner of two columns, which renewed its loans with more than 200 pool hosts each second. Ruled out: longer loans (slower after a pool host's death), lending on demand (all 310 tenants are in steady use).

A withdrawn tenant's loans were kept with a share of zero; they now are recalled, and their slices forgotten. The fuzz machine withdraws a tenant, too.

--- a/crates/policy/src/slices/lender.rs
+++ b/crates/policy/src/slices/lender.rs
@@ -129,7 +129,6 @@
             self.slices.insert(key, Slice { share, place });
         }
 
-        self.slices.retain(|_, slice| !slice.is_over());
         self.next_offers = now;
     }
 
@@ -311,9 +310,10 @@
 
         for (loan, key) in &account.loans {
             let Some(slice) = self.slices.get_mut(key) else { continue };
+            let withdrawn = slice.is_withdrawn();
             let Place::Lent(lent) = &mut slice.place else { continue };
 
-            if pools.of(key.0) != borrower.host {
+            if pools.of(key.0) != borrower.host || withdrawn {
                 grant.recalls.push(*loan);
                 continue;
             }
@@ -334,9 +334,12 @@
         let Some(account) = self.accounts.get_mut(&borrower) else { return };
 
         for ((tenant, column), slice) in &mut self.slices {
+            let withdrawn = slice.is_withdrawn();
             let Place::Here(bucket) = &mut slice.place else { continue };
 
-            if pools.of(*tenant) != borrower.host || !self.columns[column].is_usable(now) {
+            let wanted = pools.of(*tenant) == borrower.host && !withdrawn;
+
+            if !wanted || !self.columns[column].is_usable(now) {
                 continue;
             }
 
@@ -372,6 +375,7 @@
         }
 
         self.next_offers = now + self.times.retry;
+        self.slices.retain(|_, slice| !slice.is_over());
         self.offered.retain(|_, again| now < *again);
         let mut hosts = Vec::new();
 
@@ -441,9 +445,14 @@
         }
     }
 
-    /// Returns whether its tenant is gone and nobody uses it.
+    /// Returns whether its tenant is withdrawn.
+    fn is_withdrawn(&self) -> bool {
+        self.share == Share::default()
+    }
+
+    /// Returns whether its tenant is withdrawn and nobody uses it.
     fn is_over(&self) -> bool {
-        self.share == Share::default() && matches!(self.place, Place::Here(_))
+        self.is_withdrawn() && matches!(self.place, Place::Here(_))
     }
 
     /// Returns the host whose next request this slice waits for, given its pool host.
--- a/crates/policy/src/slices/pools.rs
+++ b/crates/policy/src/slices/pools.rs
@@ -3,12 +3,19 @@
 use camphorwalk_core::hash::{Map, rendezvous};
 use camphorwalk_core::ids::{HostId, TenantId};
 
+/// The most hosts that pool tenants.
+///
+/// Each owner of a column renews its loans with each pool host. In a large fleet nearly
+/// every host would pool some tenant, and owners would spend their bytes on renewals.
+const MOST_POOL_HOSTS: usize = 64;
+
 /// The pool host of each tenant, as this host sees the fleet.
 ///
 /// It steers only. Hosts whose views differ pool different slices of a tenant.
 #[derive(Clone, Debug)]
 pub(super) struct Pools {
     me: HostId,
+    /// In order. Ids are hashes of names: the first ones are as good as drawn by lot.
     hosts: Vec<HostId>,
     known: Map<TenantId, HostId>,
 }
@@ -39,9 +46,10 @@
 
     /// Returns the pool host of a tenant.
     pub(super) fn of(&mut self, tenant: TenantId) -> HostId {
-        // 390 hosts are weighed once for each tenant, not once for each call.
+        // Hosts are weighed once for each tenant, not once for each call.
         *self.known.entry(tenant).or_insert_with(|| {
-            let winner = rendezvous(tenant.0, self.hosts.iter().map(|host| host.0));
+            let candidates = self.hosts.iter().take(MOST_POOL_HOSTS);
+            let winner = rendezvous(tenant.0, candidates.map(|host| host.0));
 
             winner.map_or(self.me, HostId)
         })
--- a/crates/policy/tests/slices_fuzz.rs
+++ b/crates/policy/tests/slices_fuzz.rs
@@ -14,12 +14,13 @@
 const COLUMNS: usize = 6;
 const TENANTS: [&str; 2] = ["ramps", "weddings"];
 
-/// Rates and bursts that operators change between.
-const FIGURES: [[(&str, f64, u32); 2]; 4] = [
-    [("ramps", 4.0, 3), ("weddings", 40.0, 12)],
-    [("ramps", 9.5, 7), ("weddings", 7.3, 2)],
-    [("ramps", 0.7, 1), ("weddings", 90.0, 40)],
-    [("ramps", 30.0, 1), ("weddings", 40.0, 30)],
+/// Rates and bursts that operators change between; the last withdraws a tenant.
+const FIGURES: [&[(&str, f64, u32)]; 5] = [
+    &[("ramps", 4.0, 3), ("weddings", 40.0, 12)],
+    &[("ramps", 9.5, 7), ("weddings", 7.3, 2)],
+    &[("ramps", 0.7, 1), ("weddings", 90.0, 40)],
+    &[("ramps", 30.0, 1), ("weddings", 40.0, 30)],
+    &[("ramps", 4.0, 3)],
 ];
 
 #[derive(Clone, Debug)]
@@ -173,7 +174,7 @@
         fleet.assert_all_answered();
         count(fleet.steps);
 
-        for (tenant, _, burst) in FIGURES[0] {
+        for &(tenant, _, burst) in FIGURES[0] {
             let before = fleet.admitted_calls();
             (0..burst).for_each(|_| fleet.take(0, tenant));
             fleet.run(SECOND);
@@ -184,7 +185,7 @@
 }
 
 fn figures(which: usize) -> std::sync::Arc<camphorwalk_core::config::Config> {
-    config(&["a", "b"], COLUMNS as u16, &FIGURES[which])
+    config(&["a", "b"], COLUMNS as u16, FIGURES[which])
 }
 
 /// Calls for all tenants at all hosts, every 20 milliseconds.
--- a/crates/policy/tests/slices_rules.rs
+++ b/crates/policy/tests/slices_rules.rs
@@ -190,6 +190,7 @@
     // former loan would end the new one, which is in use.
     let (mut former, mut pool) = (lender(1), host(ids().1, 2));
     lend(&mut former, &mut pool);
+    step(&mut pool, READY + 1_500, SliceEvent::Wake);
     let mut lender = lender(3);
     let req = ask(&mut pool, READY + 2_999);
     let grant = answer(&mut lender, READY + 2_999, ids().1, &req).expect("a grant");
@@ -198,7 +199,8 @@
     let next = ask(&mut pool, READY + 3_300);
     let grant = answer(&mut lender, READY + 3_300, ids().1, &next).expect("a grant");
 
-    assert!(req.lender == 1 && next.lender == 3 && grant.loans.is_empty());
+    assert!(req.lender == 1 && req.returns.is_empty() && next.lender == 3);
+    assert!(grant.loans.is_empty());
     assert!(lender.usable(Instant::from_millis(READY + 3_300)).is_empty());
 }
 
@@ -289,11 +291,47 @@
 fn an_owner_past_its_lease_neither_lends_nor_uses() {
     let mut lender = host(ids().0, 1);
     step(&mut lender, 0, owned(READY, true));
-    let before = lender.usable(Instant::from_millis(READY - 1)).len();
+    let before = [READY - 1, READY].map(|at| lender.usable(Instant::from_millis(at)).len());
     let req = LoanRequest { session: 2, number: 1, ..LoanRequest::default() };
 
     let grant = answer(&mut lender, READY, ids().1, &req).expect("a grant");
 
-    assert_eq!((before, grant.loans.len(), grant.columns.len()), (1, 0, 0));
+    assert_eq!((before, grant.loans.len(), grant.columns.len()), ([1, 0], 0, 0));
     assert!(lender.usable(Instant::from_millis(READY)).is_empty());
 }
+
+#[test]
+fn a_withdrawn_tenant_is_recalled_and_forgotten() {
+    let (mut lender, mut pool) = (lender(1), host(ids().1, 2));
+    lend(&mut lender, &mut pool);
+    step(&mut lender, READY, SliceEvent::Config(config(&["a"], 1, &[])));
+    renew(&mut lender, &mut pool, READY + 300);
+
+    let after = ask(&mut pool, READY + 600);
+    answer(&mut lender, READY + 600, ids().1, &after);
+
+    let at = Instant::from_millis(READY + 600);
+    assert_eq!((pool.usable(at).len(), lender.usable(at).len()), (0, 0));
+}
+
+#[test]
+fn a_large_fleet_has_few_pool_hosts() {
+    // An owner renews its loans with each pool host: with 390 of them its bytes run out.
+    let mut slices = host(ids().0, 1);
+    let all: Vec<HostId> = (0..390).map(|i| HostId::from_name(&format!("h{i}"))).collect();
+    see(&mut slices, 0, &all);
+
+    let take = |i| SliceEvent::Take { take: TakeId(i), tenant: TenantId(i * 7_919) };
+    let asked: Vec<SliceNext> = (0..600).flat_map(|i| step(&mut slices, 0, take(i))).collect();
+
+    let mut pools: Vec<HostId> = asked
+        .iter()
+        .filter_map(|next| match next {
+            SliceNext::Send { to, .. } => Some(*to),
+            SliceNext::Verdict { .. } => None,
+        })
+        .collect();
+    pools.sort_unstable();
+    pools.dedup();
+    assert!((32..=64).contains(&pools.len()), "{} pool hosts", pools.len());
+}
