queue: wait longer for a prefix, and start programs only while caches have room

Cause: with one tenant at five times its rate, 70 in 100 computed prompt tokens were computed anew. A trace of grants showed why: about half of those went to another target while the holder was full (the wait of two seconds counted from the question, so after any queueing there was none, and the gain was valued without the batch that stands still), the rest had been evicted, with histories of 387 k tokens under way on caches of 192 k. Now the wait counts from when the call is first passed over, up to 5 s, its gain counts the whole batch; and new programs (not of rank 0) wait while the prefixes that will be used again fill the caches.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -283,7 +283,7 @@
             return Err(retry_after(wait));
         }
 
-        Ok(Waiter { request, since: now, deadline, refuse_at, lane, position })
+        Ok(Waiter { request, since: now, passed: None, deadline, refuse_at, lane, position })
     }
 
     fn enqueue(&mut self, asker: Asker, waiter: Waiter) {
@@ -291,15 +291,19 @@
 
         pool.shares.enter(waiter.request.tenant);
         pool.lanes.insert(waiter.lane, waiter.position);
+        pool.awaited = pool.awaited.plus(awaited(&waiter.request));
+        self.targets.set_awaited(&waiter.request, true);
         self.waiting.insert(asker, waiter);
     }
 
     /// Takes a call out of the queue.
     fn dequeue(&mut self, asker: Asker) -> Option<Waiter> {
         let waiter = self.waiting.remove(asker)?;
+        self.targets.set_awaited(&waiter.request, false);
 
         if let Some(pool) = self.pools.get_mut(&waiter.request.pool) {
             pool.lanes.remove(waiter.lane, &waiter.position);
+            pool.awaited = pool.awaited.minus(awaited(&waiter.request));
             pool.shares.leave(waiter.request.tenant);
         }
 
@@ -398,7 +402,7 @@
                 return;
             }
 
-            match pool.pick(now, id, &self.waiting, &mut self.targets) {
+            match pool.pick(now, id, &mut self.waiting, &mut self.targets) {
                 Pick::Grant(asker, target, computed) => {
                     self.grant(now, asker, target, computed, out);
                 }
@@ -427,7 +431,7 @@
             let charged = CALL_TOKENS.plus(computed).plus(output);
             let deadline = waiter.deadline;
             let place = Place { request, target, granted: now, computed, charged, deadline };
-            let candidate = Candidate { asker, request: &request, since: waiter.since };
+            let candidate = Candidate { asker, request: &request, passed: None };
 
             pool.lanes.granted(waiter.lane);
             pool.shares.advance();
@@ -456,3 +460,8 @@
 fn is_same(a: &PlaceRequest, b: &PlaceRequest) -> bool {
     (a.pool, a.tenant, a.program, a.prompt) == (b.pool, b.tenant, b.program, b.prompt)
 }
+
+/// Returns the tokens that a waiting call's program has in a cache, or will need there again.
+fn awaited(request: &PlaceRequest) -> Tokens {
+    if request.attained == Tokens(0) { Tokens(0) } else { request.prompt }
+}
--- a/crates/policy/src/queue/lanes.rs
+++ b/crates/policy/src/queue/lanes.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use camphorwalk_core::ids::TenantId;
+use camphorwalk_core::ids::{HostId, TenantId};
 use camphorwalk_core::time::Instant;
 
 use super::shares::Shares;
@@ -44,6 +44,20 @@
     pub asker: Asker,
 }
 
+/// The least position of a program under way: level 0 is for new programs.
+const FIRST_UNDER_WAY: Position = Position {
+    level: 1,
+    deadline: Instant(0),
+    arrival: 0,
+    asker: Asker { host: HostId(0), number: 0 },
+};
+
+/// How many calls of new programs in a lane are looked at for one that can be placed.
+const LOOK_AT_NEW: usize = 2;
+
+/// How many calls of programs under way in a lane are looked at for one that can be placed.
+const LOOK_AT_UNDER_WAY: usize = 4;
+
 #[derive(Debug)]
 struct Lane {
     calls: BTreeSet<Position>,
@@ -94,6 +108,11 @@
         }
     }
 
+    /// Returns whether the next grant goes to the lane that has waited longest.
+    pub fn is_aged_turn(&self) -> bool {
+        self.grants_since_aged + 1 >= AGED_TURN
+    }
+
     fn oldest(&self) -> Option<LaneId> {
         self.lanes.iter().min_by_key(|(_, lane)| lane.since).map(|(id, _)| *id)
     }
@@ -112,7 +131,7 @@
     }
 
     fn order(&self, id: LaneId, lane: &Lane, shares: &Shares, least: u64) -> LaneOrder {
-        if self.grants_since_aged + 1 >= AGED_TURN {
+        if self.is_aged_turn() {
             return (lane.since, 0, id);
         }
 
@@ -123,11 +142,25 @@
         (rank, service, id)
     }
 
-    /// Returns the first calls of a lane.
-    pub fn first(&self, id: LaneId, count: usize) -> impl Iterator<Item = Asker> + '_ {
-        let calls = self.lanes.get(&id).into_iter().flat_map(|lane| lane.calls.iter());
+    /// Returns the calls of a lane that come into question: the first of new programs, then
+    /// the first of programs under way.
+    ///
+    /// Both are looked at, since new programs may be held back.
+    pub fn first(&self, id: LaneId) -> impl Iterator<Item = Asker> + '_ {
+        let calls = self.lanes.get(&id).map(|lane| &lane.calls);
+        let new = calls.into_iter().flat_map(|calls| calls.range(..FIRST_UNDER_WAY));
+        let under_way = calls.into_iter().flat_map(|calls| calls.range(FIRST_UNDER_WAY..));
+
+        new.take(LOOK_AT_NEW)
+            .chain(under_way.take(LOOK_AT_UNDER_WAY))
+            .map(|position| position.asker)
+    }
+
+    /// Returns whether a program under way waits in a lane.
+    pub fn has_under_way(&self, id: LaneId) -> bool {
+        let last = self.lanes.get(&id).and_then(|lane| lane.calls.last());
 
-        calls.take(count).map(|position| position.asker)
+        last.is_some_and(|position| *position >= FIRST_UNDER_WAY)
     }
 
     /// Returns how many calls of a lane go before this one.
--- a/crates/policy/src/queue/pool.rs
+++ b/crates/policy/src/queue/pool.rs
@@ -11,12 +11,9 @@
 use super::lanes::{LaneId, Lanes, Position};
 use super::shares::Shares;
 use super::targets::{Candidate, Choice, Targets};
-use super::waiting::Waiting;
+use super::waiting::{Waiter, Waiting};
 use crate::wire::{Asker, PlaceRequest};
 
-/// How many calls of a lane are looked at for one that can be placed.
-const LOOK_IN_LANE: usize = 4;
-
 /// How many calls of a pool are looked at for one that can be placed.
 const LOOK_AHEAD: usize = 32;
 
@@ -27,6 +24,15 @@
 /// the next, and so on.
 const FIRST_LEVEL: u64 = 4_096;
 
+/// Calls of this rank are never held back.
+const FIRST_RANK: u8 = 0;
+
+/// How often the use of caches is looked at.
+const DEMAND_CHECK: Duration = Duration::from_millis(250);
+
+/// How much of the caches the programs under way may take before new ones are held back.
+const CACHE_SHARE: f64 = 1.0;
+
 /// The number of levels for programs under way.
 const LEVELS: u8 = 4;
 
@@ -39,6 +45,11 @@
     pub shares: Shares,
     /// What is known of calls.
     pub estimates: Estimates,
+    /// The prompts of calls that wait, of programs under way.
+    pub awaited: Tokens,
+    /// The tokens in caches that will be used again, as last looked at.
+    demand: f64,
+    demand_at: Option<Instant>,
     /// When to look again although nothing has changed.
     pub look_again: Option<Instant>,
 }
@@ -55,7 +66,13 @@
 impl Pool {
     /// Returns the next call to be placed, and keeps a target empty for a suspect whose turn
     /// has come.
-    pub fn pick(&self, now: Instant, id: PoolId, waiting: &Waiting, targets: &mut Targets) -> Pick {
+    pub fn pick(
+        &mut self,
+        now: Instant,
+        id: PoolId,
+        waiting: &mut Waiting,
+        targets: &mut Targets,
+    ) -> Pick {
         // An empty target that is kept for a suspect would stand idle if the suspect were
         // only looked for in the order.
         if let Some((asker, target)) = targets.ready_suspect(id, now)
@@ -70,23 +87,39 @@
             return Pick::Nothing(look_again);
         }
 
+        if self.demand_at.is_none_or(|at| now.since(at) >= DEMAND_CHECK) {
+            self.demand = targets.cache_in_use(now, id, &self.estimates);
+            self.demand_at = Some(now);
+        }
+
+        let cache = targets.cache(id);
         let mut last = None;
         let mut looked = 0;
 
         while let Some(order) = self.lanes.after(last, &self.shares).filter(|_| looked < LOOK_AHEAD)
         {
-            for asker in self.lanes.first(order.2, LOOK_IN_LANE) {
+            for asker in self.lanes.first(order.2) {
                 let Some(waiter) = waiting.get(asker) else { continue };
                 let request = &waiter.request;
-                let candidate = Candidate { asker, request, since: waiter.since };
+                let candidate = Candidate { asker, request, passed: waiter.passed };
                 looked += 1;
 
+                if self.holds_back(waiter, cache) {
+                    look_again = look_again.into_iter().chain([now + DEMAND_CHECK]).min();
+                    continue;
+                }
+
                 match targets.choose(now, candidate, &self.estimates) {
                     Choice::Take(target, computed) => return Pick::Grant(asker, target, computed),
-                    Choice::Wait(at) => look_again = look_again.into_iter().chain(at).min(),
+                    Choice::Wait(until) => {
+                        look_again = look_again.into_iter().chain(until).min();
+                        targets.reserve(now, asker, request);
+
+                        if until.is_some() {
+                            waiting.pass(now, asker);
+                        }
+                    }
                 }
-
-                targets.reserve(now, asker, request);
             }
 
             last = Some(order);
@@ -95,6 +128,27 @@
         Pick::Nothing(look_again)
     }
 
+    /// Returns whether a call of a new program is held back, so that programs under way keep
+    /// their prefixes.
+    ///
+    /// When more programs are under way than the caches hold, each pushes out another's
+    /// prefix just before it comes back, and most of the work is computing prefixes anew. So
+    /// a new program starts only while there is room for it; but not in the first class,
+    /// whose programs are short, and not in a lane's aged turn if it has nothing else.
+    fn holds_back(&self, waiter: &Waiter, cache: Tokens) -> bool {
+        let Waiter { request, lane, .. } = waiter;
+        let is_last_resort = self.lanes.is_aged_turn() && !self.lanes.has_under_way(*lane);
+
+        if request.attained > Tokens(0) || lane.rank == FIRST_RANK || is_last_resort {
+            return false;
+        }
+
+        let output = self.estimates.output(request.class, request.output);
+        let demand = self.demand + self.awaited.plus(request.prompt).plus(output).0 as f64;
+
+        cache > Tokens(0) && demand > cache.0 as f64 * CACHE_SHARE
+    }
+
     /// Returns the place of a new call in its lane.
     pub fn position(
         request: &PlaceRequest,
--- a/crates/policy/src/queue/residents.rs
+++ b/crates/policy/src/queue/residents.rs
@@ -24,6 +24,8 @@
     pub used: Instant,
     /// Whether a call of the program is in flight there.
     pub in_flight: bool,
+    /// Whether a call of the program waits.
+    pub awaited: bool,
     order: u64,
 }
 
@@ -47,6 +49,16 @@
         self.make_room();
     }
 
+    /// Returns how many tokens the cache holds.
+    pub fn capacity(&self) -> Tokens {
+        self.capacity
+    }
+
+    /// Returns all prefixes, the least recently used first.
+    pub fn iter(&self) -> impl Iterator<Item = &Resident> {
+        self.by_use.values().filter_map(|program| self.entries.get(program))
+    }
+
     /// Returns the prefix of a program.
     pub fn get(&self, program: ProgramId) -> Option<&Resident> {
         self.entries.get(&program)
@@ -73,7 +85,8 @@
         }
 
         let tokens = tokens.max(SMALLEST_ENTRY);
-        let resident = Resident { tokens, class, used: now, in_flight, order: self.uses };
+        let resident =
+            Resident { tokens, class, used: now, in_flight, awaited: false, order: self.uses };
         self.by_use.insert(self.uses, program);
         self.entries.insert(program, resident);
         self.uses += 1;
@@ -81,6 +94,13 @@
         self.make_room();
     }
 
+    /// Notes whether a call of a program waits.
+    pub fn set_awaited(&mut self, program: ProgramId, awaited: bool) {
+        if let Some(resident) = self.entries.get_mut(&program) {
+            resident.awaited = awaited;
+        }
+    }
+
     /// Notes that the target no longer holds a prefix.
     pub fn drop(&mut self, program: ProgramId) {
         if let Some(resident) = self.entries.remove(&program) {
--- a/crates/policy/src/queue/targets.rs
+++ b/crates/policy/src/queue/targets.rs
@@ -17,7 +17,7 @@
 use crate::wire::{Asker, PlaceEnd, PlaceEndKind, PlaceRequest};
 
 /// A call waits no longer than this for the target that holds its prefix.
-const LONGEST_PREFIX_WAIT: Duration = Duration::from_secs(2);
+const LONGEST_PREFIX_WAIT: Duration = Duration::from_secs(5);
 
 /// An eviction told this soon after a use may be older than the use.
 const EVENT_LAG: Duration = Duration::from_secs(3);
@@ -97,8 +97,8 @@
     pub asker: Asker,
     /// For what.
     pub request: &'a PlaceRequest,
-    /// Since when it waits.
-    pub since: Instant,
+    /// Since when it is passed over because a full target holds its prefix, if it is.
+    pub passed: Option<Instant>,
 }
 
 /// All targets.
@@ -209,6 +209,24 @@
         uses.map(|resident| now.since(resident.used)).min()
     }
 
+    /// Returns the tokens that the caches of the pool's targets of this zone hold.
+    pub fn cache(&self, pool: PoolId) -> Tokens {
+        let near = self.members(pool).filter(|(_, state)| state.near && !state.leaving);
+
+        near.map(|(_, state)| state.residents.capacity()).fold(Tokens(0), Tokens::plus)
+    }
+
+    /// Returns how many tokens of those caches will be used again, as expected now.
+    ///
+    /// Prefixes of calls that wait are left out.
+    pub fn cache_in_use(&self, now: Instant, pool: PoolId, estimates: &Estimates) -> f64 {
+        let near = self.members(pool).filter(|(_, state)| state.near && !state.leaving);
+        let residents = near.flat_map(|(_, state)| state.residents.iter());
+        let others = residents.filter(|resident| !resident.awaited);
+
+        others.map(|resident| resident.tokens.0 as f64 * worth(now, resident, estimates)).sum()
+    }
+
     /// Returns the best place for a call.
     pub fn choose(&self, now: Instant, call: Candidate<'_>, estimates: &Estimates) -> Choice {
         let request = call.request;
@@ -216,8 +234,7 @@
         let free = self.members(request.pool).filter(|(id, state)| {
             state.suits(*id, request) && state.is_free(now, call.asker, request)
         });
-        let worth =
-            |resident: &Resident| estimates.returns(resident.class, now.since(resident.used));
+        let worth = |resident: &Resident| worth(now, resident, estimates);
         let best = free
             .map(|(id, state)| (!state.near, cost(state, request, worth), id))
             .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
@@ -248,10 +265,13 @@
             .filter(|(_, state)| state.health.limit(now, 1) > 0 && state.alone.is_none())
             .min_by_key(|(id, state)| (missing(state, request), *id))?;
 
-        let saved = here.minus(missing(state, request)).0 as f64 * estimates.seconds_per_computed();
+        // Every call in the batch stands still while a prompt is computed.
+        let batch = f64::from(1 + self.states[&target].in_flight);
+        let saved =
+            here.minus(missing(state, request)).0 as f64 * estimates.seconds_per_computed() * batch;
         let next_place = estimates.mean_hold() / f64::from(state.in_flight.max(1));
         let worth = Duration::try_from_secs_f64(saved).unwrap_or_default();
-        let until = call.since + worth.min(LONGEST_PREFIX_WAIT);
+        let until = call.passed.unwrap_or(now) + worth.min(LONGEST_PREFIX_WAIT);
 
         (saved > next_place && until > now).then_some(until)
     }
@@ -347,6 +367,15 @@
         }
     }
 
+    /// Notes whether a call of a program waits.
+    pub fn set_awaited(&mut self, request: &PlaceRequest, awaited: bool) {
+        for id in self.pools.get(&request.pool).into_iter().flatten() {
+            if let Some(state) = self.states.get_mut(id) {
+                state.residents.set_awaited(request.program, awaited);
+            }
+        }
+    }
+
     /// Forgets a program that is over.
     pub fn forget(&mut self, program: ProgramId) {
         self.states.values_mut().for_each(|state| state.residents.drop(program));
@@ -364,6 +393,15 @@
     request.prompt.minus(state.residents.cached(request.program, request.prompt))
 }
 
+/// Returns the chance that a prefix is used again.
+fn worth(now: Instant, resident: &Resident, estimates: &Estimates) -> f64 {
+    if resident.in_flight || resident.awaited {
+        return 1.0;
+    }
+
+    estimates.returns(resident.class, now.since(resident.used))
+}
+
 /// Returns what placing a call here costs, in tokens to be computed: those of its own prompt,
 /// those of prefixes that have to go and may come back, and the slowdown by a fuller batch.
 fn cost(state: &TargetState, request: &PlaceRequest, worth: impl Fn(&Resident) -> f64) -> f64 {
--- a/crates/policy/src/queue/waiting.rs
+++ b/crates/policy/src/queue/waiting.rs
@@ -16,6 +16,8 @@
     pub request: PlaceRequest,
     /// Since when it waits.
     pub since: Instant,
+    /// Since when it is passed over because a full target holds its prefix, if it is.
+    pub passed: Option<Instant>,
     /// Its program's deadline.
     pub deadline: Instant,
     /// From when it can no longer be served in time, and is refused.
@@ -55,6 +57,13 @@
         self.calls.get(&asker)
     }
 
+    /// Notes that a call is passed over because a full target holds its prefix.
+    pub fn pass(&mut self, now: Instant, asker: Asker) {
+        if let Some(waiter) = self.calls.get_mut(&asker) {
+            waiter.passed.get_or_insert(now);
+        }
+    }
+
     /// Adds a call.
     pub fn insert(&mut self, asker: Asker, waiter: Waiter) {
         *self.tenants.entry(waiter.request.tenant).or_default() += 1;
