queue: programs under way may take two thirds of the caches

Cause: with the whole of the caches as the limit, a third of the turns with one tenant over its rate still found their prefix evicted: running calls take room too, and the rest is not laid out evenly over the targets. Conclusion: 0.65 kept.

--- a/crates/policy/src/queue/pool.rs
+++ b/crates/policy/src/queue/pool.rs
@@ -31,7 +31,7 @@
 const DEMAND_CHECK: Duration = Duration::from_millis(250);
 
 /// How much of the caches the programs under way may take before new ones are held back.
-const CACHE_SHARE: f64 = 1.0;
+const CACHE_SHARE: f64 = 0.65;
 
 /// The number of levels for programs under way.
 const LEVELS: u8 = 4;
