--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -435,6 +435,7 @@
 
             pool.lanes.granted(waiter.lane);
             pool.shares.advance();
+            pool.add_demand(request.prompt.plus(output));
             pool.shares.charge(request.tenant, weight, charged);
             self.targets.enter(now, target, candidate, output);
             self.places.insert(asker, place);
--- a/crates/policy/src/queue/pool.rs
+++ b/crates/policy/src/queue/pool.rs
@@ -128,6 +128,11 @@
         Pick::Nothing(look_again)
     }
 
+    /// Notes that a placed call takes room in a cache, until that is looked at again.
+    pub fn add_demand(&mut self, tokens: Tokens) {
+        self.demand += tokens.0 as f64;
+    }
+
     /// Returns whether a call of a new program is held back, so that programs under way keep
     /// their prefixes.
     ///
@@ -144,9 +149,11 @@
         }
 
         let output = self.estimates.output(request.class, request.output);
-        let demand = self.demand + self.awaited.plus(request.prompt).plus(output).0 as f64;
+        let room = cache.0 as f64 * CACHE_SHARE;
+        // A program larger than the room would else wait for ever, also for empty caches.
+        let size = (request.prompt.plus(output).0 as f64).min(room / 2.0);
 
-        cache > Tokens(0) && demand > cache.0 as f64 * CACHE_SHARE
+        room > 0.0 && self.demand + self.awaited.0 as f64 + size > room
     }
 
     /// Returns the place of a new call in its lane.
--- a/crates/policy/src/queue/targets.rs
+++ b/crates/policy/src/queue/targets.rs
@@ -38,8 +38,10 @@
     far_cap: u32,
     window: Window,
     in_flight: u32,
-    /// The suspect that runs alone, or that the target is kept empty for.
+    /// The suspect that runs alone here.
     alone: Option<Asker>,
+    /// The suspect that the target is kept empty for.
+    reserved: Option<Asker>,
     health: Health,
     report: LoadReport,
     residents: Residents,
@@ -66,6 +68,11 @@
         if self.report.waiting > 0 { 0 } else { self.far_cap.min(self.window.size()) }
     }
 
+    /// Returns whether a suspect has it for itself, or will have.
+    fn is_kept(&self) -> bool {
+        self.alone.is_some() || self.reserved.is_some()
+    }
+
     /// Returns whether the call could ever go here.
     fn suits(&self, id: TargetId, request: &PlaceRequest) -> bool {
         !self.leaving && self.window.declared() > 0 && request.avoid != Some(id)
@@ -73,8 +80,9 @@
 
     /// Returns whether the call can go here now.
     fn is_free(&self, now: Instant, asker: Asker, request: &PlaceRequest) -> bool {
-        match self.alone {
-            Some(alone) if alone != asker => false,
+        match self.reserved {
+            _ if self.alone.is_some() => false,
+            Some(reserved) if reserved != asker => false,
             _ if request.suspect => self.in_flight == 0 && self.limit(now) > 0,
             _ => self.in_flight < self.limit(now),
         }
@@ -126,6 +134,7 @@
                 window: Window::new(target.window),
                 in_flight: 0,
                 alone: None,
+                reserved: None,
                 health: Health::default(),
                 report: LoadReport::default(),
                 residents: Residents::default(),
@@ -140,7 +149,10 @@
         }
 
         self.states.retain(|_, state| !state.leaving || state.in_flight > 0);
-        self.states.values_mut().filter(|state| state.leaving).for_each(|state| state.alone = None);
+        self.states
+            .values_mut()
+            .filter(|state| state.leaving)
+            .for_each(|state| state.reserved = None);
         self.index();
     }
 
@@ -262,7 +274,7 @@
         let (_, state) = self
             .members(request.pool)
             .filter(|(id, state)| state.near && state.suits(*id, request) && !request.suspect)
-            .filter(|(_, state)| state.health.limit(now, 1) > 0 && state.alone.is_none())
+            .filter(|(_, state)| state.health.limit(now, 1) > 0 && !state.is_kept())
             .min_by_key(|(id, state)| (missing(state, request), *id))?;
 
         // Every call in the batch stands still while a prompt is computed.
@@ -278,7 +290,7 @@
 
     /// Keeps a target of this zone empty for a suspect, unless one is kept already.
     pub fn reserve(&mut self, now: Instant, asker: Asker, request: &PlaceRequest) {
-        let kept = self.members(request.pool).any(|(_, state)| state.alone.is_some());
+        let kept = self.members(request.pool).any(|(_, state)| state.is_kept());
 
         if kept || !request.suspect {
             return;
@@ -291,7 +303,7 @@
             .map(|(id, _)| id);
 
         if let Some(state) = target.and_then(|target| self.states.get_mut(&target)) {
-            state.alone = Some(asker);
+            state.reserved = Some(asker);
         }
     }
 
@@ -301,15 +313,16 @@
             .members(pool)
             .filter(|(_, state)| !state.leaving && state.in_flight == 0 && state.limit(now) > 0);
 
-        empty.filter_map(|(id, state)| Some((state.alone?, id))).next()
+        empty.filter_map(|(id, state)| Some((state.reserved?, id))).next()
     }
 
     /// Keeps no target empty any more for a suspect that is withdrawn.
     pub fn unreserve(&mut self, pool: PoolId, asker: Asker) {
         for id in self.pools.get(&pool).into_iter().flatten() {
-            if let Some(state) = self.states.get_mut(id).filter(|state| state.alone == Some(asker))
+            if let Some(state) =
+                self.states.get_mut(id).filter(|state| state.reserved == Some(asker))
             {
-                state.alone = None;
+                state.reserved = None;
             }
         }
     }
--- a/crates/policy/tests/queue_targets.rs
+++ b/crates/policy/tests/queue_targets.rs
@@ -7,7 +7,7 @@
 use camphorwalk_core::ids::ProgramId;
 use camphorwalk_core::units::Tokens;
 use camphorwalk_policy::queue::QueueEvent;
-use camphorwalk_policy::wire::{PlaceEndKind, PlaceRequest};
+use camphorwalk_policy::wire::{PlaceEnd, PlaceEndKind, PlaceRequest};
 use queue_support::{Bench, end, grant, id, leaving, request, target};
 
 fn two() -> Bench {
@@ -104,6 +104,76 @@
     assert_eq!(cold, grant(102, other(held)));
 }
 
+/// Lets the queues learn that computing a token takes a millisecond.
+fn learn_costs(bench: &mut Bench) {
+    for n in 1_000..1_030 {
+        let computed = Tokens(100 * (n % 7));
+        bench.ask(n, request("x", "chat", n.into()));
+        bench.pass(Duration::from_millis(computed.0 + 10));
+        bench.vacate_with(n, PlaceEnd { computed, ..end(PlaceEndKind::Finished) });
+    }
+}
+
+#[test]
+fn a_call_waits_for_the_full_target_that_holds_its_prefix() {
+    // The holder is full, the other target idle. Computing the prefix there would take five
+    // seconds; the holder's call ends sooner.
+    let mut bench = Bench::new(vec![target("t1", "a", 1), target("t2", "a", 1)]);
+    learn_costs(&mut bench);
+    bench.ask(1, PlaceRequest { avoid: Some(id("t2")), ..long(1) });
+    bench.vacate(1);
+    bench.ask(2, PlaceRequest { avoid: Some(id("t2")), ..request("x", "chat", 2) });
+
+    let at_once = bench.ask(3, long(1));
+    let after = bench.vacate(2);
+
+    assert_eq!(at_once, []);
+    assert_eq!(after, grant(3, "t1"));
+}
+
+#[test]
+fn a_call_does_not_wait_for_its_prefix_for_ever() {
+    let mut bench = Bench::new(vec![target("t1", "a", 1), target("t2", "a", 1)]);
+    learn_costs(&mut bench);
+    bench.ask(1, PlaceRequest { avoid: Some(id("t2")), ..long(1) });
+    bench.vacate(1);
+    bench.ask(2, PlaceRequest { avoid: Some(id("t2")), ..request("x", "chat", 2) });
+
+    bench.ask(3, long(1));
+    let after = bench.pass(Duration::from_secs(6));
+
+    assert_eq!(after, grant(3, "t2"));
+}
+
+#[test]
+fn a_new_program_waits_while_those_under_way_fill_the_caches() {
+    // There is a free place, but the programs under way need most of the cache: one more
+    // would push out prefixes just before they are used. A check-in is not held back.
+    let mut bench = Bench::new(vec![target("t", "a", 4)]);
+    bench.ask(1, long(1));
+    let new = PlaceRequest { attained: Tokens(0), ..long(2) };
+
+    let held_back = bench.ask(2, new);
+    let check_in = bench.ask(3, PlaceRequest { attained: Tokens(0), ..request("y", "arrival", 3) });
+    bench.vacate(3);
+    bench.vacate_with(1, PlaceEnd { program_over: true, ..end(PlaceEndKind::Finished) });
+    let after = bench.pass(Duration::from_secs(1));
+
+    assert_eq!(held_back, []);
+    assert_eq!(check_in, grant(3, "t"));
+    assert_eq!(after, grant(2, "t"));
+}
+
+#[test]
+fn a_new_program_larger_than_the_caches_is_not_held_back_for_ever() {
+    let mut bench = Bench::new(vec![target("t", "a", 4)]);
+    let huge = PlaceRequest { attained: Tokens(0), prompt: Tokens(50_000), ..long(1) };
+
+    let out = bench.ask(1, huge);
+
+    assert_eq!(out, grant(1, "t"));
+}
+
 #[test]
 fn a_leaving_target_gets_nothing_new() {
     let mut bench = two();
