--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -31,6 +31,11 @@
     pub alone_p95_ms: f64,
     /// The same of the first class's programs.
     pub first_class_alone_p95_ms: f64,
+    /// 95th percentile of what a program's latency is above its time alone.
+    pub delay_p95_ms: f64,
+    /// Programs in each thousand whose time alone is above their deadline: no policy can
+    /// finish them.
+    pub hopeless: f64,
     /// Thousands of prompt tokens computed although an earlier turn had computed them.
     pub recomputed_kilotokens: f64,
     /// The mean slowdown of the worst-served tenant within its rate.
@@ -53,13 +58,15 @@
 pub type Column = (&'static str, fn(&Figures) -> f64);
 
 /// The figures in the order of tables.
-pub const COLUMNS: [Column; 14] = [
+pub const COLUMNS: [Column; 16] = [
     ("p50 ms", |f| f.p50_ms),
     ("p95 ms", |f| f.p95_ms),
     ("p99 ms", |f| f.p99_ms),
     ("first class p95 ms", |f| f.first_class_p95_ms),
     ("alone p95 ms", |f| f.alone_p95_ms),
     ("first class alone p95 ms", |f| f.first_class_alone_p95_ms),
+    ("delay p95 ms", |f| f.delay_p95_ms),
+    ("cannot finish /1000", |f| f.hopeless),
     ("re-computed ktok", |f| f.recomputed_kilotokens),
     ("worst slowdown", |f| f.worst_slowdown),
     ("mean slowdown", |f| f.mean_slowdown),
@@ -128,7 +135,8 @@
     let mut first_class = histogram();
     let mut alone_latencies = histogram();
     let mut first_class_alone = histogram();
-    let mut finished = 0_u64;
+    let mut delays = histogram();
+    let (mut finished, mut hopeless) = (0_u64, 0_u64);
 
     for (number, program) in programs.iter().enumerate() {
         if program.parent.is_some() || program.arrival < micros(WARM_UP_SECONDS) {
@@ -148,6 +156,8 @@
 
         latencies.saturating_record(latency / 1_000);
         alone_latencies.saturating_record(alone / 1_000);
+        delays.saturating_record(latency.saturating_sub(alone) / 1_000);
+        hopeless += u64::from(alone > micros(kind.deadline));
 
         if kind.rank == 0 {
             first_class.saturating_record(latency / 1_000);
@@ -178,6 +188,8 @@
         first_class_p95_ms: first_class.value_at_quantile(0.95) as f64,
         alone_p95_ms: alone_latencies.value_at_quantile(0.95) as f64,
         first_class_alone_p95_ms: first_class_alone.value_at_quantile(0.95) as f64,
+        delay_p95_ms: delays.value_at_quantile(0.95) as f64,
+        hopeless: 1_000.0 * hopeless as f64 / latencies.len().max(1) as f64,
         recomputed_kilotokens: trace.recomputed as f64 / 1_000.0,
         worst_slowdown: worst,
         mean_slowdown: mean,
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -111,7 +111,7 @@
         rate_per_second: 1.0,
         burst: 1,
         budget_tokens: Tokens(u64::MAX),
-        weight: (part * WEIGHT_SCALE).round() as u32,
+        weight: (part * WEIGHT_SCALE).round().max(1.0) as u32,
         keys: Vec::new(),
         serve_when_cut_off: true,
     }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod baseline;
+pub mod decisions;
 pub mod drive;
 pub mod engine;
 pub mod experiment;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -210,7 +210,7 @@
         self.ranks = classes.map(|class| (ClassId::from_name(&class.name), class.rank)).collect();
 
         let tenants = config.tenants.iter();
-        self.weights = tenants.map(|t| (TenantId::from_name(&t.name), t.weight)).collect();
+        self.weights = tenants.map(|t| (TenantId::from_name(&t.name), t.weight.max(1))).collect();
 
         self.targets.configure(config, self.options.zone);
 
