Leases: work out the candidate hosts once for each reading of the tables

Cause: every lease asked the observer for a copy of all sessions. Ruled out: parsing of the rows, which stays.

--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -23,7 +23,7 @@
 };
 use camphorwalk_core::time::Instant;
 
-use self::observer::Observer;
+use self::observer::{Candidate, Observer};
 use self::rows::{LeaseRow, SessionRow};
 use self::session::{Session, SessionStep};
 use crate::slices::ColumnId;
@@ -217,6 +217,7 @@
 #[derive(Debug)]
 pub struct Leases {
     options: LeaseOptions,
+    me: HostId,
     session: Session,
     observer: Observer,
     wanted: Vec<Wanted>,
@@ -225,6 +226,9 @@
     round: Round,
     /// The rows of the last complete scan of the leases.
     rows: Vec<Row>,
+    /// The hosts that may hold leases, as of the last scan. Worked out once for all leases:
+    /// for each lease anew it took most of the control thread's time with many hosts.
+    candidates: Vec<Candidate>,
     next_poll: Instant,
     next_op: u64,
     leaving: bool,
@@ -236,6 +240,7 @@
     pub fn new(options: LeaseOptions) -> Self {
         Self {
             session: Session::new(&options),
+            me: HostId::from_name(&options.host),
             observer: Observer::default(),
             options,
             wanted: Vec::new(),
@@ -243,6 +248,7 @@
             busy: Set::default(),
             round: Round::Idle,
             rows: Vec::new(),
+            candidates: Vec::new(),
             next_poll: Instant::default(),
             next_op: 0,
             leaving: false,
@@ -424,6 +430,7 @@
     /// Compares what the tables say with what is held and wanted, and starts the next step.
     fn on_tables(&mut self, now: Instant, out: &mut Vec<LeaseNext>) {
         let rows = self.parse_rows();
+        self.candidates = self.observer.candidates();
         self.adopt(&rows, out);
         self.report(&rows, out);
         self.round = Round::Idle;
@@ -581,13 +588,10 @@
 
     /// Returns whether the rendezvous hash over the live sessions picks this host.
     fn should_hold(&self, wanted: &Wanted) -> bool {
-        let sessions = self.observer.sessions();
-        let may = |s: &&SessionRow| {
-            !s.leaving && wanted.zone.is_none_or(|zone| zone == ZoneId::from_name(&s.zone))
-        };
-        let hosts = sessions.iter().filter(may).map(|s| HostId::from_name(&s.host).0);
+        let may = |c: &&Candidate| wanted.zone.is_none_or(|zone| zone == c.zone);
+        let hosts = self.candidates.iter().filter(may).map(|c| c.host.0);
 
-        rendezvous(wanted.name.item(), hosts) == Some(HostId::from_name(&self.options.host).0)
+        rendezvous(wanted.name.item(), hosts) == Some(self.me.0)
     }
 }
 
--- a/crates/policy/src/leases/observer.rs
+++ b/crates/policy/src/leases/observer.rs
@@ -1,6 +1,7 @@
 //! What a host sees of the sessions of all hosts, by its own clock.
 
 use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::{HostId, ZoneId};
 use camphorwalk_core::platform::{Row, RowVersion};
 use camphorwalk_core::time::Instant;
 
@@ -18,6 +19,15 @@
     row: SessionRow,
 }
 
+/// A host that may hold leases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Candidate {
+    /// The host.
+    pub host: HostId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+}
+
 /// The sessions in the platform, each with the time for which it has stood unrenewed.
 ///
 /// Clocks of two hosts are never compared: a session is overdue when this host has looked
@@ -64,6 +74,17 @@
         all
     }
 
+    /// Returns the hosts that have a session and are not leaving.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let stays = |seen: &&Sighting| !seen.row.leaving;
+        let candidate = |seen: &Sighting| Candidate {
+            host: HostId::from_name(&seen.row.host),
+            zone: ZoneId::from_name(&seen.row.zone),
+        };
+
+        self.sightings.values().filter(stays).map(candidate).collect()
+    }
+
     /// Returns a session, other than `mine`, that is overdue.
     pub fn overdue(&self, now: Instant, mine: &str) -> Option<(Box<str>, RowVersion)> {
         self.sightings
