--- a/crates/peer/src/incoming.rs
+++ b/crates/peer/src/incoming.rs
@@ -164,6 +164,7 @@
             Frame::Keepalive => {
                 let answer = connection.frames.send(Frame::Keepalive);
                 timeout(limit, answer).await.map_err(|_| Error::Timeout)??;
+                shared.metrics.frame("out", Frame::Keepalive.wire_bytes());
             }
             Frame::Message(message) => {
                 if inbound.send(Inbound::Message { from: host, message }).await.is_err() {
--- a/crates/peer/src/sending.rs
+++ b/crates/peer/src/sending.rs
@@ -63,7 +63,8 @@
                     }
                 }
                 answer = self.connection.frames.next() => {
-                    answer.ok_or(Error::Closed)??;
+                    let frame = answer.ok_or(Error::Closed)??;
+                    self.shared.metrics.frame("in", frame.wire_bytes());
                     self.note_answer();
                 }
                 _ = ticks.tick() => self.tick().await?,
