--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -5,8 +5,11 @@
 mod attempts;
 mod budget;
 mod calls;
+mod checkpoint;
 mod commits;
+mod compaction;
 mod entries;
+mod flight;
 mod journal;
 mod keys;
 mod lifecycle;
@@ -35,6 +38,7 @@
 use slotmap::SlotMap;
 
 use self::budget::{Account, AccountKey};
+use self::compaction::{CHECKPOINT_BYTES, Compaction};
 use self::journal::{Journal, Tenure};
 use self::lookup::Lookup;
 use self::requests::Asked;
@@ -217,6 +221,12 @@
     recovering: BTreeMap<PartitionId, Recovering>,
     /// The reads under way.
     scans: Map<ProgramOp, (PartitionId, u64)>,
+    /// The objects being written.
+    puts: Map<ProgramOp, PartitionId>,
+    /// How the journals have grown.
+    compactions: BTreeMap<PartitionId, Compaction>,
+    /// The bytes of journal rows after which a checkpoint is made.
+    checkpoint_bytes: usize,
     /// The write under way.
     writing: Option<ProgramOp>,
     /// The programs, orphans included.
@@ -278,6 +288,9 @@
             tenures: BTreeMap::new(),
             recovering: BTreeMap::new(),
             scans: Map::default(),
+            puts: Map::default(),
+            compactions: BTreeMap::new(),
+            checkpoint_bytes: CHECKPOINT_BYTES,
             writing: None,
             programs: SlotMap::with_key(),
             index: BTreeMap::new(),
--- a/crates/policy/src/programs/attempts.rs
+++ b/crates/policy/src/programs/attempts.rs
@@ -196,6 +196,10 @@
         program.running = None;
         program.open_intent = None;
 
+        if let Some(record) = program.calls.last_mut().filter(|_| once) {
+            record.attempt = attempt.map(|attempt| attempt.to_string().into());
+        }
+
         if program.orphan {
             self.answer_recorded(cx, id);
             return self.remove_orphan(key);
--- a/crates/policy/src/programs/calls.rs
+++ b/crates/policy/src/programs/calls.rs
@@ -166,7 +166,7 @@
         let cfg = self.cfg.as_ref().ok_or_else(answers::leaving)?;
         let max_calls = cfg.template(&program.template).map_or(0, |t| t.max_calls);
 
-        if program.head() as usize + program.children.len() >= max_calls as usize {
+        if program.head() + program.openings >= max_calls {
             return Err(answers::exhausted());
         }
 
@@ -235,7 +235,9 @@
     fn journal_settled(&mut self, key: ProgramKey, number: u32) {
         let program = &mut self.programs[key];
         let Some((attempt, _)) = program.open_intent.take() else { return };
-        let outcome = program.calls[number as usize - 1].outcome.clone();
+        let record = &mut program.calls[number as usize - 1];
+        record.attempt = Some(attempt.clone());
+        let outcome = record.outcome.clone();
         let entry = OutcomeEntry { program: program.id, attempt, outcome: Some(outcome) };
 
         // The platform holds the intent, but not yet what became of it.
--- a/crates/policy/src/programs/commits.rs
+++ b/crates/policy/src/programs/commits.rs
@@ -43,7 +43,11 @@
     /// The platform answered.
     pub(super) fn on_platform(&mut self, cx: &mut Cx<'_>, op: ProgramOp, reply: PlatformReply) {
         if self.scans.contains_key(&op) {
-            return self.on_scan(cx, op, reply);
+            return self.on_read(cx, op, reply);
+        }
+
+        if self.puts.contains_key(&op) {
+            return self.on_put(cx, op, reply);
         }
 
         // A second or crossed reply answers nothing.
@@ -67,7 +71,15 @@
             self.lost(cx, partition);
         }
 
-        self.scan_unblocked(cx);
+        if let Some((upkeep, version)) = resolved.upkeep {
+            self.upkeep_done(&upkeep, version);
+        }
+
+        for (partition, bytes) in resolved.appended {
+            self.journal_grew(cx, partition, bytes);
+        }
+
+        self.read_unblocked(cx);
     }
 
     /// The platform holds an entry.
--- /dev/null
+++ b/crates/policy/src/programs/compaction.rs
@@ -0,0 +1,272 @@
+//! When checkpoints are made, and how, piece by piece.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use camphorwalk_core::ids::{PartitionId, ProgramId};
+use camphorwalk_core::platform::{ObjectName, PlatformOp, PlatformReply, RowVersion};
+use camphorwalk_core::time::Instant;
+
+use super::checkpoint::{CheckpointRow, ImageCall, ProgramImage, Upkeep};
+use super::entries::OpenedEntry;
+use super::state::{Kind, Program, ProgramKey, ProgramState, Stage};
+use super::{Cx, ProgramOp, Programs};
+
+/// The bytes of journal rows after which a checkpoint is worth its writes, unless the last
+/// one was larger: then its size counts, so that no more than twice as much is written.
+pub(super) const CHECKPOINT_BYTES: usize = 1024 * 1024;
+
+/// The most bytes of images in one object, but for one program's that is larger.
+const PART_BYTES: usize = 256 * 1024;
+
+/// The wait after the platform did not take an object.
+const PAUSE: Duration = Duration::from_secs(5);
+
+/// How a partition's journal has grown, and the checkpoint being made.
+#[derive(Debug, Default)]
+pub(super) struct Compaction {
+    /// Bytes of the rows since the last checkpoint.
+    pub since: usize,
+    /// Bytes of the last checkpoint.
+    pub last: usize,
+    /// The first row that may still be there.
+    pub first: u64,
+    /// The version of the checkpoint row.
+    pub version: RowVersion,
+    /// No checkpoint is begun before.
+    not_before: Instant,
+    /// The checkpoint being made.
+    work: Option<Work>,
+}
+
+/// A checkpoint being made.
+#[derive(Debug)]
+struct Work {
+    /// The programs whose images are still to be made: parents first.
+    programs: VecDeque<ProgramId>,
+    /// The row as far as it is known.
+    row: CheckpointRow,
+    /// The journal bytes that the checkpoint will hold.
+    since: usize,
+    /// The write under way.
+    op: Option<ProgramOp>,
+}
+
+impl Programs {
+    /// Sets after how many bytes of journal rows a checkpoint is made; a mebibyte if it is
+    /// never called.
+    ///
+    /// ```
+    /// # use camphorwalk_core::ids::HostId;
+    /// # use camphorwalk_policy::programs::{ProgramOptions, Programs};
+    /// # let options = ProgramOptions {
+    /// #     host: HostId::from_name("a1"),
+    /// #     session: 1,
+    /// #     seal_key: [7; 32],
+    /// #     commit_interval: std::time::Duration::from_millis(10),
+    /// # };
+    /// let mut programs = Programs::new(options);
+    /// programs.set_checkpoint_bytes(64 * 1024);
+    /// ```
+    pub fn set_checkpoint_bytes(&mut self, bytes: usize) {
+        self.checkpoint_bytes = bytes;
+    }
+
+    /// Rows were appended to a journal: begins a checkpoint if they are many.
+    pub(super) fn journal_grew(&mut self, cx: &mut Cx<'_>, partition: PartitionId, bytes: usize) {
+        let Some(tenure) = self.tenures.get(&partition) else { return };
+        let compaction = self.compactions.entry(partition).or_default();
+        compaction.since += bytes;
+        let due = compaction.since > compaction.last.max(self.checkpoint_bytes);
+
+        if !due || compaction.work.is_some() || cx.now < compaction.not_before {
+            return;
+        }
+
+        let upto = tenure.next - 1;
+        let programs = self.in_order(partition);
+        let compaction = self.compactions.entry(partition).or_default();
+        compaction.work = Some(Work {
+            programs,
+            row: CheckpointRow { upto, ..CheckpointRow::default() },
+            since: compaction.since,
+            op: None,
+        });
+        self.next_part(cx, partition);
+    }
+
+    /// Returns the programs of a partition, parents before their children.
+    fn in_order(&self, partition: PartitionId) -> VecDeque<ProgramId> {
+        let programs = self.index.values().map(|key| &self.programs[*key]);
+        let mut ids: Vec<_> =
+            programs.filter(|p| p.partition == partition).map(|p| (p.depth, p.id)).collect();
+        ids.sort_unstable();
+
+        ids.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Puts the next images into an object, or moves the checkpoint row after the last.
+    fn next_part(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
+        let Some(content) = self.part(cx, partition) else {
+            return self.finish_checkpoint(partition);
+        };
+
+        let bytes = content.len();
+        let op = self.platform(cx, PlatformOp::PutObject(content.into()));
+        self.puts.insert(op, partition);
+
+        if let Some(work) = self.compactions.get_mut(&partition).and_then(|c| c.work.as_mut()) {
+            work.op = Some(op);
+            work.row.bytes += bytes;
+        }
+    }
+
+    /// Makes the content of the next object: one image a line.
+    fn part(&mut self, cx: &Cx<'_>, partition: PartitionId) -> Option<Vec<u8>> {
+        let upto = self.tenures.get(&partition)?.next - 1;
+        let mut content = Vec::new();
+
+        while content.len() < PART_BYTES.min(self.checkpoint_bytes) {
+            let work = self.compactions.get_mut(&partition)?.work.as_mut()?;
+            let Some(id) = work.programs.pop_front() else { break };
+
+            // A program that is gone has no image; one that came later has all its rows.
+            if let Some(image) = self.index.get(&id).and_then(|key| self.image(cx, *key, upto)) {
+                serde_json::to_writer(&mut content, &image).expect("images are plain data");
+                content.push(b'\n');
+            }
+        }
+
+        (!content.is_empty()).then_some(content)
+    }
+
+    /// Makes the image of a program: what the journal's rows say of it, not what is still on
+    /// the way to the platform.
+    fn image(&self, cx: &Cx<'_>, key: ProgramKey, upto: u64) -> Option<ProgramImage> {
+        let program = &self.programs[key];
+
+        if program.state == ProgramState::Opening {
+            return None;
+        }
+
+        let account = self.accounts[program.account];
+        // The last call is an intent that this home took for run with an unknown outcome.
+        let inferred = u32::from(program.open_intent.is_some());
+        let calls = program.calls.iter().take((program.stored - inferred) as usize);
+
+        Some(ProgramImage {
+            upto,
+            opened: OpenedEntry {
+                program: program.id,
+                tenant: program.tenant.0,
+                template: program.template.clone(),
+                class: program.class.0,
+                parent: program.parent,
+                root: program.root,
+                depth: program.depth,
+                body: program.body,
+                repeatable: program.repeatable,
+                budget: account.budget,
+                granted: account.granted,
+                left: program.left(cx.now),
+            },
+            openings: program.openings,
+            calls: calls
+                .map(|r| ImageCall { call: r.call.clone(), outcome: r.outcome.clone() })
+                .collect(),
+            intent: self.stored_intent(program),
+            ended: program.state == ProgramState::Ended,
+        })
+    }
+
+    /// Returns the intent that the journal holds without its outcome.
+    fn stored_intent(&self, program: &Program) -> Option<(Box<str>, super::entries::CallText)> {
+        if program.open_intent.is_some() {
+            return program.open_intent.clone();
+        }
+
+        // It ran, and its outcome is on the way to the platform.
+        if let Some(record) = program.calls.get(program.stored as usize) {
+            return record.attempt.clone().map(|attempt| (attempt, record.call.clone()));
+        }
+
+        let call = self.calls.get(program.running?)?;
+        let sent = call.stage == Stage::Running && matches!(call.kind, Kind::Once(_));
+
+        call.attempt.filter(|_| sent).map(|a| (a.to_string().into(), call.text.clone()))
+    }
+
+    /// The platform answered the write of an object.
+    pub(super) fn on_put(&mut self, cx: &mut Cx<'_>, op: ProgramOp, reply: PlatformReply) {
+        let Some(partition) = self.puts.remove(&op) else { return };
+        let Some(compaction) = self.compactions.get_mut(&partition) else { return };
+        let Some(work) = compaction.work.as_mut().filter(|work| work.op == Some(op)) else {
+            return;
+        };
+
+        // A checkpoint can wait: it is begun anew once the platform is well.
+        let PlatformReply::Stored(name) = reply else {
+            compaction.work = None;
+            compaction.not_before = cx.now + PAUSE;
+            return;
+        };
+
+        work.op = None;
+        work.row.parts.push(name);
+        self.next_part(cx, partition);
+    }
+
+    /// All images are stored: the checkpoint row may be moved.
+    fn finish_checkpoint(&mut self, partition: PartitionId) {
+        let Some(tenure) = self.tenures.get(&partition) else { return };
+        let Some(compaction) = self.compactions.get_mut(&partition) else { return };
+        let Some(work) = &compaction.work else { return };
+
+        self.journal.push_upkeep(Upkeep::Checkpoint {
+            partition,
+            tenure: tenure.id,
+            row: Arc::new(work.row.clone()),
+            version: compaction.version,
+        });
+    }
+
+    /// A checkpoint row was moved, or rows were deleted.
+    pub(super) fn upkeep_done(&mut self, upkeep: &Upkeep, version: RowVersion) {
+        let partition = upkeep.partition();
+        let current = self.tenures.get(&partition).is_some_and(|t| t.id == upkeep.tenure());
+        let Some(compaction) = self.compactions.get_mut(&partition).filter(|_| current) else {
+            return;
+        };
+
+        if let Some(rest) = upkeep.rest() {
+            return self.journal.push_upkeep(rest);
+        }
+
+        let Upkeep::Checkpoint { row, tenure, .. } = upkeep else { return };
+        let Some(work) = compaction.work.take() else { return };
+        let (from, upto) = (compaction.first, row.upto);
+        compaction.version = version;
+        compaction.since -= work.since;
+        compaction.last = row.bytes;
+        compaction.first = upto + 1;
+
+        if from <= upto {
+            self.journal.push_upkeep(Upkeep::Trim { partition, tenure: *tenure, from, upto });
+        }
+    }
+}
+
+/// Reads the images in an object; `None` if it is not one of ours.
+pub(super) fn images(content: &[u8]) -> Option<Vec<ProgramImage>> {
+    let lines = content.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
+
+    lines.map(|line| serde_json::from_slice(line).ok()).collect()
+}
+
+/// Returns the names in a checkpoint row, and the row.
+pub(super) fn parts_of(value: &str) -> Option<(VecDeque<ObjectName>, CheckpointRow)> {
+    let row: CheckpointRow = serde_json::from_str(value).ok()?;
+
+    Some((row.parts.iter().cloned().collect(), row))
+}
--- a/crates/policy/src/programs/entries.rs
+++ b/crates/policy/src/programs/entries.rs
@@ -52,6 +52,13 @@
     pub entries: Vec<Entry>,
 }
 
+/// The part of a row that names the transaction which wrote it.
+#[derive(Debug, Deserialize)]
+pub(super) struct Witness {
+    /// The name.
+    pub witness: Box<str>,
+}
+
 /// One fact about a program.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "entry", rename_all = "snake_case")]
@@ -79,6 +86,28 @@
     pub fn is_fact(&self) -> bool {
         matches!(self, Self::Outcome(_) | Self::Turn(_) | Self::Ended { .. })
     }
+
+    /// Returns the program that the entry is about.
+    pub fn program(&self) -> ProgramId {
+        match self {
+            Self::Opened(entry) => entry.program,
+            Self::Intent(entry) => entry.program,
+            Self::Outcome(entry) => entry.program,
+            Self::Turn(entry) => entry.program,
+            Self::Granted(entry) => entry.program,
+            Self::Ended { program } => *program,
+        }
+    }
+
+    /// Returns the bytes of the entry's texts.
+    pub fn text_bytes(&self) -> usize {
+        match self {
+            Self::Intent(intent) => intent.call.input.len(),
+            Self::Turn(turn) => turn.call.input.len() + turn.outcome.text_bytes(),
+            Self::Outcome(entry) => entry.outcome.as_ref().map_or(0, Recorded::text_bytes),
+            Self::Opened(_) | Self::Granted(_) | Self::Ended { .. } => 0,
+        }
+    }
 }
 
 /// A program was opened.
@@ -203,3 +232,14 @@
     /// It may have run, and is not repeated.
     Unknown,
 }
+
+impl Recorded {
+    /// Returns the bytes of its text.
+    fn text_bytes(&self) -> usize {
+        match self {
+            Self::Done { output, .. } => output.len(),
+            Self::Failed { message } => message.len(),
+            Self::Unknown => 0,
+        }
+    }
+}
--- a/crates/policy/src/programs/journal.rs
+++ b/crates/policy/src/programs/journal.rs
@@ -3,16 +3,16 @@
 //!
 //! The state machine knows nothing of programs. What waits on an entry is told its [`Fate`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use camphorwalk_core::ids::{Epoch, PartitionId};
-use camphorwalk_core::platform::{
-    Check, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
-};
+use camphorwalk_core::platform::{Check, PlatformReply, Row, RowVersion, Transaction, Write};
 use camphorwalk_core::time::Instant;
 
+use super::checkpoint::Upkeep;
 use super::entries::{Entry, JournalRow, journal_key, lease_key};
+use super::flight::{Flight, FlightRow, bears, stands};
 use super::state::ProgramKey;
 use crate::wire::CallId;
 
@@ -92,23 +92,10 @@
     pub fates: Vec<(Pending, Fate)>,
     /// Partitions whose lease another host took.
     pub fenced: Vec<(PartitionId, Epoch)>,
-}
-
-/// A transaction that was sent.
-#[derive(Debug)]
-struct Flight {
-    /// The transaction; sent again unchanged while its outcome is unknown.
-    transaction: Transaction,
-    /// Names it in the rows it writes.
-    witness: Box<str>,
-    /// What it holds.
-    entries: Vec<Pending>,
-    /// The rows that it writes, and the tenure that each was written under.
-    rows: Vec<(PartitionId, Tenure, RowKey)>,
-    /// Whether an answer to it was lost: from then on only a commit or a conflict counts.
-    in_doubt: bool,
-    /// Whether it is at the platform now, rather than waiting to be sent again.
-    sent: bool,
+    /// The bytes of the rows that were appended.
+    pub appended: Vec<(PartitionId, usize)>,
+    /// The upkeep that was done, and the version of what it wrote.
+    pub upkeep: Option<(Upkeep, RowVersion)>,
 }
 
 /// The entries that wait and the one transaction that is under way.
@@ -122,6 +109,10 @@
     interval: Duration,
     /// The entries that wait, in order.
     waiting: Vec<Pending>,
+    /// Checkpoints and deletions that wait.
+    upkeep: VecDeque<Upkeep>,
+    /// Whether the last transaction was upkeep; entries then go first.
+    upkept: bool,
     /// The transaction under way.
     flight: Option<Flight>,
     /// Not before this instant is the next one sent.
@@ -141,6 +132,8 @@
             made: 0,
             interval,
             waiting: Vec::new(),
+            upkeep: VecDeque::new(),
+            upkept: false,
             flight: None,
             due: Instant::default(),
             backoff: Duration::ZERO,
@@ -153,6 +146,11 @@
         self.waiting.push(pending);
     }
 
+    /// Adds upkeep of a partition's journal.
+    pub fn push_upkeep(&mut self, upkeep: Upkeep) {
+        self.upkeep.push_back(upkeep);
+    }
+
     /// Tells whether the platform refused, or lost its answer to, the last transaction, and
     /// the next try is not due yet.
     pub fn is_away(&self, now: Instant) -> bool {
@@ -166,7 +164,7 @@
 
     /// Tells whether the transaction under way writes to a partition's journal.
     pub fn is_writing(&self, partition: PartitionId) -> bool {
-        self.flight.as_ref().is_some_and(|f| f.rows.iter().any(|(p, ..)| *p == partition))
+        self.flight.as_ref().is_some_and(|f| f.rows.iter().any(|row| row.partition == partition))
     }
 
     /// Returns how long a caller should wait before it tries again.
@@ -178,7 +176,7 @@
     pub fn wake_at(&self) -> Option<Instant> {
         let idle = match &self.flight {
             Some(flight) => !flight.sent,
-            None => !self.waiting.is_empty(),
+            None => !self.waiting.is_empty() || !self.upkeep.is_empty(),
         };
 
         idle.then_some(self.due)
@@ -187,6 +185,7 @@
     /// Drops what waits for a partition; what is under way stays.
     pub fn drop_partition(&mut self, partition: PartitionId) {
         self.waiting.retain(|pending| pending.partition != partition);
+        self.upkeep.retain(|upkeep| upkeep.partition() != partition);
     }
 
     /// Returns the transaction to send now, if any.
@@ -208,7 +207,9 @@
             return Some(flight.transaction.clone());
         }
 
-        let flight = self.gather(tenures)?;
+        self.drop_void(tenures);
+        let flight = self.gather_upkeep(tenures).or_else(|| self.gather(tenures))?;
+        self.upkept = flight.upkeep.is_some();
         let transaction = flight.transaction.clone();
         self.due = now + self.interval;
         self.flight = Some(flight);
@@ -216,11 +217,47 @@
         Some(transaction)
     }
 
+    /// Drops what was meant for a former tenure: the journal it continues is another's now.
+    fn drop_void(&mut self, tenures: &BTreeMap<PartitionId, Tenure>) {
+        let holds = |partition, tenure| tenures.get(&partition).is_some_and(|t| t.id == tenure);
+        self.waiting.retain(|p| holds(p.partition, p.tenure));
+        self.upkeep.retain(|u| holds(u.partition(), u.tenure()));
+    }
+
+    /// Takes the next upkeep, if it is its turn.
+    fn gather_upkeep(&mut self, tenures: &BTreeMap<PartitionId, Tenure>) -> Option<Flight> {
+        if self.upkept && !self.waiting.is_empty() {
+            return None;
+        }
+
+        let upkeep = self.upkeep.pop_front()?;
+        let partition = upkeep.partition();
+        let tenure = tenures[&partition];
+        let witness = self.witness();
+        let mut transaction = upkeep.transaction(&witness);
+        transaction.checks.push(Check { key: lease_key(partition), version: tenure.lease });
+
+        let row = FlightRow { partition, tenure, key: upkeep.key(), appended: None };
+        Some(Flight {
+            transaction,
+            witness,
+            entries: Vec::new(),
+            upkeep: Some(upkeep),
+            rows: vec![row],
+            in_doubt: false,
+            sent: true,
+        })
+    }
+
+    /// Makes the name of the next transaction.
+    fn witness(&mut self) -> Box<str> {
+        self.made += 1;
+
+        format!("{:016x}-{:x}", self.session, self.made).into()
+    }
+
     /// Takes what fits into one transaction off the entries that wait.
     fn gather(&mut self, tenures: &BTreeMap<PartitionId, Tenure>) -> Option<Flight> {
-        // Entries of a former tenure are void: the journal they continue is another's now.
-        self.waiting.retain(|p| tenures.get(&p.partition).is_some_and(|t| t.id == p.tenure));
-
         let only = (self.alone > 0).then(|| self.waiting.first().map(|p| p.partition)).flatten();
         let mut bytes = 0;
         let mut entries = Vec::new();
@@ -230,7 +267,7 @@
             let fits = bytes < MAX_BATCH_BYTES && only.is_none_or(|p| p == pending.partition);
 
             if fits {
-                bytes += ENTRY_OVERHEAD_BYTES + text_bytes(&pending.entry);
+                bytes += ENTRY_OVERHEAD_BYTES + pending.entry.text_bytes();
                 entries.push(pending);
             } else {
                 rest.push(pending);
@@ -249,8 +286,7 @@
         entries: Vec<Pending>,
         tenures: &BTreeMap<PartitionId, Tenure>,
     ) -> Flight {
-        self.made += 1;
-        let witness: Box<str> = format!("{:016x}-{:x}", self.session, self.made).into();
+        let witness = self.witness();
         let mut rows = BTreeMap::<PartitionId, Vec<Entry>>::new();
 
         for pending in &entries {
@@ -261,6 +297,7 @@
             transaction: Transaction::default(),
             witness,
             entries,
+            upkeep: None,
             rows: Vec::new(),
             in_doubt: false,
             sent: true,
@@ -278,8 +315,9 @@
             // row changes with each holder, so its version fences the append.
             tx.checks.push(Check { key: lease_key(partition), version: tenure.lease });
             tx.checks.push(Check { key: key.clone(), version: RowVersion::ABSENT });
+            let appended = Some(value.len());
             tx.writes.push(Write { key: key.clone(), value: Some(value.into()) });
-            flight.rows.push((partition, tenure, key));
+            flight.rows.push(FlightRow { partition, tenure, key, appended });
         }
 
         flight
@@ -295,7 +333,7 @@
         let Some(flight) = &mut self.flight else { return Resolved::default() };
 
         match reply {
-            PlatformReply::Committed(_) => self.committed(tenures),
+            PlatformReply::Committed(version) => self.committed(version, tenures),
             PlatformReply::Conflict(rows) => self.conflict(now, &rows, tenures),
             // Once an answer was lost, the first sending may still take effect, whatever a
             // later one is told; so a refusal ends the matter only if nothing was lost.
@@ -305,21 +343,27 @@
     }
 
     /// The transaction took effect.
-    fn committed(&mut self, tenures: &mut BTreeMap<PartitionId, Tenure>) -> Resolved {
+    fn committed(
+        &mut self,
+        version: RowVersion,
+        tenures: &mut BTreeMap<PartitionId, Tenure>,
+    ) -> Resolved {
         let Some(flight) = self.flight.take() else { return Resolved::default() };
+        let mut resolved = Resolved::default();
         self.backoff = Duration::ZERO;
 
-        for (partition, written, _) in &flight.rows {
-            if let Some(tenure) = tenures.get_mut(partition)
-                && tenure.id == written.id
+        for row in &flight.rows {
+            if let (Some(bytes), Some(tenure)) = (row.appended, tenures.get_mut(&row.partition))
+                && tenure.id == row.tenure.id
             {
-                tenure.next = written.next + 1;
+                tenure.next = row.tenure.next + 1;
+                resolved.appended.push((row.partition, bytes));
             }
         }
 
-        let fates = flight.entries.into_iter().map(|p| (p, Fate::Durable)).collect();
-
-        Resolved { fates, fenced: Vec::new() }
+        resolved.fates = flight.entries.into_iter().map(|p| (p, Fate::Durable)).collect();
+        resolved.upkeep = flight.upkeep.map(|upkeep| (upkeep, version));
+        resolved
     }
 
     /// The transaction did not take effect now; it may have done so before.
@@ -333,8 +377,10 @@
 
         // An earlier sending may have taken effect with its answer lost. Only this
         // transaction can have written the witness, so a row that bears it settles that.
-        if flight.rows.iter().any(|(_, _, key)| bears(found, key, &flight.witness)) {
-            return self.committed(tenures);
+        let ours = flight.rows.iter().find_map(|row| bears(found, &row.key, &flight.witness));
+
+        if let Some(version) = ours {
+            return self.committed(version, tenures);
         }
 
         let Some(flight) = self.flight.take() else { return Resolved::default() };
@@ -343,14 +389,14 @@
         self.backoff = Duration::ZERO;
         self.due = now;
 
-        for (partition, written, key) in &flight.rows {
-            let current = tenures.get(partition).filter(|t| t.id == written.id);
-            let taken = stands(found, key) || stands(found, &lease_key(*partition));
+        for row in &flight.rows {
+            let current = tenures.get(&row.partition).filter(|t| t.id == row.tenure.id);
+            let taken = stands(found, &row.key) || stands(found, &lease_key(row.partition));
 
             match current {
                 // The lease row was renewed while the transaction was under way.
-                Some(tenure) if tenure.lease != written.lease => renewed = true,
-                Some(tenure) if taken => resolved.fenced.push((*partition, tenure.epoch)),
+                Some(tenure) if tenure.lease != row.tenure.lease => renewed = true,
+                Some(tenure) if taken => resolved.fenced.push((row.partition, tenure.epoch)),
                 _ => {}
             }
         }
@@ -359,24 +405,24 @@
         // that conflicts alone is lost.
         if resolved.fenced.is_empty() && !renewed {
             match flight.rows.as_slice() {
-                [(partition, tenure, _)] => resolved.fenced.push((*partition, tenure.epoch)),
+                [row] => resolved.fenced.push((row.partition, row.tenure.epoch)),
                 many => self.alone = many.len(),
             }
         }
 
         // Nothing took effect, nor can it later: a lease's version never comes back.
-        self.put_back(flight.entries);
+        self.put_back(flight);
         resolved
     }
 
     /// The platform certainly did nothing.
     fn refused(&mut self, now: Instant) -> Resolved {
         let Some(flight) = self.flight.take() else { return Resolved::default() };
-        self.put_back(flight.entries);
+        self.put_back(flight);
         let fates = self.refuse_waiting();
         self.back_off(now);
 
-        Resolved { fates, fenced: Vec::new() }
+        Resolved { fates, ..Resolved::default() }
     }
 
     /// The transaction may have taken effect, now or later.
@@ -391,7 +437,7 @@
         let mut fates: Vec<_> = told.iter().map(|p| (p.clone(), Fate::InDoubt)).collect();
         fates.append(&mut self.refuse_waiting());
 
-        Resolved { fates, fenced: Vec::new() }
+        Resolved { fates, ..Resolved::default() }
     }
 
     /// Tells what waits that the platform is away, and keeps only facts.
@@ -402,10 +448,14 @@
         fates
     }
 
-    /// Puts entries before those that wait.
-    fn put_back(&mut self, mut entries: Vec<Pending>) {
-        entries.append(&mut self.waiting);
-        self.waiting = entries;
+    /// Puts what a transaction held before what waits.
+    fn put_back(&mut self, mut flight: Flight) {
+        flight.entries.append(&mut self.waiting);
+        self.waiting = flight.entries;
+
+        if let Some(upkeep) = flight.upkeep {
+            self.upkeep.push_front(upkeep);
+        }
     }
 
     /// Waits longer before the next try.
@@ -414,39 +464,3 @@
         self.due = now + self.backoff;
     }
 }
-
-/// Tells whether a row is among those found.
-fn stands(found: &[Row], key: &RowKey) -> bool {
-    found.iter().any(|row| row.key == *key)
-}
-
-/// Tells whether the row at `key` was written by the transaction with this witness.
-fn bears(found: &[Row], key: &RowKey, witness: &str) -> bool {
-    found
-        .iter()
-        .filter(|row| row.key == *key)
-        .filter_map(|row| serde_json::from_str::<JournalRow>(&row.value).ok())
-        .any(|row| &*row.witness == witness)
-}
-
-/// Returns the bytes of an entry's longest texts.
-fn text_bytes(entry: &Entry) -> usize {
-    use super::entries::Recorded;
-
-    match entry {
-        Entry::Intent(intent) => intent.call.input.len(),
-        Entry::Turn(turn) => {
-            let output = match &turn.outcome {
-                Recorded::Done { output, .. } => output.len(),
-                Recorded::Failed { message } => message.len(),
-                Recorded::Unknown => 0,
-            };
-            turn.call.input.len() + output
-        }
-        Entry::Outcome(outcome) => match &outcome.outcome {
-            Some(Recorded::Done { output, .. }) => output.len(),
-            _ => 0,
-        },
-        _ => 0,
-    }
-}
--- a/crates/policy/src/programs/lifecycle.rs
+++ b/crates/policy/src/programs/lifecycle.rs
@@ -155,10 +155,12 @@
         } else if let Some(parent) = program.parent.and_then(|id| self.index.get(&id)) {
             let parent = &mut self.programs[*parent];
 
-            // The parent's openings stay counted; only one that never was is taken back.
+            // The parent's openings stay counted, but for one that never was.
             if program.state == ProgramState::Opening {
-                parent.children.retain(|child| *child != program.id);
+                parent.openings -= 1;
             }
+
+            parent.children.retain(|child| *child != program.id);
         }
     }
 
@@ -179,11 +181,8 @@
             }
         }
 
-        if self.tenures.remove(&partition).is_none() {
-            self.drop_programs(cx, partition);
-            return;
-        }
-
+        self.tenures.remove(&partition);
+        self.compactions.remove(&partition);
         self.journal.drop_partition(partition);
         self.drop_programs(cx, partition);
     }
--- a/crates/policy/src/programs/open.rs
+++ b/crates/policy/src/programs/open.rs
@@ -160,7 +160,7 @@
         // Openings count as calls of the parent: a loop of openings ends, too.
         let max_calls = cfg.template(&parent.template).map_or(0, |t| t.max_calls);
 
-        if parent.head() as usize + parent.children.len() >= max_calls as usize {
+        if parent.head() + parent.openings >= max_calls {
             return Err(answers::exhausted());
         }
 
@@ -216,6 +216,8 @@
             attained: Tokens::default(),
             running: None,
             children: Vec::new(),
+            openings: 0,
+            upto: 0,
             in_doubt: false,
             open_intent: None,
             orphan: false,
@@ -228,7 +230,9 @@
         self.timers.set(deadline, Timer::Program(key));
 
         if let Some(parent) = entry.parent.and_then(|id| self.index.get(&id).copied()) {
-            self.programs[parent].children.push(entry.program);
+            let parent = &mut self.programs[parent];
+            parent.children.push(entry.program);
+            parent.openings += 1;
         }
 
         key
--- a/crates/policy/src/programs/recovery.rs
+++ b/crates/policy/src/programs/recovery.rs
@@ -9,21 +9,23 @@
 use camphorwalk_core::ids::{Epoch, PartitionId};
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, Row, RowVersion};
 
+use super::checkpoint::{ProgramImage, checkpoint_key};
+use super::compaction::{Compaction, images, parts_of};
 use super::entries::{
     Entry, IntentEntry, JOURNAL, JournalRow, OutcomeEntry, Recorded, TurnEntry, journal_prefix,
     sequence_of,
 };
 use super::journal::Tenure;
 use super::requests::Asked;
-use super::state::{Parked, Program, ProgramState, Recovering};
+use super::state::{Parked, Program, ProgramState, Reading, Recovering};
 use super::timers::Timer;
 use super::{Cx, ProgramOp, Programs, answers};
 
 /// The rows read at once.
 const PAGE_ROWS: u32 = 256;
 
-/// The wait before a page is asked for again.
-const SCAN_RETRY: Duration = Duration::from_millis(200);
+/// The wait before something is asked for again.
+const READ_RETRY: Duration = Duration::from_millis(200);
 
 /// How long a request waits for the journal to be read.
 const PARK_WAIT: Duration = Duration::from_secs(2);
@@ -54,13 +56,16 @@
         let tenure = Tenure { id: self.last_tenure, epoch, lease, next: 1 };
         let recovering = Recovering {
             tenure,
+            reading: Reading::Checkpoint,
+            compaction: Compaction::default(),
+            upto: 0,
             after: "".into(),
             parked: Vec::new(),
             retry_at: None,
             blocked: true,
         };
         self.recovering.insert(partition, recovering);
-        self.scan_unblocked(cx);
+        self.read_unblocked(cx);
     }
 
     /// Begins to read the journals that this host itself does not write to any more.
@@ -68,7 +73,7 @@
     /// A lease can be lost and found again with the same version. A transaction of before,
     /// whose answer was lost, could then take effect after the journal was read: the row
     /// would be missing here, and what is written next would contradict it.
-    pub(super) fn scan_unblocked(&mut self, cx: &mut Cx<'_>) {
+    pub(super) fn read_unblocked(&mut self, cx: &mut Cx<'_>) {
         let free: Vec<_> = self
             .recovering
             .iter()
@@ -77,32 +82,45 @@
             .collect();
 
         for partition in free {
-            self.scan(cx, partition);
+            self.read(cx, partition);
         }
     }
 
-    /// Asks for the next rows of a journal.
-    fn scan(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
+    /// Asks for what is read next of a partition.
+    fn read(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
         let Some(recovering) = self.recovering.get_mut(&partition) else { return };
         recovering.retry_at = None;
         recovering.blocked = false;
         let tenure = recovering.tenure.id;
-        let after = recovering.after.clone();
 
-        let op = self.platform(
-            cx,
-            PlatformOp::Scan {
+        let request = match &recovering.reading {
+            Reading::Checkpoint => PlatformOp::Read(vec![checkpoint_key(partition)]),
+            Reading::Parts(parts) => match parts.front() {
+                Some(name) => PlatformOp::GetObject(name.clone()),
+                None => return self.read_rows(cx, partition),
+            },
+            Reading::Rows => PlatformOp::Scan {
                 table: JOURNAL.into(),
                 prefix: journal_prefix(partition),
-                after,
+                after: recovering.after.clone(),
                 limit: PAGE_ROWS,
             },
-        );
+        };
+
+        let op = self.platform(cx, request);
         self.scans.insert(op, (partition, tenure));
     }
 
-    /// Rows of a journal came in.
-    pub(super) fn on_scan(&mut self, cx: &mut Cx<'_>, op: ProgramOp, reply: PlatformReply) {
+    /// Goes on to the journal's rows.
+    fn read_rows(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
+        if let Some(recovering) = self.recovering.get_mut(&partition) {
+            recovering.reading = Reading::Rows;
+            self.read(cx, partition);
+        }
+    }
+
+    /// A part of a partition came in.
+    pub(super) fn on_read(&mut self, cx: &mut Cx<'_>, op: ProgramOp, reply: PlatformReply) {
         let Some((partition, tenure)) = self.scans.remove(&op) else { return };
         let Some(recovering) = self.recovering.get_mut(&partition) else { return };
 
@@ -110,32 +128,117 @@
             return;
         }
 
-        let PlatformReply::Rows(rows) = reply else {
-            let at = cx.now + SCAN_RETRY;
+        match (&mut recovering.reading, reply) {
+            (Reading::Checkpoint, PlatformReply::Rows(rows)) => {
+                self.on_checkpoint(cx, partition, rows.into_iter().next());
+            }
+            (Reading::Parts(parts), PlatformReply::Object(Some(content))) => {
+                let Some(images) = images(&content) else { return self.stall(cx, partition) };
+                parts.pop_front();
+                images.into_iter().for_each(|image| self.load_image(cx, image));
+                self.read(cx, partition);
+            }
+            (Reading::Rows, PlatformReply::Rows(rows)) => self.on_rows(cx, partition, rows),
+            _ => self.stall(cx, partition),
+        }
+    }
+
+    /// Asks again later: the platform is away, or has something that cannot be read. A
+    /// partition that is not read in full is not served, as calls of it would be lost.
+    fn stall(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
+        let at = cx.now + READ_RETRY;
+
+        if let Some(recovering) = self.recovering.get_mut(&partition) {
             recovering.retry_at = Some(at);
-            return self.timers.set(at, Timer::Partition(partition));
-        };
+            self.timers.set(at, Timer::Partition(partition));
+        }
+    }
 
-        if let Some(last) = rows.last() {
-            recovering.after = last.key.key.clone();
-            recovering.tenure.next = sequence_of(&last.key).map_or(0, |sequence| sequence) + 1;
+    /// A partition's checkpoint row came in, if there is one.
+    fn on_checkpoint(&mut self, cx: &mut Cx<'_>, partition: PartitionId, row: Option<Row>) {
+        let Some(recovering) = self.recovering.get_mut(&partition) else { return };
+        recovering.reading = Reading::Rows;
+        recovering.compaction.first = 1;
+
+        if let Some(row) = &row {
+            let Some((parts, checkpoint)) = parts_of(&row.value) else {
+                recovering.reading = Reading::Checkpoint;
+                return self.stall(cx, partition);
+            };
+            recovering.reading = Reading::Parts(parts);
+            recovering.upto = checkpoint.upto;
+            recovering.tenure.next = checkpoint.upto + 1;
+            recovering.compaction.last = checkpoint.bytes;
+            recovering.compaction.first = checkpoint.upto + 1;
         }
 
-        let whole = rows.len() < PAGE_ROWS as usize;
-        self.replay_rows(cx, rows);
+        recovering.compaction.version = row.map_or(RowVersion::ABSENT, |row| row.version);
+        self.read(cx, partition);
+    }
 
-        if whole { self.recovered(cx, partition) } else { self.scan(cx, partition) }
+    /// Takes in the image of a program.
+    fn load_image(&mut self, cx: &mut Cx<'_>, image: ProgramImage) {
+        let key = self.insert_program(cx, &image.opened);
+        let parent = image.opened.parent.and_then(|id| self.index.get(&id).copied());
+        let program = &mut self.programs[key];
+        program.upto = image.upto;
+        program.openings = image.openings;
+        program.open_intent = image.intent;
+        self.accounts[program.account].granted(image.opened.granted);
+
+        if image.ended {
+            program.state = ProgramState::Ended;
+        }
+
+        for call in image.calls {
+            program.append(call.call, call.outcome);
+        }
+
+        // Its parent's image counts this opening already.
+        if let Some(parent) = parent {
+            self.programs[parent].openings -= 1;
+        }
     }
 
-    /// Takes in the rows of a journal.
-    fn replay_rows(&mut self, cx: &mut Cx<'_>, rows: Vec<Row>) {
+    /// Rows of a journal came in.
+    fn on_rows(&mut self, cx: &mut Cx<'_>, partition: PartitionId, rows: Vec<Row>) {
+        let whole = rows.len() < PAGE_ROWS as usize;
+
         for row in rows {
-            let Ok(row) = serde_json::from_str::<JournalRow>(&row.value) else { continue };
+            if self.on_row(cx, partition, row).is_none() {
+                return self.stall(cx, partition);
+            }
+        }
 
-            for entry in row.entries {
+        if whole { self.recovered(cx, partition) } else { self.read(cx, partition) }
+    }
+
+    /// Takes in a row of a journal; `None` if it cannot be read.
+    fn on_row(&mut self, cx: &mut Cx<'_>, partition: PartitionId, row: Row) -> Option<()> {
+        let sequence = sequence_of(&row.key)?;
+        let content: JournalRow = serde_json::from_str(&row.value).ok()?;
+        let recovering = self.recovering.get_mut(&partition)?;
+        recovering.after = row.key.key;
+        recovering.compaction.first = recovering.compaction.first.min(sequence);
+
+        // The checkpoint holds it; it was not deleted yet.
+        if sequence <= recovering.upto {
+            return Some(());
+        }
+
+        recovering.compaction.since += row.value.len();
+        recovering.tenure.next = sequence + 1;
+
+        for entry in content.entries {
+            let known = self.index.get(&entry.program()).map(|key| self.programs[*key].upto);
+
+            // An image that was made later than this row holds the entry.
+            if known.is_none_or(|upto| upto < sequence) {
                 self.replay(cx, entry);
             }
         }
+
+        Some(())
     }
 
     /// Takes in one entry of a journal.
@@ -201,6 +304,7 @@
     fn recovered(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
         let Some(recovering) = self.recovering.remove(&partition) else { return };
         self.tenures.insert(partition, recovering.tenure);
+        self.compactions.insert(partition, recovering.compaction);
 
         let keys: Vec<_> = self
             .index
@@ -275,7 +379,7 @@
         }
 
         if retry {
-            self.scan(cx, partition);
+            self.read(cx, partition);
         }
     }
 }
--- a/crates/policy/src/programs/state.rs
+++ b/crates/policy/src/programs/state.rs
@@ -1,5 +1,6 @@
 //! What the home remembers: partitions, programs, their calls, and calls under way.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,10 +9,12 @@
 use camphorwalk_core::ids::{
     AttemptId, ClassId, KeyId, PartitionId, PoolId, ProgramId, TargetId, TenantId, Ticket,
 };
+use camphorwalk_core::platform::ObjectName;
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 
 use super::budget::AccountKey;
+use super::compaction::Compaction;
 use super::entries::{CallText, Recorded};
 use super::journal::Tenure;
 use crate::wire::CallId;
@@ -49,6 +52,12 @@
 pub(super) struct Recovering {
     /// What was read so far; `next` is one past the last row.
     pub tenure: Tenure,
+    /// What is read next.
+    pub reading: Reading,
+    /// The checkpoint that was read, if there is one.
+    pub compaction: Compaction,
+    /// The last row that the checkpoint holds.
+    pub upto: u64,
     /// The last key read, or empty.
     pub after: Box<str>,
     /// Requests that came meanwhile.
@@ -59,6 +68,17 @@
     pub retry_at: Option<Instant>,
 }
 
+/// What is read next of a partition.
+#[derive(Debug)]
+pub(super) enum Reading {
+    /// The checkpoint row.
+    Checkpoint,
+    /// The checkpoint's objects, the next one first.
+    Parts(VecDeque<ObjectName>),
+    /// The journal's rows.
+    Rows,
+}
+
 /// Where a program stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ProgramState {
@@ -109,8 +129,12 @@
     pub attained: Tokens,
     /// The call under way, if any.
     pub running: Option<CallId>,
-    /// The sub-agents it opened.
+    /// The sub-agents it opened that are remembered.
     pub children: Vec<ProgramId>,
+    /// How many sub-agents it opened.
+    pub openings: u32,
+    /// The last journal row that its image in a checkpoint holds.
+    pub upto: u64,
     /// Whether the write of an intent that will never be sent may still take effect. Until
     /// that is known no entry of this program may go behind it, so calls are refused.
     pub in_doubt: bool,
@@ -139,6 +163,8 @@
     /// The hash of the texts alone, up to and with this call: equal for two programs whose
     /// prompts are equal.
     pub texts: Digest,
+    /// The name of its intent, if it had one and this home saw the outcome.
+    pub attempt: Option<Box<str>>,
 }
 
 impl Program {
@@ -184,7 +210,7 @@
             self.history = self.history.max(counted);
         }
 
-        self.calls.push(Record { call, outcome, hash, texts });
+        self.calls.push(Record { call, outcome, hash, texts, attempt: None });
 
         self.head()
     }
--- /dev/null
+++ b/crates/policy/tests/programs_home/checkpoints.rs
@@ -0,0 +1,80 @@
+//! Checkpoints keep journals short.
+
+use camphorwalk_core::calls::{CallRequest, Request};
+use camphorwalk_core::ids::ProgramId;
+use camphorwalk_core::platform::{PlatformOp, RowKey};
+
+use crate::fixture::{Home, PROGRAM, Platform, call, call_request, done, open};
+
+/// Returns the keys of a table.
+fn keys(platform: &Platform, table: &str) -> Vec<RowKey> {
+    platform.rows.keys().filter(|key| &*key.table == table).cloned().collect()
+}
+
+#[test]
+fn a_checkpoint_takes_the_place_of_rows() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    home.programs.set_checkpoint_bytes(4_000);
+
+    for number in 0..30 {
+        home.run(platform, call("look", &format!("k{number}"), number), "\"seen\"");
+    }
+
+    let history = home.history(platform);
+    let mut new = Home::new(platform, 2);
+    assert_eq!(new.history(platform), history);
+    assert_eq!(history.len(), 30);
+    assert!(keys(platform, "journal").len() < 20);
+}
+
+/// The caller's history is the same on the next home. The images of two programs are made at
+/// different times, and a call of the second is journaled in between: the checkpoint goes up
+/// to a row before it, and its image holds it already.
+#[test]
+fn a_row_that_an_image_holds_is_not_applied_again() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    let other = ProgramId(8);
+    let ask = |key, after| CallRequest { program: other, ..call_request("look", key, after) };
+    home.ask(platform, open(other));
+    home.programs.set_checkpoint_bytes(1);
+    platform.hold_objects = true;
+
+    home.run(platform, call("look", "k1", 0), "\"seen\"");
+    home.run(platform, Request::Call(ask("k1", 0)), "\"seen\"");
+    platform.hold_objects = false;
+    home.release(platform);
+    home.pass(platform, 1_000);
+    let mut new = Home::new(platform, 2);
+    let next = new.run(platform, Request::Call(ask("k2", 1)), "\"seen\"");
+
+    assert_eq!(keys(platform, "checkpoint").len(), 1);
+    assert_eq!(next.call, 2);
+}
+
+/// The caller loses nothing when a copy of an old checkpoint's transaction reaches the
+/// platform after a newer one, whose rows are deleted.
+#[test]
+fn a_late_copy_of_an_old_checkpoint_changes_nothing() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    home.programs.set_checkpoint_bytes(1);
+    let moves = |request: &PlatformOp| match request {
+        PlatformOp::Commit(tx) if tx.writes.iter().any(|w| &*w.key.table == "checkpoint") => {
+            Some(tx.clone())
+        }
+        _ => None,
+    };
+
+    home.run(platform, call("look", "k1", 0), "\"seen\"");
+    let first = home.requests.iter().find_map(moves).expect("a checkpoint was made");
+    home.run(platform, call("look", "k2", 1), "\"seen\"");
+    home.ask(platform, call("look", "k3", 2));
+    home.finish(platform, done("\"seen\""));
+    platform.commit(&first);
+    let mut new = Home::new(platform, 2);
+
+    assert_eq!(new.history(platform).len(), 3);
+    assert_eq!(new.programs.open_programs().collect::<Vec<_>>(), [PROGRAM]);
+}
--- a/crates/policy/tests/programs_home/fixture.rs
+++ b/crates/policy/tests/programs_home/fixture.rs
@@ -12,7 +12,9 @@
 use camphorwalk_core::ids::{
     Epoch, HostId, KeyId, PartitionId, ProgramId, RequestId, TargetId, TenantId, Ticket,
 };
-use camphorwalk_core::platform::{PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction};
+use camphorwalk_core::platform::{
+    ObjectName, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction,
+};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 use camphorwalk_policy::programs::{
@@ -30,7 +32,7 @@
 pub const BUDGET: u64 = 4_000;
 
 /// The budget of the other tenant.
-pub const SMALL_BUDGET: u64 = 800;
+pub const SMALL_BUDGET: u64 = 400;
 
 /// Returns the configuration of the stories.
 pub fn config() -> Arc<Config> {
@@ -82,13 +84,22 @@
 #[derive(Debug)]
 pub struct Platform {
     pub rows: BTreeMap<RowKey, (u64, Box<str>)>,
+    pub objects: BTreeMap<ObjectName, Box<[u8]>>,
     pub version: u64,
     pub mode: Mode,
+    /// Objects are not stored before they are released.
+    pub hold_objects: bool,
 }
 
 impl Platform {
     pub fn new() -> Self {
-        Self { rows: BTreeMap::new(), version: 0, mode: Mode::Up }
+        Self {
+            rows: BTreeMap::new(),
+            objects: BTreeMap::new(),
+            version: 0,
+            mode: Mode::Up,
+            hold_objects: false,
+        }
     }
 
     /// Gives the lease of a partition to the next holder.
@@ -104,6 +115,7 @@
     pub fn run(&mut self, op: &PlatformOp) -> Option<PlatformReply> {
         match (self.mode, op) {
             (Mode::Hang, _) => None,
+            (_, PlatformOp::PutObject(_)) if self.hold_objects => None,
             (Mode::Away, _) => Some(PlatformReply::Unavailable),
             (Mode::AnswersLost, PlatformOp::Commit(tx)) => {
                 self.commit(tx);
@@ -117,7 +129,14 @@
             (_, PlatformOp::Read(keys)) => {
                 Some(PlatformReply::Rows(keys.iter().filter_map(|key| self.row(key)).collect()))
             }
-            (_, op) => panic!("the home asked for {op:?}"),
+            (_, PlatformOp::PutObject(content)) => {
+                let name = ObjectName::of(content);
+                self.objects.insert(name.clone(), content.clone());
+                Some(PlatformReply::Stored(name))
+            }
+            (_, PlatformOp::GetObject(name)) => {
+                Some(PlatformReply::Object(self.objects.get(name).cloned()))
+            }
         }
     }
 
@@ -174,8 +193,12 @@
     pub placed: Vec<PlaceRequest>,
     pub vacated: Vec<CallId>,
     pub hanging: Vec<(ProgramOp, PlatformOp)>,
+    /// What the platform was asked.
+    pub requests: Vec<PlatformOp>,
     /// Questions for a rate or a place stay unanswered while this is set.
     pub hold_places: bool,
+    /// The lease of the partition.
+    pub lease: (Epoch, RowVersion),
     host: HostId,
     tickets: u64,
 }
@@ -202,7 +225,9 @@
             placed: Vec::new(),
             vacated: Vec::new(),
             hanging: Vec::new(),
+            requests: Vec::new(),
             hold_places: false,
+            lease: (Epoch(0), RowVersion(0)),
             host,
             tickets: 0,
         };
@@ -222,7 +247,13 @@
 
     /// Takes the partition over.
     pub fn acquire(&mut self, platform: &mut Platform) {
-        let (epoch, lease) = platform.take_lease(PARTITION);
+        self.lease = platform.take_lease(PARTITION);
+        self.regain(platform);
+    }
+
+    /// Is told that it holds the partition.
+    pub fn regain(&mut self, platform: &mut Platform) {
+        let (epoch, lease) = self.lease;
         self.event(platform, ProgramEvent::Acquired { partition: PARTITION, epoch, lease });
     }
 
@@ -250,10 +281,14 @@
                 let target = TargetId(self.placed.len() as u64);
                 return (!self.hold_places).then_some(ProgramEvent::Placed { call, target });
             }
-            ProgramNext::Platform { op, request } => match platform.run(&request) {
-                Some(reply) => return Some(ProgramEvent::Platform { op, reply }),
-                None => self.hanging.push((op, request)),
-            },
+            ProgramNext::Platform { op, request } => {
+                self.requests.push(request.clone());
+
+                match platform.run(&request) {
+                    Some(reply) => return Some(ProgramEvent::Platform { op, reply }),
+                    None => self.hanging.push((op, request)),
+                }
+            }
             ProgramNext::Dispatch(dispatch) => self.sent.push(dispatch),
             ProgramNext::Cancel { .. } => self.cancelled += 1,
             ProgramNext::Over { program } => self.over.push(program),
@@ -266,6 +301,14 @@
         None
     }
 
+    /// Lets the platform answer what hangs there.
+    pub fn release(&mut self, platform: &mut Platform) {
+        for (op, request) in std::mem::take(&mut self.hanging) {
+            let reply = platform.run(&request).expect("the platform answers");
+            self.event(platform, ProgramEvent::Platform { op, reply });
+        }
+    }
+
     /// Lets time pass.
     pub fn pass(&mut self, platform: &mut Platform, millis: u64) {
         let until = self.now + Duration::from_millis(millis);
--- a/crates/policy/tests/programs_home/intent.rs
+++ b/crates/policy/tests/programs_home/intent.rs
@@ -17,9 +17,7 @@
     let ticket = home.ask(platform, call("deposit", "k1", 0));
     let sent_before = home.sent.len();
     platform.mode = Mode::Up;
-    let (op, request) = home.hanging.remove(0);
-    let reply = platform.run(&request).expect("the platform answers");
-    home.event(platform, ProgramEvent::Platform { op, reply });
+    home.release(platform);
     home.finish(platform, done("\"paid\""));
 
     assert_eq!(sent_before, 0);
@@ -183,12 +181,29 @@
 
     home.event(platform, ProgramEvent::Lost { partition: PARTITION });
     platform.mode = Mode::Up;
-    let (op, request) = home.hanging.remove(0);
-    let reply = platform.run(&request).expect("the platform answers");
-    home.event(platform, ProgramEvent::Platform { op, reply });
+    home.release(platform);
 
     let refusal = home.refusal(ticket);
     assert_eq!((refusal.code, refusal.ran), (Code::Leaving, Ran::No));
     assert!(home.sent.is_empty());
     assert_eq!(home.vacated.len(), 1);
 }
+
+/// The caller's program goes on. Its home lost the lease by its own clock and found it again,
+/// while the answer to a write was lost: the write took effect, and is read back first.
+#[test]
+fn a_lease_that_is_found_again_waits_for_a_write_in_doubt() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    home.ask(platform, call("model", "k1", 0));
+    platform.mode = Mode::RequestsLost;
+    home.finish(platform, done("\"text\""));
+
+    home.event(platform, ProgramEvent::Lost { partition: PARTITION });
+    home.regain(platform);
+    platform.mode = Mode::Up;
+    home.pass(platform, 1_000);
+    let next = home.run(platform, call("model", "k2", 1), "\"more\"");
+
+    assert_eq!((next.call, next.stored, home.fenced), (2, true, 0));
+}
--- a/crates/policy/tests/programs_home/main.rs
+++ b/crates/policy/tests/programs_home/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod callers;
+mod checkpoints;
 mod fixture;
 mod fuzz;
 mod intent;
--- a/crates/policy/tests/programs_home/world.rs
+++ b/crates/policy/tests/programs_home/world.rs
@@ -28,6 +28,9 @@
 /// The deadline of each program.
 const DEADLINE: Duration = Duration::from_secs(600);
 
+/// Journal bytes after which a checkpoint is made: few, so that many are.
+const CHECKPOINT_BYTES: usize = 250;
+
 /// How the platform treats transactions besides its modes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Weather {
@@ -120,14 +123,10 @@
             commit_interval: Duration::from_millis(10),
         };
         let mailbox = VecDeque::from([ProgramEvent::Config(config())]);
+        let mut programs = Programs::new(options);
+        programs.set_checkpoint_bytes(CHECKPOINT_BYTES);
 
-        Host {
-            programs: Programs::new(options),
-            session: self.sessions,
-            mailbox,
-            paused: false,
-            places: BTreeSet::new(),
-        }
+        Host { programs, session: self.sessions, mailbox, paused: false, places: BTreeSet::new() }
     }
 
     /// A process dies and another takes its place. What it sent is on its way still.
