queue: new programs are refused at once by how fast their lane starts them

Now a lane's recent time between starts of new programs gives the wait, and its recent waits count into the time that a program needs. The bench reports 'refused after' and 'wasted' (tokens served to programs that did not finish). Tried before: expected turns times the hold of each program ahead; changed nothing much.

--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -47,6 +47,8 @@
     pub recomputed: u64,
     /// Prompt tokens computed in all.
     pub computed: u64,
+    /// Tokens that each program was served, its sub-agents not counted.
+    pub served: Vec<u64>,
 }
 
 /// How programs start.
@@ -132,7 +134,12 @@
             due: BinaryHeap::new(),
             due_count: 0,
             progress: vec![Progress::default(); programs.len()],
-            trace: Trace { outcomes: vec![None; programs.len()], recomputed: 0, computed: 0 },
+            trace: Trace {
+                outcomes: vec![None; programs.len()],
+                recomputed: 0,
+                computed: 0,
+                served: vec![0; programs.len()],
+            },
             askers: BTreeMap::new(),
             asked: 0,
             woken: None,
@@ -224,6 +231,9 @@
             (None, Start::Closed(_)) => u64::MAX / 4,
         };
 
+        // A sub-agent goes on with a program that has been served already.
+        self.progress[program].attained = parent.map_or(0, |parent| self.progress[parent].attained);
+
         if parent.is_none() {
             self.plan(self.progress[program].deadline, Due::Deadline(program));
         }
@@ -340,6 +350,7 @@
         self.trace.computed += sequence.computed;
         self.trace.recomputed += sequence.computed.saturating_sub(fresh.max(1));
         self.progress[program].attained += sequence.computed + sequence.output;
+        self.trace.served[program] += sequence.computed + sequence.output;
         self.progress[program].engine = None;
         self.progress[program].asked = None;
         self.askers.remove(&sequence.number);
--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -50,6 +50,10 @@
     pub refused_within_rate: f64,
     /// Programs given up by their callers in each thousand of the tenants within their rate.
     pub timed_out_within_rate: f64,
+    /// Median time after which a program that was refused was told so, in milliseconds.
+    pub told_p50_ms: f64,
+    /// Thousands of tokens served to programs that did not finish.
+    pub wasted_kilotokens: f64,
     /// Programs finished in time, a second.
     pub goodput: f64,
 }
@@ -58,7 +62,7 @@
 pub type Column = (&'static str, fn(&Figures) -> f64);
 
 /// The figures in the order of tables.
-pub const COLUMNS: [Column; 16] = [
+pub const COLUMNS: [Column; 18] = [
     ("p50 ms", |f| f.p50_ms),
     ("p95 ms", |f| f.p95_ms),
     ("p99 ms", |f| f.p99_ms),
@@ -74,6 +78,8 @@
     ("surging slowdown", |f| f.surging_slowdown),
     ("refused in rate /1000", |f| f.refused_within_rate),
     ("timed out in rate /1000", |f| f.timed_out_within_rate),
+    ("refused after p50 ms", |f| f.told_p50_ms),
+    ("wasted ktok", |f| f.wasted_kilotokens),
     ("goodput /s", |f| f.goodput),
 ];
 
@@ -136,6 +142,7 @@
     let mut alone_latencies = histogram();
     let mut first_class_alone = histogram();
     let mut delays = histogram();
+    let mut told = histogram();
     let (mut finished, mut hopeless) = (0_u64, 0_u64);
 
     for (number, program) in programs.iter().enumerate() {
@@ -157,6 +164,10 @@
         latencies.saturating_record(latency / 1_000);
         alone_latencies.saturating_record(alone / 1_000);
         delays.saturating_record(latency.saturating_sub(alone) / 1_000);
+        if let Some(refused) = outcome.filter(|outcome| outcome.end == End::Refused) {
+            told.saturating_record((refused.at - program.arrival) / 1_000);
+        }
+
         hopeless += u64::from(alone > micros(kind.deadline));
 
         if kind.rank == 0 {
@@ -197,10 +208,23 @@
         surging_slowdown: surging.map_or(0.0, |tenant| tenants[tenant].mean_slowdown()),
         refused_within_rate: per_thousand(in_rate.iter().map(|tenant| tenant.refused).sum()),
         timed_out_within_rate: per_thousand(in_rate.iter().map(|tenant| tenant.timed_out).sum()),
+        told_p50_ms: told.value_at_quantile(0.5) as f64,
+        wasted_kilotokens: wasted(trace) as f64 / 1_000.0,
         goodput: finished as f64 / (seconds - WARM_UP_SECONDS),
     }
 }
 
+/// Returns the tokens that were served to programs that did not finish.
+fn wasted(trace: &Trace) -> u64 {
+    let unfinished = trace
+        .outcomes
+        .iter()
+        .zip(&trace.served)
+        .filter(|(outcome, _)| outcome.is_none_or(|outcome| outcome.end != End::Finished));
+
+    unfinished.map(|(_, served)| served).sum()
+}
+
 fn histogram() -> Histogram<u64> {
     Histogram::new_with_max(LONGEST_MILLIS, 3).expect("the bounds are valid")
 }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -275,7 +275,7 @@
         pool.estimates.asked(request.class, request.attained == Tokens(0), pause);
 
         let wait = pool.wait(lane, &position, room, &self.weights);
-        let refuse_at = pool.refuse_at(&request, deadline);
+        let refuse_at = pool.refuse_at(&request, lane, deadline);
         let is_full = self.waiting.len() >= MOST_WAITING
             || self.waiting.of_tenant(request.tenant) >= MOST_OF_TENANT;
 
@@ -433,6 +433,8 @@
             let place = Place { request, target, granted: now, computed, charged, deadline };
             let candidate = Candidate { asker, request: &request, passed: None };
 
+            let is_first = request.attained == Tokens(0);
+            pool.estimates.granted(now, waiter.lane, is_first, waiter.since);
             pool.lanes.granted(waiter.lane);
             pool.shares.advance();
             pool.add_demand(request.prompt.plus(output));
--- a/crates/policy/src/queue/estimates.rs
+++ b/crates/policy/src/queue/estimates.rs
@@ -5,11 +5,17 @@
 
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::ClassId;
+use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 
+use super::lanes::LaneId;
+
 /// The weight of a new sample in a moving average.
 const NEW_WEIGHT: f64 = 0.02;
 
+/// The weight of a new sample in a lane's averages, which follow the load.
+const LANE_WEIGHT: f64 = 0.1;
+
 /// How much of the sums of the fit is kept at each sample.
 const KEPT: f64 = 0.995;
 
@@ -76,9 +82,21 @@
     pause: f64,
 }
 
+/// What is known of one lane.
+#[derive(Clone, Copy, Debug, Default)]
+struct LaneEstimate {
+    /// The mean wait of calls of programs under way, in seconds.
+    wait: f64,
+    /// The mean time that the first waiting new program takes to be started, in seconds.
+    start: f64,
+    /// When the last new program was started.
+    started: Instant,
+}
+
 /// The estimates of one pool.
 #[derive(Debug, Default)]
 pub struct Estimates {
+    lanes: Map<LaneId, LaneEstimate>,
     fit: HoldFit,
     hold: f64,
     samples: u64,
@@ -96,6 +114,26 @@
         }
     }
 
+    /// Takes in that a call was granted a place which had waited since `since`.
+    pub fn granted(&mut self, now: Instant, lane: LaneId, is_first: bool, since: Instant) {
+        let estimate = self.lanes.entry(lane).or_default();
+
+        if is_first {
+            let head_since = since.max(estimate.started);
+            estimate.start += LANE_WEIGHT * (now.since(head_since).as_secs_f64() - estimate.start);
+            estimate.started = now;
+        } else {
+            estimate.wait += LANE_WEIGHT * (now.since(since).as_secs_f64() - estimate.wait);
+        }
+    }
+
+    /// Returns how long a new program waits to be started behind so many others of its lane.
+    pub fn start(&self, lane: LaneId, ahead: usize) -> Duration {
+        let start = self.lanes.get(&lane).map_or(0.0, |estimate| estimate.start);
+
+        seconds(start * (ahead + 1) as f64)
+    }
+
     /// Takes in that a call was served.
     pub fn served(&mut self, class: ClassId, computed: Tokens, output: Tokens, held: Duration) {
         let estimate = self.classes.entry(class).or_default();
@@ -142,13 +180,20 @@
         estimate.later * (-idle.as_secs_f64() / (USUAL_PAUSES * usual)).exp()
     }
 
-    /// Returns how long a whole program of the class is expected to take from its first
-    /// grant, without waits.
-    pub fn span(&self, class: ClassId) -> Duration {
+    /// Returns how many turns a program of the class is expected to have.
+    pub fn turns(&self, class: ClassId) -> f64 {
+        let later = self.classes.get(&class).map_or(0.0, |estimate| estimate.later);
+
+        (1.0 / (1.0 - later).max(f64::EPSILON)).min(MOST_TURNS)
+    }
+
+    /// Returns how long a whole program is expected to take from its first grant.
+    pub fn span(&self, class: ClassId, lane: LaneId) -> Duration {
         let Some(estimate) = self.classes.get(&class) else { return Duration::ZERO };
-        let turns = (1.0 / (1.0 - estimate.later).max(f64::EPSILON)).min(MOST_TURNS);
+        let wait = self.lanes.get(&lane).map_or(0.0, |estimate| estimate.wait);
+        let turns = self.turns(class);
 
-        seconds(turns * estimate.hold + (turns - 1.0) * estimate.pause)
+        seconds(turns * estimate.hold + (turns - 1.0) * (estimate.pause + wait))
     }
 }
 
--- a/crates/policy/src/queue/lanes.rs
+++ b/crates/policy/src/queue/lanes.rs
@@ -23,7 +23,7 @@
 const CLASS_CREDIT: u64 = 4_000_000;
 
 /// The calls of one tenant in one class.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LaneId {
     /// The rank of the class.
     pub rank: u8,
--- a/crates/policy/src/queue/pool.rs
+++ b/crates/policy/src/queue/pool.rs
@@ -171,18 +171,20 @@
     /// It is too late for a call once even half the time that such a call takes is more
     /// than is left, and for a new program once that holds for the whole of it: what is given
     /// to a program that cannot finish is lost to those that can.
-    pub fn refuse_at(&self, request: &PlaceRequest, deadline: Instant) -> Instant {
+    pub fn refuse_at(&self, request: &PlaceRequest, lane: LaneId, deadline: Instant) -> Instant {
         let output = self.estimates.output(request.class, request.output);
         let call = self.estimates.hold(Tokens(1), output) / 2;
         let is_first = request.attained == Tokens(0);
-        let program = if is_first { self.estimates.span(request.class) / 2 } else { call };
+        let program = if is_first { self.estimates.span(request.class, lane) / 2 } else { call };
         let needed = u64::try_from(program.max(call).as_micros()).unwrap_or(u64::MAX);
 
         Instant(deadline.0.saturating_sub(needed))
     }
 
-    /// Returns how long a call will wait at least, by what waits before it in its lane and the
-    /// lane's share of the pool.
+    /// Returns how long a call will wait, by what waits before it in its lane.
+    ///
+    /// New programs start as fast as they did of late. Others are served by the lane's share
+    /// of the pool.
     pub fn wait(
         &self,
         lane: LaneId,
@@ -190,12 +192,18 @@
         room: u32,
         weights: &Map<TenantId, u32>,
     ) -> Duration {
+        let ahead = self.lanes.ahead(lane, position);
+
+        if position.level == 0 {
+            return self.estimates.start(lane, ahead);
+        }
+
         let weight = |tenant: &TenantId| f64::from(weights.get(tenant).copied().unwrap_or(1));
         let others = self.shares.waiting().filter(|tenant| *tenant != lane.tenant);
         let others: f64 = others.map(|tenant| weight(&tenant)).sum();
         let share = weight(&lane.tenant) / (weight(&lane.tenant) + others);
-        let ahead = self.lanes.ahead(lane, position) as f64;
-        let seconds = ahead * self.estimates.mean_hold() / (f64::from(room.max(1)) * share);
+        let places = f64::from(room.max(1)) * share;
+        let seconds = ahead as f64 * self.estimates.mean_hold() / places;
 
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
--- a/crates/policy/tests/queue_rules.rs
+++ b/crates/policy/tests/queue_rules.rs
@@ -232,6 +232,25 @@
     assert!(matches!(out[..], [QueueNext::Refuse { .. }]));
 }
 
+#[test]
+fn a_new_program_is_refused_at_once_when_starts_are_slow() {
+    // New programs of the tenant start one in ten seconds, and several wait. One more would
+    // start only after its caller has gone: it is told so now, not then.
+    let mut bench = Bench::new(vec![target("t", "a", 1)]);
+    let new = |n: u64| PlaceRequest { attained: Tokens(0), ..request("x", "chat", n.into()) };
+    let patient = |n| PlaceRequest { deadline_left: Duration::from_secs(300), ..new(n) };
+    (0..40).for_each(|n| drop(bench.ask(n, patient(n))));
+
+    for n in 0..20 {
+        bench.pass(Duration::from_secs(10));
+        bench.vacate(n);
+    }
+
+    let out = bench.ask(50, PlaceRequest { deadline_left: Duration::from_secs(110), ..new(50) });
+
+    assert!(matches!(out[..], [QueueNext::Refuse { retry_after, .. }] if !retry_after.is_zero()));
+}
+
 #[test]
 fn a_tenant_cannot_fill_the_queue() {
     // A tenant asks without end while nothing moves: memory stays bounded, and another
