--- a/crates/bench/src/limits.rs
+++ b/crates/bench/src/limits.rs
@@ -14,9 +14,9 @@
 use serde_with::{DurationSeconds, serde_as};
 
 pub use bucket::ExactBucket;
-pub use fleet::{Fleet, MILLI, Net, Node, SECOND, Traffic, config};
+pub use fleet::{Fleet, MILLI, Net, Node, SECOND, Traffic};
 pub use methods::Method;
-pub use scenario::Scenario;
+pub use scenario::{Scenario, config};
 pub use slopes::{Slope, slope};
 
 use scenario::Plan;
@@ -117,9 +117,9 @@
             .map(|seed| Plan::new(scenario, options.hosts, options.span.as_micros() as u64, seed))
             .collect();
 
-        for method in Method::ALL {
-            let figures: Vec<Figures> = plans.iter().map(|plan| measure(method, plan)).collect();
-            entries.push(entry(scenario, method, &figures));
+        for method in Method::of(scenario) {
+            let figures: Vec<Figures> = plans.iter().map(|plan| measure(*method, plan)).collect();
+            entries.push(entry(scenario, *method, &figures));
         }
     }
 
--- a/crates/bench/src/limits/fleet.rs
+++ b/crates/bench/src/limits/fleet.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use camphorwalk_core::config::{Config, Fleet as FleetConfig, Tenant, Zone};
+use camphorwalk_core::config::Config;
 use camphorwalk_core::ids::{HostId, TenantId, ZoneId};
 use camphorwalk_core::messages::slices::SliceMessage;
 use camphorwalk_core::time::Instant;
@@ -31,42 +31,6 @@
 const LEASE_MARGIN: u64 = 200 * MILLI;
 const PLATFORM_PERIOD: u64 = 500 * MILLI;
 
-/// Makes a configuration with these tenants (name, rate, burst).
-///
-/// ```
-/// use camphorwalk_bench::limits::config;
-/// let cfg = config(&["a", "b"], 4, &[("ramps", 2.0, 5)]);
-/// assert_eq!(cfg.tenants[0].burst, 5);
-/// ```
-pub fn config(zones: &[&str], slices: u16, tenants: &[(&str, f64, u32)]) -> Arc<Config> {
-    let zone = |name: &&str| Zone { name: (*name).into(), region: "midlands".into() };
-    let tenant = |(name, rate, burst): &(&str, f64, u32)| Tenant {
-        name: (*name).into(),
-        assistants: vec![],
-        rate_per_second: *rate,
-        burst: *burst,
-        budget_tokens: Default::default(),
-        weight: 1,
-        keys: vec![],
-        serve_when_cut_off: true,
-    };
-    let fleet = FleetConfig {
-        name: "inkwick".into(),
-        zones: zones.iter().map(zone).collect(),
-        classes: vec![],
-        partitions: 8,
-        slices,
-    };
-
-    Arc::new(Config {
-        version: Default::default(),
-        fleet,
-        targets: vec![],
-        templates: vec![],
-        tenants: tenants.iter().map(tenant).collect(),
-    })
-}
-
 /// What the network does to messages.
 #[derive(Clone, Copy, Debug)]
 pub struct Net {
@@ -106,6 +70,7 @@
     /// None while its process is dead.
     slices: Option<Slices>,
     paused: bool,
+    leaving: bool,
     /// What arrived in a pause.
     inbox: Vec<SliceEvent>,
     drift_ppm: i64,
@@ -173,6 +138,7 @@
             zone: zone(i),
             slices: None,
             paused: false,
+            leaving: false,
             inbox: vec![],
             drift_ppm: 0,
             offset: 1_000 * SECOND * (i as u64 + 1),
@@ -228,11 +194,28 @@
     pub fn kill(&mut self, host: usize) {
         self.wake(host, u64::MAX);
         let node = &mut self.nodes[host];
-        (node.slices, node.paused) = (None, false);
+        (node.slices, node.paused, node.leaving) = (None, false, false);
         node.inbox.clear();
         self.checks.forget(host);
     }
 
+    /// Lets a host leave: the others, and it, see it no more.
+    pub fn leave(&mut self, host: usize) {
+        self.nodes[host].leaving = true;
+        self.show_all_hosts();
+    }
+
+    /// Lets a host give up its columns, which go to others at once.
+    pub fn give_up_columns(&mut self, host: usize) {
+        for column in 0..self.columns.len() {
+            if self.columns[column].owner == Some(host) {
+                self.move_column(column, false);
+            }
+        }
+
+        self.platform_at = self.now;
+    }
+
     /// Stops the process of a host, until [`Self::resume`].
     pub fn pause(&mut self, host: usize) {
         self.wake(host, u64::MAX);
@@ -249,7 +232,9 @@
 
     /// Tells a host that these hosts can be reached.
     pub fn show(&mut self, host: usize, seen: impl Fn(usize) -> bool) {
-        let all = self.nodes.iter().enumerate().filter(|(i, _)| *i == host || seen(*i));
+        let stays = !self.nodes[host].leaving;
+        let nodes = self.nodes.iter().enumerate();
+        let all = nodes.filter(|(i, _)| (stays && *i == host) || seen(*i));
         let hosts = all.map(|(_, node)| SliceHost { host: node.id, zone: node.zone }).collect();
         self.step(host, SliceEvent::Hosts(hosts));
     }
@@ -257,7 +242,8 @@
     /// Tells each host of the live ones on its side of a cut.
     pub fn show_all_hosts(&mut self) {
         let side = self.side.clone();
-        let live: Vec<bool> = self.nodes.iter().map(|node| node.slices.is_some()).collect();
+        let live: Vec<bool> =
+            self.nodes.iter().map(|node| node.slices.is_some() && !node.leaving).collect();
 
         for host in 0..self.nodes.len() {
             self.show(host, |other| side[other] == side[host] && live[other]);
@@ -369,7 +355,10 @@
 
         for column in 0..self.columns.len() {
             let Column { owner, zone, until, renewed } = self.columns[column];
-            let runs = |host: usize| self.nodes[host].slices.is_some() && !self.nodes[host].paused;
+            let runs = |host: usize| {
+                let node = &self.nodes[host];
+                node.slices.is_some() && !node.paused && !node.leaving
+            };
 
             if let Some(owner) = owner.filter(|host| renewed && runs(*host) && self.now < until) {
                 self.grant(column, owner, false);
--- a/crates/bench/src/limits/methods.rs
+++ b/crates/bench/src/limits/methods.rs
@@ -9,7 +9,7 @@
 
 use super::bucket::ExactBucket;
 use super::fleet::{Fleet, SECOND, Traffic};
-use super::scenario::{Call, NOTICED, Plan, Scenario, WARM_UP};
+use super::scenario::{Call, LEAVING, NOTICED, Plan, RESTART, Scenario, WARM_UP};
 
 /// The lease of a leased counter, as long as that of a column.
 const LEASE: u64 = 4 * SECOND;
@@ -26,11 +26,6 @@
     LeasedCounter,
 }
 
-impl Method {
-    /// All methods.
-    pub const ALL: [Self; 3] = [Self::Slices, Self::StaticSplit, Self::LeasedCounter];
-}
-
 /// What came of a plan.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Outcome {
@@ -42,6 +37,21 @@
     pub(super) traffic: Traffic,
 }
 
+impl Method {
+    /// Returns the methods that a scenario is run with.
+    ///
+    /// ```
+    /// use camphorwalk_bench::limits::{Method, Scenario};
+    /// assert_eq!(Method::of(Scenario::ZoneCut).len(), 3);
+    /// ```
+    pub fn of(scenario: Scenario) -> &'static [Self] {
+        match scenario {
+            Scenario::RollingRestart => &[Self::Slices],
+            _ => &[Self::Slices, Self::StaticSplit, Self::LeasedCounter],
+        }
+    }
+}
+
 /// Runs a plan.
 pub(super) fn run(method: Method, plan: &Plan) -> Outcome {
     match method {
@@ -130,6 +140,11 @@
 enum Fault {
     Cut(bool),
     Kill(usize),
+    /// A host begins to leave; all notice.
+    Leave(usize),
+    /// It gives up its columns and ends.
+    End(usize),
+    Start(usize),
     /// All hosts notice who can be reached.
     Notice,
 }
@@ -144,6 +159,17 @@
             (to, Fault::Cut(false)),
             (to + NOTICED, Fault::Notice),
         ],
+        (Scenario::RollingRestart, _) => (0..plan.hosts)
+            .flat_map(|host| {
+                let at = plan.leaves_at(host);
+                let end = at + LEAVING;
+                [
+                    (at, Fault::Leave(host)),
+                    (end, Fault::End(host)),
+                    (end + RESTART, Fault::Start(host)),
+                ]
+            })
+            .collect(),
         (_, Some((host, at))) => vec![(at, Fault::Kill(host)), (at + NOTICED, Fault::Notice)],
         _ => vec![],
     }
@@ -155,6 +181,15 @@
             fleet.side = (0..plan.hosts).map(|host| u8::from(cut && plan.is_cut(host))).collect();
         }
         Fault::Kill(host) => fleet.kill(host),
+        Fault::Leave(host) => fleet.leave(host),
+        Fault::End(host) => {
+            fleet.give_up_columns(host);
+            fleet.kill(host);
+        }
+        Fault::Start(host) => {
+            fleet.start(host);
+            fleet.show_all_hosts();
+        }
         Fault::Notice => fleet.show_all_hosts(),
     }
 }
--- a/crates/bench/src/limits/scenario.rs
+++ b/crates/bench/src/limits/scenario.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use camphorwalk_core::config::Config;
+use camphorwalk_core::config::{Config, Fleet, Tenant, Zone};
 use camphorwalk_core::hash::rendezvous;
 use camphorwalk_core::ids::{HostId, TenantId};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use serde::Serialize;
 
-use super::fleet::{MILLI, SECOND, config};
+use super::fleet::{MILLI, SECOND};
 
 /// The time before the first call, in which columns are granted and slices fill up.
 pub(super) const WARM_UP: u64 = 30 * SECOND;
@@ -30,6 +30,42 @@
 
 const SLICES: u16 = 16;
 
+/// Makes a configuration with these tenants (name, rate, burst).
+///
+/// ```
+/// use camphorwalk_bench::limits::config;
+/// let cfg = config(&["a", "b"], 4, &[("ramps", 2.0, 5)]);
+/// assert_eq!(cfg.tenants[0].burst, 5);
+/// ```
+pub fn config(zones: &[&str], slices: u16, tenants: &[(&str, f64, u32)]) -> Arc<Config> {
+    let zone = |name: &&str| Zone { name: (*name).into(), region: "midlands".into() };
+    let tenant = |(name, rate, burst): &(&str, f64, u32)| Tenant {
+        name: (*name).into(),
+        assistants: vec![],
+        rate_per_second: *rate,
+        burst: *burst,
+        budget_tokens: Default::default(),
+        weight: 1,
+        keys: vec![],
+        serve_when_cut_off: true,
+    };
+    let fleet = Fleet {
+        name: "inkwick".into(),
+        zones: zones.iter().map(zone).collect(),
+        classes: vec![],
+        partitions: 8,
+        slices,
+    };
+
+    Arc::new(Config {
+        version: Default::default(),
+        fleet,
+        targets: vec![],
+        templates: vec![],
+        tenants: tenants.iter().map(tenant).collect(),
+    })
+}
+
 /// What happens in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -44,12 +80,20 @@
     PoolKilled,
     /// The largest tenant sends five times its rate.
     FiveTimes,
+    /// Each host in turn is shut down gracefully and started again. Slices only.
+    RollingRestart,
 }
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 5] =
-        [Self::SkewedEntry, Self::SmallBursts, Self::ZoneCut, Self::PoolKilled, Self::FiveTimes];
+    pub const ALL: [Self; 6] = [
+        Self::SkewedEntry,
+        Self::SmallBursts,
+        Self::ZoneCut,
+        Self::PoolKilled,
+        Self::FiveTimes,
+        Self::RollingRestart,
+    ];
 }
 
 /// A call that enters at a host.
@@ -135,12 +179,21 @@
         }
     }
 
-    /// Callers of a dead host come back at the next one.
+    /// Returns when a host begins to leave in a rolling restart; a turn later the next does.
+    pub(super) fn leaves_at(&self, host: usize) -> u64 {
+        let turn = (self.end - WARM_UP) / self.hosts as u64;
+
+        WARM_UP + turn * host as u64
+    }
+
+    /// Callers of a host that is dead, or leaving, come back at the next one.
     fn live_host(&self, host: usize, at: u64) -> usize {
-        match self.killed() {
-            Some((dead, when)) if dead == host && when <= at => (host + 1) % self.hosts,
-            _ => host,
-        }
+        let leaves = self.leaves_at(host);
+        let restarts = self.scenario == Scenario::RollingRestart
+            && (leaves..leaves + LEAVING + RESTART).contains(&at);
+        let dead = self.killed().is_some_and(|(dead, when)| dead == host && when <= at);
+
+        if restarts || dead { (host + 1) % self.hosts } else { host }
     }
 }
 
@@ -149,5 +202,11 @@
     HostId::from_name(&format!("host-{host}"))
 }
 
+/// How long a host is leaving in a rolling restart: it takes no calls, and hands back.
+pub(super) const LEAVING: u64 = SECOND;
+
+/// How long its process is away then.
+pub(super) const RESTART: u64 = SECOND;
+
 /// The time after which the others have noticed that a host died or was cut off.
 pub(super) const NOTICED: u64 = 2_000 * MILLI;
--- a/crates/bench/src/limits/slopes.rs
+++ b/crates/bench/src/limits/slopes.rs
@@ -2,7 +2,8 @@
 
 use serde::Serialize;
 
-use super::fleet::{Fleet, MILLI, SECOND, Traffic, config};
+use super::fleet::{Fleet, MILLI, SECOND, Traffic};
+use super::scenario::config;
 
 /// The zones of a measured fleet, as many as there will be.
 const ZONES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
--- a/crates/policy/tests/slices_rules.rs
+++ b/crates/policy/tests/slices_rules.rs
@@ -308,10 +308,11 @@
     renew(&mut lender, &mut pool, READY + 300);
 
     let after = ask(&mut pool, READY + 600);
-    answer(&mut lender, READY + 600, ids().1, &after);
+    let grant = answer(&mut lender, READY + 600, ids().1, &after).expect("a grant");
 
     let at = Instant::from_millis(READY + 600);
     assert_eq!((pool.usable(at).len(), lender.usable(at).len()), (0, 0));
+    assert!(grant.loans.is_empty());
 }
 
 #[test]
