--- /dev/null
+++ b/crates/scenario/src/declared.rs
@@ -0,0 +1,83 @@
+//! The configuration that stories run with.
+
+use std::collections::BTreeSet;
+
+use camphorwalk_core::config::Config;
+use serde_json::json;
+
+/// The template of all programs.
+pub const TEMPLATE: &str = "assistant";
+
+/// The longest deadline of a program, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 600_000;
+
+/// A tenant as a story declares it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TenantSpec {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its rate in calls a second.
+    pub rate: f64,
+    /// Its burst in calls.
+    pub burst: u32,
+    /// The names of its keys.
+    pub keys: Vec<Box<str>>,
+}
+
+impl Default for TenantSpec {
+    /// Returns a tenant that no rate holds back.
+    fn default() -> Self {
+        Self { name: "t1".into(), rate: 1_000.0, burst: 1_000, keys: vec!["k1".into()] }
+    }
+}
+
+/// Makes a configuration: in each zone one engine `model-ZONE` and one plain service
+/// `deposit-ZONE`, whose operation must not be repeated.
+pub fn config(zones: &BTreeSet<Box<str>>, tenants: &[TenantSpec]) -> Config {
+    let target = |name: &str, kind: &str, port: usize, zone: &str| {
+        json!({ "name": format!("{name}-{zone}"), "pool": name, "kind": kind, "zone": zone,
+            "address": format!("127.0.0.1:{port}"), "window": 16, "cache_tokens": if kind == "engine" { 100_000 } else { 0 } })
+    };
+    let targets = zones.iter().enumerate().flat_map(|(i, zone)| {
+        let engine = target("model", "engine", 9_000 + i, zone);
+        [engine, target("deposit", "service", 9_100 + i, zone)]
+    });
+    let tenants = tenants.iter().map(|t| {
+        let keys = t.keys.iter().map(|key| json!({ "id": key, "sha256": digest_of(key) }));
+        let keys: Vec<_> = keys.collect();
+        json!({ "name": t.name, "rate_per_second": t.rate, "burst": t.burst,
+            "assistants": [{ "template": TEMPLATE, "class": "chat" }],
+            "budget_tokens": 1_000_000, "keys": keys })
+    });
+
+    let config = json!({
+        "fleet": {
+            "name": "stories", "partitions": 8, "slices": 4,
+            "zones": zones.iter().map(|z| json!({ "name": z, "region": "r" })).collect::<Vec<_>>(),
+            "classes": [{ "name": "chat", "rank": 0 }],
+        },
+        "targets": targets.collect::<Vec<_>>(),
+        "templates": [{
+            "name": TEMPLATE, "max_calls": 200, "max_depth": 1, "max_output_tokens": 64,
+            "max_deadline_ms": MAX_DEADLINE_MS,
+            "targets": [
+                { "name": "model", "pool": "model", "idempotent": true },
+                { "name": "deposit", "pool": "deposit", "operation": "take" },
+            ],
+        }],
+        "tenants": tenants.collect::<Vec<_>>(),
+    });
+
+    let config = serde_json::from_value(config).expect("the configuration is well formed");
+    let faults = camphorwalk_declare::check(&config);
+    assert!(faults.is_empty(), "{faults:?}");
+
+    config
+}
+
+/// Returns a digest that differs for each key: no story looks at secrets.
+fn digest_of(key: &str) -> String {
+    let digest = camphorwalk_core::hash::digest(&[key.as_bytes()]);
+
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
