--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -405,7 +405,8 @@
                 self.record.operators.insert(ask.0, *reply);
             }
             Action::Left => self.hosts[host].left = true,
-            Action::Address { .. } | Action::Free(_) => {}
+            Action::Address { .. } | Action::Free(_) | Action::FreeAt { .. } | Action::Watch(_) => {
+            }
         }
     }
 
