Membership: who leaves or is gone is chosen no longer, before its work is asked anew

Cause: (1) a host that begins to leave stays alive, and only a change of alive was passed on, so others went on choosing it as keeper until it exited; (2) `Gone` came before `Changed`, so the questions to the gone keeper were asked of the same host once more, and each repeat after that went there too. Ruled out: the queue itself (the question never reached one), lost messages (Unsent was told each second from 7.03 s to the end). Conclusion: the choice among those alive is renewed first, and a repeat goes elsewhere when its keeper is not alive.

--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -97,6 +97,8 @@
     next: Instant,
     /// Walks over the members, so that each gets its turn.
     turn: usize,
+    /// Whether a host was found to be leaving since the last look.
+    leaving_changed: bool,
 }
 
 impl Membership {
@@ -110,6 +112,7 @@
             leaving: false,
             next: Instant::default(),
             turn: 0,
+            leaving_changed: false,
         }
     }
 
@@ -156,6 +159,7 @@
                 out.push(MembershipNext::Address { host, address: peer_address });
             }
         }
+        self.leaving_changed |= leaving && !member.leaving;
         member.leaving |= leaving;
     }
 
@@ -193,6 +197,7 @@
         member.session = item.session;
         member.heartbeat = item.heartbeat;
         member.peer_address = address;
+        self.leaving_changed |= member.leaving != item.leaving;
         member.leaving = item.leaving;
         member.heard = Some(now);
         member.told = 0;
@@ -247,7 +252,8 @@
     /// Finds out whose state changed since the last look.
     fn look(&mut self, now: Instant, out: &mut Vec<MembershipNext>) {
         let suspect_after = self.options.suspect_after;
-        let mut changed = false;
+        // A host that begins to leave stays alive, yet others must stop choosing it.
+        let mut changed = std::mem::take(&mut self.leaving_changed);
         let mut gone = Vec::new();
 
         for member in self.members.values_mut() {
@@ -262,10 +268,12 @@
         let forget_after = suspect_after * FORGET_FACTOR;
         self.members.retain(|_, m| m.heard.is_none_or(|at| now.since(at) <= forget_after));
         gone.sort_unstable();
-        out.extend(gone.into_iter().map(MembershipNext::Gone));
+        // What a gone host left undone is asked of another at once, so the choice among those
+        // alive comes first: else the gone host would be asked again, and never answer.
         if changed {
             out.push(MembershipNext::Changed);
         }
+        out.extend(gone.into_iter().map(MembershipNext::Gone));
     }
 
     /// Picks whom to tell: each member in its turn, those of this host's zone and those of
--- a/crates/policy/src/scheduler/asks.rs
+++ b/crates/policy/src/scheduler/asks.rs
@@ -94,7 +94,7 @@
         out.push(send(question.keeper, QueueBody::Done(done_message(number, &end))));
     }
 
-    /// Repeats questions that were not answered for long.
+    /// Repeats questions that were not answered for long, elsewhere if their host is gone.
     pub(super) fn repeat_asks(&mut self, now: Instant, out: &mut Vec<Action>) {
         if self.asks.repeat_at.is_none_or(|at| at > now) {
             return;
@@ -114,7 +114,14 @@
         self.asks.repeat_at = next;
 
         due.sort_unstable();
-        due.into_iter().for_each(|number| self.send_question(number, out));
+        for number in due {
+            let keeper = self.asks.questions[&number].keeper;
+            if keeper == self.board.me || self.membership.is_alive(keeper) {
+                self.send_question(number, out);
+            } else if let Some(question) = self.asks.questions.remove(&number) {
+                self.ask(now, question.call, question.request, out);
+            }
+        }
     }
 
     /// Asks elsewhere what the queue of a host that is gone did not answer.
--- a/crates/scenario/src/runner.rs
+++ b/crates/scenario/src/runner.rs
@@ -102,10 +102,11 @@
     /// Lets time pass, while callers act on their answers.
     fn advance(&mut self, end: Instant) {
         loop {
+            // A host may have answered in the same step as it was asked.
+            self.take_answers();
             let due = self.drives.iter().filter_map(|drive| drive.next_at).min();
             let next = due.map_or(end, |at| at.min(end)).max(self.world.now());
             let reached = self.world.run_until(next);
-            self.take_answers();
             if !reached {
                 continue;
             }
--- a/crates/scenario/src/world/platform.rs
+++ b/crates/scenario/src/world/platform.rs
@@ -26,7 +26,7 @@
     Refuse,
     /// It takes this long, both to take effect and to answer.
     Slow(Duration),
-    /// Writes take effect after this time; their answers are lost.
+    /// Transactions take effect after this time, and their answers are lost.
     Lost(Duration),
 }
 
@@ -68,9 +68,11 @@
                 let reply = PlatformReply::Unavailable;
                 return self.add_event(self.now + TIME, host, Event::Platform { op, reply });
             }
-            Mode::Ok => (TIME / 2, true),
             Mode::Slow(time) => (time, time + TIME < DEADLINE),
-            Mode::Lost(time) => (time.max(TIME / 2), !writes && time + TIME < DEADLINE),
+            Mode::Lost(time) if matches!(request, PlatformOp::Commit(_)) => {
+                (time.max(TIME / 2), false)
+            }
+            Mode::Ok | Mode::Lost(_) => (TIME / 2, true),
         };
 
         if !heard {
