Membership: gossip that reaches every host of a large fleet

Seen (camphorwalk bench control, 20 virtual seconds): a host counted only 40% of the others as alive with 40 hosts, 16% with 100, 4.7% with 390 (periods 4 times as long). All were alive. Causes: (1) every host walked the members from the start of the same order, so all told the same three at a time and the rest heard nothing for seconds; (2) a message told of 20 hosts however many there were. Ruled out: bytes (2 KB/s of 16) and the platform's list. Now the receiver is so many places further in the order of ids, a number that changes with each round; one of them is of the own zone, so that a cut zone still hears itself; a message tells of half the hosts, most by their heartbeat alone.

--- a/crates/camphorwalk/src/measure/control.rs
+++ b/crates/camphorwalk/src/measure/control.rs
@@ -53,6 +53,8 @@
     pub core_percent: f64,
     /// Events that the control state handles in a second of its own time.
     pub events_per_busy_second: f64,
+    /// How many of the other hosts a host counts as alive, in percent: all of them are.
+    pub alive_percent: f64,
     /// Calls that were answered with their output.
     pub served: u64,
     /// Calls that were refused or failed.
@@ -93,7 +95,11 @@
         driver.run(TICK);
     }
 
-    report(options, driver.take_counts(), served, refused)
+    let counts = driver.take_counts();
+    ControlReport {
+        alive_percent: driver.alive_percent(),
+        ..report(options, counts, served, refused)
+    }
 }
 
 fn stretched(by: u32) -> Times {
@@ -177,6 +183,7 @@
         writes: each(counts.writes),
         core_percent: counts.busy.as_secs_f64() / host_seconds * 100.0,
         events_per_busy_second: counts.events as f64 / counts.busy.as_secs_f64().max(1e-9),
+        alive_percent: 100.0,
         served,
         refused,
     }
--- a/crates/camphorwalk/src/measure/driver.rs
+++ b/crates/camphorwalk/src/measure/driver.rs
@@ -140,6 +140,14 @@
         self.request(host, tenant, Request::Open(open))
     }
 
+    /// Returns how many of the other hosts a host counts as alive, in percent.
+    pub fn alive_percent(&self) -> f64 {
+        let pairs = self.hosts.len() * (self.hosts.len() - 1);
+        let alive: usize = self.hosts.iter().map(|host| host.board().alive.len()).sum();
+
+        if pairs == 0 { 100.0 } else { alive as f64 / pairs as f64 * 100.0 }
+    }
+
     /// Takes the answer to a request, if it is there.
     pub fn take_answer(&mut self, request: RequestId) -> Option<Reply> {
         self.answers.remove(&request)
--- a/crates/core/src/messages/gossip.rs
+++ b/crates/core/src/messages/gossip.rs
@@ -24,6 +24,23 @@
     /// The whole configuration, sent to a peer that is behind and cannot reach the platform.
     #[prost(bytes = "vec", tag = "7")]
     pub config: Vec<u8>,
+    /// Hosts of which nothing but their heartbeat is new.
+    #[prost(message, repeated, tag = "8")]
+    pub beats: Vec<HostBeat>,
+}
+
+/// A heartbeat of a host that the receiver knows by now: a third of the bytes of its news.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct HostBeat {
+    /// The host's id.
+    #[prost(fixed64, tag = "1")]
+    pub host: u64,
+    /// The number of the run of its process.
+    #[prost(fixed64, tag = "2")]
+    pub session: u64,
+    /// Counts up at its host.
+    #[prost(uint64, tag = "3")]
+    pub heartbeat: u64,
 }
 
 /// What is known of one host.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -6,13 +6,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use camphorwalk_core::hash::Map;
+use camphorwalk_core::hash::{Map, stable_hash};
 use camphorwalk_core::ids::{HostId, ZoneId};
-use camphorwalk_core::messages::gossip::HostNews;
+use camphorwalk_core::messages::gossip::{HostBeat, HostNews};
 use camphorwalk_core::time::Instant;
 
-/// The most hosts that one message tells of, the sender aside: bounds its bytes.
-const NEWS_PER_MESSAGE: usize = 20;
+/// The fewest hosts that one message may tell of, the sender aside.
+const LEAST_NEWS: usize = 20;
+
+/// The part of all hosts that one message tells of, as a divisor. Each heartbeat has to reach
+/// each host within the time of suspicion; with a fixed number of hosts in a message, most of
+/// a large fleet counted as gone.
+const NEWS_DIVISOR: usize = 2;
+
+/// How often what is known of a host is passed on whole, before its heartbeat alone is: often
+/// enough to reach hundreds of hosts.
+const WHOLE_TELLS: u32 = 24;
 
 /// A host that was silent this many suspicion times is forgotten.
 const FORGET_FACTOR: u32 = 30;
@@ -57,12 +66,43 @@
     heartbeat: u64,
     /// When that was heard first; `None` if nothing was heard of it yet.
     heard: Option<Instant>,
-    /// How often its latest news was passed on.
+    /// How often its latest heartbeat was passed on.
     told: u32,
+    /// How often all that is known of it was passed on, since anything but its heartbeat was
+    /// new.
+    told_whole: u32,
     /// Whether it counted as alive at the last look.
     alive: bool,
 }
 
+impl Member {
+    /// Returns whether a heartbeat is newer than the latest one known. A new run of a process
+    /// counts its heartbeats from the start.
+    fn is_newer(&self, session: u64, heartbeat: u64) -> bool {
+        (session, heartbeat) > (self.session, self.heartbeat)
+    }
+
+    /// Takes in a newer heartbeat.
+    fn beat(&mut self, now: Instant, session: u64, heartbeat: u64) {
+        self.session = session;
+        self.heartbeat = heartbeat;
+        self.heard = Some(now);
+        self.told = 0;
+    }
+
+    fn news(&self) -> HostNews {
+        HostNews {
+            name: self.name.to_string(),
+            zone: self.zone_name.to_string(),
+            peer_address: self.peer_address.to_string(),
+            session: self.session,
+            heartbeat: self.heartbeat,
+            leaving: self.leaving,
+            renewal: 0,
+        }
+    }
+}
+
 /// What to do next for membership.
 #[derive(Clone, Debug, PartialEq)]
 pub enum MembershipNext {
@@ -70,8 +110,8 @@
     Gossip {
         /// The receiver.
         to: HostId,
-        /// The news, the sender's own first.
-        news: Vec<HostNews>,
+        /// The news.
+        news: News,
     },
     /// Where a host is reached; told when it is new or changed.
     Address {
@@ -86,6 +126,15 @@
     Gone(HostId),
 }
 
+/// What one message tells of hosts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct News {
+    /// All that is known of some hosts, the sender first.
+    pub whole: Vec<HostNews>,
+    /// The heartbeats of others.
+    pub beats: Vec<HostBeat>,
+}
+
 /// The hosts that this host knows.
 #[derive(Debug)]
 pub struct Membership {
@@ -95,8 +144,6 @@
     heartbeat: u64,
     leaving: bool,
     next: Instant,
-    /// Walks over the members, so that each gets its turn.
-    turn: usize,
     /// Whether a host was found to be leaving since the last look.
     leaving_changed: bool,
 }
@@ -111,7 +158,6 @@
             heartbeat: 0,
             leaving: false,
             next: Instant::default(),
-            turn: 0,
             leaving_changed: false,
         }
     }
@@ -148,6 +194,7 @@
             heartbeat: 0,
             heard: None,
             told: 0,
+            told_whole: 0,
             alive: false,
         });
 
@@ -164,15 +211,20 @@
     }
 
     /// Takes in gossip.
-    pub fn heard(&mut self, now: Instant, news: &[HostNews], out: &mut Vec<MembershipNext>) {
-        for item in news {
-            self.hear_one(now, item, out);
-        }
+    pub fn heard(
+        &mut self,
+        now: Instant,
+        whole: &[HostNews],
+        beats: &[HostBeat],
+        out: &mut Vec<MembershipNext>,
+    ) {
+        whole.iter().for_each(|item| self.hear_whole(now, item, out));
+        beats.iter().for_each(|beat| self.hear_beat(now, beat));
 
         self.look(now, out);
     }
 
-    fn hear_one(&mut self, now: Instant, item: &HostNews, out: &mut Vec<MembershipNext>) {
+    fn hear_whole(&mut self, now: Instant, item: &HostNews, out: &mut Vec<MembershipNext>) {
         let Ok(address) = item.peer_address.parse() else {
             return;
         };
@@ -180,27 +232,34 @@
         let Some(member) = self.members.get_mut(&HostId::from_name(&item.name)) else {
             return;
         };
-
-        // A new run of a process counts its heartbeats from the start.
-        let newer = if member.session == item.session {
-            item.heartbeat > member.heartbeat
-        } else {
-            item.session > member.session
-        };
-        if !newer {
+        if !member.is_newer(item.session, item.heartbeat) {
             return;
         }
 
         if member.peer_address != address {
             out.push(MembershipNext::Address { host: member.host, address });
         }
-        member.session = item.session;
-        member.heartbeat = item.heartbeat;
-        member.peer_address = address;
+        let same = member.session == item.session
+            && member.peer_address == address
+            && member.leaving == item.leaving;
         self.leaving_changed |= member.leaving != item.leaving;
+        member.peer_address = address;
         member.leaving = item.leaving;
-        member.heard = Some(now);
-        member.told = 0;
+        member.beat(now, item.session, item.heartbeat);
+        if !same {
+            member.told_whole = 0;
+        }
+    }
+
+    fn hear_beat(&mut self, now: Instant, beat: &HostBeat) {
+        // A host not known yet is learnt from whole news, or from the platform.
+        let Some(member) = self.members.get_mut(&HostId(beat.host)) else {
+            return;
+        };
+
+        if member.is_newer(beat.session, beat.heartbeat) {
+            member.beat(now, beat.session, beat.heartbeat);
+        }
     }
 
     /// Gossips, if it is time, and looks who has gone silent.
@@ -276,21 +335,44 @@
         out.extend(gone.into_iter().map(MembershipNext::Gone));
     }
 
-    /// Picks whom to tell: each member in its turn, those of this host's zone and those of
-    /// others alike, silent ones included, since a cut heals without notice.
-    fn receivers(&mut self) -> Vec<HostId> {
-        let mut all: Vec<_> = self.members.keys().copied().collect();
-        all.sort_unstable();
-        let count = self.options.fanout.min(all.len());
-        let picked = (0..count).map(|i| all[(self.turn + i) % all.len()]).collect();
-        self.turn = self.turn.wrapping_add(count);
+    /// Picks whom to tell: one host of this zone, so that a zone that is cut off still hears
+    /// itself, and the rest from all, silent ones included, since a cut heals without notice.
+    fn receivers(&self) -> Vec<HostId> {
+        let zone = ZoneId::from_name(&self.options.zone);
+        let near: Vec<_> =
+            self.members.values().filter(|m| m.zone == zone).map(|m| m.host).collect();
+        let all: Vec<_> = self.members.keys().copied().collect();
+
+        let mut picked: Vec<_> = (0..self.options.fanout)
+            .filter_map(|i| self.pick(if i == 0 && !near.is_empty() { &near } else { &all }, i))
+            .collect();
+        picked.sort_unstable();
+        picked.dedup();
 
         picked
     }
 
+    /// Picks one host: the one that stands so many places after this one in the order of ids.
+    ///
+    /// The number of places changes with each round and is the same at all hosts, so that in
+    /// one round no two tell the same host. When all hosts walked the list from its start, they
+    /// told the same three hosts at a time, and the others heard nothing for seconds.
+    fn pick(&self, hosts: &[HostId], i: usize) -> Option<HostId> {
+        let round = self.heartbeat * self.options.fanout as u64 + i as u64;
+        let places = stable_hash(&[b"gossip", &round.to_be_bytes()]) as usize % hosts.len().max(1);
+        let mut ring: Vec<_> = hosts.iter().copied().filter(|h| *h > self.me).collect();
+        ring.sort_unstable();
+        let mut before: Vec<_> = hosts.iter().copied().filter(|h| *h < self.me).collect();
+        before.sort_unstable();
+        ring.extend(before);
+
+        ring.get(places).copied()
+    }
+
     /// Picks the news for one host: this host's own, then what was passed on least often.
-    fn news_for(&mut self, to: HostId) -> Vec<HostNews> {
-        let mut news = vec![self.own_news()];
+    fn news_for(&mut self, to: HostId) -> News {
+        let most = LEAST_NEWS.max(self.members.len() / NEWS_DIVISOR);
+        let mut news = News { whole: vec![self.own_news()], beats: Vec::new() };
         let mut others: Vec<_> = self
             .members
             .values_mut()
@@ -298,17 +380,18 @@
             .collect();
         others.sort_unstable_by_key(|m| (m.told, m.host));
 
-        for member in others.into_iter().take(NEWS_PER_MESSAGE) {
+        for member in others.into_iter().take(most) {
             member.told += 1;
-            news.push(HostNews {
-                name: member.name.to_string(),
-                zone: member.zone_name.to_string(),
-                peer_address: member.peer_address.to_string(),
-                session: member.session,
-                heartbeat: member.heartbeat,
-                leaving: member.leaving,
-                renewal: 0,
-            });
+            if member.told_whole < WHOLE_TELLS {
+                member.told_whole += 1;
+                news.whole.push(member.news());
+            } else {
+                news.beats.push(HostBeat {
+                    host: member.host.0,
+                    session: member.session,
+                    heartbeat: member.heartbeat,
+                });
+            }
         }
 
         news
--- a/crates/policy/src/scheduler/gossip.rs
+++ b/crates/policy/src/scheduler/gossip.rs
@@ -4,7 +4,7 @@
 
 use camphorwalk_core::hash::Digest;
 use camphorwalk_core::ids::{Epoch, HostId, KeyId, PartitionId};
-use camphorwalk_core::messages::gossip::{Gossip, HostNews, PartitionNews};
+use camphorwalk_core::messages::gossip::{Gossip, PartitionNews};
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::platform::ObjectName;
 use camphorwalk_core::time::Instant;
@@ -14,6 +14,7 @@
 use super::{Action, Scheduler};
 use crate::configs::{ConfigEvent, Pointer};
 use crate::leases::Holder;
+use crate::membership::News;
 use crate::programs::ProgramEvent;
 
 /// How long a peer that is behind is left to read the configuration from the platform,
@@ -25,14 +26,15 @@
 
 impl Scheduler {
     /// Sends news of hosts to a peer, and with it all else that is gossiped.
-    pub(super) fn gossip(&mut self, to: HostId, news: Vec<HostNews>, out: &mut Vec<Action>) {
+    pub(super) fn gossip(&mut self, to: HostId, news: News, out: &mut Vec<Action>) {
         let pointer = self.configs.pointer();
         let mut quarantined: Vec<_> = self.quarantined.iter().map(|d| d.to_vec()).collect();
         quarantined.sort_unstable();
         quarantined.truncate(MOST_ITEMS);
 
         let gossip = Gossip {
-            hosts: news,
+            hosts: news.whole,
+            beats: news.beats,
             config_version: pointer.map_or(0, |p| p.version.0),
             config_object: pointer.map_or_else(String::new, |p| p.object.0.to_string()),
             withdrawn_keys: self.configs.withdrawn().iter().take(MOST_ITEMS).map(|k| k.0).collect(),
@@ -74,7 +76,7 @@
         out: &mut Vec<Action>,
     ) {
         let mut next = Vec::new();
-        self.membership.heard(now, &gossip.hosts, &mut next);
+        self.membership.heard(now, &gossip.hosts, &gossip.beats, &mut next);
         self.on_membership(now, next, out);
 
         for news in &gossip.partitions {
