peer: a lost message is told to its sender

Cause: send() queues. When the dial failed later, or only the outgoing connection broke, nobody told the entry host that its Forward was lost. The incoming connection stood and membership saw the host alive, so the caller waited until its own deadline.

Inbound::Unsent gives back what surely never left. Inbound::Broken tells of a connection that broke with messages that the peer had not confirmed. The node passes them on as the events Unsent (answered "not run") and PeerDown (answered "not known") that the policy has already.

Ruled out: resending after a reconnect, which would be at least once.

Not run: a test of real hosts where only one direction breaks.

--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -303,7 +303,12 @@
             Inbound::Up { name, zone, .. } => {
                 tracing::info!("peer: {name} of zone {zone} is connected");
             }
-            Inbound::Down { host } => shared.control.send(Event::PeerDown(host)),
+            Inbound::Down { host } | Inbound::Broken { host } => {
+                shared.control.send(Event::PeerDown(host));
+            }
+            Inbound::Unsent { to, message } => {
+                shared.control.send(Event::Unsent { to, message });
+            }
         }
     }
 }
--- a/crates/peer/src/incoming.rs
+++ b/crates/peer/src/incoming.rs
@@ -8,7 +8,6 @@
 use futures::{SinkExt as _, StreamExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -37,7 +36,7 @@
 }
 
 /// Accepts connections until the part is stopped.
-pub(crate) async fn listen(shared: Arc<Shared>, listener: TcpListener, inbound: Sender<Inbound>) {
+pub(crate) async fn listen(shared: Arc<Shared>, listener: TcpListener) {
     let handshakes = Arc::new(Semaphore::new(shared.options.max_handshakes));
 
     loop {
@@ -61,13 +60,12 @@
         };
 
         let shared = Arc::clone(&shared);
-        let inbound = inbound.clone();
         tokio::spawn(async move {
             let admitted = admit(&shared, stream).await;
             drop(permit);
 
             let ended = match admitted {
-                Ok(connection) => serve(&shared, connection, &inbound).await,
+                Ok(connection) => serve(&shared, connection).await,
                 Err(error) => Err(error),
             };
             if let Err(error) = ended {
@@ -98,11 +96,7 @@
 }
 
 /// Delivers the messages of a connection, in place of the host's former one.
-async fn serve(
-    shared: &Shared,
-    mut connection: Connection<TcpStream>,
-    inbound: &Sender<Inbound>,
-) -> Result<()> {
+async fn serve(shared: &Shared, mut connection: Connection<TcpStream>) -> Result<()> {
     let identity = connection.identity.clone();
     let stop = shared.stop.child_token();
     let (over_tx, over) = oneshot::channel();
@@ -118,10 +112,10 @@
 
     let ended = tokio::select! {
         () = stop.cancelled() => Ok(()),
-        ended = deliver(shared, &mut connection, inbound) => ended,
+        ended = deliver(shared, &mut connection) => ended,
     };
 
-    let _ = inbound.send(Inbound::Down { host: identity.host }).await;
+    let _ = shared.inbound.send(Inbound::Down { host: identity.host }).await;
     debug!("peer: {} is down", identity.name);
 
     // A newer connection may have put itself in this one's place.
@@ -136,18 +130,14 @@
 }
 
 /// Delivers messages until the connection ends.
-async fn deliver(
-    shared: &Shared,
-    connection: &mut Connection<TcpStream>,
-    inbound: &Sender<Inbound>,
-) -> Result<()> {
+async fn deliver(shared: &Shared, connection: &mut Connection<TcpStream>) -> Result<()> {
     let Identity { host, name, zone, session } = connection.identity.clone();
     let limit = shared.options.silence_limit;
     let idle_limit = shared.options.idle_keepalive + limit;
 
     debug!("peer: {name} is up");
     let _open = OpenGuard::new(&shared.metrics, DIRECTION);
-    if inbound.send(Inbound::Up { host, name, zone, session }).await.is_err() {
+    if shared.inbound.send(Inbound::Up { host, name, zone, session }).await.is_err() {
         return Ok(());
     }
 
@@ -167,7 +157,7 @@
                 shared.metrics.frame("out", Frame::Keepalive.wire_bytes());
             }
             Frame::Message(message) => {
-                if inbound.send(Inbound::Message { from: host, message }).await.is_err() {
+                if shared.inbound.send(Inbound::Message { from: host, message }).await.is_err() {
                     return Ok(());
                 }
             }
--- a/crates/peer/src/outgoing.rs
+++ b/crates/peer/src/outgoing.rs
@@ -14,7 +14,7 @@
 
 use crate::errors::{Error, Result};
 use crate::handshake::{Connection, dial};
-use crate::peers::Shared;
+use crate::peers::{Inbound, Shared};
 use crate::sending::{Ended, Sending};
 
 /// The most items taken from the queue at once.
@@ -76,6 +76,11 @@
             () = stopped.cancelled() => {}
             () = dialler.run() => {}
         }
+
+        // When all stops, nobody is left to be told.
+        if !dialler.shared.stop.is_cancelled() {
+            dialler.drop_waiting().await;
+        }
     });
 
     Link { tx, address: address_tx, stop }
@@ -94,23 +99,31 @@
             let started = Instant::now();
             let address = *self.queue.address.borrow_and_update();
 
-            let ended = match self.dial(address).await {
-                Ok(connection) => Sending::new(&self.shared, connection).run(&mut self.queue).await,
-                Err(error) => Err(error),
-            };
-
-            match ended {
+            match self.connect_and_send(address).await {
                 Ok(Ended::NewAddress) => {}
                 Ok(Ended::NoMore) => return,
                 Err(error) => {
                     self.note_failure(address, &error);
-                    self.drop_waiting();
+                    self.drop_waiting().await;
                     self.pause(started).await;
                 }
             }
         }
     }
 
+    /// Connects and sends until the connection ends; tells if messages may be lost with it.
+    async fn connect_and_send(&mut self, address: SocketAddr) -> Result<Ended> {
+        let connection = self.dial(address).await?;
+        let mut sending = Sending::new(&self.shared, connection);
+        let ended = sending.run(&mut self.queue).await;
+
+        if !sending.is_settled() {
+            let broken = Inbound::Broken { host: self.host };
+            let _ = self.shared.inbound.send(broken).await;
+        }
+        ended
+    }
+
     /// Waits until there is something to send; false when nothing can come any more.
     async fn wait_for_item(&mut self) -> bool {
         let Queue { rx, batch, .. } = &mut self.queue;
@@ -160,16 +173,20 @@
         }
     }
 
-    /// Drops what waits: by the next connect it would be stale.
-    fn drop_waiting(&mut self) {
+    /// Gives back what waits: by the next connect it would be stale.
+    async fn drop_waiting(&mut self) {
         let Queue { rx, batch, .. } = &mut self.queue;
         while let Ok(item) = rx.try_recv() {
             batch.push(item);
         }
 
-        let lost = batch.iter().filter(|item| matches!(item, Item::Message(_))).count();
-        self.shared.metrics.drop_messages("unsent", lost);
-        batch.clear();
+        for item in batch.drain(..) {
+            if let Item::Message(message) = item {
+                self.shared.metrics.drop_messages("unsent", 1);
+                let unsent = Inbound::Unsent { to: self.host, message };
+                let _ = self.shared.inbound.send(unsent).await;
+            }
+        }
     }
 
     /// Pauses after a failure: longer each time, until a connection lasts.
--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -52,6 +52,19 @@
         /// The host.
         host: HostId,
     },
+    /// A message that was queued was not sent, and never will be.
+    Unsent {
+        /// The host that it was for.
+        to: HostId,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// The connection to a host broke. The messages that it did not confirm, the latest ones,
+    /// may or may not have arrived.
+    Broken {
+        /// The host.
+        host: HostId,
+    },
 }
 
 /// The connections to and from the other hosts.
@@ -73,6 +86,8 @@
     pub(crate) options: PeerOptions,
     /// What this host says of itself.
     pub(crate) identity: Identity,
+    /// Where what comes in is delivered.
+    pub(crate) inbound: Sender<Inbound>,
     /// The counters.
     pub(crate) metrics: Metrics,
     /// What was logged.
@@ -123,6 +138,7 @@
         let shared = Arc::new(Shared {
             identity: options.identity(),
             options,
+            inbound,
             metrics: Metrics::new(),
             notices: Notices::default(),
             stop: stop.clone(),
@@ -130,7 +146,7 @@
             current: Mutex::default(),
             next_connection: AtomicU64::new(0),
         });
-        tokio::spawn(incoming::listen(Arc::clone(&shared), listener, inbound));
+        tokio::spawn(incoming::listen(Arc::clone(&shared), listener));
 
         Ok(Self { shared, local_address, _guard: Arc::new(stop.drop_guard()) })
     }
@@ -167,7 +183,8 @@
     /// Queues a message for a peer; never waits.
     ///
     /// Returns false if the message will not be sent: the peer is not known, its queue is
-    /// full, or the message is over the limit. A message that was queued may still be lost.
+    /// full, or the message is over the limit. A message that was queued may still be lost:
+    /// [`Inbound::Unsent`] or [`Inbound::Broken`] tells.
     pub fn send(&self, host: HostId, message: PeerMessage) -> bool {
         let refused = match self.try_send(host, message) {
             Ok(()) => return true,
--- a/crates/peer/src/pulse.rs
+++ b/crates/peer/src/pulse.rs
@@ -32,8 +32,8 @@
 pub(crate) struct Pulse {
     /// The times.
     times: Times,
-    /// Whether messages were sent since the last keepalive.
-    is_unconfirmed: bool,
+    /// The number of the keepalive whose answer confirms the last message.
+    confirms_last: u64,
     /// How many keepalives were sent.
     pings: u64,
     /// How many were answered.
@@ -47,19 +47,18 @@
 impl Pulse {
     /// Makes the pulse of a connection that opens now.
     pub(crate) fn new(times: Times, now: Instant) -> Self {
-        let (pings, answers) = (0, 0);
+        let (confirms_last, pings, answers) = (0, 0, 0);
 
-        Self { times, is_unconfirmed: false, pings, answers, last_ping: now, owed_since: None }
+        Self { times, confirms_last, pings, answers, last_ping: now, owed_since: None }
     }
 
     /// Notes that a message was sent.
     pub(crate) fn note_message(&mut self) {
-        self.is_unconfirmed = true;
+        self.confirms_last = self.pings + 1;
     }
 
     /// Notes that a keepalive was sent; returns its number.
     pub(crate) fn note_ping(&mut self, now: Instant) -> u64 {
-        self.is_unconfirmed = false;
         self.pings += 1;
         self.last_ping = now;
         self.owed_since.get_or_insert(now);
@@ -75,6 +74,11 @@
         self.answers
     }
 
+    /// Returns whether all messages were surely taken in.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.answers >= self.confirms_last
+    }
+
     /// Returns what to do at this time.
     pub(crate) fn next(&self, now: Instant) -> Next {
         // Without this, frames for a peer that was cut off would wait for TCP's own
@@ -84,7 +88,7 @@
         }
 
         let since_ping = now - self.last_ping;
-        let is_due = self.is_unconfirmed && since_ping >= self.times.keepalive
+        let is_due = self.confirms_last > self.pings && since_ping >= self.times.keepalive
             || since_ping >= self.times.idle_keepalive;
         if is_due { Next::Ping } else { Next::Wait }
     }
--- a/crates/peer/src/sending.rs
+++ b/crates/peer/src/sending.rs
@@ -47,6 +47,11 @@
         Self { shared, connection, pulse, flushes: Vec::new() }
     }
 
+    /// Returns whether all messages were surely taken in.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.pulse.is_settled()
+    }
+
     /// Sends what comes until the connection ends.
     pub(crate) async fn run(&mut self, queue: &mut Queue) -> Result<Ended> {
         let _open = OpenGuard::new(&self.shared.metrics, DIRECTION);
@@ -96,13 +101,10 @@
 
     /// Sends one message.
     async fn send_message(&mut self, message: PeerMessage) -> Result<()> {
+        // Noted first: once it is handed over, a part of it may be on its way.
         self.pulse.note_message();
-        let sent = self.send_frame(Frame::Message(message)).await;
 
-        if sent.is_err() {
-            self.shared.metrics.drop_messages("unsent", 1);
-        }
-        sent
+        self.send_frame(Frame::Message(message)).await
     }
 
     /// Sends a keepalive; returns its number.
--- a/crates/peer/tests/silence.rs
+++ b/crates/peer/tests/silence.rs
@@ -97,6 +97,59 @@
     assert_eq!(two.next_message().await, message(2));
 }
 
+// The peer cannot be reached. What waits for it was surely never sent, and the sender is
+// told so with the message: it may promise its caller that nothing ran.
+#[tokio::test]
+async fn a_message_that_was_never_sent_comes_back() {
+    let mut one = start(options("host-1")).await;
+    one.peers.set_address(id("host-2"), fixtures::closed_address().await);
+
+    one.peers.send(id("host-2"), message(1));
+    one.peers.send(id("host-2"), message(2));
+
+    for number in 1..=2 {
+        let expected = Inbound::Unsent { to: id("host-2"), message: message(number) };
+        assert_eq!(one.next().await, expected);
+    }
+}
+
+// The connection breaks after a message was written and before the peer confirmed it. It
+// may have arrived, so it does not come back as unsent; the sender is told that it is not
+// known, and does not wait for an answer that may never come.
+#[tokio::test]
+async fn a_break_with_unconfirmed_messages_is_told() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut one = start(options("host-1")).await;
+    one.peers.set_address(id("host-2"), listener.local_addr().unwrap());
+    one.peers.send(id("host-2"), message(1));
+    let connection = admit(&listener, "host-2").await;
+    one.wait_count("frames_total", "out", 1).await;
+
+    drop(connection);
+
+    assert_eq!(one.next().await, Inbound::Broken { host: id("host-2") });
+    assert_eq!(one.count("dropped_total", "unsent"), 0);
+}
+
+// The peer confirmed all messages before its connection ended, so nothing is told of it.
+#[tokio::test]
+async fn a_break_after_receipt_is_not_told() {
+    let mut two = start(options("host-2")).await;
+    let mut one = start(options("host-1")).await;
+    one.peers.set_address(id("host-2"), two.peers.local_address());
+    one.peers.send(id("host-2"), message(1));
+    two.next_message().await;
+    assert_eq!(one.peers.flush(Duration::from_secs(20)).await, 0);
+
+    drop(two);
+    one.wait_count("connections", "out", 0).await;
+    one.peers.set_address(id("host-2"), fixtures::closed_address().await);
+    one.peers.send(id("host-2"), message(2));
+
+    let expected = Inbound::Unsent { to: id("host-2"), message: message(2) };
+    assert_eq!(one.next().await, expected);
+}
+
 // A host shuts down right after its last answers were queued. `flush` returns only when
 // the peer took them in, so that none is lost with the process.
 #[tokio::test]
