--- a/crates/camphorwalk/src/arguments.rs
+++ b/crates/camphorwalk/src/arguments.rs
@@ -1,5 +1,6 @@
 //! The command line of the programs.
 
+use std::net::SocketAddr;
 use std::process;
 use std::time::Duration;
 
@@ -71,3 +72,17 @@
 
     parsed.ok_or_else(|| "expected a duration such as 250ms or 10s".to_owned())
 }
+
+/// Reads where a host listens, for options: an IP address and port, with or without `http://`
+/// as hosts print it.
+///
+/// ```
+/// use camphorwalk::arguments::address;
+/// assert_eq!(address("http://127.0.0.1:7201/"), address("127.0.0.1:7201"));
+/// assert!(address("host:7201").is_err());
+/// ```
+pub fn address(text: &str) -> Result<SocketAddr, String> {
+    let plain = text.strip_prefix("http://").unwrap_or(text).trim_end_matches('/');
+
+    plain.parse().map_err(|_| "expected an IP address and port, such as 127.0.0.1:7201".to_owned())
+}
--- a/crates/camphorwalk/src/commands/apply.rs
+++ b/crates/camphorwalk/src/commands/apply.rs
@@ -15,7 +15,7 @@
 
 use super::diff::load_folder;
 use super::fail;
-use crate::arguments::duration;
+use crate::arguments::{address, duration};
 use crate::exit::Exit;
 use crate::operator::{Confirmation, Error, InForce, Operator, Result};
 use crate::output;
@@ -46,7 +46,7 @@
     base: Option<u64>,
 
     /// the operator API of a host, as IP:PORT
-    #[argh(option)]
+    #[argh(option, from_str_fn(address))]
     host: SocketAddr,
 
     /// the file with the operators' key
--- a/crates/camphorwalk/src/commands/diff.rs
+++ b/crates/camphorwalk/src/commands/diff.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 
 use super::fail;
+use crate::arguments::address;
 use crate::exit::Exit;
 use crate::operator::{Error, Operator, Result};
 use crate::output;
@@ -32,7 +33,7 @@
     against: Option<PathBuf>,
 
     /// the operator API of a host, as IP:PORT
-    #[argh(option)]
+    #[argh(option, from_str_fn(address))]
     host: Option<SocketAddr>,
 
     /// the file with the operators' key
--- a/crates/camphorwalk/src/commands/drain.rs
+++ b/crates/camphorwalk/src/commands/drain.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 
 use super::fail;
+use crate::arguments::address;
 use crate::exit::Exit;
 use crate::operator::{Operator, Result};
 use crate::output;
@@ -25,7 +26,7 @@
     leaving: String,
 
     /// the operator API of any host, as IP:PORT
-    #[argh(option)]
+    #[argh(option, from_str_fn(address))]
     host: SocketAddr,
 
     /// the file with the operators' key
--- a/crates/camphorwalk/src/commands/status.rs
+++ b/crates/camphorwalk/src/commands/status.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use super::fail;
+use crate::arguments::address;
 use crate::exit::Exit;
 use crate::operator::{Operator, Result};
 use crate::output;
@@ -23,7 +24,7 @@
 )]
 pub struct Status {
     /// the operator API of a host, as IP:PORT
-    #[argh(option)]
+    #[argh(option, from_str_fn(address))]
     host: SocketAddr,
 
     /// the file with the operators' key
--- a/crates/camphorwalk/src/commands/withdraw.rs
+++ b/crates/camphorwalk/src/commands/withdraw.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 
 use super::fail;
+use crate::arguments::address;
 use crate::exit::Exit;
 use crate::operator::{Operator, Result};
 use crate::output;
@@ -27,7 +28,7 @@
     key: String,
 
     /// the operator API of a host, as IP:PORT
-    #[argh(option)]
+    #[argh(option, from_str_fn(address))]
     host: SocketAddr,
 
     /// the file with the operators' key
