Programs: 'not run' is not said of a call that nobody looked up

Cause: a host that is not (or not yet) a program's home answered a repeated call 503 'leaving', ran 'no', although the first submission of its idempotency key may have run elsewhere. Such a call is now answered ran 'maybe', with Retry-After as before; other requests still get 'no'. Likewise a tail that does not fit was refused before the repeat was looked up; now after.

Ruled out: 'maybe' for a program that is unknown or long forgotten (404 stays 'no').

--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -316,7 +316,10 @@
         self.run_timers(cx);
 
         match event {
-            ProgramEvent::Config(cfg) => self.cfg = Some(Lookup::new(cfg)),
+            ProgramEvent::Config(cfg) => {
+                self.cfg = Some(Lookup::new(cfg));
+                self.read_unblocked(cx);
+            }
             ProgramEvent::Acquired { partition, epoch, lease } => {
                 self.acquired(cx, partition, epoch, lease);
             }
--- a/crates/policy/src/programs/answers.rs
+++ b/crates/policy/src/programs/answers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use camphorwalk_core::calls::{Code, Ran, Refusal};
+use camphorwalk_core::calls::{Code, Ran, Refusal, Request};
 
 /// When to come back while a program's home moves.
 const MOVING_RETRY: Duration = Duration::from_millis(500);
@@ -12,6 +12,24 @@
     Refusal::not_run(Code::Leaving, "the program's home is moving").retry_after(MOVING_RETRY)
 }
 
+/// The program's home is elsewhere, or is not ready, so that nobody here can look the
+/// request up.
+pub(super) fn not_served(request: &Request) -> Refusal {
+    leaving().ran(ran_unseen(request))
+}
+
+/// Returns what can be said of a request that was not looked up.
+///
+/// An earlier submission of a call's idempotency key may have run. This one did not, but a
+/// caller that repeats a deposit asks about the deposit: told "not run", it would pay by
+/// other means.
+pub(super) fn ran_unseen(request: &Request) -> Ran {
+    match request {
+        Request::Call(_) => Ran::Maybe,
+        _ => Ran::No,
+    }
+}
+
 /// There is no such program for this tenant.
 pub(super) fn not_found() -> Refusal {
     Refusal::not_run(Code::NotFound, "no such program")
--- a/crates/policy/src/programs/calls.rs
+++ b/crates/policy/src/programs/calls.rs
@@ -44,11 +44,8 @@
         };
         let caller = Caller { ticket, key, stream: req.stream };
 
-        if let Some(tail) = req.tail.take()
-            && let Err(refusal) = self.adopt_tail(cx, program, &tail)
-        {
-            return self.refuse(cx, ticket, refusal);
-        }
+        let tail = req.tail.take();
+        let adopted = tail.map_or(Ok(()), |tail| self.adopt_tail(cx, program, &tail));
 
         match self.classify(program, &req) {
             Ok(Step::Repeat(number)) => {
@@ -56,7 +53,7 @@
                 self.answer(cx, ticket, reply);
             }
             Ok(Step::Join) => self.join(program, caller),
-            Ok(Step::Fresh) => match self.check(cx, program, &req) {
+            Ok(Step::Fresh) => match adopted.and_then(|()| self.check(cx, program, &req)) {
                 Ok(call) => self.start(cx, caller, call),
                 Err(refusal) => self.refuse(cx, ticket, refusal),
             },
--- a/crates/policy/src/programs/commits.rs
+++ b/crates/policy/src/programs/commits.rs
@@ -71,6 +71,10 @@
             self.lost(cx, partition);
         }
 
+        for partition in resolved.behind {
+            self.read_again(cx, partition);
+        }
+
         if let Some((upkeep, version)) = resolved.upkeep {
             self.upkeep_done(&upkeep, version);
         }
--- a/crates/policy/src/programs/journal.rs
+++ b/crates/policy/src/programs/journal.rs
@@ -92,6 +92,9 @@
     pub fates: Vec<(Pending, Fate)>,
     /// Partitions whose lease another host took.
     pub fenced: Vec<(PartitionId, Epoch)>,
+    /// Partitions whose journal holds a row that this host does not know, under its own
+    /// lease: what was read of them is not all there is.
+    pub behind: Vec<PartitionId>,
     /// The bytes of the rows that were appended.
     pub appended: Vec<(PartitionId, usize)>,
     /// The upkeep that was done, and the version of what it wrote.
@@ -391,19 +394,20 @@
 
         for row in &flight.rows {
             let current = tenures.get(&row.partition).filter(|t| t.id == row.tenure.id);
-            let taken = stands(found, &row.key) || stands(found, &lease_key(row.partition));
+            let taken = stands(found, &lease_key(row.partition));
 
             match current {
                 // The lease row was renewed while the transaction was under way.
                 Some(tenure) if tenure.lease != row.tenure.lease => renewed = true,
                 Some(tenure) if taken => resolved.fenced.push((row.partition, tenure.epoch)),
+                Some(_) if stands(found, &row.key) => resolved.behind.push(row.partition),
                 _ => {}
             }
         }
 
         // A lease row that is gone is not named. Each partition then goes by itself, and one
         // that conflicts alone is lost.
-        if resolved.fenced.is_empty() && !renewed {
+        if resolved.fenced.is_empty() && resolved.behind.is_empty() && !renewed {
             match flight.rows.as_slice() {
                 [row] => resolved.fenced.push((row.partition, row.tenure.epoch)),
                 many => self.alone = many.len(),
--- a/crates/policy/src/programs/keys.rs
+++ b/crates/policy/src/programs/keys.rs
@@ -39,14 +39,15 @@
 
     /// Refuses the requests of a key that wait for their partition.
     fn refuse_parked(&mut self, cx: &mut Cx<'_>, key: KeyId) {
-        let mut tickets = Vec::new();
+        let mut withdrawn = Vec::new();
 
         for recovering in self.recovering.values_mut() {
-            tickets.extend(recovering.parked.extract_if(.., |p| p.key == key).map(|p| p.ticket));
+            withdrawn.extend(recovering.parked.extract_if(.., |parked| parked.key == key));
         }
 
-        for ticket in tickets {
-            self.refuse(cx, ticket, answers::unauthorized(Ran::No));
+        for parked in withdrawn {
+            let ran = answers::ran_unseen(&parked.request);
+            self.refuse(cx, parked.ticket, answers::unauthorized(ran));
         }
     }
 
--- a/crates/policy/src/programs/lifecycle.rs
+++ b/crates/policy/src/programs/lifecycle.rs
@@ -177,7 +177,7 @@
             self.scans.retain(|_, (of, _)| *of != partition);
 
             for parked in recovering.parked {
-                self.refuse(cx, parked.ticket, answers::leaving());
+                self.refuse(cx, parked.ticket, answers::not_served(&parked.request));
             }
         }
 
--- a/crates/policy/src/programs/open.rs
+++ b/crates/policy/src/programs/open.rs
@@ -257,9 +257,12 @@
             program.state = ProgramState::Open;
         }
 
-        let account = program.account;
+        let (account, deadline) = (program.account, program.deadline);
         let tickets = std::mem::take(&mut program.opening);
 
+        // The deadline may have passed while the opening was in doubt.
+        self.timers.set(deadline, Timer::Program(key));
+
         if let Some(account) = self.accounts.get_mut(account) {
             account.granted(granted);
         }
--- a/crates/policy/src/programs/recovery.rs
+++ b/crates/policy/src/programs/recovery.rs
@@ -68,12 +68,25 @@
         self.read_unblocked(cx);
     }
 
+    /// Forgets a partition that this host still holds, and reads it anew.
+    pub(super) fn read_again(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
+        if let Some(Tenure { epoch, lease, .. }) = self.tenures.get(&partition).copied() {
+            self.lost(cx, partition);
+            self.acquired(cx, partition, epoch, lease);
+        }
+    }
+
     /// Begins to read the journals that this host itself does not write to any more.
     ///
     /// A lease can be lost and found again with the same version. A transaction of before,
     /// whose answer was lost, could then take effect after the journal was read: the row
     /// would be missing here, and what is written next would contradict it.
     pub(super) fn read_unblocked(&mut self, cx: &mut Cx<'_>) {
+        // Without a configuration nobody knows what is in which partition.
+        if self.cfg.is_none() {
+            return;
+        }
+
         let free: Vec<_> = self
             .recovering
             .iter()
@@ -353,7 +366,7 @@
         let Some(recovering) = self.recovering.get_mut(&partition) else { return };
 
         if recovering.parked.len() >= MAX_PARKED {
-            return self.refuse(cx, asked.ticket, answers::leaving());
+            return self.refuse(cx, asked.ticket, answers::not_served(&asked.request));
         }
 
         let until = cx.now + PARK_WAIT;
@@ -375,7 +388,7 @@
         let retry = recovering.retry_at.is_some_and(|at| at <= cx.now);
 
         for parked in late {
-            self.refuse(cx, parked.ticket, answers::leaving());
+            self.refuse(cx, parked.ticket, answers::not_served(&parked.request));
         }
 
         if retry {
--- a/crates/policy/src/programs/requests.rs
+++ b/crates/policy/src/programs/requests.rs
@@ -30,7 +30,7 @@
         let program = program_of(&asked.request);
 
         let Some(partition) = self.cfg.as_ref().map(|cfg| cfg.partition(program)) else {
-            return self.refuse(cx, asked.ticket, answers::leaving());
+            return self.refuse(cx, asked.ticket, answers::not_served(&asked.request));
         };
 
         if self.tenures.contains_key(&partition) {
@@ -41,7 +41,7 @@
             return self.park(cx, partition, asked);
         }
 
-        self.refuse(cx, asked.ticket, answers::leaving());
+        self.refuse(cx, asked.ticket, answers::not_served(&asked.request));
     }
 
     /// Serves a request for a program whose home this host is.
--- a/crates/policy/tests/programs_home/checkpoints.rs
+++ b/crates/policy/tests/programs_home/checkpoints.rs
@@ -4,7 +4,7 @@
 use camphorwalk_core::ids::ProgramId;
 use camphorwalk_core::platform::{PlatformOp, RowKey};
 
-use crate::fixture::{Home, PROGRAM, Platform, call, call_request, done, open};
+use crate::fixture::{Home, PROGRAM, Platform, call, call_request, call_with_tail, done, open};
 
 /// Returns the keys of a table.
 fn keys(platform: &Platform, table: &str) -> Vec<RowKey> {
@@ -72,9 +72,27 @@
     home.run(platform, call("look", "k2", 1), "\"seen\"");
     home.ask(platform, call("look", "k3", 2));
     home.finish(platform, done("\"seen\""));
+    home.pass(platform, 1_000);
     platform.commit(&first);
     let mut new = Home::new(platform, 2);
 
     assert_eq!(new.history(platform).len(), 3);
     assert_eq!(new.programs.open_programs().collect::<Vec<_>>(), [PROGRAM]);
 }
+
+/// The caller's program goes on. The home read less of the journal than there was (a lagging
+/// read); its next write meets a row it does not know, and it reads again.
+#[test]
+fn a_home_that_missed_a_row_reads_again() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    let row = r#"{"witness": "other", "entries": []}"#;
+    platform.rows.insert(RowKey::new("journal", "0000/000000000002"), (9, row.into()));
+
+    let first = home.run(platform, call("look", "k1", 0), "\"seen\"");
+    let request = call_with_tail("look", "k2", 1, first.tail);
+    let second = home.run(platform, request, "\"seen\"");
+
+    assert!(!first.stored && second.stored);
+    assert_eq!((second.call, home.fenced), (2, 0));
+}
--- a/crates/policy/tests/programs_home/order.rs
+++ b/crates/policy/tests/programs_home/order.rs
@@ -1,8 +1,9 @@
 //! Order, repeats and history of a program's calls.
 
 use camphorwalk_core::calls::{CallOutcome, Code, Ran, Reply, Request};
+use camphorwalk_policy::programs::ProgramEvent;
 
-use crate::fixture::{Home, PROGRAM, Platform, call, call_request, done};
+use crate::fixture::{Home, Mode, PARTITION, PROGRAM, Platform, call, call_request, done};
 
 #[test]
 fn calls_follow_the_head() {
@@ -87,3 +88,24 @@
     assert_eq!(new.history(platform), before);
     assert_eq!(new.reply(outcome), &Reply::Outcome(CallOutcome::Done(first)));
 }
+
+/// The caller's deposit ran; its repeat reaches a host that is not, or not yet, the home and
+/// cannot look it up. "Not run" would have the caller pay by other means.
+#[test]
+fn a_call_that_cannot_be_looked_up_may_have_run() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    home.run(platform, call("deposit", "k1", 0), "\"paid\"");
+
+    home.event(platform, ProgramEvent::Lost { partition: PARTITION });
+    let gone = home.ask(platform, call("deposit", "k1", 0));
+    platform.mode = Mode::Away;
+    home.acquire(platform);
+    let parked = home.ask(platform, call("deposit", "k1", 0));
+    home.pass(platform, 2_000);
+
+    for refusal in [home.refusal(gone), home.refusal(parked)] {
+        assert_eq!((refusal.code, refusal.ran), (Code::Leaving, Ran::Maybe));
+        assert!(refusal.retry_after.is_some());
+    }
+}
--- a/crates/policy/tests/programs_home/tails.rs
+++ b/crates/policy/tests/programs_home/tails.rs
@@ -61,11 +61,13 @@
     let mut new = Home::new(platform, 2);
     new.run(platform, call("model", "other", 0), "\"other\"");
 
-    let ticket = new.ask(platform, call_with_tail("model", "k3", 2, tail));
+    let ticket = new.ask(platform, call_with_tail("model", "k3", 2, tail.clone()));
+    let repeat = new.ask(platform, call_with_tail("model", "other", 0, tail));
 
     let refusal = new.refusal(ticket);
     assert_eq!((refusal.code, refusal.ran), (Code::OutOfOrder, Ran::No));
     assert_eq!(refusal.head, Some(1));
+    assert_eq!(new.called(repeat).call, 1);
     assert_eq!(new.history(platform).len(), 1);
 }
 
