--- a/crates/policy/tests/programs_home/fuzz.rs
+++ b/crates/policy/tests/programs_home/fuzz.rs
@@ -1,18 +1,16 @@
 //! Random calls, repeats, deaths, pauses, takeovers and lost answers against an oracle.
 //!
-//! The oracle is [`World::check`] at every step and [`Fuzz::teardown`] at the end. Twice as
+//! The oracle looks at every step, and at the histories in the end. Twice as
 //! many cases run with `CAMPHORWALK_FUZZ_CASES` doubled; the seed is fixed.
 
-use std::collections::BTreeMap;
-
-use camphorwalk_core::calls::Reply;
-use camphorwalk_core::ids::ProgramId;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 use crate::fixture::Mode;
-use crate::world::{Fate, HOSTS, PROGRAMS, Weather, World};
+use crate::oracle;
+use crate::targets::Fate;
+use crate::world::{HOSTS, PROGRAMS, Weather, World};
 
 /// The cases that run if the environment does not say.
 const CASES: u32 = 600;
@@ -182,43 +180,15 @@
     }
 
     fn check_invariants(world: &World, _: &()) {
-        world.check();
+        oracle::check(world);
     }
 
     fn teardown(mut world: World) {
         let histories = world.settle();
 
-        world.check();
+        oracle::check(&world);
         world.check_answers();
-        check_histories(&world, &histories);
-    }
-}
-
-/// Checks the histories that the last home has: they hold each program's own calls, all
-/// that was said to be stored, and all that ran and must not be repeated.
-fn check_histories(
-    world: &World,
-    histories: &BTreeMap<ProgramId, Vec<camphorwalk_core::calls::HistoryCall>>,
-) {
-    for (program, calls) in histories {
-        for call in calls {
-            assert!(call.input.contains(&program.to_string()), "{program} has {call:?}");
-            assert!(calls.iter().filter(|other| other.key == call.key).count() == 1);
-        }
-    }
-
-    for sent in world.sent.values() {
-        let Some(Reply::Called(called)) = &sent.reply else { continue };
-
-        if called.stored {
-            let call = &histories[&sent.program][called.call as usize - 1];
-            assert_eq!((Some(&call.key), &call.output), (sent.key.as_ref(), &called.output));
-        }
-    }
-
-    for (program, key) in &world.ledger {
-        let recorded = histories[program].iter().any(|call| call.key == *key);
-        assert!(recorded, "{program} {key} ran and is not recorded");
+        oracle::check_histories(&world, &histories);
     }
 }
 
--- /dev/null
+++ b/crates/policy/tests/programs_home/oracle.rs
@@ -0,0 +1,58 @@
+//! What must hold, from the answers that callers got and the ledgers of the targets alone.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use camphorwalk_core::calls::{HistoryCall, Ran, Reply};
+use camphorwalk_core::ids::ProgramId;
+
+use crate::fixture::SMALL_BUDGET;
+use crate::world::World;
+
+/// Checks what must hold at any moment.
+pub fn check(world: &World) {
+    let once: BTreeSet<_> = world.ledger.iter().collect();
+    assert_eq!(once.len(), world.ledger.len(), "an operation ran twice: {:?}", world.ledger);
+
+    for tokens in world.tokens.values() {
+        assert!(*tokens <= SMALL_BUDGET, "{tokens} tokens were spent of {SMALL_BUDGET}");
+    }
+
+    for run in world.ledger.iter().chain(&world.turns) {
+        assert!(!denied(world, run), "{run:?} ran, and all who asked were told it did not");
+    }
+}
+
+/// Tells whether every request for a call was answered "not run".
+fn denied(world: &World, (program, key): &(ProgramId, Box<str>)) -> bool {
+    let mut asked = world
+        .sent
+        .values()
+        .filter(|sent| sent.program == *program && sent.key.as_ref() == Some(key));
+
+    asked.all(|sent| matches!(&sent.reply, Some(Reply::Refused(r)) if r.ran == Ran::No))
+}
+
+/// Checks the histories that the last home has: they hold each program's own calls, all
+/// that was said to be stored, and all that ran and must not be repeated.
+pub fn check_histories(world: &World, histories: &BTreeMap<ProgramId, Vec<HistoryCall>>) {
+    for (program, calls) in histories {
+        for call in calls {
+            assert!(call.input.contains(&program.to_string()), "{program} has {call:?}");
+            assert!(calls.iter().filter(|other| other.key == call.key).count() == 1);
+        }
+    }
+
+    for sent in world.sent.values() {
+        let Some(Reply::Called(called)) = &sent.reply else { continue };
+
+        if called.stored {
+            let call = &histories[&sent.program][called.call as usize - 1];
+            assert_eq!((Some(&call.key), &call.output), (sent.key.as_ref(), &called.output));
+        }
+    }
+
+    for (program, key) in &world.ledger {
+        let recorded = histories[program].iter().any(|call| call.key == *key);
+        assert!(recorded, "{program} {key} ran and is not recorded");
+    }
+}
--- a/crates/policy/tests/programs_home/world.rs
+++ b/crates/policy/tests/programs_home/world.rs
@@ -3,18 +3,18 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use camphorwalk_core::calls::{CallRequest, HistoryCall, OpenRequest, Ran, Reply, Request, Usage};
+use camphorwalk_core::calls::{CallRequest, HistoryCall, OpenRequest, Reply, Request};
 use camphorwalk_core::hash::digest;
 use camphorwalk_core::ids::{
     Epoch, HostId, KeyId, PartitionId, ProgramId, RequestId, TargetId, Ticket,
 };
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowVersion, Transaction};
 use camphorwalk_core::time::Instant;
-use camphorwalk_core::units::Tokens;
 use camphorwalk_policy::programs::{ProgramEvent, ProgramNext, ProgramOptions, Programs};
 use camphorwalk_policy::wire::{AttemptEnd, CallId, Dispatch, Verdict, Work};
 
-use crate::fixture::{Mode, Platform, SMALL_BUDGET, config, tenant};
+use crate::fixture::{Mode, Platform, config, tenant};
+use crate::targets::{Fate, done, key_of, prompt_tokens, tag};
 
 /// The hosts.
 pub const HOSTS: usize = 3;
@@ -483,78 +483,4 @@
             assert!(host.places.is_empty(), "a place is still held");
         }
     }
-
-    /// Checks what must hold at any moment.
-    pub fn check(&self) {
-        let once: BTreeSet<_> = self.ledger.iter().collect();
-        assert_eq!(once.len(), self.ledger.len(), "an operation ran twice: {:?}", self.ledger);
-
-        for tokens in self.tokens.values() {
-            assert!(*tokens <= SMALL_BUDGET, "{tokens} tokens were spent of {SMALL_BUDGET}");
-        }
-
-        for run in self.ledger.iter().chain(&self.turns) {
-            assert!(!self.denied(run), "{run:?} ran, and all who asked were told it did not");
-        }
-    }
-
-    /// Tells whether every request for a call was answered "not run".
-    fn denied(&self, (program, key): &(ProgramId, Box<str>)) -> bool {
-        let mut asked = self
-            .sent
-            .values()
-            .filter(|sent| sent.program == *program && sent.key.as_ref() == Some(key));
-
-        asked.all(|sent| matches!(&sent.reply, Some(Reply::Refused(r)) if r.ran == Ran::No))
-    }
-}
-
-/// What becomes of an attempt.
-#[derive(Clone, Copy, Debug)]
-pub enum Fate {
-    Done,
-    Failed,
-    Lost,
-    Crashed,
-    NotSent,
-    Refused,
-}
-
-/// Returns the input of a call, which names its program and key.
-fn tag(program: ProgramId, key: &str) -> Box<str> {
-    format!("\"{program} {key}\"").into()
-}
-
-/// Returns the key in a tag.
-fn key_of(tag: &str) -> Box<str> {
-    tag.trim_matches('"').split(' ').nth(1).unwrap_or_default().into()
-}
-
-/// Returns the tokens of a dispatch's prompt.
-fn prompt_tokens(dispatch: &Dispatch) -> u64 {
-    match &dispatch.work {
-        Work::Generate { prompt, .. } => {
-            prompt.iter().map(|part| (part.len() as u64).div_ceil(4)).sum()
-        }
-        Work::Operation { .. } => 0,
-    }
-}
-
-/// Returns the full answer to a dispatch.
-fn done(dispatch: &Dispatch, prompt: u64) -> AttemptEnd {
-    let (key, output) = match &dispatch.work {
-        Work::Generate { prompt, max_tokens } => {
-            (key_of(prompt.last().expect("a prompt has an input")), u64::from(*max_tokens))
-        }
-        Work::Operation { key, .. } => (key.clone(), 0),
-    };
-
-    AttemptEnd::Done {
-        output: tag(dispatch.program, &format!("{key} {}", dispatch.attempt)),
-        usage: Usage {
-            prompt_tokens: Tokens(prompt),
-            cached_tokens: Tokens(0),
-            output_tokens: Tokens(output),
-        },
-    }
 }
