--- a/crates/bench/src/figures.rs
+++ b/crates/bench/src/figures.rs
@@ -31,6 +31,11 @@
     pub alone_p95_ms: f64,
     /// The same of the first class's programs.
     pub first_class_alone_p95_ms: f64,
+    /// 95th percentile of what a program's latency is above its time alone.
+    pub delay_p95_ms: f64,
+    /// Programs in each thousand whose time alone is above their deadline: no policy can
+    /// finish them.
+    pub hopeless: f64,
     /// Thousands of prompt tokens computed although an earlier turn had computed them.
     pub recomputed_kilotokens: f64,
     /// The mean slowdown of the worst-served tenant within its rate.
@@ -45,6 +50,10 @@
     pub refused_within_rate: f64,
     /// Programs given up by their callers in each thousand of the tenants within their rate.
     pub timed_out_within_rate: f64,
+    /// Median time after which a program that was refused was told so, in milliseconds.
+    pub told_p50_ms: f64,
+    /// Thousands of tokens served to programs that did not finish.
+    pub wasted_kilotokens: f64,
     /// Programs finished in time, a second.
     pub goodput: f64,
 }
@@ -53,13 +62,15 @@
 pub type Column = (&'static str, fn(&Figures) -> f64);
 
 /// The figures in the order of tables.
-pub const COLUMNS: [Column; 14] = [
+pub const COLUMNS: [Column; 18] = [
     ("p50 ms", |f| f.p50_ms),
     ("p95 ms", |f| f.p95_ms),
     ("p99 ms", |f| f.p99_ms),
     ("first class p95 ms", |f| f.first_class_p95_ms),
     ("alone p95 ms", |f| f.alone_p95_ms),
     ("first class alone p95 ms", |f| f.first_class_alone_p95_ms),
+    ("delay p95 ms", |f| f.delay_p95_ms),
+    ("cannot finish /1000", |f| f.hopeless),
     ("re-computed ktok", |f| f.recomputed_kilotokens),
     ("worst slowdown", |f| f.worst_slowdown),
     ("mean slowdown", |f| f.mean_slowdown),
@@ -67,6 +78,8 @@
     ("surging slowdown", |f| f.surging_slowdown),
     ("refused in rate /1000", |f| f.refused_within_rate),
     ("timed out in rate /1000", |f| f.timed_out_within_rate),
+    ("refused after p50 ms", |f| f.told_p50_ms),
+    ("wasted ktok", |f| f.wasted_kilotokens),
     ("goodput /s", |f| f.goodput),
 ];
 
@@ -128,7 +141,9 @@
     let mut first_class = histogram();
     let mut alone_latencies = histogram();
     let mut first_class_alone = histogram();
-    let mut finished = 0_u64;
+    let mut delays = histogram();
+    let mut told = histogram();
+    let (mut finished, mut hopeless) = (0_u64, 0_u64);
 
     for (number, program) in programs.iter().enumerate() {
         if program.parent.is_some() || program.arrival < micros(WARM_UP_SECONDS) {
@@ -148,6 +163,12 @@
 
         latencies.saturating_record(latency / 1_000);
         alone_latencies.saturating_record(alone / 1_000);
+        delays.saturating_record(latency.saturating_sub(alone) / 1_000);
+        if let Some(refused) = outcome.filter(|outcome| outcome.end == End::Refused) {
+            told.saturating_record((refused.at - program.arrival) / 1_000);
+        }
+
+        hopeless += u64::from(alone > micros(kind.deadline));
 
         if kind.rank == 0 {
             first_class.saturating_record(latency / 1_000);
@@ -178,6 +199,8 @@
         first_class_p95_ms: first_class.value_at_quantile(0.95) as f64,
         alone_p95_ms: alone_latencies.value_at_quantile(0.95) as f64,
         first_class_alone_p95_ms: first_class_alone.value_at_quantile(0.95) as f64,
+        delay_p95_ms: delays.value_at_quantile(0.95) as f64,
+        hopeless: 1_000.0 * hopeless as f64 / latencies.len().max(1) as f64,
         recomputed_kilotokens: trace.recomputed as f64 / 1_000.0,
         worst_slowdown: worst,
         mean_slowdown: mean,
@@ -185,10 +208,23 @@
         surging_slowdown: surging.map_or(0.0, |tenant| tenants[tenant].mean_slowdown()),
         refused_within_rate: per_thousand(in_rate.iter().map(|tenant| tenant.refused).sum()),
         timed_out_within_rate: per_thousand(in_rate.iter().map(|tenant| tenant.timed_out).sum()),
+        told_p50_ms: told.value_at_quantile(0.5) as f64,
+        wasted_kilotokens: wasted(trace) as f64 / 1_000.0,
         goodput: finished as f64 / (seconds - WARM_UP_SECONDS),
     }
 }
 
+/// Returns the tokens that were served to programs that did not finish.
+fn wasted(trace: &Trace) -> u64 {
+    let unfinished = trace
+        .outcomes
+        .iter()
+        .zip(&trace.served)
+        .filter(|(outcome, _)| outcome.is_none_or(|outcome| outcome.end != End::Finished));
+
+    unfinished.map(|(_, served)| served).sum()
+}
+
 fn histogram() -> Histogram<u64> {
     Histogram::new_with_max(LONGEST_MILLIS, 3).expect("the bounds are valid")
 }
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -9,8 +9,8 @@
 use camphorwalk_policy::configs::{OperatorId, Published};
 use camphorwalk_policy::scheduler::{Event, OperatorReply, OperatorRequest, Status};
 use dropshot::{
-    ApiDescription, ApiDescriptionRegisterError, Body, ConfigDropshot, HttpError, HttpServer,
-    Query, RequestContext, ServerBuilder, TypedBody, endpoint,
+    ApiDescription, ApiDescriptionRegisterError, Body, ConfigDropshot, ErrorStatusCode, HttpError,
+    HttpServer, Query, RequestContext, ServerBuilder, TypedBody, endpoint,
 };
 use http::{Response, StatusCode, header};
 use schemars::JsonSchema;
@@ -189,13 +189,14 @@
     let body = body.into_inner();
     let config = match camphorwalk_declare::unbundle(body.config.to_string().as_bytes()) {
         Ok(config) => Box::new(config),
-        Err(e) => {
-            let faults: Vec<_> = e.to_string().lines().map(str::to_owned).collect();
-            let body =
-                serde_json::json!({ "error": "the configuration is refused", "faults": faults });
-            return Ok(json(StatusCode::BAD_REQUEST, &body));
-        }
+        Err(faults) => return Ok(faulty(faults.as_slice())),
     };
+    if let OperatorReply::Config(Some(old)) = ask(&cx, OperatorRequest::Config).await? {
+        let faults = camphorwalk_declare::check_change(&old, &config);
+        if !faults.is_empty() {
+            return Ok(faulty(&faults));
+        }
+    }
 
     let base = ConfigVersion(body.base);
     match ask(&cx, OperatorRequest::Publish { base, config }).await? {
@@ -233,6 +234,7 @@
     if host == cx.context().name {
         authorize(&cx)?;
         cx.context().phase.send_replace(Phase::Leaving);
+        return accepted(OperatorReply::Accepted, "");
     }
 
     accepted(ask(&cx, OperatorRequest::Drain { host }).await?, "there is no such host in reach")
@@ -271,6 +273,12 @@
     }
 }
 
+fn faulty(faults: &[camphorwalk_declare::Fault]) -> Response<Body> {
+    let error = "the configuration is refused";
+
+    json(StatusCode::BAD_REQUEST, &serde_json::json!({ "error": error, "faults": faults }))
+}
+
 fn current(config: &Config) -> serde_json::Value {
     serde_json::json!({ "version": config.version, "config": config })
 }
@@ -300,7 +308,7 @@
         Ok(Ok(reply)) => Ok(reply),
         _ => {
             shared.operators.lock().unwrap_or_else(PoisonError::into_inner).remove(&ask);
-            Err(HttpError::for_unavail(None, "no answer in time".into()))
+            Err(no_answer_in_time())
         }
     }
 }
@@ -328,6 +336,19 @@
     ))
 }
 
+/// Says that it is not known whether the request took effect: 503 would say that it did not.
+fn no_answer_in_time() -> HttpError {
+    let message = "no answer in time; it may still take effect".to_owned();
+
+    HttpError {
+        status_code: ErrorStatusCode::GATEWAY_TIMEOUT,
+        error_code: None,
+        external_message: message.clone(),
+        internal_message: message,
+        headers: None,
+    }
+}
+
 fn unexpected() -> HttpError {
     HttpError::for_internal_error("the control thread gave another kind of answer".into())
 }
