queue: each tenant has its own part of the caches

Cause: while a tenant far over its rate fills the caches, new programs of all others were held back with its own. Now a tenant that uses less than its part by weight starts programs whatever others fill; the sums stand in a module of their own (demand).

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -13,6 +13,7 @@
 //! while it reports waiting calls. All zones together then add at most half a window to what
 //! the target's own zone sends; its reports make that zone narrow its window.
 
+pub mod demand;
 pub mod estimates;
 pub mod health;
 pub mod lanes;
@@ -30,13 +31,14 @@
 
 use camphorwalk_core::config::Config;
 use camphorwalk_core::hash::Map;
-use camphorwalk_core::ids::{ClassId, HostId, PoolId, ProgramId, TargetId, TenantId, ZoneId};
+use camphorwalk_core::ids::{ClassId, HostId, PoolId, ProgramId, TargetId, ZoneId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 
 use self::lanes::LaneId;
 use self::places::{Place, Places};
 use self::pool::{Pick, Pool, retry_after};
+use self::shares::Weights;
 use self::targets::{Candidate, Targets};
 use self::waiting::{Waiter, Waiting};
 use crate::wire::{Asker, PlaceEnd, PlaceEndKind, PlaceRequest};
@@ -136,7 +138,7 @@
 pub struct Queues {
     options: QueueOptions,
     ranks: Map<ClassId, u8>,
-    weights: Map<TenantId, u32>,
+    weights: Weights,
     targets: Targets,
     pools: BTreeMap<PoolId, Pool>,
     waiting: Waiting,
@@ -157,7 +159,7 @@
         Self {
             options,
             ranks: Map::default(),
-            weights: Map::default(),
+            weights: Weights::default(),
             targets: Targets::default(),
             pools: BTreeMap::new(),
             waiting: Waiting::default(),
@@ -209,9 +211,7 @@
         let classes = config.fleet.classes.iter();
         self.ranks = classes.map(|class| (ClassId::from_name(&class.name), class.rank)).collect();
 
-        let tenants = config.tenants.iter();
-        self.weights = tenants.map(|t| (TenantId::from_name(&t.name), t.weight.max(1))).collect();
-
+        self.weights = Weights::of(config);
         self.targets.configure(config, self.options.zone);
 
         for asker in self.waiting.matching(|waiter| !self.targets.can_serve(&waiter.request)) {
@@ -291,7 +291,7 @@
 
         pool.shares.enter(waiter.request.tenant);
         pool.lanes.insert(waiter.lane, waiter.position);
-        pool.awaited = pool.awaited.plus(awaited(&waiter.request));
+        pool.demand.wait(waiter.request.tenant, awaited(&waiter.request));
         self.targets.set_awaited(&waiter.request, true);
         self.waiting.insert(asker, waiter);
     }
@@ -303,7 +303,7 @@
 
         if let Some(pool) = self.pools.get_mut(&waiter.request.pool) {
             pool.lanes.remove(waiter.lane, &waiter.position);
-            pool.awaited = pool.awaited.minus(awaited(&waiter.request));
+            pool.demand.end_wait(waiter.request.tenant, awaited(&waiter.request));
             pool.shares.leave(waiter.request.tenant);
         }
 
@@ -369,7 +369,7 @@
             PlaceEndKind::NotSent => Tokens(0),
             _ => CALL_TOKENS.plus(end.computed).plus(end.output),
         };
-        let weight = self.weights.get(&tenant).copied().unwrap_or(1);
+        let weight = self.weights.get(tenant);
 
         self.targets.learn(now, &place, end);
         self.targets.leave(place.target, asker);
@@ -402,7 +402,7 @@
                 return;
             }
 
-            match pool.pick(now, id, &mut self.waiting, &mut self.targets) {
+            match pool.pick(now, id, &self.weights, &mut self.waiting, &mut self.targets) {
                 Pick::Grant(asker, target, computed) => {
                     self.grant(now, asker, target, computed, out);
                 }
@@ -424,7 +424,7 @@
     ) {
         let Some(waiter) = self.waiting.get(asker).copied() else { return };
         let request = waiter.request;
-        let weight = self.weights.get(&request.tenant).copied().unwrap_or(1);
+        let weight = self.weights.get(request.tenant);
 
         if let Some(pool) = self.pools.get_mut(&request.pool) {
             let output = pool.estimates.output(request.class, request.output);
@@ -437,7 +437,7 @@
             pool.estimates.granted(now, waiter.lane, is_first, waiter.since);
             pool.lanes.granted(waiter.lane);
             pool.shares.advance();
-            pool.add_demand(request.prompt.plus(output));
+            pool.demand.place(request.tenant, request.prompt.plus(output));
             pool.shares.charge(request.tenant, weight, charged);
             self.targets.enter(now, target, candidate, output);
             self.places.insert(asker, place);
--- a/crates/policy/src/queue/pool.rs
+++ b/crates/policy/src/queue/pool.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::{PoolId, TargetId, TenantId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 
+use super::demand::{CHECK_INTERVAL, Demand};
 use super::estimates::Estimates;
 use super::lanes::{LaneId, Lanes, Position};
-use super::shares::Shares;
+use super::shares::{Shares, Weights};
 use super::targets::{Candidate, Choice, Targets};
 use super::waiting::{Waiter, Waiting};
 use crate::wire::{Asker, PlaceRequest};
@@ -27,12 +27,6 @@
 /// Calls of this rank are never held back.
 const FIRST_RANK: u8 = 0;
 
-/// How often the use of caches is looked at.
-const DEMAND_CHECK: Duration = Duration::from_millis(250);
-
-/// How much of the caches the programs under way may take before new ones are held back.
-const CACHE_SHARE: f64 = 0.65;
-
 /// The number of levels for programs under way.
 const LEVELS: u8 = 4;
 
@@ -45,11 +39,8 @@
     pub shares: Shares,
     /// What is known of calls.
     pub estimates: Estimates,
-    /// The prompts of calls that wait, of programs under way.
-    pub awaited: Tokens,
-    /// The tokens in caches that will be used again, as last looked at.
-    demand: f64,
-    demand_at: Option<Instant>,
+    /// The need for room in the caches.
+    pub demand: Demand,
     /// When to look again although nothing has changed.
     pub look_again: Option<Instant>,
 }
@@ -70,6 +61,7 @@
         &mut self,
         now: Instant,
         id: PoolId,
+        weights: &Weights,
         waiting: &mut Waiting,
         targets: &mut Targets,
     ) -> Pick {
@@ -87,9 +79,8 @@
             return Pick::Nothing(look_again);
         }
 
-        if self.demand_at.is_none_or(|at| now.since(at) >= DEMAND_CHECK) {
-            self.demand = targets.cache_in_use(now, id, &self.estimates);
-            self.demand_at = Some(now);
+        if self.demand.is_due(now) {
+            self.demand.look(now, targets.cache_in_use(now, id, &self.estimates));
         }
 
         let cache = targets.cache(id);
@@ -104,8 +95,8 @@
                 let candidate = Candidate { asker, request, passed: waiter.passed };
                 looked += 1;
 
-                if self.holds_back(waiter, cache) {
-                    look_again = look_again.into_iter().chain([now + DEMAND_CHECK]).min();
+                if self.holds_back(waiter, weights, cache) {
+                    look_again = look_again.into_iter().chain([now + CHECK_INTERVAL]).min();
                     continue;
                 }
 
@@ -128,19 +119,12 @@
         Pick::Nothing(look_again)
     }
 
-    /// Notes that a placed call takes room in a cache, until that is looked at again.
-    pub fn add_demand(&mut self, tokens: Tokens) {
-        self.demand += tokens.0 as f64;
-    }
-
     /// Returns whether a call of a new program is held back, so that programs under way keep
-    /// their prefixes.
+    /// their prefixes; see [`Demand`].
     ///
-    /// When more programs are under way than the caches hold, each pushes out another's
-    /// prefix just before it comes back, and most of the work is computing prefixes anew. So
-    /// a new program starts only while there is room for it; but not in the first class,
-    /// whose programs are short, and not in a lane's aged turn if it has nothing else.
-    fn holds_back(&self, waiter: &Waiter, cache: Tokens) -> bool {
+    /// Not in the first class, whose programs are short, and not in a lane's aged turn if it
+    /// has nothing else: no lane waits for ever.
+    fn holds_back(&self, waiter: &Waiter, weights: &Weights, cache: Tokens) -> bool {
         let Waiter { request, lane, .. } = waiter;
         let is_last_resort = self.lanes.is_aged_turn() && !self.lanes.has_under_way(*lane);
 
@@ -148,12 +132,9 @@
             return false;
         }
 
-        let output = self.estimates.output(request.class, request.output);
-        let room = cache.0 as f64 * CACHE_SHARE;
-        // A program larger than the room would else wait for ever, also for empty caches.
-        let size = (request.prompt.plus(output).0 as f64).min(room / 2.0);
+        let size = request.prompt.plus(self.estimates.output(request.class, request.output));
 
-        room > 0.0 && self.demand + self.awaited.0 as f64 + size > room
+        !self.demand.has_room(request.tenant, weights.part(request.tenant), size, cache)
     }
 
     /// Returns the place of a new call in its lane.
@@ -190,7 +171,7 @@
         lane: LaneId,
         position: &Position,
         room: u32,
-        weights: &Map<TenantId, u32>,
+        weights: &Weights,
     ) -> Duration {
         let ahead = self.lanes.ahead(lane, position);
 
@@ -198,10 +179,10 @@
             return self.estimates.start(lane, ahead);
         }
 
-        let weight = |tenant: &TenantId| f64::from(weights.get(tenant).copied().unwrap_or(1));
+        let weight = |tenant: TenantId| f64::from(weights.get(tenant));
         let others = self.shares.waiting().filter(|tenant| *tenant != lane.tenant);
-        let others: f64 = others.map(|tenant| weight(&tenant)).sum();
-        let share = weight(&lane.tenant) / (weight(&lane.tenant) + others);
+        let others: f64 = others.map(weight).sum();
+        let share = weight(lane.tenant) / (weight(lane.tenant) + others);
         let places = f64::from(room.max(1)) * share;
         let seconds = ahead as f64 * self.estimates.mean_hold() / places;
 
--- a/crates/policy/src/queue/residents.rs
+++ b/crates/policy/src/queue/residents.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 
 use camphorwalk_core::hash::Map;
-use camphorwalk_core::ids::{ClassId, ProgramId};
+use camphorwalk_core::ids::{ClassId, ProgramId, TenantId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 
+use crate::wire::PlaceRequest;
+
 /// What an entry counts for at least, so that memory stays bounded with tiny prompts.
 const SMALLEST_ENTRY: Tokens = Tokens(64);
 
@@ -18,6 +20,8 @@
 pub struct Resident {
     /// Its length.
     pub tokens: Tokens,
+    /// The tenant of its program.
+    pub tenant: TenantId,
     /// The class of its program.
     pub class: ClassId,
     /// When it was last used.
@@ -70,14 +74,8 @@
     }
 
     /// Notes that the target holds a prefix, which was used just now.
-    pub fn hold(
-        &mut self,
-        now: Instant,
-        program: ProgramId,
-        class: ClassId,
-        tokens: Tokens,
-        in_flight: bool,
-    ) {
+    pub fn hold(&mut self, now: Instant, request: &PlaceRequest, tokens: Tokens, in_flight: bool) {
+        let PlaceRequest { program, class, tenant, .. } = *request;
         self.drop(program);
 
         if self.capacity == Tokens(0) || tokens == Tokens(0) {
@@ -85,8 +83,15 @@
         }
 
         let tokens = tokens.max(SMALLEST_ENTRY);
-        let resident =
-            Resident { tokens, class, used: now, in_flight, awaited: false, order: self.uses };
+        let resident = Resident {
+            tokens,
+            tenant,
+            class,
+            used: now,
+            in_flight,
+            awaited: false,
+            order: self.uses,
+        };
         self.by_use.insert(self.uses, program);
         self.entries.insert(program, resident);
         self.uses += 1;
--- a/crates/policy/src/queue/shares.rs
+++ b/crates/policy/src/queue/shares.rs
@@ -1,5 +1,6 @@
 //! Fair shares between the tenants of a pool, by attained service.
 
+use camphorwalk_core::config::Config;
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::TenantId;
 use camphorwalk_core::units::Tokens;
@@ -7,6 +8,35 @@
 /// Service is counted in this part of a token, so that weights divide it finely.
 const UNITS_PER_TOKEN: u64 = 1_000;
 
+/// The declared weights of the tenants.
+#[derive(Debug, Default)]
+pub struct Weights {
+    tenants: Map<TenantId, u32>,
+    all: u64,
+}
+
+impl Weights {
+    /// Takes over the declared weights; none is below 1.
+    pub fn of(config: &Config) -> Self {
+        let tenants = config.tenants.iter();
+        let tenants: Map<_, _> =
+            tenants.map(|t| (TenantId::from_name(&t.name), t.weight.max(1))).collect();
+        let all = tenants.values().map(|weight| u64::from(*weight)).sum();
+
+        Self { tenants, all }
+    }
+
+    /// Returns a tenant's weight.
+    pub fn get(&self, tenant: TenantId) -> u32 {
+        self.tenants.get(&tenant).copied().unwrap_or(1)
+    }
+
+    /// Returns a tenant's part of the weights of all declared tenants.
+    pub fn part(&self, tenant: TenantId) -> f64 {
+        f64::from(self.get(tenant)) / (self.all.max(1) as f64)
+    }
+}
+
 /// One tenant's account.
 #[derive(Clone, Copy, Debug, Default)]
 struct Account {
--- a/crates/policy/src/queue/targets.rs
+++ b/crates/policy/src/queue/targets.rs
@@ -4,7 +4,7 @@
 
 use camphorwalk_core::config::Config;
 use camphorwalk_core::hash::Map;
-use camphorwalk_core::ids::{PoolId, ProgramId, TargetId, ZoneId};
+use camphorwalk_core::ids::{PoolId, ProgramId, TargetId, TenantId, ZoneId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 
@@ -228,15 +228,23 @@
         near.map(|(_, state)| state.residents.capacity()).fold(Tokens(0), Tokens::plus)
     }
 
-    /// Returns how many tokens of those caches will be used again, as expected now.
+    /// Returns how many tokens of those caches will be used again, as expected now, prefix by
+    /// prefix with its tenant.
     ///
     /// Prefixes of calls that wait are left out.
-    pub fn cache_in_use(&self, now: Instant, pool: PoolId, estimates: &Estimates) -> f64 {
+    pub fn cache_in_use<'a>(
+        &'a self,
+        now: Instant,
+        pool: PoolId,
+        estimates: &'a Estimates,
+    ) -> impl Iterator<Item = (TenantId, f64)> + 'a {
         let near = self.members(pool).filter(|(_, state)| state.near && !state.leaving);
         let residents = near.flat_map(|(_, state)| state.residents.iter());
         let others = residents.filter(|resident| !resident.awaited);
 
-        others.map(|resident| resident.tokens.0 as f64 * worth(now, resident, estimates)).sum()
+        others.map(move |resident| {
+            (resident.tenant, resident.tokens.0 as f64 * worth(now, resident, estimates))
+        })
     }
 
     /// Returns the best place for a call.
@@ -330,10 +338,10 @@
     /// Counts a call in.
     pub fn enter(&mut self, now: Instant, target: TargetId, call: Candidate<'_>, output: Tokens) {
         let Some(state) = self.states.get_mut(&target) else { return };
-        let PlaceRequest { pool, program, class, prompt, suspect, .. } = *call.request;
+        let PlaceRequest { pool, prompt, suspect, .. } = *call.request;
 
         state.in_flight += 1;
-        state.residents.hold(now, program, class, prompt.plus(output), true);
+        state.residents.hold(now, call.request, prompt.plus(output), true);
 
         if suspect {
             // Another target may have been kept empty for it meanwhile.
@@ -361,18 +369,18 @@
     /// Learns from how a call ended.
     pub fn learn(&mut self, now: Instant, place: &Place, end: PlaceEnd) {
         let Some(state) = self.states.get_mut(&place.target) else { return };
-        let PlaceRequest { program, class, prompt, .. } = place.request;
+        let prompt = place.request.prompt;
 
         match end.how {
             PlaceEndKind::NotSent => {
                 let before = prompt.minus(place.computed);
-                state.residents.hold(now, program, class, before, false);
+                state.residents.hold(now, &place.request, before, false);
             }
             PlaceEndKind::Finished => {
                 state.health.worked();
-                state.residents.hold(now, program, class, prompt.plus(end.output), false);
+                state.residents.hold(now, &place.request, prompt.plus(end.output), false);
             }
-            PlaceEndKind::Failed => state.residents.hold(now, program, class, prompt, false),
+            PlaceEndKind::Failed => state.residents.hold(now, &place.request, prompt, false),
             PlaceEndKind::Crashed => {
                 state.health.crashed(now);
                 state.residents.clear();
--- a/crates/policy/tests/queue_targets.rs
+++ b/crates/policy/tests/queue_targets.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use camphorwalk_core::ids::ProgramId;
+use camphorwalk_core::ids::{ClassId, ProgramId};
 use camphorwalk_core::units::Tokens;
 use camphorwalk_policy::queue::QueueEvent;
 use camphorwalk_policy::wire::{PlaceEnd, PlaceEndKind, PlaceRequest};
@@ -154,7 +154,8 @@
     let new = PlaceRequest { attained: Tokens(0), ..long(2) };
 
     let held_back = bench.ask(2, new);
-    let check_in = bench.ask(3, PlaceRequest { attained: Tokens(0), ..request("y", "arrival", 3) });
+    let check_in = PlaceRequest { class: ClassId::from_name("arrival"), ..new };
+    let check_in = bench.ask(3, check_in);
     bench.vacate(3);
     bench.vacate_with(1, PlaceEnd { program_over: true, ..end(PlaceEndKind::Finished) });
     let after = bench.pass(Duration::from_secs(1));
@@ -164,6 +165,38 @@
     assert_eq!(after, grant(2, "t"));
 }
 
+#[test]
+fn a_tenant_that_fills_the_caches_holds_back_only_itself() {
+    // Tenant x has programs under way that need nearly all of the room. Its next new program
+    // waits; tenant y, which needs less than a third of the room, starts another one.
+    let mut bench = Bench::new(vec![target("t", "a", 8)]);
+    let new = |tenant, n| PlaceRequest { attained: Tokens(0), ..request(tenant, "chat", n) };
+    bench.ask(1, PlaceRequest { prompt: Tokens(6_200), ..request("x", "chat", 1) });
+    bench.ask(2, request("y", "chat", 2));
+
+    let x = bench.ask(3, new("x", 3));
+    let y = bench.ask(4, new("y", 4));
+
+    assert_eq!((x, y), (vec![], grant(4, "t")));
+}
+
+#[test]
+fn a_new_program_that_is_held_back_has_its_turn_in_the_end() {
+    // Tenant x fills the caches and tenant y never stops asking. The new program of x would
+    // be held back until its deadline; one grant in eight goes to the lane that waited longest.
+    let mut bench = Bench::new(vec![target("t", "a", 2)]);
+    bench.ask(0, PlaceRequest { prompt: Tokens(6_400), ..request("x", "chat", 1) });
+    bench.ask(1, request("y", "chat", 2));
+    bench.ask(99, PlaceRequest { attained: Tokens(0), ..request("x", "chat", 3) });
+
+    let turn = (2..=24).position(|n| {
+        bench.ask(n, request("y", "chat", 2));
+        bench.vacate(n - 1) == grant(99, "t")
+    });
+
+    assert!(turn.is_some_and(|turn| turn > 0));
+}
+
 #[test]
 fn a_new_program_larger_than_the_caches_is_not_held_back_for_ever() {
     let mut bench = Bench::new(vec![target("t", "a", 4)]);
