--- /dev/null
+++ b/crates/bench/src/limits/fleet.rs
@@ -0,0 +1,477 @@
+//! A fleet of [`Slices`] on virtual time: a network that loses, repeats, delays and reorders
+//! messages, clocks that run at different speeds, and a platform that grants columns.
+//!
+//! It checks at each step what must hold (the exact bucket, one user for each slice, one answer
+//! for each question), and panics if it does not.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use camphorwalk_core::config::Config;
+use camphorwalk_core::ids::{HostId, TenantId, ZoneId};
+use camphorwalk_core::messages::slices::SliceMessage;
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::slices::{
+    ColumnId, SliceEvent, SliceHost, SliceNext, SliceOptions, SliceTimes, Slices, TakeId, columns,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use super::checks::{Checks, DRIFT_PPM};
+
+/// One millisecond of virtual time, in microseconds.
+pub const MILLI: u64 = 1_000;
+
+/// One second of virtual time, in microseconds.
+pub const SECOND: u64 = 1_000 * MILLI;
+
+/// How long the platform grants a column, and what it keeps back for drifting clocks.
+const LEASE: u64 = 4 * SECOND;
+const LEASE_MARGIN: u64 = 200 * MILLI;
+const PLATFORM_PERIOD: u64 = 500 * MILLI;
+
+/// What the network does to messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Net {
+    /// The part of messages that is lost.
+    pub loss: f64,
+    /// The part of messages that arrives twice.
+    pub repeat: f64,
+    /// The least and the most delay, in microseconds.
+    pub delay: (u64, u64),
+}
+
+impl Net {
+    /// A network within a region.
+    pub const HEALTHY: Self = Self { loss: 0.0, repeat: 0.0, delay: (300, 1_500) };
+
+    /// A network that does all it may, with delays beyond every timeout of a message.
+    pub const BAD: Self = Self { loss: 0.2, repeat: 0.2, delay: (300, 400 * MILLI) };
+}
+
+/// What a host sent and received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages.
+    pub messages: u64,
+    /// Bytes of their encodings, without frames.
+    pub bytes: u64,
+}
+
+/// A host.
+#[derive(Debug)]
+pub struct Node {
+    /// Its id.
+    pub id: HostId,
+    /// What it sent and received.
+    pub traffic: Traffic,
+    zone: ZoneId,
+    /// None while its process is dead.
+    slices: Option<Slices>,
+    paused: bool,
+    leaving: bool,
+    /// What arrived in a pause.
+    inbox: Vec<SliceEvent>,
+    drift_ppm: i64,
+    /// What its clock showed at the start.
+    offset: u64,
+    wake: u64,
+}
+
+/// A column as the platform knows it.
+#[derive(Debug)]
+struct Column {
+    owner: Option<usize>,
+    zone: ZoneId,
+    until: u64,
+    renewed: bool,
+}
+
+/// Hosts, their network and the platform.
+///
+/// ```
+/// use camphorwalk_bench::limits::{Fleet, SECOND, config};
+/// let mut fleet = Fleet::new(config(&["a", "b"], 4, &[("ramps", 2.0, 5)]), 3, 1);
+/// fleet.run(10 * SECOND);
+/// fleet.take(0, "ramps");
+/// fleet.run(SECOND);
+/// assert_eq!(fleet.admitted_calls(), 1);
+/// ```
+#[derive(Debug)]
+pub struct Fleet {
+    /// The time, in microseconds.
+    pub now: u64,
+    /// What the network does.
+    pub net: Net,
+    /// The hosts.
+    pub nodes: Vec<Node>,
+    /// The side of a cut that each host is on.
+    pub side: Vec<u8>,
+    /// Whether to check after each step that no slice has two users.
+    pub check_users: bool,
+    /// The configuration in force.
+    pub cfg: Arc<Config>,
+    /// When calls were admitted, for each tenant.
+    pub admitted: BTreeMap<TenantId, Vec<u64>>,
+    /// When calls were refused, for each tenant.
+    pub refused: BTreeMap<TenantId, Vec<u64>>,
+    /// Events that hosts took in.
+    pub steps: u64,
+    index: BTreeMap<HostId, usize>,
+    rng: SmallRng,
+    wakes: BTreeSet<(u64, usize)>,
+    queue: BTreeMap<(u64, u64), (usize, HostId, SliceMessage)>,
+    columns: Vec<Column>,
+    platform_at: u64,
+    counter: u64,
+    checks: Checks,
+}
+
+impl Fleet {
+    /// Makes a fleet of `hosts` hosts, spread over the zones of `cfg`.
+    pub fn new(cfg: Arc<Config>, hosts: usize, seed: u64) -> Self {
+        let zone = |i: usize| ZoneId::from_name(&cfg.fleet.zones[i % cfg.fleet.zones.len()].name);
+        let node = |i: usize| Node {
+            id: HostId::from_name(&format!("host-{i}")),
+            traffic: Traffic::default(),
+            zone: zone(i),
+            slices: None,
+            paused: false,
+            leaving: false,
+            inbox: vec![],
+            drift_ppm: 0,
+            offset: 1_000 * SECOND * (i as u64 + 1),
+            wake: u64::MAX,
+        };
+        let column = |(_, zone)| Column { owner: None, zone, until: 0, renewed: true };
+
+        let mut fleet = Self {
+            now: 0,
+            net: Net::HEALTHY,
+            nodes: (0..hosts).map(node).collect(),
+            side: vec![0; hosts],
+            check_users: false,
+            admitted: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            index: BTreeMap::new(),
+            steps: 0,
+            wakes: BTreeSet::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            columns: columns(&cfg).into_iter().map(column).collect(),
+            platform_at: 0,
+            counter: 0,
+            checks: Checks::new(cfg.clone()),
+            cfg,
+        };
+
+        fleet.index = fleet.nodes.iter().enumerate().map(|(i, node)| (node.id, i)).collect();
+        (0..hosts).for_each(|host| fleet.start(host));
+        fleet.show_all_hosts();
+        fleet
+    }
+
+    /// Lets clocks run at different speeds, up to [`DRIFT_PPM`] off. Call it at the start.
+    pub fn drift(&mut self) {
+        for (host, node) in self.nodes.iter_mut().enumerate() {
+            node.drift_ppm = [0, DRIFT_PPM, -DRIFT_PPM][host % 3];
+        }
+    }
+
+    /// Starts the process of a host.
+    pub fn start(&mut self, host: usize) {
+        self.counter += 1;
+        let Node { id, zone, .. } = self.nodes[host];
+        let times = SliceTimes::default();
+        let options = SliceOptions { host: id, zone, session: self.counter, times };
+
+        self.nodes[host].slices = Some(Slices::new(options));
+        self.step(host, SliceEvent::Config(self.cfg.clone()));
+    }
+
+    /// Kills the process of a host; its callers are gone with it.
+    pub fn kill(&mut self, host: usize) {
+        self.wake(host, u64::MAX);
+        let node = &mut self.nodes[host];
+        (node.slices, node.paused, node.leaving) = (None, false, false);
+        node.inbox.clear();
+        self.checks.forget(host);
+    }
+
+    /// Lets a host leave: the others, and it, see it no more.
+    pub fn leave(&mut self, host: usize) {
+        self.nodes[host].leaving = true;
+        self.show_all_hosts();
+    }
+
+    /// Lets a host give up its columns, which go to others at once.
+    pub fn give_up_columns(&mut self, host: usize) {
+        for column in 0..self.columns.len() {
+            if self.columns[column].owner == Some(host) {
+                self.move_column(column, false);
+            }
+        }
+
+        self.platform_at = self.now;
+    }
+
+    /// Stops the process of a host, until [`Self::resume`].
+    pub fn pause(&mut self, host: usize) {
+        self.wake(host, u64::MAX);
+        self.nodes[host].paused = self.nodes[host].slices.is_some();
+    }
+
+    /// Lets the process of a host go on. It hears of the configuration first.
+    pub fn resume(&mut self, host: usize) {
+        self.nodes[host].paused = false;
+        let inbox = std::mem::take(&mut self.nodes[host].inbox);
+        self.step(host, SliceEvent::Config(self.cfg.clone()));
+        inbox.into_iter().for_each(|event| self.step(host, event));
+    }
+
+    /// Tells a host that these hosts can be reached.
+    pub fn show(&mut self, host: usize, seen: impl Fn(usize) -> bool) {
+        let stays = !self.nodes[host].leaving;
+        let nodes = self.nodes.iter().enumerate();
+        let all = nodes.filter(|(i, _)| (stays && *i == host) || seen(*i));
+        let hosts = all.map(|(_, node)| SliceHost { host: node.id, zone: node.zone }).collect();
+        self.step(host, SliceEvent::Hosts(hosts));
+    }
+
+    /// Tells each host of the live ones on its side of a cut.
+    pub fn show_all_hosts(&mut self) {
+        let side = self.side.clone();
+        let live: Vec<bool> =
+            self.nodes.iter().map(|node| node.slices.is_some() && !node.leaving).collect();
+
+        for host in 0..self.nodes.len() {
+            self.show(host, |other| side[other] == side[host] && live[other]);
+        }
+    }
+
+    /// Publishes another configuration.
+    pub fn configure(&mut self, cfg: Arc<Config>) {
+        self.cfg = cfg.clone();
+        self.checks.configure(self.now, cfg);
+
+        for host in 0..self.nodes.len() {
+            self.step(host, SliceEvent::Config(self.cfg.clone()));
+        }
+    }
+
+    /// Moves a column: its owner gives it up, or (`abruptly`) gets no further renewal.
+    pub fn move_column(&mut self, column: usize, abruptly: bool) {
+        let lease = &mut self.columns[column];
+        lease.renewed = false;
+
+        if let Some(owner) = lease.owner
+            && !abruptly
+            && !self.nodes[owner].paused
+        {
+            (lease.owner, lease.until) = (None, self.now);
+            self.step(owner, SliceEvent::Lost { column: ColumnId(column as u16) });
+        }
+    }
+
+    /// Lets a call enter at a host, if that runs.
+    pub fn take(&mut self, host: usize, tenant: &str) {
+        if self.nodes[host].paused || self.nodes[host].slices.is_none() {
+            return;
+        }
+
+        self.counter += 1;
+        let (take, tenant) = (TakeId(self.counter), TenantId::from_name(tenant));
+        self.checks.ask(take, host, tenant);
+        self.step(host, SliceEvent::Take { take, tenant });
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+
+        while let Some((at, job)) = self.next_job()
+            && at <= end
+        {
+            self.now = self.now.max(at);
+            self.do_job(job);
+        }
+
+        self.now = end;
+    }
+
+    /// Returns the number of calls admitted, of all tenants.
+    pub fn admitted_calls(&self) -> u64 {
+        self.admitted.values().map(|calls| calls.len() as u64).sum()
+    }
+
+    /// Returns what all hosts sent and received.
+    pub fn traffic(&self) -> Traffic {
+        let all = self.nodes.iter().map(|node| node.traffic);
+
+        all.fold(Traffic::default(), |sum, part| Traffic {
+            messages: sum.messages + part.messages,
+            bytes: sum.bytes + part.bytes,
+        })
+    }
+
+    /// Returns whether the process of a host is there, paused or not.
+    pub fn lives(&self, host: usize) -> bool {
+        self.nodes[host].slices.is_some()
+    }
+
+    /// Asserts that each question was answered; call it after all timeouts.
+    pub fn assert_all_answered(&self) {
+        self.checks.assert_all_answered(|host| !self.nodes[host].paused);
+    }
+
+    /// Returns when tokens of each tenant were taken, answers that were lost included.
+    pub fn taken(&self) -> &BTreeMap<TenantId, Vec<u64>> {
+        &self.checks.taken
+    }
+
+    fn next_job(&self) -> Option<(u64, Job)> {
+        let message = self.queue.keys().next().map(|key| (key.0, Job::Deliver(*key)));
+        let wake = self.wakes.first().map(|(at, host)| (*at, Job::Wake(*host)));
+        let platform = (self.platform_at, Job::Platform);
+
+        message.into_iter().chain(wake).chain([platform]).min()
+    }
+
+    fn do_job(&mut self, job: Job) {
+        match job {
+            Job::Deliver(key) => {
+                let (to, from, message) = self.queue.remove(&key).expect("queued");
+                self.step(to, SliceEvent::Message { from, message });
+            }
+            Job::Wake(host) => self.step(host, SliceEvent::Wake),
+            Job::Platform => self.grant_columns(),
+        }
+    }
+
+    /// Renews columns, and gives those that lapsed to another host of their zone.
+    fn grant_columns(&mut self) {
+        self.platform_at = self.now + PLATFORM_PERIOD;
+
+        for column in 0..self.columns.len() {
+            let Column { owner, zone, until, renewed } = self.columns[column];
+            let runs = |host: usize| {
+                let node = &self.nodes[host];
+                node.slices.is_some() && !node.paused && !node.leaving
+            };
+
+            if let Some(owner) = owner.filter(|host| renewed && runs(*host) && self.now < until) {
+                self.grant(column, owner, false);
+            } else if until <= self.now {
+                let zone = |host: &usize| self.nodes[*host].zone == zone && runs(*host);
+                let hosts: Vec<usize> = (0..self.nodes.len()).filter(zone).collect();
+
+                if !hosts.is_empty() {
+                    let host = hosts[self.rng.random_range(0..hosts.len())];
+                    self.grant(column, host, true);
+                }
+            }
+        }
+    }
+
+    fn grant(&mut self, column: usize, host: usize, fresh: bool) {
+        let until = self.now + LEASE;
+        let of_host = Instant(self.clock(host).0 + LEASE - LEASE_MARGIN);
+        let lease = &mut self.columns[column];
+        (lease.owner, lease.until, lease.renewed) = (Some(host), until, true);
+
+        let column = ColumnId(column as u16);
+        self.step(host, SliceEvent::Owned { column, until: of_host, fresh });
+    }
+
+    fn clock(&self, host: usize) -> Instant {
+        let node = &self.nodes[host];
+        let drift = self.now as i64 * node.drift_ppm / 1_000_000;
+
+        Instant(node.offset + self.now.wrapping_add_signed(drift))
+    }
+
+    fn step(&mut self, host: usize, event: SliceEvent) {
+        let now = self.clock(host);
+        let node = &mut self.nodes[host];
+
+        if node.paused {
+            node.inbox.push(event);
+            return;
+        }
+
+        let Some(slices) = &mut node.slices else { return };
+        let mut out = Vec::new();
+        slices.step(now, event.clone(), &mut out);
+        self.steps += 1;
+
+        let wait = slices.wake_at().map(|at| at.since(now).max(Duration::from_micros(100)));
+        let wait = wait.map(|wait| wait.as_micros() as u64);
+        self.wake(host, wait.map_or(u64::MAX, |wait| self.now + wait + wait / 100));
+
+        for (tenant, admitted) in self.checks.note(self.now, &event, &out) {
+            let calls = if admitted { &mut self.admitted } else { &mut self.refused };
+            calls.entry(tenant).or_default().push(self.now);
+        }
+
+        for next in out {
+            if let SliceNext::Send { to, message } = next {
+                self.send(host, to, message);
+            }
+        }
+
+        if self.check_users {
+            self.assert_one_user();
+        }
+    }
+
+    /// Sets when a host's next wake is due.
+    fn wake(&mut self, host: usize, at: u64) {
+        let wake = std::mem::replace(&mut self.nodes[host].wake, at);
+        self.wakes.remove(&(wake, host));
+
+        if at < u64::MAX {
+            self.wakes.insert((at, host));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: HostId, message: SliceMessage) {
+        let Some(to) = self.index.get(&to).copied() else { return };
+        let copies = 1 + u32::from(self.rng.random_bool(self.net.repeat));
+
+        for host in [from, to] {
+            self.nodes[host].traffic.messages += 1;
+            self.nodes[host].traffic.bytes += message.encoded_bytes() as u64;
+        }
+
+        for _ in 0..copies {
+            if self.side[from] != self.side[to] || self.rng.random_bool(self.net.loss) {
+                continue;
+            }
+
+            self.counter += 1;
+            let at = self.now + self.rng.random_range(self.net.delay.0..self.net.delay.1);
+            self.queue.insert((at, self.counter), (to, self.nodes[from].id, message.clone()));
+        }
+    }
+
+    fn assert_one_user(&self) {
+        let mut users = BTreeMap::new();
+
+        for host in 0..self.nodes.len() {
+            let Some(slices) = &self.nodes[host].slices else { continue };
+
+            for slice in slices.usable(self.clock(host)) {
+                let other = users.insert(slice, host);
+                assert!(other.is_none(), "{slice:?} used by {other:?} and {host} at {}", self.now);
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Job {
+    Deliver((u64, u64)),
+    Wake(usize),
+    Platform,
+}
