Slices: a running loan goes on as the new owner's when a column moves

Cause: a column that moved began at level zero after 3.1 s, also when its former owner gave it up in good order.

Now the new owner's offer names the column, the borrower claims its running loans, and the grant adopts them, level included. The former owner lends no more, so who has a running loan is the only user; that is checked where the loan is, when the grant is taken in.

Grants now say which loans are of a former ownership.

Messages: LoanOffer.columns, LoanRequest.claims, LoanGrant.adoptions and since.

--- a/crates/core/src/messages/slices.rs
+++ b/crates/core/src/messages/slices.rs
@@ -37,7 +37,7 @@
     ///
     /// ```
     /// use camphorwalk_core::messages::slices::{LoanOffer, SliceBody, SliceMessage};
-    /// assert_eq!(SliceMessage::from(SliceBody::Offer(LoanOffer {})).encoded_bytes(), 2);
+    /// assert_eq!(SliceMessage::from(SliceBody::Offer(LoanOffer::default())).encoded_bytes(), 2);
     /// ```
     pub fn encoded_bytes(&self) -> usize {
         prost::Message::encoded_len(self)
@@ -51,8 +51,13 @@
 }
 
 /// A lender has something to say to a borrower, which should send a request.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct LoanOffer {}
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LoanOffer {
+    /// Columns that came to the lender from another owner, whose loans may still run. The
+    /// request should claim those that the borrower has.
+    #[prost(uint32, repeated, tag = "1")]
+    pub columns: Vec<u32>,
+}
 
 /// A borrower's request for loans, new and renewed.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -72,6 +77,26 @@
     /// Loans that the borrower uses no more, listed until a grant answers.
     #[prost(message, repeated, tag = "5")]
     pub returns: Vec<LoanReturn>,
+    /// Running loans of former owners, to go on as the receiver's.
+    #[prost(message, repeated, tag = "6")]
+    pub claims: Vec<LoanClaim>,
+}
+
+/// A running loan of a column's former owner.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct LoanClaim {
+    /// The tenant.
+    #[prost(fixed64, tag = "1")]
+    pub tenant: u64,
+    /// The column.
+    #[prost(uint32, tag = "2")]
+    pub column: u32,
+    /// The host that lent it.
+    #[prost(fixed64, tag = "3")]
+    pub lender: u64,
+    /// Its number there.
+    #[prost(uint64, tag = "4")]
+    pub loan: u64,
 }
 
 /// A loan that its borrower uses no more.
@@ -115,6 +140,30 @@
     /// Loans whose rate or burst is another from now on.
     #[prost(message, repeated, tag = "9")]
     pub changes: Vec<LoanChange>,
+    /// Claimed loans that go on as the lender's.
+    #[prost(message, repeated, tag = "10")]
+    pub adoptions: Vec<LoanAdoption>,
+    /// One number for each of `columns`: the sender's loans below it are of a time when it
+    /// owned the column before, and are over. Empty if no such loan can still run.
+    #[prost(uint64, repeated, tag = "11")]
+    pub since: Vec<u64>,
+}
+
+/// A claimed loan that goes on, level included, as the loan of a column's new owner.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct LoanAdoption {
+    /// The claim.
+    #[prost(message, required, tag = "1")]
+    pub claim: LoanClaim,
+    /// The loan's new number.
+    #[prost(uint64, tag = "2")]
+    pub loan: u64,
+    /// Its refill, in millionths of a token a second.
+    #[prost(uint64, tag = "3")]
+    pub rate: u64,
+    /// The most it holds, in millionths of a token.
+    #[prost(uint64, tag = "4")]
+    pub burst: u64,
 }
 
 /// A slice that is lent, level included.
--- a/crates/policy/src/slices.rs
+++ b/crates/policy/src/slices.rs
@@ -4,6 +4,7 @@
 mod bucket;
 mod lender;
 mod pools;
+mod slice;
 mod split;
 mod takes;
 
@@ -12,9 +13,7 @@
 
 use camphorwalk_core::config::Config;
 use camphorwalk_core::ids::{HostId, TenantId, ZoneId};
-use camphorwalk_core::messages::slices::{
-    LoanOffer, SliceBody, SliceMessage, TakeAnswer, TakeRequest,
-};
+use camphorwalk_core::messages::slices::{SliceBody, SliceMessage, TakeAnswer, TakeRequest};
 use camphorwalk_core::time::Instant;
 
 use crate::wire::Verdict;
@@ -296,6 +295,7 @@
             SliceEvent::Owned { column, until, fresh } => {
                 if self.lender.own(column, until, fresh, now) {
                     self.configure(now);
+                    self.take_over(now, column);
                 }
             }
             SliceEvent::Lost { column } => self.lender.lose(column),
@@ -305,6 +305,13 @@
         }
     }
 
+    /// Goes on with slices of a new column that this host has from its former owner.
+    fn take_over(&mut self, now: Instant, column: ColumnId) {
+        for (key, bucket) in self.borrower.release_column(column) {
+            self.lender.adopt_here(key, bucket, now);
+        }
+    }
+
     fn configure(&mut self, now: Instant) {
         if let Some(cfg) = &self.cfg {
             self.lender.configure(cfg, now);
@@ -319,7 +326,7 @@
         out: &mut Vec<SliceNext>,
     ) {
         match message.body {
-            Some(SliceBody::Offer(_)) => self.borrower.offer(from),
+            Some(SliceBody::Offer(offer)) => self.borrower.offer(from, &offer),
             Some(SliceBody::Request(req)) => {
                 let grant = self.lender.request(from, &req, &mut self.pools, now);
                 out.extend(grant.map(|grant| send(from, SliceBody::Grant(grant))));
@@ -406,8 +413,8 @@
     }
 
     fn send_loan_messages(&mut self, now: Instant, out: &mut Vec<SliceNext>) {
-        for host in self.lender.offers(self.me, &mut self.pools, now) {
-            out.push(send(host, SliceBody::Offer(LoanOffer {})));
+        for (host, offer) in self.lender.offers(self.me, &mut self.pools, now) {
+            out.push(send(host, SliceBody::Offer(offer)));
         }
 
         for (host, req) in self.borrower.requests(now) {
--- a/crates/policy/src/slices/borrower.rs
+++ b/crates/policy/src/slices/borrower.rs
@@ -1,10 +1,12 @@
 //! The slices that this host borrowed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use camphorwalk_core::ids::{HostId, TenantId};
-use camphorwalk_core::messages::slices::{LoanGrant, LoanRequest, LoanReturn};
+use camphorwalk_core::messages::slices::{
+    LoanAdoption, LoanClaim, LoanGrant, LoanOffer, LoanRequest, LoanReturn,
+};
 use camphorwalk_core::time::Instant;
 
 use super::bucket::{Bucket, Share};
@@ -12,7 +14,7 @@
 use super::{ColumnId, SliceTimes};
 
 /// A slice: of a tenant, in a column.
-type SliceKey = (TenantId, ColumnId);
+pub(super) type SliceKey = (TenantId, ColumnId);
 
 /// A request under way.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +38,8 @@
     loans: BTreeMap<u64, SliceKey>,
     /// When the loans of each column are over.
     until: BTreeMap<ColumnId, Instant>,
+    /// Columns that came to the lender from another owner: running loans are claimed.
+    claim: BTreeSet<ColumnId>,
     /// Loans not used any more that the lender may not know of yet.
     returns: Vec<LoanReturn>,
     outstanding: Option<Outstanding>,
@@ -62,8 +66,11 @@
     }
 
     /// Takes in that a lender has something to say.
-    pub(super) fn offer(&mut self, lender: HostId) {
-        self.accounts.entry(lender).or_default().urgent = true;
+    pub(super) fn offer(&mut self, lender: HostId, offer: &LoanOffer) {
+        let account = self.accounts.entry(lender).or_default();
+
+        account.urgent = true;
+        account.claim.extend(offer.columns.iter().map(|column| column_of(*column)));
     }
 
     /// Takes in a lender's grant, if it answers the latest request.
@@ -84,7 +91,11 @@
             return;
         }
 
+        let adopted = self.release_claimed(&grant.adoptions);
+        let account = self.accounts.entry(lender).or_default();
+
         account.outstanding = None;
+        account.claim.clear();
         account.returns.drain(..request.returns);
         account.give_up = now + self.times.lifetime * 2;
 
@@ -98,6 +109,60 @@
         account.change(grant, now);
         account.recall(grant, now);
         account.borrow(grant, now);
+        account.adopt(&grant.adoptions, adopted, now);
+    }
+
+    /// Takes claimed loans out of their former lenders' accounts.
+    ///
+    /// A claim may be overtaken: the loan ended, or another owner has taken it on. It is
+    /// taken out only where it was when it was claimed, else two owners would believe that
+    /// it is theirs.
+    fn release_claimed(&mut self, adoptions: &[LoanAdoption]) -> Vec<Option<Bucket>> {
+        let mut release = |claim: &LoanClaim| {
+            let key = (TenantId(claim.tenant), column_of(claim.column));
+            let account = self.accounts.get_mut(&HostId(claim.lender))?;
+
+            if account.loans.get(&claim.loan) != Some(&key) {
+                return None;
+            }
+
+            account.loans.remove(&claim.loan);
+            account.held.remove(&key)
+        };
+
+        adoptions.iter().map(|adoption| release(&adoption.claim)).collect()
+    }
+
+    /// Takes all slices of a column out of their lenders' accounts: this host owns it now.
+    pub(super) fn release_column(&mut self, column: ColumnId) -> Vec<(SliceKey, Bucket)> {
+        let mut released = Vec::new();
+
+        for account in self.accounts.values_mut() {
+            account.loans.retain(|_, key| key.1 != column);
+            released.extend(account.held.extract_if(.., |key, _| key.1 == column));
+        }
+
+        released
+    }
+
+    /// Returns the claims of all running loans in some columns.
+    fn claims(&self, columns: &BTreeSet<ColumnId>) -> Vec<LoanClaim> {
+        let mut claims = Vec::new();
+
+        for (lender, account) in &self.accounts {
+            for (loan, (tenant, column)) in &account.loans {
+                if columns.contains(column) {
+                    claims.push(LoanClaim {
+                        tenant: tenant.0,
+                        column: u32::from(column.0),
+                        lender: lender.0,
+                        loan: *loan,
+                    });
+                }
+            }
+        }
+
+        claims
     }
 
     /// Ends loans whose time is over.
@@ -109,7 +174,7 @@
 
             account.until.retain(|_, until| now < *until);
             let columns = std::mem::take(&mut account.until);
-            account.drop_loans(|column| !columns.contains_key(&column));
+            account.drop_loans(|_, column| !columns.contains_key(&column));
             account.until = columns;
         }
     }
@@ -118,21 +183,25 @@
     pub(super) fn drop_all(&mut self) {
         for account in self.accounts.values_mut() {
             account.until.clear();
-            account.drop_loans(|_| true);
+            account.drop_loans(|_, _| true);
             account.urgent = true;
         }
     }
 
     /// Returns the requests to be sent now, each with its lender.
     pub(super) fn requests(&mut self, now: Instant) -> Vec<(HostId, LoanRequest)> {
+        let due = |account: &Account| account.request_at(&self.times).is_some_and(|at| at <= now);
+        let accounts = self.accounts.iter().filter(|(_, account)| due(account));
+        let lenders: Vec<(HostId, Vec<LoanClaim>)> =
+            accounts.map(|(lender, account)| (*lender, self.claims(&account.claim))).collect();
         let mut requests = Vec::new();
 
-        for (lender, account) in &mut self.accounts {
-            if account.request_at(&self.times).is_some_and(|at| at <= now) {
-                self.number += 1;
-                let req = account.request(self.session, self.number, &self.times, now);
-                requests.push((*lender, req));
-            }
+        for (lender, claims) in lenders {
+            let Some(account) = self.accounts.get_mut(&lender) else { continue };
+
+            self.number += 1;
+            let req = account.request(self.session, self.number, &self.times, now);
+            requests.push((lender, LoanRequest { claims, ..req }));
         }
 
         requests
@@ -209,19 +278,24 @@
             lender: self.lender,
             acknowledged: self.acknowledged,
             returns: self.returns.clone(),
+            claims: Vec::new(),
         }
     }
 
     /// Forgets all loans: they were a former run's of the lender, which knows of none now.
     fn forget(&mut self) {
         self.until.clear();
-        self.drop_loans(|_| true);
+        self.drop_loans(|_, _| true);
         self.returns.clear();
     }
 
     /// Renews the columns that the grant names. The others end when they would have: the
-    /// lender owns them no more.
+    /// lender owns them no more. Loans of a former ownership of the lender end at once.
     fn renew(&mut self, grant: &LoanGrant, until: Instant) {
+        for (column, since) in grant.columns.iter().zip(&grant.since) {
+            self.drop_loans(|loan, other| other == column_of(*column) && loan < *since);
+        }
+
         for column in &grant.columns {
             self.until.insert(column_of(*column), until);
         }
@@ -261,12 +335,31 @@
         }
     }
 
-    /// Ends the loans of some columns. What was left in them is lost.
-    fn drop_loans(&mut self, over: impl Fn(ColumnId) -> bool) {
+    /// Takes up claimed loans as the lender's own, with the buckets as they were. Those that
+    /// are no longer here are returned.
+    fn adopt(&mut self, adoptions: &[LoanAdoption], adopted: Vec<Option<Bucket>>, now: Instant) {
+        for (adoption, bucket) in adoptions.iter().zip(adopted) {
+            let LoanAdoption { claim, loan, rate, burst } = *adoption;
+
+            let Some(mut bucket) = bucket else {
+                self.returns.push(LoanReturn { loan, level: 0 });
+                self.urgent = true;
+                continue;
+            };
+
+            let key = (TenantId(claim.tenant), column_of(claim.column));
+            bucket.change(Share { rate, burst }, now);
+            self.held.insert(key, bucket);
+            self.loans.insert(loan, key);
+        }
+    }
+
+    /// Ends some loans. What was left in them is lost.
+    fn drop_loans(&mut self, over: impl Fn(u64, ColumnId) -> bool) {
         let Self { held, loans, returns, .. } = self;
 
         loans.retain(|loan, key| {
-            if !over(key.1) {
+            if !over(*loan, key.1) {
                 return true;
             }
 
--- a/crates/policy/src/slices/lender.rs
+++ b/crates/policy/src/slices/lender.rs
@@ -5,26 +5,21 @@
 //! only as the answer to its latest request, so a loan in a grant that the request does not
 //! acknowledge was not taken in and never will be.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use camphorwalk_core::config::Config;
 use camphorwalk_core::ids::{HostId, TenantId};
-use camphorwalk_core::messages::slices::{Loan, LoanChange, LoanGrant, LoanRequest, LoanReturn};
+use camphorwalk_core::messages::slices::{
+    Loan, LoanAdoption, LoanChange, LoanClaim, LoanGrant, LoanOffer, LoanRequest, LoanReturn,
+};
 use camphorwalk_core::time::Instant;
 
 use super::bucket::{Bucket, Share};
 use super::pools::Pools;
+use super::slice::{Borrower, Column, Place, Slice};
 use super::{ColumnId, SliceTimes, split};
 
-/// A run of a borrower's process. A restarted borrower does not know its former loans, and
-/// its former run may only be paused: their loans are never mixed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Borrower {
-    host: HostId,
-    session: u64,
-}
-
 /// What is lent to one borrower.
 #[derive(Debug, Default)]
 struct Account {
@@ -36,48 +31,6 @@
     loans: BTreeMap<u64, (TenantId, ColumnId)>,
 }
 
-/// An owned column.
-#[derive(Clone, Copy, Debug)]
-struct Column {
-    /// Ownership ends here.
-    until: Instant,
-    /// Loans of former owners are over from here on.
-    usable_from: Instant,
-}
-
-impl Column {
-    fn is_usable(&self, now: Instant) -> bool {
-        self.usable_from <= now && now < self.until
-    }
-}
-
-#[derive(Debug)]
-struct Slice {
-    share: Share,
-    place: Place,
-}
-
-/// Who may use a slice.
-#[derive(Debug)]
-enum Place {
-    /// This host.
-    Here(Bucket),
-    /// The borrower.
-    Lent(Lent),
-}
-
-#[derive(Debug)]
-struct Lent {
-    borrower: Borrower,
-    /// The grant that lent it.
-    grant: u64,
-    /// The bucket as it was lent, in case that the grant is lost.
-    bucket: Bucket,
-    /// The share that the borrower was told last, and by which grant.
-    told: Share,
-    told_by: u64,
-}
-
 /// The slices of owned columns.
 #[derive(Debug)]
 pub(super) struct Lender {
@@ -125,8 +78,7 @@
         // burst: slices begin at level zero.
         for (key, share) in shares {
             let from = self.columns[&key.1].usable_from.max(now);
-            let place = Place::Here(Bucket::new(share, 0, from));
-            self.slices.insert(key, Slice { share, place });
+            self.slices.insert(key, Slice::empty(share, from));
         }
 
         self.next_offers = now;
@@ -152,7 +104,9 @@
         let usable_from = now + self.times.lent_for();
 
         self.lose(column);
-        self.columns.insert(column, Column { until, usable_from });
+        self.number += 1;
+        self.columns.insert(column, Column { until, since: self.number, usable_from });
+        self.next_offers = now;
         true
     }
 
@@ -191,7 +145,7 @@
             // What the borrower took until then is unknown: the slices go on from zero.
             for key in account.loans.values() {
                 if let Some(slice) = slices.get_mut(key) {
-                    slice.place = Place::Here(Bucket::new(slice.share, 0, account.until));
+                    slice.take_back(0, account.until);
                 }
             }
 
@@ -226,7 +180,7 @@
         self.take_back(borrower, returns, now);
         self.undo_lost(borrower, acknowledged);
 
-        Some(self.grant(borrower, req.number, acknowledged, pools, now))
+        Some(self.grant(borrower, req, acknowledged, pools, now))
     }
 
     /// Takes back what the borrower returns.
@@ -239,7 +193,7 @@
             let Some(key) = account.loans.remove(&back.loan) else { continue };
             let Some(slice) = self.slices.get_mut(&key) else { continue };
 
-            slice.place = Place::Here(Bucket::new(slice.share, back.level, now));
+            slice.take_back(back.level, now);
             self.next_offers = now;
         }
     }
@@ -269,7 +223,7 @@
     fn grant(
         &mut self,
         borrower: Borrower,
-        request: u64,
+        req: &LoanRequest,
         acknowledged: u64,
         pools: &mut Pools,
         now: Instant,
@@ -278,7 +232,7 @@
 
         let mut grant = LoanGrant {
             session: borrower.session,
-            request,
+            request: req.number,
             lender: self.session,
             number: self.number,
             lifetime_ms: u32::try_from(self.times.lifetime.as_millis()).unwrap_or(u32::MAX),
@@ -287,17 +241,28 @@
 
         self.review(borrower, acknowledged, pools, &mut grant);
         self.lend(borrower, pools, now, &mut grant);
+        self.adopt(borrower, &req.claims, now, &mut grant);
 
-        let account = self.accounts.entry(borrower).or_default();
-        let mut columns: Vec<u32> =
-            account.loans.values().map(|(_, column)| u32::from(column.0)).collect();
-        columns.sort_unstable();
-        columns.dedup();
-        grant.columns = columns;
+        self.renew(borrower, now, &mut grant);
 
         grant
     }
 
+    /// Renews the columns of the borrower's loans.
+    fn renew(&self, borrower: Borrower, now: Instant, grant: &mut LoanGrant) {
+        let Some(account) = self.accounts.get(&borrower) else { return };
+        let columns: BTreeSet<ColumnId> = account.loans.values().map(|(_, id)| *id).collect();
+        let owned = |id: &ColumnId| self.columns[id];
+
+        grant.columns = columns.iter().map(|id| u32::from(id.0)).collect();
+
+        // Loans that this host made before it lost a column and got it again are not known
+        // here. Renewed with the column, they would run on beside its new loans.
+        if columns.iter().any(|id| now < owned(id).usable_from) {
+            grant.since = columns.iter().map(|id| owned(id).since).collect();
+        }
+    }
+
     /// Asks back loans that belong with another host now, and tells of changed shares.
     fn review(
         &mut self,
@@ -334,42 +299,87 @@
         let Some(account) = self.accounts.get_mut(&borrower) else { return };
 
         for ((tenant, column), slice) in &mut self.slices {
-            let withdrawn = slice.is_withdrawn();
-            let Place::Here(bucket) = &mut slice.place else { continue };
-
-            let wanted = pools.of(*tenant) == borrower.host && !withdrawn;
-
-            if !wanted || !self.columns[column].is_usable(now) {
+            if pools.of(*tenant) != borrower.host || slice.is_withdrawn() {
                 continue;
             }
 
+            let Some(mut bucket) = slice.usable(&self.columns[column], now).copied() else {
+                continue;
+            };
+
             self.number += 1;
             let loan = self.number;
             let level = bucket.level(now);
             let Share { rate, burst } = slice.share;
+            let (tenant_id, column_number) = (tenant.0, u32::from(column.0));
 
             grant.loans.push(Loan {
                 loan,
-                tenant: tenant.0,
-                column: u32::from(column.0),
+                tenant: tenant_id,
+                column: column_number,
                 level,
                 rate,
                 burst,
             });
             account.loans.insert(loan, (*tenant, *column));
-            slice.place = Place::Lent(Lent {
-                borrower,
-                grant: grant.number,
-                bucket: *bucket,
-                told: slice.share,
-                told_by: grant.number,
-            });
+            slice.lend(borrower, bucket, grant.number);
+        }
+    }
+
+    /// Lets claimed loans of a former owner go on as this host's, level included.
+    ///
+    /// The former owner lends no more, so whoever has a running loan now is the only user.
+    /// That is checked where the loan is, once more: a claim may be older than this
+    /// ownership.
+    fn adopt(
+        &mut self,
+        borrower: Borrower,
+        claims: &[LoanClaim],
+        now: Instant,
+        grant: &mut LoanGrant,
+    ) {
+        let Some(account) = self.accounts.get_mut(&borrower) else { return };
+
+        for claim in claims {
+            let column = ColumnId(u16::try_from(claim.column).unwrap_or(u16::MAX));
+            let key = (TenantId(claim.tenant), column);
+            let Some(slice) = self.slices.get_mut(&key) else { continue };
+
+            if !slice.is_claimable(now) {
+                continue;
+            }
+
+            self.number += 1;
+            let loan = self.number;
+            let Share { rate, burst } = slice.share;
+
+            grant.adoptions.push(LoanAdoption { claim: *claim, loan, rate, burst });
+            account.loans.insert(loan, key);
+
+            // Nothing is taken back if the grant is lost: the loan ends as the former owner's.
+            let bucket = Bucket::new(slice.share, 0, slice.usable_from);
+            slice.lend(borrower, bucket, grant.number);
+        }
+    }
+
+    /// Takes over a loan that this host itself has from a former owner.
+    pub(super) fn adopt_here(&mut self, key: (TenantId, ColumnId), bucket: Bucket, now: Instant) {
+        if let Some(slice) = self.slices.get_mut(&key) {
+            slice.place = Place::Here(bucket);
+            slice.usable_from = now;
+            slice.set_share(slice.share, now);
         }
     }
 
-    /// Returns the hosts that should send a request soon: slices here belong with them, or
-    /// loans with them are to be changed or returned.
-    pub(super) fn offers(&mut self, me: HostId, pools: &mut Pools, now: Instant) -> Vec<HostId> {
+    /// Returns what to tell hosts that should send a request soon: slices here belong with
+    /// them, loans with them are to be changed or returned, or they may have loans of a
+    /// former owner.
+    pub(super) fn offers(
+        &mut self,
+        me: HostId,
+        pools: &mut Pools,
+        now: Instant,
+    ) -> Vec<(HostId, LoanOffer)> {
         if now < self.next_offers {
             return Vec::new();
         }
@@ -377,19 +387,30 @@
         self.next_offers = now + self.times.retry;
         self.slices.retain(|_, slice| !slice.is_over());
         self.offered.retain(|_, again| now < *again);
-        let mut hosts = Vec::new();
+        let mut offers: BTreeMap<HostId, LoanOffer> = BTreeMap::new();
 
         for ((tenant, column), slice) in &self.slices {
             let Some(host) = slice.waits_for(pools.of(*tenant)) else { continue };
-            let usable = self.columns[column].is_usable(now);
 
-            if usable && host != me && pools.reaches(host) && !self.offered.contains_key(&host) {
-                self.offered.insert(host, now + self.times.retry);
-                hosts.push(host);
+            if host == me || !pools.reaches(host) || self.offered.contains_key(&host) {
+                continue;
             }
+
+            let columns = &mut offers.entry(host).or_default().columns;
+            let column = u32::from(column.0);
+
+            if slice.is_claimable(now) && !columns.contains(&column) {
+                columns.push(column);
+            }
+        }
+
+        for (host, offer) in &offers {
+            // Who has no loan of a former owner need not be asked again soon.
+            let wait = if offer.columns.is_empty() { self.times.retry } else { self.times.renewal };
+            self.offered.insert(*host, now + wait);
         }
 
-        hosts
+        offers.into_iter().collect()
     }
 
     /// Returns the buckets of a tenant that this host may use itself.
@@ -401,17 +422,23 @@
         let columns = &self.columns;
         let all = (tenant, ColumnId(0))..=(tenant, ColumnId(u16::MAX));
 
-        self.slices.range_mut(all).filter_map(move |((_, column), slice)| match &mut slice.place {
-            Place::Here(bucket) if columns[column].is_usable(now) => Some(bucket),
-            _ => None,
+        self.slices.range_mut(all).filter_map(move |((_, column), slice)| {
+            slice.usable(&columns[column], now)?;
+
+            match &mut slice.place {
+                Place::Here(bucket) => Some(bucket),
+                Place::Lent(_) => None,
+            }
         })
     }
 
     /// Returns the slices that this host may use itself.
     pub(super) fn usable_slices(&self, now: Instant) -> impl Iterator<Item = (TenantId, ColumnId)> {
-        let here = self.slices.iter().filter(|(_, slice)| matches!(slice.place, Place::Here(_)));
+        let slices = self.slices.iter();
 
-        here.map(|(key, _)| *key).filter(move |(_, column)| self.columns[column].is_usable(now))
+        slices
+            .filter(move |((_, column), slice)| slice.usable(&self.columns[column], now).is_some())
+            .map(|(key, _)| *key)
     }
 
     /// Returns how long it takes until the first column is usable that is not yet.
@@ -433,36 +460,3 @@
         columns.chain(accounts).chain([self.next_offers]).min()
     }
 }
-
-impl Slice {
-    fn set_share(&mut self, share: Share, now: Instant) {
-        self.share = share;
-
-        // A borrower goes on with the old share until it takes in the grant that tells it.
-        match &mut self.place {
-            Place::Here(bucket) => bucket.change(share, now),
-            Place::Lent(lent) => lent.bucket.change(share, now),
-        }
-    }
-
-    /// Returns whether its tenant is withdrawn.
-    fn is_withdrawn(&self) -> bool {
-        self.share == Share::default()
-    }
-
-    /// Returns whether its tenant is withdrawn and nobody uses it.
-    fn is_over(&self) -> bool {
-        self.is_withdrawn() && matches!(self.place, Place::Here(_))
-    }
-
-    /// Returns the host whose next request this slice waits for, given its pool host.
-    fn waits_for(&self, pool: HostId) -> Option<HostId> {
-        match &self.place {
-            Place::Here(_) => Some(pool),
-            Place::Lent(lent) if lent.borrower.host != pool || lent.told != self.share => {
-                Some(lent.borrower.host)
-            }
-            Place::Lent(_) => None,
-        }
-    }
-}
