--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -1,17 +1,50 @@
 //! Programs at their home: order, history, budget, and at most one run of what may not be
 //! repeated.
 
+mod answers;
+mod attempts;
+mod budget;
+mod calls;
+mod checkpoint;
+mod commits;
+mod compaction;
+mod entries;
+mod flight;
+mod journal;
+mod keys;
+mod lifecycle;
+mod lookup;
+mod open;
+mod recovery;
+mod requests;
+mod retry;
+mod state;
+mod steps;
+mod tail;
+mod timers;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
-use camphorwalk_core::calls::{Reply, Request};
+use camphorwalk_core::calls::{Refusal, Reply, Request};
 use camphorwalk_core::config::Config;
+use camphorwalk_core::hash::{Digest, Map, Set};
 use camphorwalk_core::ids::{
     AttemptId, Epoch, HostId, KeyId, PartitionId, ProgramId, TargetId, TenantId, Ticket,
 };
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowVersion};
 use camphorwalk_core::time::Instant;
-use std::time::Duration;
+use slotmap::SlotMap;
 
+use self::budget::{Account, AccountKey};
+use self::compaction::{CHECKPOINT_BYTES, Compaction};
+use self::journal::{Journal, Tenure};
+use self::lookup::Lookup;
+use self::requests::Asked;
+use self::retry::{RetryBudget, Suspects};
+use self::state::{Call, Program, ProgramKey, ProgramState, Recovering};
+use self::timers::{Timer, Timers};
 use crate::wire::{AttemptEnd, CallId, Dispatch, PlaceEnd, PlaceRequest, Verdict};
 
 /// A platform operation that the programs wait for.
@@ -90,6 +123,8 @@
     },
     /// A key was withdrawn: its calls that wait or stream are ended.
     KeyWithdrawn(KeyId),
+    /// Another host found that the request with this digest crashes targets.
+    Quarantined(Digest),
     /// Time has passed; see [`Programs::wake_at`].
     Wake,
 }
@@ -145,6 +180,19 @@
         /// The program.
         program: ProgramId,
     },
+    /// Tell every host that the request with this digest crashes targets.
+    Quarantine {
+        /// The digest of the request.
+        digest: Digest,
+    },
+    /// The platform refused a journal write because another host took the partition's
+    /// lease: this host is not its home any more, whatever its own clock says.
+    Fenced {
+        /// The partition.
+        partition: PartitionId,
+        /// The epoch that this host held.
+        epoch: Epoch,
+    },
 }
 
 /// Settings of [`Programs`].
@@ -162,24 +210,192 @@
 
 /// The programs whose home this host is.
 #[derive(Debug)]
-pub struct Programs {}
+pub struct Programs {
+    /// The settings.
+    options: ProgramOptions,
+    /// The configuration in force, once there is one.
+    cfg: Option<Lookup>,
+    /// The partitions whose journal is read.
+    tenures: BTreeMap<PartitionId, Tenure>,
+    /// The partitions whose journal is being read.
+    recovering: BTreeMap<PartitionId, Recovering>,
+    /// The reads under way.
+    scans: Map<ProgramOp, (PartitionId, u64)>,
+    /// The objects being written.
+    puts: Map<ProgramOp, PartitionId>,
+    /// How the journals have grown.
+    compactions: BTreeMap<PartitionId, Compaction>,
+    /// The bytes of journal rows after which a checkpoint is made.
+    checkpoint_bytes: usize,
+    /// The write under way.
+    writing: Option<ProgramOp>,
+    /// The programs, orphans included.
+    programs: SlotMap<ProgramKey, Program>,
+    /// The programs by id, without orphans.
+    index: BTreeMap<ProgramId, ProgramKey>,
+    /// The budgets.
+    accounts: SlotMap<AccountKey, Account>,
+    /// The calls under way.
+    calls: SlotMap<CallId, Call>,
+    /// The call of each attempt that was sent.
+    attempts: Map<AttemptId, CallId>,
+    /// The call that each caller waits for.
+    tickets: Map<Ticket, CallId>,
+    /// Entries on their way to the platform.
+    journal: Journal,
+    /// What is due when.
+    timers: Timers,
+    /// The retries that may be made.
+    retries: RetryBudget,
+    /// The requests that crash targets.
+    suspects: Suspects,
+    /// The number of the last tenure of a partition.
+    last_tenure: u64,
+    /// The number of the last platform operation.
+    last_op: u64,
+    /// The number of the last attempt.
+    last_attempt: u64,
+}
+
+/// What a step reads and writes besides the state.
+struct Cx<'a> {
+    /// The time of the step.
+    now: Instant,
+    /// What to do next.
+    out: &'a mut Vec<ProgramNext>,
+}
 
 impl Programs {
     /// Makes the home of no partitions.
-    pub fn new(_options: ProgramOptions) -> Self {
-        Self {}
+    ///
+    /// ```
+    /// use camphorwalk_core::ids::HostId;
+    /// use camphorwalk_policy::programs::{ProgramOptions, Programs};
+    ///
+    /// let options = ProgramOptions {
+    ///     host: HostId::from_name("a1"),
+    ///     session: 1,
+    ///     seal_key: [7; 32],
+    ///     commit_interval: std::time::Duration::from_millis(10),
+    /// };
+    /// assert_eq!(Programs::new(options).open_programs().count(), 0);
+    /// ```
+    pub fn new(options: ProgramOptions) -> Self {
+        Self {
+            journal: Journal::new(options.session, options.commit_interval),
+            options,
+            cfg: None,
+            tenures: BTreeMap::new(),
+            recovering: BTreeMap::new(),
+            scans: Map::default(),
+            puts: Map::default(),
+            compactions: BTreeMap::new(),
+            checkpoint_bytes: CHECKPOINT_BYTES,
+            writing: None,
+            programs: SlotMap::with_key(),
+            index: BTreeMap::new(),
+            accounts: SlotMap::with_key(),
+            calls: SlotMap::with_key(),
+            attempts: Map::default(),
+            tickets: Map::default(),
+            timers: Timers::default(),
+            retries: RetryBudget::new(),
+            suspects: Suspects::default(),
+            last_tenure: 0,
+            last_op: 0,
+            last_attempt: 0,
+        }
     }
 
     /// Takes in an event and appends what to do next to `out`.
-    pub fn step(&mut self, _now: Instant, _event: ProgramEvent, _out: &mut Vec<ProgramNext>) {}
+    pub fn step(&mut self, now: Instant, event: ProgramEvent, out: &mut Vec<ProgramNext>) {
+        let cx = &mut Cx { now, out };
+
+        // First: a host that was paused past a deadline must not act on an older event as if
+        // there were time left, for example send a call whose caller was promised an answer.
+        self.run_timers(cx);
+
+        match event {
+            ProgramEvent::Config(cfg) => self.cfg = Some(Lookup::new(cfg)),
+            ProgramEvent::Acquired { partition, epoch, lease } => {
+                self.acquired(cx, partition, epoch, lease);
+            }
+            ProgramEvent::Lost { partition } => self.lost(cx, partition),
+            ProgramEvent::Request { ticket, tenant, key, request } => {
+                self.request(cx, Asked { ticket, tenant, key, request });
+            }
+            ProgramEvent::CallerGone { ticket } => self.caller_gone(cx, ticket),
+            ProgramEvent::Verdict { call, verdict } => self.on_verdict(cx, call, verdict),
+            ProgramEvent::Placed { call, target } => self.on_placed(cx, call, target),
+            ProgramEvent::Unplaced { call, retry_after } => {
+                self.on_unplaced(cx, call, retry_after);
+            }
+            ProgramEvent::Ended { attempt, end } => self.on_ended(cx, attempt, end),
+            ProgramEvent::Platform { op, reply } => self.on_platform(cx, op, reply),
+            ProgramEvent::KeyWithdrawn(key) => self.key_withdrawn(cx, key),
+            ProgramEvent::Quarantined(digest) => self.suspects.quarantine(digest),
+            ProgramEvent::Wake => {}
+        }
+
+        self.flush(cx);
+    }
 
     /// Returns when [`ProgramEvent::Wake`] is due.
     pub fn wake_at(&self) -> Option<Instant> {
-        None
+        [self.timers.next_at(), self.journal.wake_at()].into_iter().flatten().min()
+    }
+
+    /// Returns the partitions that have calls under way.
+    pub fn busy_partitions(&self) -> Set<PartitionId> {
+        self.calls.values().map(|call| self.programs[call.program].partition).collect()
+    }
+
+    /// Returns whether a program is open, or `None` if this host is not its home or has not
+    /// read its journal to the end.
+    pub fn is_open(&self, program: ProgramId) -> Option<bool> {
+        let partition = self.cfg.as_ref()?.partition(program);
+        self.tenures.get(&partition)?;
+        let open = |key: &ProgramKey| self.programs[*key].state == ProgramState::Open;
+
+        Some(self.index.get(&program).is_some_and(open))
     }
 
     /// Returns the programs that are open here.
     pub fn open_programs(&self) -> impl Iterator<Item = ProgramId> + '_ {
-        std::iter::empty()
+        self.index
+            .iter()
+            .filter(|(_, key)| self.programs[**key].state == ProgramState::Open)
+            .map(|(id, _)| *id)
+    }
+
+    /// Answers a request.
+    fn answer(&mut self, cx: &mut Cx<'_>, ticket: Ticket, reply: Reply) {
+        self.tickets.remove(&ticket);
+        cx.out.push(ProgramNext::Answer { ticket, reply });
+    }
+
+    /// Refuses a request.
+    fn refuse(&mut self, cx: &mut Cx<'_>, ticket: Ticket, refusal: Refusal) {
+        self.answer(cx, ticket, Reply::Refused(refusal));
+    }
+
+    /// Runs an operation on the platform and returns its number.
+    fn platform(&mut self, cx: &mut Cx<'_>, request: PlatformOp) -> ProgramOp {
+        self.last_op += 1;
+        let op = ProgramOp(self.last_op);
+        cx.out.push(ProgramNext::Platform { op, request });
+
+        op
+    }
+
+    /// Runs what is due.
+    fn run_timers(&mut self, cx: &mut Cx<'_>) {
+        while let Some(timer) = self.timers.take_due(cx.now) {
+            match timer {
+                Timer::Call(call) => self.stage_timed_out(cx, call),
+                Timer::Program(program) => self.program_due(cx, program),
+                Timer::Partition(partition) => self.recovery_due(cx, partition),
+            }
+        }
     }
 }
--- a/crates/policy/src/slices/lender.rs
+++ b/crates/policy/src/slices/lender.rs
@@ -77,9 +77,12 @@
         // A tenant that is new here may be one that was withdrawn a moment ago and used its
         // burst: slices begin at level zero.
         for (key, share) in shares {
-            let from = self.columns[&key.1].usable_from.max(now);
-            self.slices.insert(key, Slice::empty(share, from));
+            let column = self.columns[&key.1];
+            let level = if column.begins_full { share.burst } else { 0 };
+            let from = column.usable_from.max(now);
+            self.slices.insert(key, Slice::new(share, level, from));
         }
+        self.columns.values_mut().for_each(|column| column.begins_full = false);
 
         self.next_offers = now;
     }
@@ -104,10 +107,24 @@
         let usable_from = now + self.times.lent_for();
 
         self.lose(column);
+        self.insert(column, Column { until, since: 0, usable_from, begins_full: false }, now);
+        true
+    }
+
+    /// Takes in ownership of a column that no host ever owned.
+    ///
+    /// Nobody can have used or been lent its slices, so they begin full and at once. Without
+    /// this a new fleet refuses for seconds what its tenants send within their rate.
+    pub(super) fn own_first(&mut self, column: ColumnId, until: Instant, now: Instant) {
+        let first = Column { until, since: 0, usable_from: now, begins_full: true };
+
+        self.insert(column, first, now);
+    }
+
+    fn insert(&mut self, column: ColumnId, owned: Column, now: Instant) {
         self.number += 1;
-        self.columns.insert(column, Column { until, since: self.number, usable_from });
+        self.columns.insert(column, Column { since: self.number, ..owned });
         self.next_offers = now;
-        true
     }
 
     /// Forgets a column. Loans of it are renewed no more, and end by themselves.
--- a/crates/policy/src/slices/slice.rs
+++ b/crates/policy/src/slices/slice.rs
@@ -22,6 +22,8 @@
     pub(super) since: u64,
     /// Loans of former owners are over from here on.
     pub(super) usable_from: Instant,
+    /// Whether no host ever owned it and its slices are still to be made: they begin full.
+    pub(super) begins_full: bool,
 }
 
 /// A slice of an owned column.
@@ -67,9 +69,9 @@
         }
     }
 
-    /// Makes a slice that is here and empty.
-    pub(super) fn empty(share: Share, usable_from: Instant) -> Self {
-        let place = Place::Here(Bucket::new(share, 0, usable_from));
+    /// Makes a slice that is here.
+    pub(super) fn new(share: Share, level: u64, usable_from: Instant) -> Self {
+        let place = Place::Here(Bucket::new(share, level, usable_from));
 
         Self { share, place, usable_from }
     }
