--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -187,6 +187,11 @@
         (0..self.hosts.len()).filter(|host| &*self.hosts[*host].zone == zone).collect()
     }
 
+    /// Returns whether a host runs, serves, and is not leaving.
+    pub fn is_ready(&self, host: usize) -> bool {
+        self.hosts[host].state == State::Up && self.hosts[host].scheduler.is_ready()
+    }
+
     /// Returns the configuration version in force at a host.
     pub fn version(&self, host: usize) -> u64 {
         let board = self.hosts[host].scheduler.board();
--- a/crates/scenario/src/world/faults.rs
+++ b/crates/scenario/src/world/faults.rs
@@ -66,6 +66,11 @@
         self.traps.push(trap);
     }
 
+    /// Takes all traps away.
+    pub fn forget_traps(&mut self) {
+        self.traps.clear();
+    }
+
     pub(super) fn trap_for(&mut self, _: usize, action: &Action, after: bool) -> Option<Trap> {
         let index = self.traps.iter().position(|t| t.after == after && t.point.matches(action))?;
 
