--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -336,28 +336,41 @@
     }
 
     /// Picks whom to tell: one host of this zone, so that a zone that is cut off still hears
-    /// itself, and the rest from all, silent ones included, since a cut heals without notice.
+    /// itself, others that are alive, and one that is silent, since a cut heals without notice.
+    ///
+    /// All differ, and at most one is silent: in a small fleet with some hosts dead, two that
+    /// are alive could else tell each other nothing for longer than a host may be silent.
     fn receivers(&self) -> Vec<HostId> {
         let zone = ZoneId::from_name(&self.options.zone);
-        let near: Vec<_> =
-            self.members.values().filter(|m| m.zone == zone).map(|m| m.host).collect();
-        let all: Vec<_> = self.members.keys().copied().collect();
-
-        let mut picked: Vec<_> = (0..self.options.fanout)
-            .filter_map(|i| self.pick(if i == 0 && !near.is_empty() { &near } else { &all }, i))
-            .collect();
+        let ids = |wanted: &dyn Fn(&Member) -> bool| -> Vec<HostId> {
+            self.members.values().filter(|m| wanted(m)).map(|m| m.host).collect()
+        };
+        let near = ids(&|m| m.alive && m.zone == zone);
+        let alive = ids(&|m| m.alive);
+        let silent = ids(&|m| !m.alive);
+
+        let last = self.options.fanout.saturating_sub(1);
+        let mut picked = Vec::new();
+        for i in 0..self.options.fanout {
+            let order = match i {
+                0 => [&near, &alive, &silent],
+                i if i == last => [&silent, &alive, &near],
+                _ => [&alive, &silent, &near],
+            };
+            picked.extend(order.iter().find_map(|hosts| self.pick(hosts, i, &picked)));
+        }
         picked.sort_unstable();
-        picked.dedup();
 
         picked
     }
 
-    /// Picks one host: the one that stands so many places after this one in the order of ids.
+    /// Picks one host: the one that stands so many places after this one in the order of ids,
+    /// or the next that is not picked yet.
     ///
     /// The number of places changes with each round and is the same at all hosts, so that in
-    /// one round no two tell the same host. When all hosts walked the list from its start, they
-    /// told the same three hosts at a time, and the others heard nothing for seconds.
-    fn pick(&self, hosts: &[HostId], i: usize) -> Option<HostId> {
+    /// one round hardly two tell the same host. When all hosts walked the list from its start,
+    /// they told the same three hosts at a time, and the others heard nothing for seconds.
+    fn pick(&self, hosts: &[HostId], i: usize, picked: &[HostId]) -> Option<HostId> {
         let round = self.heartbeat * self.options.fanout as u64 + i as u64;
         let places = stable_hash(&[b"gossip", &round.to_be_bytes()]) as usize % hosts.len().max(1);
         let mut ring: Vec<_> = hosts.iter().copied().filter(|h| *h > self.me).collect();
@@ -366,7 +379,7 @@
         before.sort_unstable();
         ring.extend(before);
 
-        ring.get(places).copied()
+        ring.iter().cycle().skip(places).take(ring.len()).find(|h| !picked.contains(h)).copied()
     }
 
     /// Picks the news for one host: this host's own, then what was passed on least often.
--- a/crates/policy/src/programs/journal.rs
+++ b/crates/policy/src/programs/journal.rs
@@ -409,7 +409,12 @@
         // that conflicts alone is lost.
         if resolved.fenced.is_empty() && resolved.behind.is_empty() && !renewed {
             match flight.rows.as_slice() {
-                [row] => resolved.fenced.push((row.partition, row.tenure.epoch)),
+                // A write of a former tenure says nothing of the one that this host has now:
+                // fenced for it, a partition that was just acquired again had no home at all.
+                [row] if tenures.get(&row.partition).is_some_and(|now| now.id == row.tenure.id) => {
+                    resolved.fenced.push((row.partition, row.tenure.epoch));
+                }
+                [_] => {}
                 many => self.alone = many.len(),
             }
         }
