Programs: a planned change of home gives unspent grants back

Cause: each change of home counts the durable grant, an eighth of the budget, as spent. In a rolling restart a program's partition moves several times, and it would be refused for a budget that it had not spent. On the new event Settle the home journals, whenever nothing of the partition is under way, what its families have spent, and gives up the rest of their grants; the partition counts as busy until that is durable. Whoever gives partitions back in good order sends it first; without it nothing changes.

Ruled out: settling every idle program (a write for each pause, and no turns after a pause while the platform is away).

--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -18,12 +18,13 @@
 mod recovery;
 mod requests;
 mod retry;
+mod settle;
 mod state;
 mod steps;
 mod tail;
 mod timers;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -65,6 +66,12 @@
         /// The version of the lease row, which every journal write checks.
         lease: RowVersion,
     },
+    /// A partition is about to be given back: what its families were granted and have not
+    /// spent is to be journaled as free. It is busy until that is durable.
+    Settle {
+        /// The partition.
+        partition: PartitionId,
+    },
     /// This host no longer holds a partition.
     Lost {
         /// The partition.
@@ -223,6 +230,8 @@
     scans: Map<ProgramOp, (PartitionId, u64)>,
     /// The objects being written.
     puts: Map<ProgramOp, PartitionId>,
+    /// The partitions whose grants are journaled as free whenever nothing is under way.
+    settling: BTreeSet<PartitionId>,
     /// How the journals have grown.
     compactions: BTreeMap<PartitionId, Compaction>,
     /// The bytes of journal rows after which a checkpoint is made.
@@ -289,6 +298,7 @@
             recovering: BTreeMap::new(),
             scans: Map::default(),
             puts: Map::default(),
+            settling: BTreeSet::new(),
             compactions: BTreeMap::new(),
             checkpoint_bytes: CHECKPOINT_BYTES,
             writing: None,
@@ -323,6 +333,7 @@
             ProgramEvent::Acquired { partition, epoch, lease } => {
                 self.acquired(cx, partition, epoch, lease);
             }
+            ProgramEvent::Settle { partition } => self.settle_partition(partition),
             ProgramEvent::Lost { partition } => self.lost(cx, partition),
             ProgramEvent::Request { ticket, tenant, key, request } => {
                 self.request(cx, Asked { ticket, tenant, key, request });
@@ -340,6 +351,7 @@
             ProgramEvent::Wake => {}
         }
 
+        self.settle_idle();
         self.flush(cx);
     }
 
@@ -348,9 +360,12 @@
         [self.timers.next_at(), self.journal.wake_at()].into_iter().flatten().min()
     }
 
-    /// Returns the partitions that have calls under way.
+    /// Returns the partitions that have calls under way, or entries on the way to the
+    /// platform.
     pub fn busy_partitions(&self) -> Set<PartitionId> {
-        self.calls.values().map(|call| self.programs[call.program].partition).collect()
+        let calls = self.calls.values().map(|call| self.programs[call.program].partition);
+
+        calls.chain(self.journal.partitions()).collect()
     }
 
     /// Returns whether a program is open, or `None` if this host is not its home or has not
--- a/crates/policy/src/programs/budget.rs
+++ b/crates/policy/src/programs/budget.rs
@@ -9,7 +9,8 @@
 //! the entry that records a turn raises the grant for the next ones. The next home takes
 //! the whole grant for spent, because attempts of the former home may still be running: a
 //! change of home costs at most one chunk, and no order of deaths spends more than the
-//! budget.
+//! budget. A home that gives a partition back in good order first journals the rest of the
+//! grant as free, so that restarts of hosts cost programs nothing.
 
 use camphorwalk_core::units::Tokens;
 
@@ -92,6 +93,17 @@
         self.granted = self.granted.max(granted);
     }
 
+    /// Gives up what was granted and not spent. Only while nothing is reserved and no entry
+    /// that raises the grant is on its way.
+    pub fn give_up_grant(&mut self) {
+        self.granted = self.spent;
+    }
+
+    /// The journal says that only this much of the grant was spent.
+    pub fn settled(&mut self, spent: Tokens) {
+        self.granted = spent;
+    }
+
     /// Takes all that was granted for spent, on a new home.
     pub fn recovered(&mut self) {
         self.spent = self.spent.max(self.granted);
--- a/crates/policy/src/programs/entries.rs
+++ b/crates/policy/src/programs/entries.rs
@@ -73,6 +73,13 @@
     Turn(TurnEntry),
     /// A family of programs may spend up to this much without another entry.
     Granted(GrantedEntry),
+    /// A family of programs has spent this much, and may spend no more without an entry.
+    Settled {
+        /// The topmost program of the family.
+        program: ProgramId,
+        /// The sum it has spent, all told.
+        spent: Tokens,
+    },
     /// A program ended.
     Ended {
         /// The program.
@@ -84,7 +91,7 @@
     /// Tells whether the entry states what already happened, so that it is written again
     /// after the platform refused it. The others only ask leave for what is to happen.
     pub fn is_fact(&self) -> bool {
-        matches!(self, Self::Outcome(_) | Self::Turn(_) | Self::Ended { .. })
+        matches!(self, Self::Outcome(_) | Self::Turn(_) | Self::Settled { .. } | Self::Ended { .. })
     }
 
     /// Returns the program that the entry is about.
@@ -95,7 +102,7 @@
             Self::Outcome(entry) => entry.program,
             Self::Turn(entry) => entry.program,
             Self::Granted(entry) => entry.program,
-            Self::Ended { program } => *program,
+            Self::Settled { program, .. } | Self::Ended { program } => *program,
         }
     }
 
@@ -105,7 +112,7 @@
             Self::Intent(intent) => intent.call.input.len(),
             Self::Turn(turn) => turn.call.input.len() + turn.outcome.text_bytes(),
             Self::Outcome(entry) => entry.outcome.as_ref().map_or(0, Recorded::text_bytes),
-            Self::Opened(_) | Self::Granted(_) | Self::Ended { .. } => 0,
+            Self::Opened(_) | Self::Granted(_) | Self::Settled { .. } | Self::Ended { .. } => 0,
         }
     }
 }
--- a/crates/policy/src/programs/journal.rs
+++ b/crates/policy/src/programs/journal.rs
@@ -170,6 +170,13 @@
         self.flight.as_ref().is_some_and(|f| f.rows.iter().any(|row| row.partition == partition))
     }
 
+    /// Returns the partitions that have entries on the way, some several times.
+    pub fn partitions(&self) -> impl Iterator<Item = PartitionId> + '_ {
+        let sent = self.flight.iter().flat_map(|flight| &flight.entries);
+
+        sent.chain(&self.waiting).map(|pending| pending.partition)
+    }
+
     /// Returns how long a caller should wait before it tries again.
     pub fn retry_after(&self) -> Duration {
         self.backoff.max(Duration::from_millis(500))
--- a/crates/policy/src/programs/lifecycle.rs
+++ b/crates/policy/src/programs/lifecycle.rs
@@ -183,6 +183,7 @@
 
         self.tenures.remove(&partition);
         self.compactions.remove(&partition);
+        self.settling.remove(&partition);
         self.journal.drop_partition(partition);
         self.drop_programs(cx, partition);
     }
--- a/crates/policy/src/programs/recovery.rs
+++ b/crates/policy/src/programs/recovery.rs
@@ -245,9 +245,11 @@
         for entry in content.entries {
             let known = self.index.get(&entry.program()).map(|key| self.programs[*key].upto);
 
-            // An image that was made later than this row holds the entry.
-            if known.is_none_or(|upto| upto < sequence) {
-                self.replay(cx, entry);
+            // An image that was made later than this row holds the entry. What it grants
+            // counts all the same: the family's other rows may have settled it meanwhile.
+            match known {
+                Some(upto) if upto >= sequence => self.replay_grant(&entry),
+                _ => self.replay(cx, entry),
             }
         }
 
@@ -265,11 +267,7 @@
             Entry::Intent(intent) => self.replay_intent(cx, intent),
             Entry::Outcome(outcome) => self.replay_outcome(outcome),
             Entry::Turn(turn) => self.replay_turn(cx, turn),
-            Entry::Granted(grant) => {
-                if let Some(key) = self.index.get(&grant.program) {
-                    self.accounts[self.programs[*key].account].granted(grant.granted);
-                }
-            }
+            Entry::Granted(_) | Entry::Settled { .. } => self.replay_grant(&entry),
             Entry::Ended { program } => {
                 if let Some(key) = self.index.get(&program) {
                     self.programs[*key].state = ProgramState::Ended;
@@ -278,6 +276,20 @@
         }
     }
 
+    /// Takes in what an entry says of its family's grant.
+    fn replay_grant(&mut self, entry: &Entry) {
+        let Some(key) = self.index.get(&entry.program()) else { return };
+        let account = &mut self.accounts[self.programs[*key].account];
+
+        match entry {
+            Entry::Turn(turn) => account.granted(turn.granted),
+            Entry::Granted(grant) => account.granted(grant.granted),
+            Entry::Settled { spent, .. } => account.settled(*spent),
+            Entry::Opened(opened) => account.granted(opened.granted),
+            Entry::Intent(_) | Entry::Outcome(_) | Entry::Ended { .. } => {}
+        }
+    }
+
     /// Takes in an intent.
     fn replay_intent(&mut self, cx: &mut Cx<'_>, intent: IntentEntry) {
         let Some(key) = self.index.get(&intent.program) else { return };
--- a/crates/policy/tests/programs_home/budget.rs
+++ b/crates/policy/tests/programs_home/budget.rs
@@ -3,9 +3,12 @@
 use camphorwalk_core::calls::{CallRequest, Code, Ran, Refusal, Reply, Request, Usage};
 use camphorwalk_core::ids::ProgramId;
 use camphorwalk_core::units::Tokens;
+use camphorwalk_policy::programs::ProgramEvent;
 use camphorwalk_policy::wire::AttemptEnd;
 
-use crate::fixture::{BUDGET, Home, Mode, PROGRAM, Platform, call, call_request, lost, open_child};
+use crate::fixture::{
+    BUDGET, Home, Mode, PARTITION, PROGRAM, Platform, call, call_request, lost, open_child,
+};
 
 /// Returns what a program may still spend.
 fn left(home: &mut Home, platform: &mut Platform, program: ProgramId) -> u64 {
@@ -157,3 +160,44 @@
     assert_eq!(home.sent.len(), 2);
     assert_eq!(left(&mut home, platform, PROGRAM), BUDGET - 2 * 102);
 }
+
+/// A planned restart costs the caller nothing: the home journals what it was granted and has
+/// not spent as free before it gives the partition back. A call that still comes is granted
+/// tokens again, and settled after.
+#[test]
+fn a_planned_change_of_home_costs_nothing() {
+    let platform = &mut Platform::new();
+    let mut old = Home::with_program(platform, 1);
+    old.ask(platform, call("model", "k1", 0));
+    old.finish(platform, took(3, 20));
+
+    platform.mode = Mode::Hang;
+    old.event(platform, ProgramEvent::Settle { partition: PARTITION });
+    old.pass(platform, 100);
+    let busy = old.programs.busy_partitions().len();
+    platform.mode = Mode::Up;
+    old.release(platform);
+    old.ask(platform, call("model", "k2", 1));
+    old.finish(platform, took(30, 20));
+    old.pass(platform, 100);
+    let idle = old.programs.busy_partitions().len();
+    let mut new = Home::new(platform, 2);
+
+    assert_eq!((busy, idle), (1, 0));
+    assert_eq!(left(&mut new, platform, PROGRAM), BUDGET - 23 - 50);
+}
+
+/// The caller's running turn counts as spent on the next home, though the former one was
+/// about to give the partition back: the turn may go on there.
+#[test]
+fn a_running_turn_is_not_settled() {
+    let platform = &mut Platform::new();
+    let mut old = Home::with_program(platform, 1);
+    old.ask(platform, call("model", "k1", 0));
+
+    old.event(platform, ProgramEvent::Settle { partition: PARTITION });
+    old.pass(platform, 100);
+    let mut new = Home::new(platform, 2);
+
+    assert_eq!(left(&mut new, platform, PROGRAM), BUDGET - BUDGET / 8);
+}
--- a/crates/policy/tests/programs_home/fuzz.rs
+++ b/crates/policy/tests/programs_home/fuzz.rs
@@ -57,6 +57,7 @@
         partition: u16,
     },
     Regain(u16),
+    Settle(u16),
     Die(usize),
     Pause {
         host: usize,
@@ -120,6 +121,7 @@
             1 => (host.clone(), 0..2u16)
                 .prop_map(|(host, partition)| Action::Expire { host, partition }),
             2 => (0..2u16).prop_map(Action::Regain),
+            2 => (0..2u16).prop_map(Action::Settle),
             1 => host.clone().prop_map(Action::Die),
             3 => (host, prop::bool::weighted(0.2))
                 .prop_map(|(host, paused)| Action::Pause { host, paused }),
@@ -168,6 +170,7 @@
             Action::Reach { index, fate } => world.reach(index, fate),
             Action::TakeOver { host, partition } => world.take_over(host, partition),
             Action::Expire { host, partition } => world.expire(host, partition),
+            Action::Settle(partition) => world.settle_grants(partition),
             Action::Regain(partition) => world.regain(partition),
             Action::Die(host) => world.die(host),
             Action::Pause { host, paused } => world.pause(host, paused),
--- a/crates/policy/tests/programs_home/world.rs
+++ b/crates/policy/tests/programs_home/world.rs
@@ -177,6 +177,13 @@
         }
     }
 
+    /// The holder of a partition is about to give it back.
+    pub fn settle_grants(&mut self, partition: u16) {
+        let (host, ..) = self.holders[usize::from(partition)];
+        let event = ProgramEvent::Settle { partition: PartitionId(partition) };
+        self.hosts[host].mailbox.push_back(event);
+    }
+
     fn acquired(&mut self, partition: u16) {
         let (host, _, epoch, lease) = self.holders[usize::from(partition)];
         let partition = PartitionId(partition);
