Programs: an end is confirmed once it is durable; examples

Cause: a second request to end a program was answered 'ended' while the platform still held it open; had the home died, the program would have been back. And public functions had no runnable examples.

--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -318,6 +318,34 @@
     }
 
     /// Takes in an event and appends what to do next to `out`.
+    ///
+    /// ```
+    /// # use camphorwalk_core::ids::HostId;
+    /// # use camphorwalk_policy::programs::{ProgramOptions, Programs};
+    /// # let options = ProgramOptions {
+    /// #     host: HostId::from_name("a1"),
+    /// #     session: 1,
+    /// #     seal_key: [7; 32],
+    /// #     commit_interval: std::time::Duration::from_millis(10),
+    /// # };
+    /// use camphorwalk_core::calls::Request;
+    /// use camphorwalk_core::ids::{KeyId, ProgramId, RequestId, TenantId, Ticket};
+    /// use camphorwalk_core::time::Instant;
+    /// use camphorwalk_policy::programs::{ProgramEvent, ProgramNext};
+    ///
+    /// let ticket = Ticket { entry: HostId::from_name("a1"), request: RequestId(1) };
+    /// let event = ProgramEvent::Request {
+    ///     ticket,
+    ///     tenant: TenantId::from_name("inkwick"),
+    ///     key: KeyId::from_name("front-desk"),
+    ///     request: Request::View { program: ProgramId(7) },
+    /// };
+    /// let mut out = Vec::new();
+    /// Programs::new(options).step(Instant::from_millis(5), event, &mut out);
+    ///
+    /// // This host is home of nothing yet.
+    /// assert!(matches!(out[..], [ProgramNext::Answer { .. }]));
+    /// ```
     pub fn step(&mut self, now: Instant, event: ProgramEvent, out: &mut Vec<ProgramNext>) {
         let cx = &mut Cx { now, out };
 
@@ -356,12 +384,36 @@
     }
 
     /// Returns when [`ProgramEvent::Wake`] is due.
+    ///
+    /// ```
+    /// # use camphorwalk_core::ids::HostId;
+    /// # use camphorwalk_policy::programs::{ProgramOptions, Programs};
+    /// # let options = ProgramOptions {
+    /// #     host: HostId::from_name("a1"),
+    /// #     session: 1,
+    /// #     seal_key: [7; 32],
+    /// #     commit_interval: std::time::Duration::from_millis(10),
+    /// # };
+    /// assert_eq!(Programs::new(options).wake_at(), None);
+    /// ```
     pub fn wake_at(&self) -> Option<Instant> {
         [self.timers.next_at(), self.journal.wake_at()].into_iter().flatten().min()
     }
 
     /// Returns the partitions that have calls under way, or entries on the way to the
     /// platform.
+    ///
+    /// ```
+    /// # use camphorwalk_core::ids::HostId;
+    /// # use camphorwalk_policy::programs::{ProgramOptions, Programs};
+    /// # let options = ProgramOptions {
+    /// #     host: HostId::from_name("a1"),
+    /// #     session: 1,
+    /// #     seal_key: [7; 32],
+    /// #     commit_interval: std::time::Duration::from_millis(10),
+    /// # };
+    /// assert!(Programs::new(options).busy_partitions().is_empty());
+    /// ```
     pub fn busy_partitions(&self) -> Set<PartitionId> {
         let calls = self.calls.values().map(|call| self.programs[call.program].partition);
 
@@ -379,6 +431,18 @@
     }
 
     /// Returns the programs that are open here.
+    ///
+    /// ```
+    /// # use camphorwalk_core::ids::HostId;
+    /// # use camphorwalk_policy::programs::{ProgramOptions, Programs};
+    /// # let options = ProgramOptions {
+    /// #     host: HostId::from_name("a1"),
+    /// #     session: 1,
+    /// #     seal_key: [7; 32],
+    /// #     commit_interval: std::time::Duration::from_millis(10),
+    /// # };
+    /// assert_eq!(Programs::new(options).open_programs().next(), None);
+    /// ```
     pub fn open_programs(&self) -> impl Iterator<Item = ProgramId> + '_ {
         self.index
             .iter()
--- a/crates/policy/src/programs/lifecycle.rs
+++ b/crates/policy/src/programs/lifecycle.rs
@@ -31,8 +31,10 @@
 
         match self.programs[key].state {
             ProgramState::Opening => self.refuse(cx, ticket, answers::leaving()),
-            ProgramState::Ended => self.answer(cx, ticket, Reply::Ended),
-            ProgramState::Open => {
+            ProgramState::Ended if self.programs[key].end_stored => {
+                self.answer(cx, ticket, Reply::Ended);
+            }
+            ProgramState::Open | ProgramState::Ended => {
                 self.programs[key].ending.push(ticket);
                 self.end_family(cx, key, &answers::not_found());
 
@@ -96,6 +98,7 @@
     /// An end is durable.
     pub(super) fn end_durable(&mut self, cx: &mut Cx<'_>, key: ProgramKey) {
         let Some(program) = self.programs.get_mut(key) else { return };
+        program.end_stored = true;
 
         for ticket in std::mem::take(&mut program.ending) {
             self.answer(cx, ticket, Reply::Ended);
--- a/crates/policy/src/programs/open.rs
+++ b/crates/policy/src/programs/open.rs
@@ -223,6 +223,7 @@
             orphan: false,
             opening: Vec::new(),
             ending: Vec::new(),
+            end_stored: false,
             forget_at: None,
         });
 
--- a/crates/policy/src/programs/recovery.rs
+++ b/crates/policy/src/programs/recovery.rs
@@ -364,6 +364,7 @@
 
         let due = match program.state {
             ProgramState::Ended => {
+                program.end_stored = true;
                 let at = cx.now + super::lifecycle::REMEMBERED;
                 program.forget_at = Some(at);
                 at
--- a/crates/policy/src/programs/state.rs
+++ b/crates/policy/src/programs/state.rs
@@ -147,6 +147,8 @@
     pub opening: Vec<Ticket>,
     /// Who waits for the end.
     pub ending: Vec<Ticket>,
+    /// Whether the platform holds that the program is over.
+    pub end_stored: bool,
     /// When an ended program is forgotten.
     pub forget_at: Option<Instant>,
 }
--- a/crates/policy/tests/programs_home/opening.rs
+++ b/crates/policy/tests/programs_home/opening.rs
@@ -97,3 +97,24 @@
     assert_eq!((home.refusal(late).code, home.refusal(late).ran), (Code::Deadline, Ran::No));
     assert_eq!(home.refusal(forgotten).code, Code::NotFound);
 }
+
+/// The caller hears that its program may still be there until the platform holds its end,
+/// also when it asks again.
+#[test]
+fn an_end_is_confirmed_once_it_is_durable() {
+    let platform = &mut Platform::new();
+    let mut home = Home::with_program(platform, 1);
+    platform.mode = Mode::Away;
+
+    let first = home.ask(platform, Request::End { program: PROGRAM });
+    let second = home.ask(platform, Request::End { program: PROGRAM });
+    platform.mode = Mode::Up;
+    home.pass(platform, 1_000);
+    let third = home.ask(platform, Request::End { program: PROGRAM });
+
+    for refusal in [home.refusal(first), home.refusal(second)] {
+        assert_eq!((refusal.code, refusal.ran), (Code::PlatformUnavailable, Ran::Maybe));
+    }
+    assert_eq!(home.reply(third), &Reply::Ended);
+    assert_eq!(home.over, [PROGRAM]);
+}
