--- a/crates/scenario/tests/fuzz.rs
+++ b/crates/scenario/tests/fuzz/callers.rs
@@ -1,8 +1,4 @@
-//! Random faults against whole hosts, judged by a simple oracle.
-//!
-//! Three zones, four hosts, three programs of two tenants. After each case all is healed;
-//! then [`check`] judges what callers, targets and operators saw. `CAMPHORWALK_FUZZ_CASES`
-//! sets the number of cases.
+//! The hosts of the fuzz, and the callers who remember what they were told.
 
 use std::time::Duration;
 
@@ -14,114 +10,36 @@
 use camphorwalk_policy::scheduler::OperatorRequest;
 use camphorwalk_scenario::checks;
 use camphorwalk_scenario::declared::{TEMPLATE, TenantSpec, config};
-use camphorwalk_scenario::record::{Record, instant};
-use camphorwalk_scenario::world::faults::{
-    Harm, PLATFORM, POISON, PlatformMode, Point, TargetMode, Trap,
-};
+use camphorwalk_scenario::record::instant;
+use camphorwalk_scenario::world::faults::{PLATFORM, POISON, PlatformMode, TargetMode};
 use camphorwalk_scenario::world::{State, World};
-use proptest::prelude::*;
-use proptest::test_runner::{Config as ProptestConfig, RngSeed};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
-/// The variable that sets the number of cases.
-const CASES_VAR: &str = "CAMPHORWALK_FUZZ_CASES";
+use crate::Op;
 
-/// The number of cases if nothing sets it.
-const CASES: u32 = 50;
-
-/// The number of steps of a case.
-const STEPS: usize = 50;
-
-const HOSTS: [&str; 4] = ["a1", "a2", "b1", "c1"];
-const ZONES: [&str; 3] = ["a", "b", "c"];
+pub const HOSTS: [&str; 4] = ["a1", "a2", "b1", "c1"];
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
 
 /// The programs, with the tenant and the key of each.
-const PROGRAMS: [(&str, &str, &str); 3] = [("P", "t1", "k1"), ("Q", "t1", "k2"), ("R", "t2", "k3")];
+pub const PROGRAMS: [(&str, &str, &str); 3] =
+    [("P", "t1", "k1"), ("Q", "t1", "k2"), ("R", "t2", "k3")];
 
 /// The rates and bursts of the tenants.
-const RATES: [(&str, f64, u32); 2] = [("t1", 3.0, 6), ("t2", 50.0, 50)];
+pub const RATES: [(&str, f64, u32); 2] = [("t1", 3.0, 6), ("t2", 50.0, 50)];
 
 /// How long the fleet has to come up.
-const COMES_UP: Duration = Duration::from_secs(10);
+pub const COMES_UP: Duration = Duration::from_secs(10);
 
 /// How long after the start the programs' callers wait.
-const DEADLINE: Duration = Duration::from_secs(150);
+pub const DEADLINE: Duration = Duration::from_secs(150);
 
 /// How long the fleet has to settle once all is healed.
-const SETTLES: Duration = Duration::from_secs(20);
+pub const SETTLES: Duration = Duration::from_secs(20);
 
 /// How soon a withdrawn key stops working.
-const WITHDRAWN_WITHIN: Duration = Duration::from_secs(4);
+pub const WITHDRAWN_WITHIN: Duration = Duration::from_secs(4);
 
 /// How long faults must be over for a withdrawal to have a path to all hosts.
-const CALM: Duration = Duration::from_secs(10);
-
-/// Something that happens.
-#[derive(Clone, Debug)]
-enum Op {
-    /// A new call, at one host or two at once.
-    Call {
-        program: usize,
-        deposit: bool,
-        poison: bool,
-        hosts: Vec<usize>,
-    },
-    /// One of the last calls once more, at another host.
-    Repeat {
-        program: usize,
-        back: usize,
-        host: usize,
-    },
-    /// Somebody reads a program's history.
-    History {
-        program: usize,
-        host: usize,
-    },
-    /// The callers of a program's last call go away.
-    Leave {
-        program: usize,
-    },
-    Kill {
-        host: usize,
-    },
-    Restart {
-        host: usize,
-    },
-    Pause {
-        host: usize,
-        millis: u64,
-    },
-    Drain {
-        host: usize,
-    },
-    CutZones {
-        a: usize,
-        b: usize,
-    },
-    CutPlatform {
-        zone: usize,
-    },
-    Heal,
-    Platform {
-        zone: usize,
-        mode: PlatformMode,
-    },
-    Target {
-        deposit: bool,
-        mode: TargetMode,
-    },
-    Trap(Trap),
-    /// One operator publishes, or two at once.
-    Publish {
-        hosts: Vec<usize>,
-    },
-    Withdraw {
-        host: usize,
-    },
-    Run {
-        millis: u64,
-    },
-}
+pub const CALM: Duration = Duration::from_secs(10);
 
 /// What the programs' callers know.
 #[derive(Default)]
@@ -134,8 +52,8 @@
 }
 
 /// The hosts and their callers.
-struct Sut {
-    world: World,
+pub struct Sut {
+    pub world: World,
     config: Config,
     programs: [Known; 3],
     /// The last time at which a fault was in force.
@@ -143,159 +61,12 @@
     /// Whether the platform or a cut is in the way.
     in_the_way: bool,
     /// Keys that had to be out of use from some time on.
-    stopped: Vec<(KeyId, Instant)>,
-}
-
-/// Any step may follow any other, so nothing needs to be known of the ones before.
-struct AnyOrder;
-
-impl ReferenceStateMachine for AnyOrder {
-    type State = ();
-    type Transition = Op;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Op> {
-        let host = || 0..HOSTS.len();
-        let program = || 0..PROGRAMS.len();
-        let platform = prop_oneof![
-            Just(PlatformMode::Ok),
-            Just(PlatformMode::Refuse),
-            Just(PlatformMode::Slow(Duration::from_millis(300))),
-            Just(PlatformMode::Slow(Duration::from_millis(900))),
-            Just(PlatformMode::Lost(Duration::ZERO)),
-            Just(PlatformMode::Lost(Duration::from_secs(2))),
-        ];
-        let target = prop_oneof![
-            Just(TargetMode::Ok),
-            Just(TargetMode::Slow(Duration::from_secs(3))),
-            Just(TargetMode::CloseBefore),
-            Just(TargetMode::CloseAfter),
-            Just(TargetMode::Refuse),
-        ];
-        let point = prop_oneof![Just(Point::Intent), Just(Point::Send), Just(Point::Outcome)];
-        let harm = prop_oneof![
-            Just(Harm::Kill),
-            (500_u64..15_000).prop_map(|ms| Harm::Pause(Duration::from_millis(ms))),
-        ];
-        let hosts = || proptest::collection::vec(host(), 1..3);
-
-        prop_oneof![
-            14 => (program(), any::<bool>(), proptest::bool::weighted(0.05), hosts()).prop_map(
-                |(program, deposit, poison, hosts)| Op::Call { program, deposit, poison, hosts }
-            ),
-            8 => (program(), 0..3_usize, host())
-                .prop_map(|(program, back, host)| Op::Repeat { program, back, host }),
-            2 => (program(), host()).prop_map(|(program, host)| Op::History { program, host }),
-            1 => program().prop_map(|program| Op::Leave { program }),
-            1 => host().prop_map(|host| Op::Kill { host }),
-            3 => host().prop_map(|host| Op::Restart { host }),
-            2 => (host(), 200_u64..15_000).prop_map(|(host, millis)| Op::Pause { host, millis }),
-            1 => host().prop_map(|host| Op::Drain { host }),
-            1 => (0..3_usize, 0..3_usize).prop_map(|(a, b)| Op::CutZones { a, b }),
-            1 => (0..3_usize).prop_map(|zone| Op::CutPlatform { zone }),
-            2 => Just(Op::Heal),
-            2 => (0..3_usize, platform).prop_map(|(zone, mode)| Op::Platform { zone, mode }),
-            2 => (any::<bool>(), target)
-                .prop_map(|(deposit, mode)| Op::Target { deposit, mode }),
-            3 => (point, any::<bool>(), harm)
-                .prop_map(|(point, after, harm)| Op::Trap(Trap { point, after, harm })),
-            1 => hosts().prop_map(|hosts| Op::Publish { hosts }),
-            1 => host().prop_map(|host| Op::Withdraw { host }),
-            14 => (1_u64..3_000).prop_map(|millis| Op::Run { millis }),
-        ]
-        .boxed()
-    }
-
-    fn apply(state: (), _: &Op) {
-        state
-    }
-}
-
-/// The test machine.
-struct Fuzz;
-
-impl StateMachineTest for Fuzz {
-    type SystemUnderTest = Sut;
-    type Reference = AnyOrder;
-
-    fn init_test((): &()) -> Sut {
-        Sut::start()
-    }
-
-    fn apply(mut sut: Sut, (): &(), op: Op) -> Sut {
-        sut.apply(op);
-        sut
-    }
-
-    fn check_invariants(sut: &Sut, (): &()) {
-        let record = &sut.world.record;
-        checks::check_ledger(record).unwrap();
-        checks::check_versions(record).unwrap();
-    }
-
-    fn teardown(mut sut: Sut) {
-        let histories = sut.settle();
-        check(&sut, &histories);
-    }
-}
-
-/// Judges a case: all of what must hold, in one place.
-fn check(sut: &Sut, histories: &[(u64, ProgramId)]) {
-    let record = &sut.world.record;
-
-    // At most one run, true refusals, one answer each, one outcome each, versions upward.
-    checks::check_all(record, sut.world.now()).unwrap();
-
-    // Histories in order, of own calls only, with all that was said to be stored.
-    for (number, program) in histories {
-        match record.submissions[number].answer() {
-            Some(Reply::History { calls }) => {
-                checks::check_history(record, *program, calls).unwrap();
-            }
-            other => panic!("the last history of {program} is {other:?}"),
-        }
-    }
-    check_growth(record);
-
-    // From the first configuration on, never more calls than burst and rate allow.
-    let start = record.adopted.first().expect("the fleet came up").0;
-    for (tenant, rate, burst) in RATES {
-        for (index, at) in checks::admitted(record, tenant).iter().enumerate() {
-            let most = f64::from(burst) + rate * at.since(start).as_secs_f64();
-            assert!((index + 1) as f64 <= most, "{tenant}: {} calls, at most {most}", index + 1);
-        }
-    }
-
-    // Where a withdrawal had a path to all hosts, nothing is sent with the key any more.
-    for (key, from) in &sut.stopped {
-        let late = record.sent.iter().find(|sent| sent.key == *key && sent.at > *from);
-        assert!(late.is_none(), "withdrawn by {from:?}: {late:?}");
-    }
-}
-
-/// A history asked for after an earlier one was answered begins with it.
-fn check_growth(record: &Record) {
-    let histories = || {
-        record.submissions.values().filter_map(|s| match (&s.request, s.answers.first()) {
-            (Request::History { program, .. }, Some((at, Reply::History { calls }))) => {
-                Some((*program, s.at, *at, calls))
-            }
-            _ => None,
-        })
-    };
-
-    for (program, _, answered, earlier) in histories() {
-        for (_, _, _, later) in histories().filter(|h| h.0 == program && h.1 > answered) {
-            checks::check_prefix(earlier, later).unwrap();
-        }
-    }
+    pub stopped: Vec<(KeyId, Instant)>,
 }
 
 impl Sut {
-    fn start() -> Self {
+    /// Starts the hosts and opens the programs.
+    pub fn start() -> Self {
         let hosts: Vec<_> = HOSTS.iter().map(|name| ((*name).into(), name[..1].into())).collect();
         let tenant = |(name, rate, burst): &(&str, f64, u32)| TenantSpec {
             name: (*name).into(),
@@ -358,7 +129,8 @@
         }
     }
 
-    fn apply(&mut self, op: Op) {
+    /// Makes a step.
+    pub fn apply(&mut self, op: Op) {
         match op {
             Op::Call { program, deposit, poison, hosts } => {
                 let call = self.new_call(program, deposit, poison);
@@ -481,7 +253,7 @@
     }
 
     /// Heals all, lets the fleet settle, and asks for all histories.
-    fn settle(&mut self) -> Vec<(u64, ProgramId)> {
+    pub fn settle(&mut self) -> Vec<(u64, ProgramId)> {
         self.world.forget_traps();
         self.apply(Op::Heal);
         self.apply(Op::Target { deposit: true, mode: TargetMode::Ok });
@@ -521,23 +293,3 @@
 fn keys_of(tenant: &str) -> Vec<Box<str>> {
     PROGRAMS.iter().filter(|(_, t, _)| *t == tenant).map(|(_, _, key)| (*key).into()).collect()
 }
-
-/// Returns the fixed seed and the number of cases.
-fn fuzz_config() -> ProptestConfig {
-    let cases = std::env::var(CASES_VAR).ok().and_then(|text| text.parse().ok());
-
-    ProptestConfig {
-        cases: cases.unwrap_or(CASES),
-        rng_seed: RngSeed::Fixed(20_261_203),
-        failure_persistence: None,
-        max_shrink_iters: 120,
-        ..ProptestConfig::default()
-    }
-}
-
-prop_state_machine! {
-    #![proptest_config(fuzz_config())]
-
-    #[test]
-    fn hosts_keep_what_they_promise(sequential STEPS..STEPS + 1 => Fuzz);
-}
