A leaving host settles what it gives back, and ends when the platform is gone

(2) Programs settle their grants before a planned change of home only when told, and nobody told them. Now a partition is settled one look at the tables before it is given back. A leaving host ends by itself once no call runs, its session has run out, and all is stored or 60 s have passed.

--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -30,6 +30,12 @@
 /// The most rows that one scan returns: above the sizes that the capacity page works with.
 const SCAN_LIMIT: u32 = 10_000;
 
+/// How long a leaving host waits for the platform to take in what it does not have yet.
+const UNSTORED_LIMIT: Duration = Duration::from_secs(60);
+
+/// The time between settling a partition and giving it back.
+const SETTLE_TIME: Duration = Duration::from_millis(100);
+
 /// How much longer than its lifetime a session must stand unrenewed before it is ended, as
 /// a divisor of the lifetime: covers clocks that drift apart by up to an eighth.
 const MARGIN_DIVISOR: u32 = 8;
@@ -104,8 +110,8 @@
         /// The answer.
         reply: PlatformReply,
     },
-    /// These held partitions have calls under way and are not to be given back now.
-    Busy(Set<PartitionId>),
+    /// What is under way at this host.
+    Busy(Busy),
     /// The host is leaving: what it holds is given back as soon as it is not busy.
     Leave,
     /// A holder may be gone: look at the tables soon.
@@ -114,6 +120,16 @@
     Wake,
 }
 
+/// What is under way at a host.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Busy {
+    /// The partitions that have calls under way, or entries that the platform does not have;
+    /// they are not to be given back now.
+    pub partitions: Set<PartitionId>,
+    /// Whether any call is under way.
+    pub calls: bool,
+}
+
 /// What to do next for leases.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LeaseNext {
@@ -150,6 +166,11 @@
         /// The hosts.
         hosts: Vec<SessionRow>,
     },
+    /// A partition is about to be given back: its programs settle what they can.
+    Settle {
+        /// The partition.
+        partition: PartitionId,
+    },
     /// All that was held is given back and the session is ended.
     Left,
 }
@@ -218,7 +239,9 @@
     observer: Observer,
     wanted: Vec<Wanted>,
     held: Map<LeaseName, Held>,
-    busy: Set<PartitionId>,
+    busy: Busy,
+    /// The partitions whose programs were told to settle before they are given back.
+    settling: Set<PartitionId>,
     round: Round,
     /// The rows of the last complete scan of the leases.
     rows: Vec<Row>,
@@ -227,7 +250,10 @@
     candidates: Vec<Candidate>,
     next_poll: Instant,
     next_op: u64,
-    leaving: bool,
+    /// Until when what is held is surely held.
+    until: Instant,
+    /// Since when the host is leaving.
+    leaving_since: Option<Instant>,
     left: bool,
 }
 
@@ -241,13 +267,15 @@
             options,
             wanted: Vec::new(),
             held: Map::default(),
-            busy: Set::default(),
+            busy: Busy::default(),
+            settling: Set::default(),
             round: Round::Idle,
             rows: Vec::new(),
             candidates: Vec::new(),
             next_poll: Instant::default(),
             next_op: 0,
-            leaving: false,
+            until: Instant::default(),
+            leaving_since: None,
             left: false,
         }
     }
@@ -259,7 +287,7 @@
             LeaseEvent::Busy(busy) => self.busy = busy,
             LeaseEvent::Suspect => self.next_poll = now,
             LeaseEvent::Leave => {
-                self.leaving = true;
+                self.leaving_since.get_or_insert(now);
                 self.next_poll = now;
             }
             LeaseEvent::Platform { op, reply } => self.on_platform(now, op, reply, out),
@@ -322,6 +350,12 @@
             return;
         }
 
+        if self.may_just_end(now) {
+            self.left = true;
+            out.push(LeaseNext::Left);
+            return;
+        }
+
         // The renewal goes beside the round: a slow round must not cost the session.
         if self.session.due(now) {
             let op = self.number();
@@ -336,6 +370,21 @@
         }
     }
 
+    /// Returns whether a leaving host may end without handing anything back.
+    ///
+    /// With the platform away nothing can be handed back. Once no call runs here and the
+    /// session has run out by itself, others can take all of it over without being told;
+    /// waiting on would keep the process from ever ending. Entries that are not stored are
+    /// given some time more: callers hold those turns as sealed tails.
+    fn may_just_end(&self, now: Instant) -> bool {
+        let Some(since) = self.leaving_since else {
+            return false;
+        };
+        let stored = self.busy.partitions.is_empty() || now.since(since) > UNSTORED_LIMIT;
+
+        !self.busy.calls && stored && now > self.until
+    }
+
     fn number(&mut self) -> LeaseOp {
         self.next_op += 1;
 
@@ -408,11 +457,15 @@
     fn on_session(&mut self, now: Instant, reply: PlatformReply, out: &mut Vec<LeaseNext>) {
         match self.session.on_reply(now, reply) {
             SessionStep::Nothing => {}
-            SessionStep::Renewed { until } => out.push(LeaseNext::Renewed { until }),
+            SessionStep::Renewed { until } => {
+                self.until = until;
+                out.push(LeaseNext::Renewed { until });
+            }
             SessionStep::Lost => {
                 // Another host ended the session: all that it held may be held by others.
                 let mut names: Vec<_> = self.held.drain().map(|(name, _)| name).collect();
                 names.sort_unstable();
+                self.settling.clear();
                 out.extend(names.into_iter().map(|name| LeaseNext::Lost { name }));
                 self.round = Round::Idle;
             }
@@ -423,6 +476,13 @@
         }
     }
 
+    fn forget(&mut self, name: LeaseName) {
+        self.held.remove(&name);
+        if let LeaseName::Partition(partition) = name {
+            self.settling.remove(&partition);
+        }
+    }
+
     /// Compares what the tables say with what is held and wanted, and starts the next step.
     fn on_tables(&mut self, now: Instant, out: &mut Vec<LeaseNext>) {
         let rows = self.parse_rows();
@@ -435,9 +495,9 @@
             self.round = Round::Ending(self.commit(end, out));
         } else if let Some(take) = self.take(&rows) {
             self.round = Round::Taking(self.commit(take, out));
-        } else if let Some(give_back) = self.give_back(&rows) {
+        } else if let Some(give_back) = self.give_back(now, &rows, out) {
             self.round = Round::Returning(self.commit(give_back, out));
-        } else if self.leaving && self.held.is_empty() {
+        } else if self.leaving_since.is_some() && self.held.is_empty() {
             self.session.leave(now);
         }
     }
@@ -461,7 +521,7 @@
         let mut lost: Vec<_> = self.held.keys().copied().filter(|name| !is_mine(name)).collect();
         lost.sort_unstable();
         for name in lost {
-            self.held.remove(&name);
+            self.forget(name);
             out.push(LeaseNext::Lost { name });
         }
 
--- a/crates/policy/src/leases/tables.rs
+++ b/crates/policy/src/leases/tables.rs
@@ -7,7 +7,7 @@
 
 use super::observer::Candidate;
 use super::rows::{self, LeaseRow};
-use super::{LeaseName, Leases, Wanted};
+use super::{LeaseName, LeaseNext, Leases, SETTLE_TIME, Wanted};
 
 /// The most leases that one transaction takes or gives back.
 const LEASES_PER_TRANSACTION: usize = 64;
@@ -32,7 +32,7 @@
         &self,
         rows: &Map<LeaseName, (LeaseRow, RowVersion)>,
     ) -> Option<Transaction> {
-        if self.leaving {
+        if self.leaving_since.is_some() {
             return None;
         }
 
@@ -78,22 +78,24 @@
     }
 
     /// Makes the transaction that gives back what others should hold, unless it is busy.
+    ///
+    /// A partition is settled first: its programs give up the unspent part of what they were
+    /// granted. Without that a program loses up to an eighth of its budget with each planned
+    /// change of home, and is refused for a budget that it never spent.
     pub(super) fn give_back(
-        &self,
+        &mut self,
+        now: Instant,
         rows: &Map<LeaseName, (LeaseRow, RowVersion)>,
+        out: &mut Vec<LeaseNext>,
     ) -> Option<Transaction> {
         let mut transaction = Transaction::default();
-        let is_busy = |name: LeaseName| match name {
-            LeaseName::Partition(p) => self.busy.contains(&p),
-            LeaseName::Column(_) => false,
-        };
 
-        let mut names: Vec<_> = self.held.keys().copied().collect();
-        names.sort_unstable();
-        for name in names {
-            let wanted = self.wanted.iter().find(|w| w.name == name);
-            let keep = !self.leaving && wanted.is_none_or(|w| self.should_hold(w));
-            if keep || is_busy(name) || !rows.contains_key(&name) {
+        for name in self.unwanted(rows).into_iter().take(LEASES_PER_TRANSACTION) {
+            if let LeaseName::Partition(partition) = name
+                && self.settling.insert(partition)
+            {
+                out.push(LeaseNext::Settle { partition });
+                self.next_poll = now + SETTLE_TIME;
                 continue;
             }
 
@@ -101,14 +103,29 @@
             let row = LeaseRow { epoch: held.epoch, session: "".into() };
             transaction.checks.push(Check { key: name.row(), version: held.version });
             transaction.writes.push(Write { key: name.row(), value: Some(row.to_json()) });
-            if transaction.writes.len() >= LEASES_PER_TRANSACTION {
-                break;
-            }
         }
 
         (!transaction.writes.is_empty()).then_some(transaction)
     }
 
+    /// Returns what is held, is not busy and should be held by others, in order.
+    fn unwanted(&self, rows: &Map<LeaseName, (LeaseRow, RowVersion)>) -> Vec<LeaseName> {
+        let is_busy = |name: &LeaseName| match name {
+            LeaseName::Partition(p) => self.busy.partitions.contains(p),
+            LeaseName::Column(_) => false,
+        };
+        let keep = |name: &LeaseName| {
+            let wanted = self.wanted.iter().find(|w| w.name == *name);
+            self.leaving_since.is_none() && wanted.is_none_or(|w| self.should_hold(w))
+        };
+
+        let mut names: Vec<_> = self.held.keys().copied().collect();
+        names.retain(|name| !is_busy(name) && !keep(name) && rows.contains_key(name));
+        names.sort_unstable();
+
+        names
+    }
+
     /// Returns whether the rendezvous hash over the live sessions picks this host.
     fn should_hold(&self, wanted: &Wanted) -> bool {
         let may = |c: &&Candidate| wanted.zone.is_none_or(|zone| zone == c.zone);
--- a/crates/policy/src/programs.rs
+++ b/crates/policy/src/programs.rs
@@ -420,6 +420,11 @@
         calls.chain(self.journal.partitions()).collect()
     }
 
+    /// Returns whether any call is under way here.
+    pub fn has_calls(&self) -> bool {
+        !self.calls.is_empty()
+    }
+
     /// Returns whether a program is open, or `None` if this host is not its home or has not
     /// read its journal to the end.
     pub fn is_open(&self, program: ProgramId) -> Option<bool> {
--- a/crates/policy/src/scheduler/work.rs
+++ b/crates/policy/src/scheduler/work.rs
@@ -9,7 +9,7 @@
 
 use super::{Action, Event, OpId, Scheduler, Waiting};
 use crate::configs::{ConfigEvent, ConfigNext};
-use crate::leases::{LeaseEvent, LeaseName, LeaseNext, Wanted};
+use crate::leases::{Busy, LeaseEvent, LeaseName, LeaseNext, Wanted};
 use crate::membership::MembershipNext;
 use crate::programs::{ProgramEvent, ProgramNext};
 use crate::queue::{QueueEvent, QueueNext};
@@ -105,7 +105,10 @@
                     // What is busy is looked up just before each step, not at some earlier
                     // wake: a partition given back under a running call would cut that call.
                     let mut next = Vec::new();
-                    let busy = self.programs.busy_partitions();
+                    let busy = Busy {
+                        partitions: self.programs.busy_partitions(),
+                        calls: self.programs.has_calls(),
+                    };
                     self.leases.step(now, LeaseEvent::Busy(busy), &mut next);
                     self.leases.step(now, event, &mut next);
                     next.into_iter().for_each(|next| self.on_lease(now, next, out));
@@ -169,6 +172,9 @@
                 }
             }
             LeaseNext::Seen { routes, hosts } => self.on_tables(now, routes, hosts, out),
+            LeaseNext::Settle { partition } => {
+                self.work.push_back(Work::Program(ProgramEvent::Settle { partition }));
+            }
             LeaseNext::Left => out.push(Action::Left),
         }
     }
