--- a/crates/policy/src/programs/journal.rs
+++ b/crates/policy/src/programs/journal.rs
@@ -170,6 +170,13 @@
         self.flight.as_ref().is_some_and(|f| f.rows.iter().any(|row| row.partition == partition))
     }
 
+    /// Returns the partitions that have entries on the way, some several times.
+    pub fn partitions(&self) -> impl Iterator<Item = PartitionId> + '_ {
+        let sent = self.flight.iter().flat_map(|flight| &flight.entries);
+
+        sent.chain(&self.waiting).map(|pending| pending.partition)
+    }
+
     /// Returns how long a caller should wait before it tries again.
     pub fn retry_after(&self) -> Duration {
         self.backoff.max(Duration::from_millis(500))
@@ -409,7 +416,12 @@
         // that conflicts alone is lost.
         if resolved.fenced.is_empty() && resolved.behind.is_empty() && !renewed {
             match flight.rows.as_slice() {
-                [row] => resolved.fenced.push((row.partition, row.tenure.epoch)),
+                // A write of a former tenure says nothing of the one that this host has now:
+                // fenced for it, a partition that was just acquired again had no home at all.
+                [row] if tenures.get(&row.partition).is_some_and(|now| now.id == row.tenure.id) => {
+                    resolved.fenced.push((row.partition, row.tenure.epoch));
+                }
+                [_] => {}
                 many => self.alone = many.len(),
             }
         }
