--- a/crates/policy/src/programs/attempts.rs
+++ b/crates/policy/src/programs/attempts.rs
@@ -5,6 +5,7 @@
 
 use camphorwalk_core::calls::{Code, Ran, Refusal, Usage};
 use camphorwalk_core::ids::AttemptId;
+use camphorwalk_core::units::Tokens;
 
 use super::entries::{Entry, OutcomeEntry, Recorded, TurnEntry};
 use super::journal::Waiter;
@@ -232,7 +233,7 @@
         let record = &program.calls[number as usize - 1];
         let template = self.cfg.as_ref().and_then(|cfg| cfg.template(&program.template));
         let output = template.map_or(0, |template| u64::from(template.max_output_tokens));
-        let turn = program.history.plus(camphorwalk_core::units::Tokens(output));
+        let turn = program.history.plus(Tokens(output));
         let granted = self.accounts[program.account].grant_for(turn.plus(turn));
 
         let entry = TurnEntry {
--- a/crates/policy/src/programs/calls.rs
+++ b/crates/policy/src/programs/calls.rs
@@ -5,18 +5,17 @@
 
 use std::sync::Arc;
 
-use camphorwalk_core::calls::{CallRequest, Refusal};
+use camphorwalk_core::calls::{CallRequest, Ran, Refusal};
 use camphorwalk_core::config::{Template, TemplateTarget};
 use camphorwalk_core::ids::{KeyId, PoolId, TenantId, Ticket};
 use camphorwalk_core::units::Tokens;
 
-use super::entries::CallText;
+use super::entries::{CallText, Entry, OutcomeEntry};
+use super::journal::Waiter;
 use super::retry::request_digest;
 use super::state::{Call, Caller, Kind, Program, ProgramKey, ProgramState, Stage, estimate};
+use super::tail::{self, TailError};
 use super::{Cx, ProgramNext, Programs, answers};
-use crate::programs::entries::{Entry, OutcomeEntry};
-use crate::programs::journal::Waiter;
-use crate::programs::tail::{self, TailError};
 use crate::wire::CallId;
 
 /// What a call comes to, given what is known of its idempotency key.
@@ -168,7 +167,7 @@
         }
 
         if self.suspects.is_quarantined(&call.digest) {
-            return Err(answers::quarantined(camphorwalk_core::calls::Ran::No));
+            return Err(answers::quarantined(Ran::No));
         }
 
         if call.reserved > self.accounts[program.account].left() {
@@ -247,13 +246,9 @@
 fn check_state(cx: &Cx<'_>, program: &Program) -> Result<(), Refusal> {
     match program.state {
         ProgramState::Opening => Err(answers::leaving()),
-        ProgramState::Ended if cx.now >= program.deadline => {
-            Err(answers::deadline(camphorwalk_core::calls::Ran::No))
-        }
+        ProgramState::Ended if cx.now >= program.deadline => Err(answers::deadline(Ran::No)),
         ProgramState::Ended => Err(answers::not_found()),
-        ProgramState::Open if cx.now >= program.deadline => {
-            Err(answers::deadline(camphorwalk_core::calls::Ran::No))
-        }
+        ProgramState::Open if cx.now >= program.deadline => Err(answers::deadline(Ran::No)),
         ProgramState::Open => Ok(()),
     }
 }
--- a/crates/policy/src/programs/compaction.rs
+++ b/crates/policy/src/programs/compaction.rs
@@ -9,7 +9,7 @@
 use camphorwalk_core::time::Instant;
 
 use super::checkpoint::{CheckpointRow, ImageCall, ProgramImage, Upkeep};
-use super::entries::OpenedEntry;
+use super::entries::{CallText, OpenedEntry};
 use super::state::{Kind, Program, ProgramKey, ProgramState, Stage};
 use super::{Cx, ProgramOp, Programs};
 
@@ -181,7 +181,7 @@
     }
 
     /// Returns the intent that the journal holds without its outcome.
-    fn stored_intent(&self, program: &Program) -> Option<(Box<str>, super::entries::CallText)> {
+    fn stored_intent(&self, program: &Program) -> Option<(Box<str>, CallText)> {
         if program.open_intent.is_some() {
             return program.open_intent.clone();
         }
--- a/crates/policy/src/programs/recovery.rs
+++ b/crates/policy/src/programs/recovery.rs
@@ -16,8 +16,9 @@
     sequence_of,
 };
 use super::journal::Tenure;
+use super::lifecycle::REMEMBERED;
 use super::requests::Asked;
-use super::state::{Parked, Program, ProgramState, Reading, Recovering};
+use super::state::{Parked, Program, ProgramKey, ProgramState, Reading, Recovering};
 use super::timers::Timer;
 use super::{Cx, ProgramOp, Programs, answers};
 
@@ -348,7 +349,7 @@
     }
 
     /// Makes a program ready that was read from a journal.
-    fn recovered_program(&mut self, cx: &mut Cx<'_>, key: super::ProgramKey) {
+    fn recovered_program(&mut self, cx: &mut Cx<'_>, key: ProgramKey) {
         let program = &mut self.programs[key];
 
         // The former home may have sent the call, and may yet. It counts as run with an
@@ -365,7 +366,7 @@
         let due = match program.state {
             ProgramState::Ended => {
                 program.end_stored = true;
-                let at = cx.now + super::lifecycle::REMEMBERED;
+                let at = cx.now + REMEMBERED;
                 program.forget_at = Some(at);
                 at
             }
--- a/crates/policy/src/programs/requests.rs
+++ b/crates/policy/src/programs/requests.rs
@@ -6,6 +6,7 @@
     CallOutcome, Called, HistoryCall, ProgramView, Refusal, Reply, Request, Usage,
 };
 use camphorwalk_core::ids::{KeyId, ProgramId, TenantId, Ticket};
+use camphorwalk_core::units::Tokens;
 
 use super::entries::Recorded;
 use super::state::{Parked, Program, ProgramKey, ProgramState};
@@ -206,6 +207,6 @@
 }
 
 /// Returns the tokens that count against the budget.
-pub(super) fn spent(usage: &Usage) -> camphorwalk_core::units::Tokens {
+pub(super) fn spent(usage: &Usage) -> Tokens {
     usage.prompt_tokens.plus(usage.output_tokens)
 }
--- a/crates/policy/src/programs/steps.rs
+++ b/crates/policy/src/programs/steps.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use camphorwalk_core::calls::{Code, Ran, Refusal};
+use camphorwalk_core::calls::{Code, Ran, Refusal, Usage};
 use camphorwalk_core::ids::{AttemptId, TargetId};
 
 use super::budget::Reserve;
 use super::entries::{Entry, GrantedEntry, IntentEntry};
 use super::journal::Waiter;
-use super::state::{Kind, Stage};
+use super::state::{Kind, ProgramState, Stage};
 use super::timers::Timer;
 use super::{Cx, ProgramNext, Programs, answers};
 use crate::wire::{CallId, Dispatch, PlaceEnd, PlaceEndKind, PlaceRequest, Verdict, Work};
@@ -199,7 +199,7 @@
         cx: &mut Cx<'_>,
         id: CallId,
         how: PlaceEndKind,
-        usage: Option<&camphorwalk_core::calls::Usage>,
+        usage: Option<&Usage>,
     ) {
         let call = &self.calls[id];
         let program = &self.programs[call.program];
@@ -211,7 +211,7 @@
                 how,
                 computed: usage.prompt_tokens.minus(usage.cached_tokens),
                 output: usage.output_tokens,
-                program_over: program.state == super::ProgramState::Ended,
+                program_over: program.state == ProgramState::Ended,
             },
         });
     }
