Programs: the oracle holds each 'not run' of the true home against the ledger

Cause: the oracle only asked that not all submissions of a call that ran were told 'not run'. Now the host that holds a partition, and knows it, may not say so of any call whose key is in the ledger.

--- a/crates/policy/tests/programs_home/oracle.rs
+++ b/crates/policy/tests/programs_home/oracle.rs
@@ -8,6 +8,27 @@
 use crate::fixture::SMALL_BUDGET;
 use crate::world::World;
 
+/// A request that a caller sent.
+#[derive(Debug)]
+pub struct Sent {
+    pub program: ProgramId,
+    /// The idempotency key of a call.
+    pub key: Option<Box<str>>,
+    pub host: usize,
+    pub session: u64,
+    pub reply: Option<Reply>,
+    pub gone: bool,
+}
+
+/// Checks an answer of the host that holds the program's partition and knows it. One that
+/// was overtaken without notice cannot know what runs at the next home.
+pub fn check_answer(ledger: &[(ProgramId, Box<str>)], sent: &Sent, reply: &Reply) {
+    if let (Some(key), Reply::Refused(refusal)) = (&sent.key, reply) {
+        let ran = ledger.contains(&(sent.program, key.clone()));
+        assert!(!ran || refusal.ran != Ran::No, "{key} ran, and {refusal:?}");
+    }
+}
+
 /// Checks what must hold at any moment.
 pub fn check(world: &World) {
     let once: BTreeSet<_> = world.ledger.iter().collect();
--- a/crates/policy/tests/programs_home/world.rs
+++ b/crates/policy/tests/programs_home/world.rs
@@ -14,6 +14,7 @@
 use camphorwalk_policy::wire::{AttemptEnd, CallId, Dispatch, Verdict, Work};
 
 use crate::fixture::{Mode, Platform, config, tenant};
+use crate::oracle::{self, Sent};
 use crate::targets::{Fate, done, key_of, prompt_tokens, tag};
 
 /// The hosts.
@@ -39,18 +40,6 @@
     Late,
 }
 
-/// A request that a caller sent.
-#[derive(Debug)]
-pub struct Sent {
-    pub program: ProgramId,
-    /// The idempotency key of a call.
-    pub key: Option<Box<str>>,
-    pub host: usize,
-    pub session: u64,
-    pub reply: Option<Reply>,
-    pub gone: bool,
-}
-
 /// A host; it handles its mailbox when it is run.
 #[derive(Debug)]
 struct Host {
@@ -83,6 +72,8 @@
     pub tokens: BTreeMap<PartitionId, u64>,
     /// The host that took each partition last, its session and the lease.
     holders: [(usize, u64, Epoch, RowVersion); 2],
+    /// Whether the holder of each partition has been told so.
+    told: [bool; 2],
     /// The last call and tail that a program's caller has seen.
     seen: BTreeMap<ProgramId, (u32, Option<Box<str>>)>,
 }
@@ -103,6 +94,7 @@
             turns: Vec::new(),
             tokens: BTreeMap::new(),
             holders: [(0, 0, Epoch(0), RowVersion(0)); 2],
+            told: [false; 2],
             seen: BTreeMap::new(),
         };
 
@@ -164,6 +156,7 @@
         let (epoch, lease) = self.platform.take_lease(PartitionId(partition));
         let session = self.hosts[host].session;
         self.holders[usize::from(partition)] = (host, session, epoch, lease);
+        self.told[usize::from(partition)] = false;
         self.acquired(partition);
     }
 
@@ -296,6 +289,11 @@
             let Some(event) = self.hosts[host].mailbox.pop_front() else { return };
             let mut out = Vec::new();
 
+            if let ProgramEvent::Acquired { partition, epoch, .. } = &event {
+                let at = usize::from(partition.0);
+                self.told[at] |= self.holders[at].2 == *epoch;
+            }
+
             // A question may be withdrawn while its refusal is on the way.
             if let ProgramEvent::Unplaced { call, .. } = &event {
                 self.hosts[host].places.remove(call);
@@ -369,6 +367,13 @@
     fn answered(&mut self, number: u64, reply: Reply) {
         let sent = self.sent.get_mut(&number).expect("an answer belongs to a request");
         assert!(sent.reply.is_none(), "a request was answered twice");
+        let partition = usize::from(sent.program.partition(2).0);
+        let (host, session, ..) = self.holders[partition];
+        let holder = self.told[partition] && (host, session) == (sent.host, sent.session);
+
+        if holder {
+            oracle::check_answer(&self.ledger, sent, &reply);
+        }
 
         let seen = self.seen.entry(sent.program).or_default();
 
