--- a/crates/policy/tests/queue_fuzz.rs
+++ b/crates/policy/tests/queue_fuzz.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use camphorwalk_core::config::Target;
-use camphorwalk_core::ids::{HostId, ProgramId, TargetId};
+use camphorwalk_core::ids::{ClassId, HostId, PoolId, ProgramId, TargetId, TenantId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 use camphorwalk_policy::queue::{QueueEvent, QueueNext};
@@ -19,11 +19,16 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use queue_support::{Bench, leaving, request, target};
+use queue_support::{Bench, request, target};
 
-/// The targets: name, zone and window.
-const TARGETS: [(&str, &str, u32); 4] =
-    [("t1", "a", 3), ("t2", "a", 2), ("t3", "a", 1), ("far", "b", 4)];
+/// The targets: name, zone, window and pool. The pool `s` is of plain services.
+const TARGETS: [(&str, &str, u32, &str); 5] = [
+    ("t1", "a", 3, "m"),
+    ("t2", "a", 2, "m"),
+    ("t3", "a", 1, "m"),
+    ("far", "b", 4, "m"),
+    ("service", "a", 2, "s"),
+];
 
 /// How many calls of this zone may be at the target of the other zone.
 const FAR_CAP: u32 = 2;
@@ -43,6 +48,7 @@
     Ask {
         tenant: usize,
         class: usize,
+        pool: &'static str,
         program: u8,
         size: u16,
         seconds: u8,
@@ -59,7 +65,7 @@
     Stale(prop::sample::Index),
     HostGone(u8),
     /// Which targets are leaving.
-    Leaving([bool; 4]),
+    Leaving([bool; 5]),
     Load {
         target: usize,
         waiting: u32,
@@ -91,22 +97,29 @@
             1 => Just(PlaceEndKind::Crashed),
             6 => Just(PlaceEndKind::Finished),
         ];
-        let ask =
-            (0..3_usize, 0..2_usize, 0..20_u8, 1..4_000_u16, 1..60_u8, prop::bool::weighted(0.05));
+        let ask = (
+            0..3_usize,
+            0..2_usize,
+            prop::sample::select(&["m", "m", "s"]),
+            0..20_u8,
+            1..4_000_u16,
+            1..60_u8,
+            prop::bool::weighted(0.05),
+        );
 
         prop_oneof![
-            20 => ask.prop_map(|(tenant, class, program, size, seconds, suspect)| {
-                Transition::Ask { tenant, class, program, size, seconds, suspect }
+            20 => ask.prop_map(|(tenant, class, pool, program, size, seconds, suspect)| {
+                Transition::Ask { tenant, class, pool, program, size, seconds, suspect }
             }),
             2 => index().prop_map(Transition::Repeat),
             16 => (index(), how, any::<bool>())
                 .prop_map(|(which, how, over)| Transition::Vacate { which, how, over }),
             2 => index().prop_map(Transition::Stale),
             1 => (0..3_u8).prop_map(Transition::HostGone),
-            1 => any::<[bool; 4]>().prop_map(Transition::Leaving),
-            1 => (0..4_usize, 0..3_u32)
+            1 => any::<[bool; 5]>().prop_map(Transition::Leaving),
+            1 => (0..5_usize, 0..3_u32)
                 .prop_map(|(target, waiting)| Transition::Load { target, waiting }),
-            1 => (0..4_usize, 0..20_u8)
+            1 => (0..5_usize, 0..20_u8)
                 .prop_map(|(target, program)| Transition::Evicted { target, program }),
             3 => (1..3_000_u16).prop_map(Transition::Pass),
         ]
@@ -137,16 +150,18 @@
 struct Checked {
     bench: Bench,
     questions: BTreeMap<Asker, Question>,
-    leaving: [bool; 4],
+    leaving: [bool; 5],
     /// For each lane that waits, the grants to others since its last one.
-    passed_over: BTreeMap<(usize, usize), u32>,
+    passed_over: BTreeMap<LaneKey, u32>,
 }
 
 impl Checked {
-    fn targets(leaves: [bool; 4]) -> Vec<Target> {
-        let make = |((name, zone, window), leaves): (_, bool)| match leaves {
-            true => leaving(name, zone, window),
-            false => target(name, zone, window),
+    fn targets(leaves: [bool; 5]) -> Vec<Target> {
+        let make = |((name, zone, window, pool), leaving): ((_, _, _, &str), bool)| Target {
+            pool: pool.into(),
+            leaving,
+            cache_tokens: if pool == "s" { Tokens(0) } else { Tokens(10_000) },
+            ..target(name, zone, window)
         };
 
         TARGETS.into_iter().zip(leaves).map(make).collect()
@@ -184,6 +199,8 @@
 
         let at = TARGETS.iter().position(|known| TargetId::from_name(known.0) == target).unwrap();
         assert!(!self.leaving[at], "a leaving target got a call");
+        let pool = PoolId::from_name(TARGETS[at].3);
+        assert_eq!(self.questions[&asker].request.pool, pool, "a target of another pool");
 
         let beside: Vec<&Question> = self.at(target).collect();
         let cap = if TARGETS[at].1 == "a" { TARGETS[at].2 } else { FAR_CAP };
@@ -197,13 +214,14 @@
     }
 
     fn count_grant(&mut self, asker: Asker) {
-        let open: Vec<(usize, usize)> =
-            self.questions.values().filter(|q| q.answer == Answer::Open).map(lane).collect();
+        let granted = lane(&self.questions[&asker]);
+        let open = self.questions.values().filter(|question| question.answer == Answer::Open);
+        let open: BTreeSet<LaneKey> = open.map(lane).collect();
 
         self.passed_over.retain(|lane, _| open.contains(lane));
-        self.passed_over.remove(&lane(&self.questions[&asker]));
+        self.passed_over.remove(&granted);
 
-        for lane in open.into_iter().collect::<BTreeSet<_>>() {
+        for lane in open.into_iter().filter(|lane| lane.0 == granted.0) {
             let count = self.passed_over.entry(lane).or_default();
             *count += 1;
             assert!(*count <= STARVED, "lane {lane:?} is starved");
@@ -299,14 +317,11 @@
     }
 }
 
-fn lane(question: &Question) -> (usize, usize) {
-    let named = |name: &&str| camphorwalk_core::ids::TenantId::from_name(name);
-    let tenant = TENANTS.iter().position(|name| named(name) == question.request.tenant);
-    let class = CLASSES
-        .iter()
-        .position(|name| camphorwalk_core::ids::ClassId::from_name(name) == question.request.class);
+/// A pool, a tenant and a class.
+type LaneKey = (PoolId, TenantId, ClassId);
 
-    (tenant.unwrap(), class.unwrap())
+fn lane(question: &Question) -> LaneKey {
+    (question.request.pool, question.request.tenant, question.request.class)
 }
 
 impl StateMachineTest for Checked {
@@ -314,7 +329,7 @@
     type Reference = Anything;
 
     fn init_test(_: &()) -> Self {
-        let leaving = [false; 4];
+        let leaving = [false; 5];
         let bench = Bench::new(Self::targets(leaving));
 
         Self { bench, questions: BTreeMap::new(), leaving, passed_over: BTreeMap::new() }
@@ -325,9 +340,10 @@
         let live = state.live();
 
         match transition {
-            Transition::Ask { tenant, class, program, size, seconds, suspect } => {
+            Transition::Ask { tenant, class, pool, program, size, seconds, suspect } => {
                 let number = asked.len() as u64;
                 let request = PlaceRequest {
+                    pool: PoolId::from_name(pool),
                     attained: Tokens(u64::from(program) * 500),
                     prompt: Tokens(size.into()),
                     deadline_left: Duration::from_secs(seconds.into()),
