--- a/crates/bench/src/limits/fleet.rs
+++ b/crates/bench/src/limits/fleet.rs
@@ -86,6 +86,8 @@
     zone: ZoneId,
     until: u64,
     renewed: bool,
+    /// Whether it had an owner before.
+    granted: bool,
 }
 
 /// Hosts, their network and the platform.
@@ -144,7 +146,8 @@
             offset: 1_000 * SECOND * (i as u64 + 1),
             wake: u64::MAX,
         };
-        let column = |(_, zone)| Column { owner: None, zone, until: 0, renewed: true };
+        let column =
+            |(_, zone)| Column { owner: None, zone, until: 0, renewed: true, granted: false };
 
         let mut fleet = Self {
             now: 0,
@@ -354,7 +357,7 @@
         self.platform_at = self.now + PLATFORM_PERIOD;
 
         for column in 0..self.columns.len() {
-            let Column { owner, zone, until, renewed } = self.columns[column];
+            let Column { owner, zone, until, renewed, .. } = self.columns[column];
             let runs = |host: usize| {
                 let node = &self.nodes[host];
                 node.slices.is_some() && !node.paused && !node.leaving
@@ -378,10 +381,15 @@
         let until = self.now + LEASE;
         let of_host = Instant(self.clock(host).0 + LEASE - LEASE_MARGIN);
         let lease = &mut self.columns[column];
+        let first = !std::mem::replace(&mut lease.granted, true);
         (lease.owner, lease.until, lease.renewed) = (Some(host), until, true);
 
-        let column = ColumnId(column as u16);
-        self.step(host, SliceEvent::Owned { column, until: of_host, fresh });
+        let (column, until) = (ColumnId(column as u16), of_host);
+        let event = match first {
+            true => SliceEvent::First { column, until },
+            false => SliceEvent::Owned { column, until, fresh },
+        };
+        self.step(host, event);
     }
 
     fn clock(&self, host: usize) -> Instant {
--- a/crates/bench/src/limits/methods.rs
+++ b/crates/bench/src/limits/methods.rs
@@ -105,7 +105,9 @@
     let mut fleet = Fleet::new(plan.cfg.clone(), plan.hosts, plan.seed);
     fleet.run(WARM_UP);
     let before = fleet.traffic();
-    let mut faults = faults(plan).into_iter().peekable();
+    let mut faults = faults(plan);
+    faults.sort_by_key(|(at, _)| *at);
+    let mut faults = faults.into_iter().peekable();
 
     for call in &plan.calls {
         while let Some((at, fault)) = faults.next_if(|(at, _)| *at <= call.at) {
--- a/crates/policy/src/slices.rs
+++ b/crates/policy/src/slices.rs
@@ -181,11 +181,10 @@
 /// over from one R and B to another, each slice has its old or its new share; shares never
 /// shrink when R or B grows, so the larger R and the larger B bound the sum.
 ///
-/// Level zero: a slice begins empty whenever it is not known what was taken from it: at the
-/// first start of a fleet, after a change of owner, after a loan that was not returned. In
-/// the first seconds after a fleet's start, calls within the rate are therefore refused.
-/// The other choice, full slices at a start, would let a tenant take its burst once more
-/// whenever all hosts are replaced; and no host can tell a first start from that.
+/// Level zero: a slice begins empty whenever it is not known what was taken from it: after
+/// a loan that was not returned, and after a change of owner, unless a running loan of the
+/// former owner goes on. The other choice, full slices, would let a tenant take its burst
+/// once more whenever hosts are replaced. Only columns that no host ever owned begin full.
 ///
 /// A zone cut off from the others goes on with the slices of its own columns. If these
 /// hold less than one token together (a burst below `slices / columns of the zone`), it
--- a/crates/policy/tests/slices_rules.rs
+++ b/crates/policy/tests/slices_rules.rs
@@ -424,3 +424,35 @@
     assert_eq!(takes(&mut pool, READY + 100, 4), [Verdict::Admitted; 4]);
     assert_eq!(pool.usable(Instant::from_millis(READY + 3_050)).len(), 1);
 }
+
+#[test]
+fn a_grant_for_an_earlier_request_is_ignored() {
+    // The first grant is late. The second request does not acknowledge it, so the lender takes
+    // the loan back; taken in after that, the loan would have two users.
+    let (mut lender, mut pool) = (lender(1), host(ids().1, 2));
+    let first = ask(&mut pool, READY);
+    let late = answer(&mut lender, READY, ids().1, &first).expect("a grant");
+    ask(&mut pool, READY + 300);
+
+    deliver(&mut pool, READY + 310, ids().0, SliceBody::Grant(late));
+
+    assert!(pool.usable(Instant::from_millis(READY + 310)).is_empty());
+}
+
+#[test]
+fn a_column_that_its_owner_lost_is_renewed_no_more() {
+    // The owner has two columns, and the lease of one ends. The loans of the other are
+    // renewed; those of the first must end in time for its next owner.
+    let two = config(&["a"], 2, &[("ramps", RATE, BURST)]);
+    let (mut lender, mut pool) = (host(ids().0, 1), host(ids().1, 2));
+    step(&mut lender, 0, SliceEvent::Config(two));
+    step(&mut lender, 0, owned(100_000, true));
+    let (column, until) = (ColumnId(1), Instant::from_millis(READY + 900));
+    step(&mut lender, 0, SliceEvent::Owned { column, until, fresh: true });
+    renew(&mut lender, &mut pool, READY);
+
+    renew(&mut lender, &mut pool, READY + 900);
+
+    let lasts = |at| pool.usable(Instant::from_millis(READY + at)).len();
+    assert_eq!([2_900, 3_000, 3_300].map(lasts), [2, 1, 1]);
+}
