--- a/crates/policy/src/programs/journal.rs
+++ b/crates/policy/src/programs/journal.rs
@@ -92,6 +92,9 @@
     pub fates: Vec<(Pending, Fate)>,
     /// Partitions whose lease another host took.
     pub fenced: Vec<(PartitionId, Epoch)>,
+    /// Partitions whose journal holds a row that this host does not know, under its own
+    /// lease: what was read of them is not all there is.
+    pub behind: Vec<PartitionId>,
     /// The bytes of the rows that were appended.
     pub appended: Vec<(PartitionId, usize)>,
     /// The upkeep that was done, and the version of what it wrote.
@@ -167,6 +170,13 @@
         self.flight.as_ref().is_some_and(|f| f.rows.iter().any(|row| row.partition == partition))
     }
 
+    /// Returns the partitions that have entries on the way, some several times.
+    pub fn partitions(&self) -> impl Iterator<Item = PartitionId> + '_ {
+        let sent = self.flight.iter().flat_map(|flight| &flight.entries);
+
+        sent.chain(&self.waiting).map(|pending| pending.partition)
+    }
+
     /// Returns how long a caller should wait before it tries again.
     pub fn retry_after(&self) -> Duration {
         self.backoff.max(Duration::from_millis(500))
@@ -391,21 +401,27 @@
 
         for row in &flight.rows {
             let current = tenures.get(&row.partition).filter(|t| t.id == row.tenure.id);
-            let taken = stands(found, &row.key) || stands(found, &lease_key(row.partition));
+            let taken = stands(found, &lease_key(row.partition));
 
             match current {
                 // The lease row was renewed while the transaction was under way.
                 Some(tenure) if tenure.lease != row.tenure.lease => renewed = true,
                 Some(tenure) if taken => resolved.fenced.push((row.partition, tenure.epoch)),
+                Some(_) if stands(found, &row.key) => resolved.behind.push(row.partition),
                 _ => {}
             }
         }
 
         // A lease row that is gone is not named. Each partition then goes by itself, and one
         // that conflicts alone is lost.
-        if resolved.fenced.is_empty() && !renewed {
+        if resolved.fenced.is_empty() && resolved.behind.is_empty() && !renewed {
             match flight.rows.as_slice() {
-                [row] => resolved.fenced.push((row.partition, row.tenure.epoch)),
+                // A write of a former tenure says nothing of the one that this host has now:
+                // fenced for it, a partition that was just acquired again had no home at all.
+                [row] if tenures.get(&row.partition).is_some_and(|now| now.id == row.tenure.id) => {
+                    resolved.fenced.push((row.partition, row.tenure.epoch));
+                }
+                [_] => {}
                 many => self.alone = many.len(),
             }
         }
--- a/crates/policy/src/programs/recovery.rs
+++ b/crates/policy/src/programs/recovery.rs
@@ -68,12 +68,25 @@
         self.read_unblocked(cx);
     }
 
+    /// Forgets a partition that this host still holds, and reads it anew.
+    pub(super) fn read_again(&mut self, cx: &mut Cx<'_>, partition: PartitionId) {
+        if let Some(Tenure { epoch, lease, .. }) = self.tenures.get(&partition).copied() {
+            self.lost(cx, partition);
+            self.acquired(cx, partition, epoch, lease);
+        }
+    }
+
     /// Begins to read the journals that this host itself does not write to any more.
     ///
     /// A lease can be lost and found again with the same version. A transaction of before,
     /// whose answer was lost, could then take effect after the journal was read: the row
     /// would be missing here, and what is written next would contradict it.
     pub(super) fn read_unblocked(&mut self, cx: &mut Cx<'_>) {
+        // Without a configuration nobody knows what is in which partition.
+        if self.cfg.is_none() {
+            return;
+        }
+
         let free: Vec<_> = self
             .recovering
             .iter()
@@ -232,9 +245,11 @@
         for entry in content.entries {
             let known = self.index.get(&entry.program()).map(|key| self.programs[*key].upto);
 
-            // An image that was made later than this row holds the entry.
-            if known.is_none_or(|upto| upto < sequence) {
-                self.replay(cx, entry);
+            // An image that was made later than this row holds the entry. What it grants
+            // counts all the same: the family's other rows may have settled it meanwhile.
+            match known {
+                Some(upto) if upto >= sequence => self.replay_grant(&entry),
+                _ => self.replay(cx, entry),
             }
         }
 
@@ -252,11 +267,7 @@
             Entry::Intent(intent) => self.replay_intent(cx, intent),
             Entry::Outcome(outcome) => self.replay_outcome(outcome),
             Entry::Turn(turn) => self.replay_turn(cx, turn),
-            Entry::Granted(grant) => {
-                if let Some(key) = self.index.get(&grant.program) {
-                    self.accounts[self.programs[*key].account].granted(grant.granted);
-                }
-            }
+            Entry::Granted(_) | Entry::Settled { .. } => self.replay_grant(&entry),
             Entry::Ended { program } => {
                 if let Some(key) = self.index.get(&program) {
                     self.programs[*key].state = ProgramState::Ended;
@@ -265,6 +276,20 @@
         }
     }
 
+    /// Takes in what an entry says of its family's grant.
+    fn replay_grant(&mut self, entry: &Entry) {
+        let Some(key) = self.index.get(&entry.program()) else { return };
+        let account = &mut self.accounts[self.programs[*key].account];
+
+        match entry {
+            Entry::Turn(turn) => account.granted(turn.granted),
+            Entry::Granted(grant) => account.granted(grant.granted),
+            Entry::Settled { spent, .. } => account.settled(*spent),
+            Entry::Opened(opened) => account.granted(opened.granted),
+            Entry::Intent(_) | Entry::Outcome(_) | Entry::Ended { .. } => {}
+        }
+    }
+
     /// Takes in an intent.
     fn replay_intent(&mut self, cx: &mut Cx<'_>, intent: IntentEntry) {
         let Some(key) = self.index.get(&intent.program) else { return };
@@ -339,6 +364,7 @@
 
         let due = match program.state {
             ProgramState::Ended => {
+                program.end_stored = true;
                 let at = cx.now + super::lifecycle::REMEMBERED;
                 program.forget_at = Some(at);
                 at
@@ -353,7 +379,7 @@
         let Some(recovering) = self.recovering.get_mut(&partition) else { return };
 
         if recovering.parked.len() >= MAX_PARKED {
-            return self.refuse(cx, asked.ticket, answers::leaving());
+            return self.refuse(cx, asked.ticket, answers::not_served(&asked.request));
         }
 
         let until = cx.now + PARK_WAIT;
@@ -375,7 +401,7 @@
         let retry = recovering.retry_at.is_some_and(|at| at <= cx.now);
 
         for parked in late {
-            self.refuse(cx, parked.ticket, answers::leaving());
+            self.refuse(cx, parked.ticket, answers::not_served(&parked.request));
         }
 
         if retry {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -1,9 +1,10 @@
 //! The queues of the pools that this host keeps: which call next, and at which target.
 //!
-//! [`Queues`] moves calls from [`waiting`] to [`places`]. A [`pool`] says which call is next,
-//! in the order of its [`lanes`] (class rank, then fair [`shares`] between tenants, then the
-//! program's service and deadline); [`targets`] say where it may go, by [`window`], [`health`]
-//! and the prefixes that are [`residents`] there; [`estimates`] are learned on the way.
+//! [`Queues`] moves calls from `waiting` to `places`. A `pool` says which call is next, in the
+//! order of its `lanes` (class rank, then fair `shares` between tenants, then the program's
+//! service and deadline), while its `demand` leaves room in the caches. `targets` say where
+//! it may go, by `window`, `health` and the prefixes that are `residents` there; `estimates`
+//! are learned on the way.
 //!
 //! # Targets of other zones
 //!
@@ -13,16 +14,17 @@
 //! while it reports waiting calls. All zones together then add at most half a window to what
 //! the target's own zone sends; its reports make that zone narrow its window.
 
-pub mod estimates;
-pub mod health;
-pub mod lanes;
-pub mod places;
-pub mod pool;
-pub mod residents;
-pub mod shares;
-pub mod targets;
-pub mod waiting;
-pub mod window;
+mod demand;
+mod estimates;
+mod health;
+mod lanes;
+mod places;
+mod pool;
+mod residents;
+mod shares;
+mod targets;
+mod waiting;
+mod window;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -30,13 +32,14 @@
 
 use camphorwalk_core::config::Config;
 use camphorwalk_core::hash::Map;
-use camphorwalk_core::ids::{ClassId, HostId, PoolId, ProgramId, TargetId, TenantId, ZoneId};
+use camphorwalk_core::ids::{ClassId, HostId, PoolId, ProgramId, TargetId, ZoneId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::Tokens;
 
 use self::lanes::LaneId;
 use self::places::{Place, Places};
 use self::pool::{Pick, Pool, retry_after};
+use self::shares::Weights;
 use self::targets::{Candidate, Targets};
 use self::waiting::{Waiter, Waiting};
 use crate::wire::{Asker, PlaceEnd, PlaceEndKind, PlaceRequest};
@@ -131,12 +134,20 @@
 /// Plain services know no tokens: without it no tenant's account would ever move there.
 const CALL_TOKENS: Tokens = Tokens(32);
 
+/// What becomes of a question.
+enum Admission {
+    /// It waits.
+    Wait(Waiter),
+    /// It is refused; a later try can help after this time.
+    Refuse(Duration),
+}
+
 /// The queues that this host keeps.
 #[derive(Debug)]
 pub struct Queues {
     options: QueueOptions,
     ranks: Map<ClassId, u8>,
-    weights: Map<TenantId, u32>,
+    weights: Weights,
     targets: Targets,
     pools: BTreeMap<PoolId, Pool>,
     waiting: Waiting,
@@ -157,7 +168,7 @@
         Self {
             options,
             ranks: Map::default(),
-            weights: Map::default(),
+            weights: Weights::default(),
             targets: Targets::default(),
             pools: BTreeMap::new(),
             waiting: Waiting::default(),
@@ -167,6 +178,18 @@
     }
 
     /// Takes in an event and appends what to do next to `out`.
+    ///
+    /// An event that concerns nobody is harmless.
+    ///
+    /// ```
+    /// use camphorwalk_core::ids::{HostId, ZoneId};
+    /// use camphorwalk_core::time::Instant;
+    /// use camphorwalk_policy::queue::{QueueEvent, QueueOptions, Queues};
+    /// let mut queues = Queues::new(QueueOptions { zone: ZoneId::from_name("a") });
+    /// let mut out = Vec::new();
+    /// queues.step(Instant(0), QueueEvent::HostGone(HostId(7)), &mut out);
+    /// assert!(out.is_empty());
+    /// ```
     pub fn step(&mut self, now: Instant, event: QueueEvent, out: &mut Vec<QueueNext>) {
         match event {
             QueueEvent::Config(config) => self.configure(now, &config, out),
@@ -209,9 +232,7 @@
         let classes = config.fleet.classes.iter();
         self.ranks = classes.map(|class| (ClassId::from_name(&class.name), class.rank)).collect();
 
-        let tenants = config.tenants.iter();
-        self.weights = tenants.map(|t| (TenantId::from_name(&t.name), t.weight.max(1))).collect();
-
+        self.weights = Weights::of(config);
         self.targets.configure(config, self.options.zone);
 
         for asker in self.waiting.matching(|waiter| !self.targets.can_serve(&waiter.request)) {
@@ -225,41 +246,33 @@
     fn ask(&mut self, now: Instant, asker: Asker, request: PlaceRequest, out: &mut Vec<QueueNext>) {
         // A question sent again after a reconnect must not take a second place: its first
         // grant may be under way, and nobody would ever give that place back.
-        if let Some(place) = self.places.get(asker) {
-            if is_same(&place.request, &request) {
-                out.push(QueueNext::Grant { asker, target: place.target });
-                return;
-            }
-
-            self.free(now, asker, UNKNOWN_END);
+        if let Some(place) =
+            self.places.get(asker).filter(|place| is_same(&place.request, &request))
+        {
+            out.push(QueueNext::Grant { asker, target: place.target });
+            return;
         }
 
-        if let Some(waiter) = self.waiting.get(asker) {
-            if is_same(&waiter.request, &request) {
-                return;
-            }
-
-            self.withdraw(asker);
+        if self.waiting.get(asker).is_some_and(|waiter| is_same(&waiter.request, &request)) {
+            return;
         }
 
+        // Another question of that number is one of the host's old process.
+        self.vacate(now, asker, UNKNOWN_END, out);
+
         match self.admit(now, asker, request) {
-            Ok(waiter) => {
+            Admission::Wait(waiter) => {
                 self.enqueue(asker, waiter);
                 self.serve(now, request.pool, out);
             }
-            Err(retry_after) => out.push(QueueNext::Refuse { asker, retry_after }),
+            Admission::Refuse(retry_after) => out.push(QueueNext::Refuse { asker, retry_after }),
         }
     }
 
     /// Returns the call as it is to wait, or when to come back if it cannot be served.
-    fn admit(
-        &mut self,
-        now: Instant,
-        asker: Asker,
-        request: PlaceRequest,
-    ) -> std::result::Result<Waiter, Duration> {
+    fn admit(&mut self, now: Instant, asker: Asker, request: PlaceRequest) -> Admission {
         if !self.targets.can_serve(&request) {
-            return Err(RETRY_NO_TARGET);
+            return Admission::Refuse(RETRY_NO_TARGET);
         }
 
         self.arrivals += 1;
@@ -280,10 +293,19 @@
             || self.waiting.of_tenant(request.tenant) >= MOST_OF_TENANT;
 
         if is_full || now + wait >= refuse_at {
-            return Err(retry_after(wait));
+            return Admission::Refuse(retry_after(wait));
         }
 
-        Ok(Waiter { request, since: now, passed: None, deadline, refuse_at, lane, position })
+        let since = now;
+        Admission::Wait(Waiter {
+            request,
+            since,
+            passed: None,
+            deadline,
+            refuse_at,
+            lane,
+            position,
+        })
     }
 
     fn enqueue(&mut self, asker: Asker, waiter: Waiter) {
@@ -291,7 +313,7 @@
 
         pool.shares.enter(waiter.request.tenant);
         pool.lanes.insert(waiter.lane, waiter.position);
-        pool.awaited = pool.awaited.plus(awaited(&waiter.request));
+        pool.demand.wait(waiter.request.tenant, awaited(&waiter.request));
         self.targets.set_awaited(&waiter.request, true);
         self.waiting.insert(asker, waiter);
     }
@@ -303,7 +325,7 @@
 
         if let Some(pool) = self.pools.get_mut(&waiter.request.pool) {
             pool.lanes.remove(waiter.lane, &waiter.position);
-            pool.awaited = pool.awaited.minus(awaited(&waiter.request));
+            pool.demand.end_wait(waiter.request.tenant, awaited(&waiter.request));
             pool.shares.leave(waiter.request.tenant);
         }
 
@@ -369,7 +391,7 @@
             PlaceEndKind::NotSent => Tokens(0),
             _ => CALL_TOKENS.plus(end.computed).plus(end.output),
         };
-        let weight = self.weights.get(&tenant).copied().unwrap_or(1);
+        let weight = self.weights.get(tenant);
 
         self.targets.learn(now, &place, end);
         self.targets.leave(place.target, asker);
@@ -402,7 +424,7 @@
                 return;
             }
 
-            match pool.pick(now, id, &mut self.waiting, &mut self.targets) {
+            match pool.pick(now, id, &self.weights, &mut self.waiting, &mut self.targets) {
                 Pick::Grant(asker, target, computed) => {
                     self.grant(now, asker, target, computed, out);
                 }
@@ -424,7 +446,7 @@
     ) {
         let Some(waiter) = self.waiting.get(asker).copied() else { return };
         let request = waiter.request;
-        let weight = self.weights.get(&request.tenant).copied().unwrap_or(1);
+        let weight = self.weights.get(request.tenant);
 
         if let Some(pool) = self.pools.get_mut(&request.pool) {
             let output = pool.estimates.output(request.class, request.output);
@@ -437,7 +459,7 @@
             pool.estimates.granted(now, waiter.lane, is_first, waiter.since);
             pool.lanes.granted(waiter.lane);
             pool.shares.advance();
-            pool.add_demand(request.prompt.plus(output));
+            pool.demand.place(request.tenant, request.prompt.plus(output));
             pool.shares.charge(request.tenant, weight, charged);
             self.targets.enter(now, target, candidate, output);
             self.places.insert(asker, place);
