--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -71,6 +71,17 @@
 }
 
 impl Shared {
+    /// Says that the host is leaving, unless it has left already.
+    pub fn begin_leaving(&self) {
+        self.phase.send_if_modified(|phase| {
+            let first = *phase < Phase::Leaving;
+            if first {
+                *phase = Phase::Leaving;
+            }
+            first
+        });
+    }
+
     /// Returns a number never used before on this run of the host.
     pub fn number(&self) -> u64 {
         self.counter.fetch_add(1, std::sync::atomic::Ordering::Relaxed)
@@ -164,7 +175,7 @@
     ///
     /// Health says so at once; requests are taken on until the balancer has heard of it.
     pub async fn drain(&self) {
-        self.shared.phase.send_replace(Phase::Leaving);
+        self.shared.begin_leaving();
         tokio::time::sleep(self.drain_delay).await;
         self.shared.control.send(Event::Drain);
         self.reached(Phase::Left).await;
@@ -292,7 +303,7 @@
             // The whole way of leaving starts with the health that the balancer sees, so the
             // control thread hears of it only after the balancer's delay.
             Inbound::Message { message: PeerMessage { body: Some(Body::Drain(_)) }, .. } => {
-                shared.phase.send_replace(Phase::Leaving);
+                shared.begin_leaving();
             }
             Inbound::Message { from, message } => {
                 if let Some(Body::Answer(answer)) = &message.body {
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -233,7 +233,7 @@
     let host: Box<str> = body.into_inner().host.into();
     if host == cx.context().name {
         authorize(&cx)?;
-        cx.context().phase.send_replace(Phase::Leaving);
+        cx.context().begin_leaving();
         return accepted(OperatorReply::Accepted, "");
     }
 
--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -252,6 +252,10 @@
     next_op: u64,
     /// Until when what is held is surely held.
     until: Instant,
+    /// Until when this host has promised to end no session.
+    promised: Instant,
+    /// Whether the answer to the ending of a session may have been lost.
+    ending_in_doubt: bool,
     /// Since when the host is leaving.
     leaving_since: Option<Instant>,
     left: bool,
@@ -275,6 +279,8 @@
             next_poll: Instant::default(),
             next_op: 0,
             until: Instant::default(),
+            promised: Instant::default(),
+            ending_in_doubt: false,
             leaving_since: None,
             left: false,
         }
@@ -309,6 +315,24 @@
         [poll, self.session.wake_at()].into_iter().flatten().min()
     }
 
+    /// Promises to end no session until an instant, if this host cannot renew its own now.
+    /// Returns whether it does.
+    ///
+    /// It does not while the ending of some session may still take effect.
+    pub fn promise(&mut self, until: Instant) -> bool {
+        if !self.session.is_failing() || self.ending_in_doubt {
+            return false;
+        }
+
+        self.promised = self.promised.max(until);
+        true
+    }
+
+    /// Returns whether the platform did not answer the last renewal of this host's session.
+    pub fn is_failing(&self) -> bool {
+        self.session.is_failing()
+    }
+
     /// Returns the partitions that this host holds, in order.
     pub fn partitions(&self) -> Vec<PartitionId> {
         let mut all: Vec<_> = self
@@ -425,7 +449,8 @@
 
         match (self.round.clone(), reply) {
             (Round::Sessions(waiting), PlatformReply::Rows(rows)) if waiting == op => {
-                self.observer.saw(now, &rows);
+                let longest_gap = self.options.lifetime / 2 + self.options.poll;
+                self.observer.saw(now, &rows, longest_gap);
                 let op = self.scan(rows::LEASES, out);
                 self.round = Round::Leases(op);
             }
@@ -438,6 +463,15 @@
                 self.next_poll = now;
                 self.round = Round::Idle;
             }
+            (
+                Round::Ending(waiting),
+                PlatformReply::Committed(_)
+                | PlatformReply::Conflict(_)
+                | PlatformReply::Unavailable,
+            ) if waiting == op => {
+                self.ending_in_doubt = false;
+                self.round = Round::Idle;
+            }
             (
                 Round::Sessions(waiting)
                 | Round::Leases(waiting)
@@ -492,6 +526,7 @@
         self.round = Round::Idle;
 
         if let Some(end) = self.end_overdue(now) {
+            self.ending_in_doubt = true;
             self.round = Round::Ending(self.commit(end, out));
         } else if let Some(take) = self.take(&rows) {
             self.round = Round::Taking(self.commit(take, out));
--- a/crates/policy/src/leases/observer.rs
+++ b/crates/policy/src/leases/observer.rs
@@ -1,5 +1,7 @@
 //! What a host sees of the sessions of all hosts, by its own clock.
 
+use std::time::Duration;
+
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::{HostId, ZoneId};
 use camphorwalk_core::platform::{Row, RowVersion};
@@ -36,20 +38,30 @@
 #[derive(Debug, Default)]
 pub(super) struct Observer {
     sightings: Map<Box<str>, Sighting>,
+    /// When the sessions were last read.
+    looked: Option<Instant>,
 }
 
 impl Observer {
     /// Takes in a whole scan of the sessions.
-    pub fn saw(&mut self, now: Instant, rows: &[Row]) {
+    ///
+    /// After more than `longest_gap` without a scan, all sessions count as seen first now.
+    pub fn saw(&mut self, now: Instant, rows: &[Row], longest_gap: Duration) {
         let mut next = Map::default();
 
+        // Nobody can renew while the platform is away. When it is back, the hosts must have a
+        // whole lifetime to do so: with the time of the outage counted, the first host to come
+        // back would end the sessions of all others.
+        let was_away = self.looked.is_some_and(|at| now.since(at) > longest_gap);
+        self.looked = Some(now);
+
         for row in rows {
             let Ok(content) = serde_json::from_str::<SessionRow>(&row.value) else {
                 continue;
             };
             let before = self.sightings.get(&row.key.key);
             let since = match before {
-                Some(seen) if seen.version == row.version => seen.since,
+                Some(seen) if seen.version == row.version && !was_away => seen.since,
                 _ => now,
             };
             next.insert(
--- a/crates/policy/src/leases/session.rs
+++ b/crates/policy/src/leases/session.rs
@@ -50,6 +50,8 @@
     waiting: Option<(LeaseOp, Waiting)>,
     /// Whether the last write's answer was lost.
     in_doubt: bool,
+    /// Whether the platform did not answer the last operation.
+    failing: bool,
     leaving: bool,
     renewal: Duration,
     next: Instant,
@@ -71,6 +73,7 @@
             version: RowVersion::ABSENT,
             waiting: None,
             in_doubt: false,
+            failing: false,
             leaving: false,
             renewal: options.renewal,
             next: Instant::default(),
@@ -87,6 +90,11 @@
         self.version != RowVersion::ABSENT
     }
 
+    /// Returns whether the platform did not answer the last renewal.
+    pub fn is_failing(&self) -> bool {
+        self.failing
+    }
+
     pub fn due(&self, now: Instant) -> bool {
         self.waiting.is_none() && now >= self.next
     }
@@ -136,6 +144,7 @@
         let Some((_, waiting)) = self.waiting.take() else {
             return SessionStep::Nothing;
         };
+        self.failing = matches!(reply, PlatformReply::Unavailable | PlatformReply::Unknown);
 
         match (waiting, reply) {
             (Waiting::Renewal { sent }, PlatformReply::Committed(version)) => {
--- a/crates/policy/src/leases/tables.rs
+++ b/crates/policy/src/leases/tables.rs
@@ -18,6 +18,9 @@
     /// The check on its version is what fences its owner: if that one renews at the same
     /// time, only one of the two takes effect.
     pub(super) fn end_overdue(&self, now: Instant) -> Option<Transaction> {
+        if now < self.promised {
+            return None;
+        }
         let (key, version) = self.observer.overdue(now, &self.session.key())?;
         let row = RowKey::new(rows::SESSIONS, key);
 
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -3,6 +3,7 @@
 //! Membership only steers: it says where to send things. Whatever grants something is an
 //! epoch in the platform or a lent slice, so a wrong view costs time, never a promise.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +24,9 @@
 /// enough to reach hundreds of hosts.
 const WHOLE_TELLS: u32 = 24;
 
+/// How many of its own heartbeats a host remembers the sending of.
+const KEPT_BEATS: usize = 64;
+
 /// A host that was silent this many suspicion times is forgotten.
 const FORGET_FACTOR: u32 = 30;
 
@@ -142,6 +146,8 @@
     me: HostId,
     members: Map<HostId, Member>,
     heartbeat: u64,
+    /// When the last heartbeats were sent, the latest last.
+    sent: VecDeque<Instant>,
     leaving: bool,
     next: Instant,
     /// Whether a host was found to be leaving since the last look.
@@ -156,6 +162,7 @@
             options,
             members: Map::default(),
             heartbeat: 0,
+            sent: VecDeque::new(),
             leaving: false,
             next: Instant::default(),
             leaving_changed: false,
@@ -271,6 +278,10 @@
 
         self.next = now + self.options.period;
         self.heartbeat += 1;
+        self.sent.push_back(now);
+        if self.sent.len() > KEPT_BEATS {
+            self.sent.pop_front();
+        }
         for to in self.receivers() {
             let news = self.news_for(to);
             out.push(MembershipNext::Gossip { to, news });
@@ -298,6 +309,19 @@
         all
     }
 
+    /// Returns the latest heartbeat known of a host, after the run that it is of.
+    pub fn heartbeat_of(&self, host: HostId) -> (u64, u64) {
+        self.members.get(&host).map_or((0, 0), |m| (m.session, m.heartbeat))
+    }
+
+    /// Returns when this host sent a heartbeat of its own, if that was not long ago.
+    pub fn sent_at(&self, session: u64, heartbeat: u64) -> Option<Instant> {
+        let age = usize::try_from(self.heartbeat.checked_sub(heartbeat)?).ok()?;
+        let index = self.sent.len().checked_sub(1 + age)?;
+
+        self.sent.get(index).copied().filter(|_| session == self.options.session)
+    }
+
     /// Returns whether another host counts as alive.
     pub fn is_alive(&self, host: HostId) -> bool {
         self.members.get(&host).is_some_and(|m| m.alive)
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -7,6 +7,7 @@
 
 mod asks;
 mod entry;
+mod extension;
 mod gossip;
 mod operators;
 mod sweep;
@@ -306,6 +307,12 @@
     opened: u64,
     session: u64,
     work: VecDeque<Work>,
+    /// Since when each host's promise to end no session counts, by this host's clock.
+    promises: Map<HostId, Instant>,
+    /// When columns are to be extended next.
+    next_extension: Instant,
+    /// Counts the messages of gossip.
+    gossiped: usize,
     /// When each peer was last sent the whole configuration.
     sent_config: Map<HostId, Instant>,
     /// When the configuration in force was adopted.
@@ -319,6 +326,8 @@
     home: HostId,
     /// Whether it may have run if that host's answer is lost.
     may_run: bool,
+    /// Whether it is a call, so that an earlier submission of its key may have run.
+    is_call: bool,
 }
 
 /// The longest time between two wakes, so that silence of others is noticed.
@@ -379,6 +388,9 @@
             opened: 0,
             session: options.session,
             work: VecDeque::new(),
+            promises: Map::default(),
+            next_extension: Instant::default(),
+            gossiped: 0,
             sent_config: Map::default(),
             adopted_at: Instant::default(),
         }
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -32,10 +32,11 @@
         out: &mut Vec<Action>,
     ) {
         let may_run = matches!(body, Request::Open(_) | Request::Call(_) | Request::End { .. });
-        self.wait_for(request, Waiting { home: self.board.me, may_run });
+        let is_call = matches!(body, Request::Call(_));
+        self.wait_for(request, Waiting { home: self.board.me, may_run, is_call });
 
         if self.board.config.is_none() {
-            let reply = no_home("this host has no configuration yet", HOME_MOVES);
+            let reply = no_home(is_call, "this host has no configuration yet", HOME_MOVES);
             return self.answer_here(request, reply, out);
         }
         self.choose_program(&mut body);
@@ -48,13 +49,13 @@
                 self.work.push_back(Work::Program(event));
             }
             Some(home) => {
-                self.wait_for(request, Waiting { home, may_run });
+                self.wait_for(request, Waiting { home, may_run, is_call });
                 let body = serde_json::to_vec(&body).expect("a request is plain data").into();
                 let forward = Forward { request: request.0, tenant: tenant.0, key: key.0, body };
                 out.push(Action::Send { to: home, message: Body::Forward(forward).into() });
             }
             None => {
-                let reply = no_home("the program's home is moving", HOME_MOVES);
+                let reply = no_home(is_call, "the program's home is moving", HOME_MOVES);
                 self.answer_here(request, reply, out);
             }
         }
@@ -175,8 +176,10 @@
     /// A message was not sent, and never will be.
     pub(super) fn on_unsent(&mut self, to: HostId, message: PeerMessage, out: &mut Vec<Action>) {
         if let Some(Body::Forward(forward)) = message.body {
-            let reply = no_home("the program's home cannot be reached", HOME_MOVES);
-            self.answer_here(RequestId(forward.request), reply, out);
+            let request = RequestId(forward.request);
+            let is_call = self.waiting.get(&request).is_some_and(|w| w.is_call);
+            let reply = no_home(is_call, "the program's home cannot be reached", HOME_MOVES);
+            self.answer_here(request, reply, out);
             self.work.push_back(Work::Lease(LeaseEvent::Suspect));
         }
         let _ = to;
@@ -199,7 +202,7 @@
                 let refusal = Refusal::not_run(Code::OutcomeUnknown, message);
                 Reply::Refused(refusal.ran(Ran::Maybe).retry_after(ANSWER_LOST))
             } else {
-                no_home("the program's home went away", ANSWER_LOST)
+                no_home(false, "the program's home went away", ANSWER_LOST)
             };
             self.answer_here(request, reply, out);
         }
--- a/crates/policy/src/scheduler/work.rs
+++ b/crates/policy/src/scheduler/work.rs
@@ -1,6 +1,8 @@
 //! Hands events to the controllers and turns what they want into events and actions.
 
-use camphorwalk_core::calls::{Code, Refusal, Reply};
+use std::time::Duration;
+
+use camphorwalk_core::calls::{Code, Ran, Refusal, Reply};
 use camphorwalk_core::config::Config;
 use camphorwalk_core::ids::{Epoch, PartitionId, Ticket};
 use camphorwalk_core::messages::forward::Answer;
@@ -78,6 +80,7 @@
         self.membership.wake(now, &mut next);
         self.on_membership(now, next, out);
         self.repeat_asks(now, out);
+        self.extend_columns(now);
 
         let due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
         if due(self.leases.wake_at()) {
@@ -282,7 +285,7 @@
                 MembershipNext::Address { host, address } => {
                     out.push(Action::Address { host, address });
                 }
-                MembershipNext::Gossip { to, news } => self.gossip(to, news, out),
+                MembershipNext::Gossip { to, news } => self.gossip(now, to, news, out),
                 MembershipNext::Changed => self.on_alive_changed(out),
                 MembershipNext::Gone(host) => self.on_gone(now, host, out),
             }
@@ -346,6 +349,12 @@
 }
 
 /// Makes the refusal of a request whose home cannot be reached now.
-pub(super) fn no_home(message: &'static str, retry_after: std::time::Duration) -> Reply {
-    Reply::Refused(Refusal::not_run(Code::Leaving, message).retry_after(retry_after))
+///
+/// Only the home knows whether an earlier submission of a call's idempotency key ran, so of a
+/// call "not run" cannot be said here: a caller whose deposit was taken by a home that just
+/// died would take it for a promise.
+pub(super) fn no_home(is_call: bool, message: &'static str, retry_after: Duration) -> Reply {
+    let ran = if is_call { Ran::Maybe } else { Ran::No };
+
+    Reply::Refused(Refusal::not_run(Code::Leaving, message).ran(ran).retry_after(retry_after))
 }
