Tenants that a zone cut off from everyone must not serve

Cause: serve_when_cut_off was declared and checked, but no host acted on it. Now a host whose session has run out and that hears no other zone refuses such a tenant, with a time to come back. Red without it: story 37 (its second call was served). Green with it, all stories.

--- a/crates/camphorwalk/src/measure/driver.rs
+++ b/crates/camphorwalk/src/measure/driver.rs
@@ -9,7 +9,7 @@
 use camphorwalk_core::config::Config;
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::{HostId, KeyId, ProgramId, RequestId, TenantId};
-use camphorwalk_core::platform::{HostListing, PlatformOp};
+use camphorwalk_core::platform::{HostListing, ObjectName, PlatformOp, PlatformReply, Write};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::{ConfigVersion, Tokens};
 use camphorwalk_policy::configs::OperatorId;
@@ -53,6 +53,8 @@
     hosts: Vec<Scheduler>,
     by_id: Map<HostId, usize>,
     store: Store,
+    /// Whether the platform keeps what journals hold.
+    keeps_journals: bool,
     now: Instant,
     /// What happens next, by time and then by order of its making.
     agenda: BTreeMap<(Instant, u64), (usize, Event)>,
@@ -78,6 +80,7 @@
                 .map(|(i, l)| (HostId::from_name(&l.name), i))
                 .collect(),
             store: Store::default(),
+            keeps_journals: true,
             now: Instant::from_millis(1),
             agenda: BTreeMap::new(),
             wakes: vec![Instant::default(); hosts],
@@ -153,10 +156,29 @@
         self.answers.remove(&request)
     }
 
-    /// Drops all that the platform holds, to measure the hosts alone.
-    pub fn forget_store(&mut self) {
-        self.store = Store::default();
-        self.agenda.clear();
+    /// Has the platform keep nothing of journals and objects from now on, so that the memory
+    /// of this process is that of the hosts. A home reads its journal only when it begins.
+    pub fn keep_no_journals(&mut self) {
+        self.keeps_journals = false;
+    }
+
+    /// Runs an operation on the platform.
+    fn run_on_platform(&mut self, request: PlatformOp) -> PlatformReply {
+        match request {
+            PlatformOp::PutObject(content) if !self.keeps_journals => {
+                PlatformReply::Stored(ObjectName::of(&content))
+            }
+            PlatformOp::Commit(mut transaction) if !self.keeps_journals => {
+                let journal = |w: &&mut Write| &*w.key.table == "journal" && w.value.is_some();
+                transaction
+                    .writes
+                    .iter_mut()
+                    .filter(journal)
+                    .for_each(|w| w.value = Some("".into()));
+                self.store.run(PlatformOp::Commit(transaction))
+            }
+            request => self.store.run(request),
+        }
     }
 
     fn next_before(&mut self, end: Instant) -> Option<(Instant, usize, Event)> {
@@ -209,7 +231,7 @@
                     PlatformOp::Commit(_) | PlatformOp::PutObject(_) => self.counts.writes += 1,
                     _ => self.counts.reads += 1,
                 }
-                let reply = self.store.run(request);
+                let reply = self.run_on_platform(request);
                 self.add(PLATFORM_TIME, host, Event::Platform { op, reply });
             }
             Action::Dispatch(dispatch) => {
--- a/crates/camphorwalk/src/measure/memory.rs
+++ b/crates/camphorwalk/src/measure/memory.rs
@@ -28,11 +28,12 @@
 
 /// Opens programs at one host, has each make some calls, and looks at the memory.
 ///
-/// The fake platform holds the journal in the same memory; what it holds is left out by
-/// measuring it as the difference to a run in which the host has given its programs up.
+/// The fake platform keeps nothing of it, so what the process grows by is the host's.
 pub fn measure(programs: usize, calls: u32, input_bytes: usize) -> MemoryReport {
     let mut driver = Driver::start(1, Times::default(), &declared::config(1, 64));
     driver.run(Duration::from_secs(5));
+    driver.keep_no_journals();
+    let before = resident_bytes();
     let input: String = "x".repeat(input_bytes);
 
     let mut opened = Vec::with_capacity(programs);
@@ -69,16 +70,10 @@
         }
     }
 
-    // The store is dropped first, then the host: the second difference is the host's.
-    driver.forget_store();
-    let with_host = resident_bytes();
-    drop(driver);
-    let without_host = resident_bytes();
-
     MemoryReport {
         programs,
         calls,
         input_bytes,
-        bytes_per_program: with_host.saturating_sub(without_host) / programs.max(1) as u64,
+        bytes_per_program: resident_bytes().saturating_sub(before) / programs.max(1) as u64,
     }
 }
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use camphorwalk_core::calls::{Code, Ran, Refusal, Reply, Request};
+use camphorwalk_core::config::Tenant;
 use camphorwalk_core::hash::stable_hash;
 use camphorwalk_core::ids::{HostId, KeyId, PartitionId, ProgramId, RequestId, TenantId, Ticket};
 use camphorwalk_core::messages::forward::{CallerGone, Forward};
@@ -25,6 +26,7 @@
     /// Takes in a request of a caller of this host.
     pub(super) fn on_request(
         &mut self,
+        now: Instant,
         request: RequestId,
         tenant: TenantId,
         key: KeyId,
@@ -39,6 +41,10 @@
             let reply = no_home(is_call, "this host has no configuration yet", HOME_MOVES);
             return self.answer_here(request, reply, out);
         }
+        if self.must_not_serve(now, tenant) {
+            let reply = no_home(is_call, "this zone is cut off", HOME_MOVES);
+            return self.answer_here(request, reply, out);
+        }
         self.choose_program(&mut body);
 
         let partition = program_of(&body).partition(self.board.partitions());
@@ -61,6 +67,26 @@
         }
     }
 
+    /// Returns whether a tenant is declared not to be served by a zone that is cut off from the
+    /// platform and from all other zones, and this one is.
+    ///
+    /// Such a zone cannot hear that a key was withdrawn. By default it serves all the same; a
+    /// tenant for whom a withdrawn key is worse than a refusal declares otherwise.
+    fn must_not_serve(&self, now: Instant, tenant: TenantId) -> bool {
+        let Some(config) = self.board.config.as_ref().filter(|_| self.is_cut_off(now)) else {
+            return false;
+        };
+        let declared = |t: &&Tenant| TenantId::from_name(&t.name) == tenant;
+
+        config.tenants.iter().find(declared).is_some_and(|t| !t.serve_when_cut_off)
+    }
+
+    fn is_cut_off(&self, now: Instant) -> bool {
+        let lapsed = self.leases.is_failing() && now > self.board.leases_until;
+
+        lapsed && self.board.alive.values().all(|zone| *zone == self.board.zone)
+    }
+
     /// Returns the home of a partition, if it is known and can be reached.
     pub(super) fn home_of(&self, partition: PartitionId) -> Option<HostId> {
         if self.board.homes.contains(&partition) {
--- a/crates/policy/src/scheduler/work.rs
+++ b/crates/policy/src/scheduler/work.rs
@@ -32,7 +32,7 @@
     pub(super) fn take_in(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Request { request, tenant, key, body } => {
-                self.on_request(request, tenant, key, body, out);
+                self.on_request(now, request, tenant, key, body, out);
             }
             Event::CallerGone(request) => self.on_caller_gone(request, out),
             Event::Peer { from, message } => self.on_peer(now, from, message, out),
--- a/crates/scenario/src/declared.rs
+++ b/crates/scenario/src/declared.rs
@@ -22,12 +22,20 @@
     pub burst: u32,
     /// The names of its keys.
     pub keys: Vec<Box<str>>,
+    /// Whether a zone that is cut off from everyone goes on serving it.
+    pub serve_when_cut_off: bool,
 }
 
 impl Default for TenantSpec {
     /// Returns a tenant that no rate holds back.
     fn default() -> Self {
-        Self { name: "t1".into(), rate: 1_000.0, burst: 1_000, keys: vec!["k1".into()] }
+        Self {
+            name: "t1".into(),
+            rate: 1_000.0,
+            burst: 1_000,
+            keys: vec!["k1".into()],
+            serve_when_cut_off: true,
+        }
     }
 }
 
@@ -46,6 +54,7 @@
         let keys = t.keys.iter().map(|key| json!({ "id": key, "sha256": digest_of(key) }));
         let keys: Vec<_> = keys.collect();
         json!({ "name": t.name, "rate_per_second": t.rate, "burst": t.burst,
+            "serve_when_cut_off": t.serve_when_cut_off,
             "assistants": [{ "template": TEMPLATE, "class": "chat" }],
             "budget_tokens": 1_000_000, "keys": keys })
     });
--- a/crates/scenario/src/story/lines.rs
+++ b/crates/scenario/src/story/lines.rs
@@ -27,6 +27,7 @@
                 rate: options.number("rate")?.unwrap_or(other.rate),
                 burst: options.number("burst")?.unwrap_or(other.burst),
                 keys: list(&options.take_or("keys", "k1")),
+                serve_when_cut_off: options.take("cut-off") != Some("refused"),
             });
         }
         ["until", end] => story.until = time(end)?,
--- a/crates/scenario/tests/fuzz/callers.rs
+++ b/crates/scenario/tests/fuzz/callers.rs
@@ -72,6 +72,7 @@
             name: (*name).into(),
             rate: *rate,
             burst: *burst,
+            serve_when_cut_off: true,
             keys: keys_of(name),
         };
         let tenants: Vec<_> = RATES.iter().map(tenant).collect();
