Slices: a first owner that gets its column back begins empty

SliceEvent::First fills slices. A host that gives a column up and gets it back before another takes it sees the first epoch again, and would fill its slices twice. A First column also takes over running loans, which then are this host's own former ones.

--- a/crates/policy/src/slices.rs
+++ b/crates/policy/src/slices.rs
@@ -301,6 +301,7 @@
             SliceEvent::First { column, until } => {
                 self.lender.own_first(column, until, now);
                 self.configure(now);
+                self.take_over(now, column);
             }
             SliceEvent::Owned { column, until, fresh } => {
                 if self.lender.own(column, until, fresh, now) {
--- a/crates/policy/src/slices/lender.rs
+++ b/crates/policy/src/slices/lender.rs
@@ -37,6 +37,8 @@
     session: u64,
     times: SliceTimes,
     columns: BTreeMap<ColumnId, Column>,
+    /// Columns that this process has owned.
+    known: BTreeSet<ColumnId>,
     slices: BTreeMap<(TenantId, ColumnId), Slice>,
     accounts: BTreeMap<Borrower, Account>,
     offered: BTreeMap<HostId, Instant>,
@@ -51,6 +53,7 @@
             session,
             times,
             columns: BTreeMap::new(),
+            known: BTreeSet::new(),
             slices: BTreeMap::new(),
             accounts: BTreeMap::new(),
             offered: BTreeMap::new(),
@@ -116,6 +119,13 @@
     /// Nobody can have used or been lent its slices, so they begin full and at once. Without
     /// this a new fleet refuses for seconds what its tenants send within their rate.
     pub(super) fn own_first(&mut self, column: ColumnId, until: Instant, now: Instant) {
+        // The first epoch lasts until another host takes the column. This one may give it up
+        // and get it back before that, and must not fill the slices once more.
+        if self.known.contains(&column) {
+            self.own(column, until, true, now);
+            return;
+        }
+
         let first = Column { until, since: 0, usable_from: now, begins_full: true };
 
         self.insert(column, first, now);
@@ -123,6 +133,7 @@
 
     fn insert(&mut self, column: ColumnId, owned: Column, now: Instant) {
         self.number += 1;
+        self.known.insert(column);
         self.columns.insert(column, Column { since: self.number, ..owned });
         self.next_offers = now;
     }
--- a/crates/policy/tests/slices_first.rs
+++ b/crates/policy/tests/slices_first.rs
@@ -85,3 +85,22 @@
 
     assert_eq!(count, 0);
 }
+
+/// A host gives its columns up, nobody else takes them, and it gets them back in their first
+/// epoch. The burst is spent: filled once more, the slices would admit it twice.
+#[test]
+fn a_first_owner_that_gets_a_column_back_begins_empty() {
+    let mut slices = host();
+    let until = Instant::from_millis(60_000);
+
+    for event in [true, false, true] {
+        for (column, _) in columns(&config()) {
+            let first = SliceEvent::First { column, until };
+            let event = if event { first } else { SliceEvent::Lost { column } };
+            slices.step(Instant(2), event, &mut Vec::new());
+        }
+    }
+    let count = admitted(&mut slices, Instant::from_millis(1_000));
+
+    assert_eq!(count, 0);
+}
