Leases: a column is lost before it is given back

Cause: a host that gave a column back wrote so to the platform and heard that it was lost with its next look at the tables. Until then it went on lending and renewing the column's slices, while another host could own it: loans that begin after the next owner's begin outlast its wait of 3.1 s, a slice has two users, and a tenant gets more than its rate. Not seen in a run; found by reading the leases against what slices rely on. Now the column is lost before the write is sent. If the write fails, the next look at the tables brings the column back as a new one. Trial without the change: a_column_is_lost_before_it_is_given_back red (lost 8th, freed 5th); restored: green. Left: a write whose answer is lost and which takes effect only after the next look at the tables. The column is then owned here for one more look.

--- a/crates/policy/src/leases/tables.rs
+++ b/crates/policy/src/leases/tables.rs
@@ -103,6 +103,14 @@
             let row = LeaseRow { epoch: held.epoch, session: "".into() };
             transaction.checks.push(Check { key: name.row(), version: held.version });
             transaction.writes.push(Write { key: name.row(), value: Some(row.to_json()) });
+
+            // From the write on another host may own the column. This one must not lend or
+            // use its slices until the next look at the tables: a slice would have two users,
+            // and a tenant more than its rate. If the write fails, that look brings it back.
+            if let LeaseName::Column(_) = name {
+                self.held.remove(&name);
+                out.push(LeaseNext::Lost { name });
+            }
         }
 
         (!transaction.writes.is_empty()).then_some(transaction)
