--- a/crates/camphorwalk/src/logs.rs
+++ b/crates/camphorwalk/src/logs.rs
@@ -1,5 +1,7 @@
 //! Logs of the programs, on standard error.
 
+use std::io::IsTerminal as _;
+
 use tracing_subscriber::EnvFilter;
 
 /// Starts to log; `level` is the least severity, and the variable `RUST_LOG` goes before it.
@@ -10,6 +12,6 @@
     if json {
         logs.json().init();
     } else {
-        logs.with_target(false).init();
+        logs.with_target(false).with_ansi(std::io::stderr().is_terminal()).init();
     }
 }
--- a/crates/core/src/messages/gossip.rs
+++ b/crates/core/src/messages/gossip.rs
@@ -27,6 +27,17 @@
     /// Hosts of which nothing but their heartbeat is new.
     #[prost(message, repeated, tag = "8")]
     pub beats: Vec<HostBeat>,
+    /// Whether the sender cannot renew its session and promises to end nobody else's for a
+    /// while, counted from the sending of this message.
+    #[prost(bool, tag = "9")]
+    pub without_platform: bool,
+    /// The receiver's latest heartbeat that the sender knows: the receiver counts the promise
+    /// from when it sent that one.
+    #[prost(uint64, tag = "10")]
+    pub echo: u64,
+    /// The run of the receiver's process that the heartbeat is of.
+    #[prost(fixed64, tag = "11")]
+    pub echo_session: u64,
 }
 
 /// A heartbeat of a host that the receiver knows by now: a third of the bytes of its news.
--- a/crates/node/src/callers/api.rs
+++ b/crates/node/src/callers/api.rs
@@ -23,6 +23,9 @@
 /// The header with a caller's idempotency key.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// What stands for the tenant in the metrics where a request was refused before it was known.
+const UNKNOWN_TENANT: &str = "";
+
 /// The longest idempotency key, in bytes.
 const LONGEST_KEY: usize = 200;
 
@@ -140,11 +143,11 @@
     let streams = body.stream;
     let caller = match admit(&cx) {
         Ok(caller) => caller,
-        Err(refusal) => return Ok(refused(&refusal)),
+        Err(refusal) => return Ok(refused_at_the_door(&cx, &refusal)),
     };
     let request = match call_request(&cx, &path.into_inner().program, body) {
         Ok(request) => Request::Call(request),
-        Err(refusal) => return Ok(refused(&refusal)),
+        Err(refusal) => return Ok(refused_at_the_door(&cx, &refusal)),
     };
 
     let shared = cx.context();
@@ -211,10 +214,18 @@
         Ok((request, caller)) => {
             Ok(Pending::start(cx.context(), caller, kind, request).whole().await)
         }
-        Err(refusal) => Ok(refused(&refusal)),
+        Err(refusal) => Ok(refused_at_the_door(cx, &refusal)),
     }
 }
 
+/// Answers a request that is refused before it is handed on. Its tenant may not be known.
+fn refused_at_the_door(cx: &Context, refusal: &Refusal) -> Response<Body> {
+    let labels = [UNKNOWN_TENANT, code_label(refusal.code)];
+    cx.context().metrics.refusals.with_label_values(&labels).inc();
+
+    refused(refusal)
+}
+
 /// Finds out who calls, and whether the host takes on one more request.
 fn admit(cx: &Context) -> Checked<Caller> {
     let shared = cx.context();
--- a/crates/policy/src/programs/open.rs
+++ b/crates/policy/src/programs/open.rs
@@ -213,7 +213,9 @@
             calls: Vec::new(),
             stored: 0,
             history: Tokens::default(),
-            attained: Tokens::default(),
+            // A sub-agent goes on with work that is under way: counted from zero, the queue
+            // would hold it back as a new program.
+            attained: Tokens(u64::from(entry.parent.is_some())),
             running: None,
             children: Vec::new(),
             openings: 0,
--- a/crates/policy/src/scheduler/asks.rs
+++ b/crates/policy/src/scheduler/asks.rs
@@ -19,13 +19,22 @@
 /// and a repeated question is known by its number.
 const REPEAT_AFTER: Duration = Duration::from_secs(1);
 
+/// The longest time between two sendings of a question that waits its turn: with many calls
+/// waiting, a sending of each every second would take most of the bytes for control.
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+
 /// A question that is not over yet.
 #[derive(Clone, Copy, Debug)]
 struct Question {
     call: CallId,
     keeper: HostId,
     request: PlaceRequest,
+    /// When it was asked first.
     asked: Instant,
+    /// When it is sent once more.
+    repeat_at: Instant,
+    /// The time from one sending to the next; it doubles.
+    pause: Duration,
     granted: bool,
 }
 
@@ -57,12 +66,20 @@
         self.asks.next += 1;
         let number = self.asks.next;
         let keeper = self.board.keeper(request.pool);
-        let question = Question { call, keeper, request, asked: now, granted: false };
+        let repeat_at = now + REPEAT_AFTER;
+        let question = Question {
+            call,
+            keeper,
+            request,
+            asked: now,
+            repeat_at,
+            pause: REPEAT_AFTER,
+            granted: false,
+        };
 
         self.asks.questions.insert(number, question);
         self.asks.numbers.insert(call, number);
-        let repeat = now + REPEAT_AFTER;
-        self.asks.repeat_at = Some(self.asks.repeat_at.map_or(repeat, |at| at.min(repeat)));
+        self.asks.repeat_at = Some(self.asks.repeat_at.map_or(repeat_at, |at| at.min(repeat_at)));
         self.send_question(number, out);
     }
 
@@ -104,11 +121,12 @@
         let mut due: Vec<_> = Vec::new();
         let mut next: Option<Instant> = None;
         for (number, question) in self.asks.questions.iter_mut().filter(|(_, q)| open(q)) {
-            if question.asked + REPEAT_AFTER <= now {
-                question.asked = now;
+            if question.repeat_at <= now {
+                question.pause = (question.pause * 2).min(LONGEST_PAUSE);
+                question.repeat_at = now + question.pause;
                 due.push(*number);
             }
-            let at = question.asked + REPEAT_AFTER;
+            let at = question.repeat_at;
             next = Some(next.map_or(at, |n| n.min(at)));
         }
         self.asks.repeat_at = next;
@@ -118,12 +136,25 @@
             let keeper = self.asks.questions[&number].keeper;
             if keeper == self.board.me || self.membership.is_alive(keeper) {
                 self.send_question(number, out);
-            } else if let Some(question) = self.asks.questions.remove(&number) {
-                self.ask(now, question.call, question.request, out);
+            } else {
+                self.ask_elsewhere(now, number, out);
             }
         }
     }
 
+    /// Asks the host that keeps the queue now. What is left until the deadline is told anew:
+    /// with the time of the first question, a call would wait for a place past its deadline.
+    fn ask_elsewhere(&mut self, now: Instant, number: u64, out: &mut Vec<Action>) {
+        let Some(mut question) = self.asks.questions.remove(&number) else {
+            return;
+        };
+
+        let passed = now.since(question.asked);
+        let left = question.request.deadline_left.saturating_sub(passed);
+        question.request.deadline_left = left;
+        self.ask(now, question.call, question.request, out);
+    }
+
     /// Asks elsewhere what the queue of a host that is gone did not answer.
     pub(super) fn ask_again(&mut self, now: Instant, gone: HostId, out: &mut Vec<Action>) {
         let lost = |q: &Question| q.keeper == gone && !q.granted;
@@ -131,11 +162,7 @@
             self.asks.questions.iter().filter(|(_, q)| lost(q)).map(|(n, _)| *n).collect();
         numbers.sort_unstable();
 
-        for number in numbers {
-            if let Some(question) = self.asks.questions.remove(&number) {
-                self.ask(now, question.call, question.request, out);
-            }
-        }
+        numbers.into_iter().for_each(|number| self.ask_elsewhere(now, number, out));
     }
 
     /// Tells an asker of its place.
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use camphorwalk_core::calls::{Code, Ran, Refusal, Reply, Request};
+use camphorwalk_core::config::Tenant;
 use camphorwalk_core::hash::stable_hash;
 use camphorwalk_core::ids::{HostId, KeyId, PartitionId, ProgramId, RequestId, TenantId, Ticket};
 use camphorwalk_core::messages::forward::{CallerGone, Forward};
@@ -25,6 +26,7 @@
     /// Takes in a request of a caller of this host.
     pub(super) fn on_request(
         &mut self,
+        now: Instant,
         request: RequestId,
         tenant: TenantId,
         key: KeyId,
@@ -32,10 +34,15 @@
         out: &mut Vec<Action>,
     ) {
         let may_run = matches!(body, Request::Open(_) | Request::Call(_) | Request::End { .. });
-        self.wait_for(request, Waiting { home: self.board.me, may_run });
+        let is_call = matches!(body, Request::Call(_));
+        self.wait_for(request, Waiting { home: self.board.me, may_run, is_call });
 
         if self.board.config.is_none() {
-            let reply = no_home("this host has no configuration yet", HOME_MOVES);
+            let reply = no_home(is_call, "this host has no configuration yet", HOME_MOVES);
+            return self.answer_here(request, reply, out);
+        }
+        if self.must_not_serve(now, tenant) {
+            let reply = no_home(is_call, "this zone is cut off", HOME_MOVES);
             return self.answer_here(request, reply, out);
         }
         self.choose_program(&mut body);
@@ -48,18 +55,38 @@
                 self.work.push_back(Work::Program(event));
             }
             Some(home) => {
-                self.wait_for(request, Waiting { home, may_run });
+                self.wait_for(request, Waiting { home, may_run, is_call });
                 let body = serde_json::to_vec(&body).expect("a request is plain data").into();
                 let forward = Forward { request: request.0, tenant: tenant.0, key: key.0, body };
                 out.push(Action::Send { to: home, message: Body::Forward(forward).into() });
             }
             None => {
-                let reply = no_home("the program's home is moving", HOME_MOVES);
+                let reply = no_home(is_call, "the program's home is moving", HOME_MOVES);
                 self.answer_here(request, reply, out);
             }
         }
     }
 
+    /// Returns whether a tenant is declared not to be served by a zone that is cut off from the
+    /// platform and from all other zones, and this one is.
+    ///
+    /// Such a zone cannot hear that a key was withdrawn. By default it serves all the same; a
+    /// tenant for whom a withdrawn key is worse than a refusal declares otherwise.
+    fn must_not_serve(&self, now: Instant, tenant: TenantId) -> bool {
+        let Some(config) = self.board.config.as_ref().filter(|_| self.is_cut_off(now)) else {
+            return false;
+        };
+        let declared = |t: &&Tenant| TenantId::from_name(&t.name) == tenant;
+
+        config.tenants.iter().find(declared).is_some_and(|t| !t.serve_when_cut_off)
+    }
+
+    fn is_cut_off(&self, now: Instant) -> bool {
+        let lapsed = self.leases.is_failing() && now > self.board.leases_until;
+
+        lapsed && self.board.alive.values().all(|zone| *zone == self.board.zone)
+    }
+
     /// Returns the home of a partition, if it is known and can be reached.
     pub(super) fn home_of(&self, partition: PartitionId) -> Option<HostId> {
         if self.board.homes.contains(&partition) {
@@ -175,8 +202,10 @@
     /// A message was not sent, and never will be.
     pub(super) fn on_unsent(&mut self, to: HostId, message: PeerMessage, out: &mut Vec<Action>) {
         if let Some(Body::Forward(forward)) = message.body {
-            let reply = no_home("the program's home cannot be reached", HOME_MOVES);
-            self.answer_here(RequestId(forward.request), reply, out);
+            let request = RequestId(forward.request);
+            let is_call = self.waiting.get(&request).is_some_and(|w| w.is_call);
+            let reply = no_home(is_call, "the program's home cannot be reached", HOME_MOVES);
+            self.answer_here(request, reply, out);
             self.work.push_back(Work::Lease(LeaseEvent::Suspect));
         }
         let _ = to;
@@ -199,7 +228,7 @@
                 let refusal = Refusal::not_run(Code::OutcomeUnknown, message);
                 Reply::Refused(refusal.ran(Ran::Maybe).retry_after(ANSWER_LOST))
             } else {
-                no_home("the program's home went away", ANSWER_LOST)
+                no_home(false, "the program's home went away", ANSWER_LOST)
             };
             self.answer_here(request, reply, out);
         }
--- a/crates/policy/src/scheduler/gossip.rs
+++ b/crates/policy/src/scheduler/gossip.rs
@@ -10,6 +10,7 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::ConfigVersion;
 
+use super::extension::PROMISE;
 use super::work::Work;
 use super::{Action, Scheduler};
 use crate::configs::{ConfigEvent, Pointer};
@@ -26,21 +27,27 @@
 
 impl Scheduler {
     /// Sends news of hosts to a peer, and with it all else that is gossiped.
-    pub(super) fn gossip(&mut self, to: HostId, news: News, out: &mut Vec<Action>) {
+    pub(super) fn gossip(&mut self, now: Instant, to: HostId, news: News, out: &mut Vec<Action>) {
+        let without_platform = self.leases.promise(now + PROMISE);
+        let (echo_session, echo) = self.membership.heartbeat_of(to);
         let pointer = self.configs.pointer();
         let mut quarantined: Vec<_> = self.quarantined.iter().map(|d| d.to_vec()).collect();
         quarantined.sort_unstable();
-        quarantined.truncate(MOST_ITEMS);
+        let withdrawn: Vec<_> = self.configs.withdrawn().iter().map(|key| key.0).collect();
+        self.gossiped += 1;
 
         let gossip = Gossip {
             hosts: news.whole,
             beats: news.beats,
             config_version: pointer.map_or(0, |p| p.version.0),
             config_object: pointer.map_or_else(String::new, |p| p.object.0.to_string()),
-            withdrawn_keys: self.configs.withdrawn().iter().take(MOST_ITEMS).map(|k| k.0).collect(),
-            quarantined,
+            withdrawn_keys: in_turn(withdrawn, self.gossiped),
+            quarantined: in_turn(quarantined, self.gossiped),
             partitions: self.own_homes(),
             config: Vec::new(),
+            without_platform,
+            echo,
+            echo_session,
         };
         out.push(Action::Send { to, message: Body::Gossip(gossip).into() });
     }
@@ -75,6 +82,9 @@
         gossip: Gossip,
         out: &mut Vec<Action>,
     ) {
+        if !gossip.hosts.is_empty() {
+            self.on_promise(from, &gossip);
+        }
         let mut next = Vec::new();
         self.membership.heard(now, &gossip.hosts, &gossip.beats, &mut next);
         self.on_membership(now, next, out);
@@ -139,3 +149,16 @@
         }
     }
 }
+
+/// Returns as many items as one message may hold, others with each turn.
+///
+/// Always the first ones would never tell of a key that was withdrawn when many were before.
+fn in_turn<T>(mut items: Vec<T>, turn: usize) -> Vec<T> {
+    let count = items.len();
+    if count > MOST_ITEMS {
+        items.rotate_left(turn * MOST_ITEMS % count);
+        items.truncate(MOST_ITEMS);
+    }
+
+    items
+}
