--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -231,6 +231,8 @@
     candidates: Vec<Candidate>,
     next_poll: Instant,
     next_op: u64,
+    /// Until when what is held is surely held.
+    until: Instant,
     leaving: bool,
     left: bool,
 }
@@ -251,6 +253,7 @@
             candidates: Vec::new(),
             next_poll: Instant::default(),
             next_op: 0,
+            until: Instant::default(),
             leaving: false,
             left: false,
         }
@@ -326,6 +329,15 @@
             return;
         }
 
+        // With the platform away nothing can be handed back. Once nothing runs here and the
+        // session has run out by itself, others can take all of it over without being told;
+        // waiting on would keep the process from ever ending.
+        if self.leaving && self.busy.is_empty() && now > self.until {
+            self.left = true;
+            out.push(LeaseNext::Left);
+            return;
+        }
+
         // The renewal goes beside the round: a slow round must not cost the session.
         if self.session.due(now) {
             let op = self.number();
@@ -412,7 +424,10 @@
     fn on_session(&mut self, now: Instant, reply: PlatformReply, out: &mut Vec<LeaseNext>) {
         match self.session.on_reply(now, reply) {
             SessionStep::Nothing => {}
-            SessionStep::Renewed { until } => out.push(LeaseNext::Renewed { until }),
+            SessionStep::Renewed { until } => {
+                self.until = until;
+                out.push(LeaseNext::Renewed { until });
+            }
             SessionStep::Lost => {
                 // Another host ended the session: all that it held may be held by others.
                 let mut names: Vec<_> = self.held.drain().map(|(name, _)| name).collect();
