--- a/crates/policy/src/leases.rs
+++ b/crates/policy/src/leases.rs
@@ -13,14 +13,13 @@
 mod observer;
 pub mod rows;
 mod session;
+mod tables;
 
 use std::time::Duration;
 
-use camphorwalk_core::hash::{Map, Set, rendezvous, stable_hash};
+use camphorwalk_core::hash::{Map, Set, stable_hash};
 use camphorwalk_core::ids::{Epoch, HostId, PartitionId, ZoneId};
-use camphorwalk_core::platform::{
-    Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
-};
+use camphorwalk_core::platform::{PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction};
 use camphorwalk_core::time::Instant;
 
 use self::observer::{Candidate, Observer};
@@ -31,8 +30,11 @@
 /// The most rows that one scan returns: above the sizes that the capacity page works with.
 const SCAN_LIMIT: u32 = 10_000;
 
-/// The most leases that one transaction takes or gives back.
-const LEASES_PER_TRANSACTION: usize = 64;
+/// How long a leaving host waits for the platform to take in what it does not have yet.
+const UNSTORED_LIMIT: Duration = Duration::from_secs(60);
+
+/// The time between settling a partition and giving it back.
+const SETTLE_TIME: Duration = Duration::from_millis(100);
 
 /// How much longer than its lifetime a session must stand unrenewed before it is ended, as
 /// a divisor of the lifetime: covers clocks that drift apart by up to an eighth.
@@ -108,8 +110,8 @@
         /// The answer.
         reply: PlatformReply,
     },
-    /// These held partitions have calls under way and are not to be given back now.
-    Busy(Set<PartitionId>),
+    /// What is under way at this host.
+    Busy(Busy),
     /// The host is leaving: what it holds is given back as soon as it is not busy.
     Leave,
     /// A holder may be gone: look at the tables soon.
@@ -118,6 +120,16 @@
     Wake,
 }
 
+/// What is under way at a host.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Busy {
+    /// The partitions that have calls under way, or entries that the platform does not have;
+    /// they are not to be given back now.
+    pub partitions: Set<PartitionId>,
+    /// Whether any call is under way.
+    pub calls: bool,
+}
+
 /// What to do next for leases.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LeaseNext {
@@ -154,6 +166,11 @@
         /// The hosts.
         hosts: Vec<SessionRow>,
     },
+    /// A partition is about to be given back: its programs settle what they can.
+    Settle {
+        /// The partition.
+        partition: PartitionId,
+    },
     /// All that was held is given back and the session is ended.
     Left,
 }
@@ -222,7 +239,9 @@
     observer: Observer,
     wanted: Vec<Wanted>,
     held: Map<LeaseName, Held>,
-    busy: Set<PartitionId>,
+    busy: Busy,
+    /// The partitions whose programs were told to settle before they are given back.
+    settling: Set<PartitionId>,
     round: Round,
     /// The rows of the last complete scan of the leases.
     rows: Vec<Row>,
@@ -233,7 +252,8 @@
     next_op: u64,
     /// Until when what is held is surely held.
     until: Instant,
-    leaving: bool,
+    /// Since when the host is leaving.
+    leaving_since: Option<Instant>,
     left: bool,
 }
 
@@ -247,14 +267,15 @@
             options,
             wanted: Vec::new(),
             held: Map::default(),
-            busy: Set::default(),
+            busy: Busy::default(),
+            settling: Set::default(),
             round: Round::Idle,
             rows: Vec::new(),
             candidates: Vec::new(),
             next_poll: Instant::default(),
             next_op: 0,
             until: Instant::default(),
-            leaving: false,
+            leaving_since: None,
             left: false,
         }
     }
@@ -266,7 +287,7 @@
             LeaseEvent::Busy(busy) => self.busy = busy,
             LeaseEvent::Suspect => self.next_poll = now,
             LeaseEvent::Leave => {
-                self.leaving = true;
+                self.leaving_since.get_or_insert(now);
                 self.next_poll = now;
             }
             LeaseEvent::Platform { op, reply } => self.on_platform(now, op, reply, out),
@@ -329,10 +350,7 @@
             return;
         }
 
-        // With the platform away nothing can be handed back. Once nothing runs here and the
-        // session has run out by itself, others can take all of it over without being told;
-        // waiting on would keep the process from ever ending.
-        if self.leaving && self.busy.is_empty() && now > self.until {
+        if self.may_just_end(now) {
             self.left = true;
             out.push(LeaseNext::Left);
             return;
@@ -352,6 +370,21 @@
         }
     }
 
+    /// Returns whether a leaving host may end without handing anything back.
+    ///
+    /// With the platform away nothing can be handed back. Once no call runs here and the
+    /// session has run out by itself, others can take all of it over without being told;
+    /// waiting on would keep the process from ever ending. Entries that are not stored are
+    /// given some time more: callers hold those turns as sealed tails.
+    fn may_just_end(&self, now: Instant) -> bool {
+        let Some(since) = self.leaving_since else {
+            return false;
+        };
+        let stored = self.busy.partitions.is_empty() || now.since(since) > UNSTORED_LIMIT;
+
+        !self.busy.calls && stored && now > self.until
+    }
+
     fn number(&mut self) -> LeaseOp {
         self.next_op += 1;
 
@@ -432,6 +465,7 @@
                 // Another host ended the session: all that it held may be held by others.
                 let mut names: Vec<_> = self.held.drain().map(|(name, _)| name).collect();
                 names.sort_unstable();
+                self.settling.clear();
                 out.extend(names.into_iter().map(|name| LeaseNext::Lost { name }));
                 self.round = Round::Idle;
             }
@@ -442,6 +476,13 @@
         }
     }
 
+    fn forget(&mut self, name: LeaseName) {
+        self.held.remove(&name);
+        if let LeaseName::Partition(partition) = name {
+            self.settling.remove(&partition);
+        }
+    }
+
     /// Compares what the tables say with what is held and wanted, and starts the next step.
     fn on_tables(&mut self, now: Instant, out: &mut Vec<LeaseNext>) {
         let rows = self.parse_rows();
@@ -454,9 +495,9 @@
             self.round = Round::Ending(self.commit(end, out));
         } else if let Some(take) = self.take(&rows) {
             self.round = Round::Taking(self.commit(take, out));
-        } else if let Some(give_back) = self.give_back(&rows) {
+        } else if let Some(give_back) = self.give_back(now, &rows, out) {
             self.round = Round::Returning(self.commit(give_back, out));
-        } else if self.leaving && self.held.is_empty() {
+        } else if self.leaving_since.is_some() && self.held.is_empty() {
             self.session.leave(now);
         }
     }
@@ -480,7 +521,7 @@
         let mut lost: Vec<_> = self.held.keys().copied().filter(|name| !is_mine(name)).collect();
         lost.sort_unstable();
         for name in lost {
-            self.held.remove(&name);
+            self.forget(name);
             out.push(LeaseNext::Lost { name });
         }
 
@@ -510,104 +551,6 @@
 
         out.push(LeaseNext::Seen { routes, hosts: self.observer.sessions() });
     }
-
-    /// Makes the transaction that ends one session which was not renewed in time.
-    ///
-    /// The check on its version is what fences its owner: if that one renews at the same
-    /// time, only one of the two takes effect.
-    fn end_overdue(&self, now: Instant) -> Option<Transaction> {
-        let (key, version) = self.observer.overdue(now, &self.session.key())?;
-        let row = RowKey::new(rows::SESSIONS, key);
-
-        Some(Transaction {
-            checks: vec![Check { key: row.clone(), version }],
-            writes: vec![Write { key: row, value: None }],
-        })
-    }
-
-    /// Makes the transaction that takes the free leases which this host should hold.
-    fn take(&self, rows: &Map<LeaseName, (LeaseRow, RowVersion)>) -> Option<Transaction> {
-        if self.leaving {
-            return None;
-        }
-
-        let mut transaction = Transaction::default();
-        let free = |name: LeaseName| match rows.get(&name) {
-            None => true,
-            Some((row, _)) => self.observer.session(&row.session).is_none(),
-        };
-
-        for wanted in self.wanted.iter().filter(|w| free(w.name) && self.should_hold(w)) {
-            let row = rows.get(&wanted.name);
-            self.add_taking(&mut transaction, wanted.name, row);
-            if transaction.writes.len() >= LEASES_PER_TRANSACTION {
-                break;
-            }
-        }
-
-        (!transaction.writes.is_empty()).then_some(transaction)
-    }
-
-    fn add_taking(
-        &self,
-        transaction: &mut Transaction,
-        name: LeaseName,
-        row: Option<&(LeaseRow, RowVersion)>,
-    ) {
-        let version = row.map_or(RowVersion::ABSENT, |(_, version)| *version);
-        let epoch = row.map_or(Epoch(0), |(row, _)| row.epoch);
-        transaction.checks.push(Check { key: name.row(), version });
-
-        // The former holder's session must still be gone when the lease is written. A scan
-        // alone may miss a session that was created after it.
-        if let Some((row, _)) = row.filter(|(row, _)| !row.session.is_empty()) {
-            let key = RowKey::new(rows::SESSIONS, row.session.clone());
-            let check = Check { key, version: RowVersion::ABSENT };
-            if !transaction.checks.contains(&check) {
-                transaction.checks.push(check);
-            }
-        }
-
-        let row = LeaseRow { epoch: Epoch(epoch.0 + 1), session: self.session.key() };
-        transaction.writes.push(Write { key: name.row(), value: Some(row.to_json()) });
-    }
-
-    /// Makes the transaction that gives back what others should hold, unless it is busy.
-    fn give_back(&self, rows: &Map<LeaseName, (LeaseRow, RowVersion)>) -> Option<Transaction> {
-        let mut transaction = Transaction::default();
-        let is_busy = |name: LeaseName| match name {
-            LeaseName::Partition(p) => self.busy.contains(&p),
-            LeaseName::Column(_) => false,
-        };
-
-        let mut names: Vec<_> = self.held.keys().copied().collect();
-        names.sort_unstable();
-        for name in names {
-            let wanted = self.wanted.iter().find(|w| w.name == name);
-            let keep = !self.leaving && wanted.is_none_or(|w| self.should_hold(w));
-            if keep || is_busy(name) || !rows.contains_key(&name) {
-                continue;
-            }
-
-            let held = self.held[&name];
-            let row = LeaseRow { epoch: held.epoch, session: "".into() };
-            transaction.checks.push(Check { key: name.row(), version: held.version });
-            transaction.writes.push(Write { key: name.row(), value: Some(row.to_json()) });
-            if transaction.writes.len() >= LEASES_PER_TRANSACTION {
-                break;
-            }
-        }
-
-        (!transaction.writes.is_empty()).then_some(transaction)
-    }
-
-    /// Returns whether the rendezvous hash over the live sessions picks this host.
-    fn should_hold(&self, wanted: &Wanted) -> bool {
-        let may = |c: &&Candidate| wanted.zone.is_none_or(|zone| zone == c.zone);
-        let hosts = self.candidates.iter().filter(may).map(|c| c.host.0);
-
-        rendezvous(wanted.name.item(), hosts) == Some(self.me.0)
-    }
 }
 
 /// Returns how long a session must stand unrenewed before it is ended.
--- a/crates/policy/src/programs/recovery.rs
+++ b/crates/policy/src/programs/recovery.rs
@@ -16,8 +16,9 @@
     sequence_of,
 };
 use super::journal::Tenure;
+use super::lifecycle::REMEMBERED;
 use super::requests::Asked;
-use super::state::{Parked, Program, ProgramState, Reading, Recovering};
+use super::state::{Parked, Program, ProgramKey, ProgramState, Reading, Recovering};
 use super::timers::Timer;
 use super::{Cx, ProgramOp, Programs, answers};
 
@@ -245,9 +246,11 @@
         for entry in content.entries {
             let known = self.index.get(&entry.program()).map(|key| self.programs[*key].upto);
 
-            // An image that was made later than this row holds the entry.
-            if known.is_none_or(|upto| upto < sequence) {
-                self.replay(cx, entry);
+            // An image that was made later than this row holds the entry. What it grants
+            // counts all the same: the family's other rows may have settled it meanwhile.
+            match known {
+                Some(upto) if upto >= sequence => self.replay_grant(&entry),
+                _ => self.replay(cx, entry),
             }
         }
 
@@ -265,11 +268,7 @@
             Entry::Intent(intent) => self.replay_intent(cx, intent),
             Entry::Outcome(outcome) => self.replay_outcome(outcome),
             Entry::Turn(turn) => self.replay_turn(cx, turn),
-            Entry::Granted(grant) => {
-                if let Some(key) = self.index.get(&grant.program) {
-                    self.accounts[self.programs[*key].account].granted(grant.granted);
-                }
-            }
+            Entry::Granted(_) | Entry::Settled { .. } => self.replay_grant(&entry),
             Entry::Ended { program } => {
                 if let Some(key) = self.index.get(&program) {
                     self.programs[*key].state = ProgramState::Ended;
@@ -278,6 +277,20 @@
         }
     }
 
+    /// Takes in what an entry says of its family's grant.
+    fn replay_grant(&mut self, entry: &Entry) {
+        let Some(key) = self.index.get(&entry.program()) else { return };
+        let account = &mut self.accounts[self.programs[*key].account];
+
+        match entry {
+            Entry::Turn(turn) => account.granted(turn.granted),
+            Entry::Granted(grant) => account.granted(grant.granted),
+            Entry::Settled { spent, .. } => account.settled(*spent),
+            Entry::Opened(opened) => account.granted(opened.granted),
+            Entry::Intent(_) | Entry::Outcome(_) | Entry::Ended { .. } => {}
+        }
+    }
+
     /// Takes in an intent.
     fn replay_intent(&mut self, cx: &mut Cx<'_>, intent: IntentEntry) {
         let Some(key) = self.index.get(&intent.program) else { return };
@@ -336,7 +349,7 @@
     }
 
     /// Makes a program ready that was read from a journal.
-    fn recovered_program(&mut self, cx: &mut Cx<'_>, key: super::ProgramKey) {
+    fn recovered_program(&mut self, cx: &mut Cx<'_>, key: ProgramKey) {
         let program = &mut self.programs[key];
 
         // The former home may have sent the call, and may yet. It counts as run with an
@@ -352,7 +365,8 @@
 
         let due = match program.state {
             ProgramState::Ended => {
-                let at = cx.now + super::lifecycle::REMEMBERED;
+                program.end_stored = true;
+                let at = cx.now + REMEMBERED;
                 program.forget_at = Some(at);
                 at
             }
