--- a/crates/camphorwalk/tests/faults.rs
+++ b/crates/camphorwalk/tests/faults.rs
@@ -116,6 +116,8 @@
     fleet.platform_mode("refuse").await;
     let refused = call_once(&fleet, 0, &program, "deposit-1", 0).await;
     let turn = fleet.call(1, &program, "turn-1", 0, "model").await;
+    let path = format!("{program}/history");
+    let history = caller(0).get(fleet.callers(1), &path).await.unwrap();
     fleet.platform_mode("ok").await;
     let mut body = call_body(1, "deposit");
     body["tail"] = turn.body["tail"].clone();
@@ -127,6 +129,7 @@
     assert!(refused.body["error"]["retry_after_ms"].is_u64(), "{}", refused.body);
     assert_eq!(turn.body["stored"], false, "{}", turn.body);
     assert!(turn.body["tail"].is_string(), "{}", turn.body);
+    assert_eq!(history.body["calls"][0]["stored"], false, "{}", history.body);
     assert_eq!(after.body["call"], 2, "{}", after.body);
     assert_eq!(fleet.runs("deposit-1").await, 0);
     assert_eq!(fleet.runs("deposit-2").await, 1);
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -196,6 +196,10 @@
     pub input: Box<str>,
     /// The output, as JSON text.
     pub output: Box<str>,
+    /// Whether the platform holds it; one that it does not hold may yet be lost, unless the
+    /// caller of that call hands its sealed tail back.
+    #[serde(default)]
+    pub stored: bool,
 }
 
 /// Whether the call behind a refusal ran.
--- a/crates/node/src/callers/answers.rs
+++ b/crates/node/src/callers/answers.rs
@@ -79,6 +79,7 @@
     target: &'a str,
     input: &'a RawValue,
     output: &'a RawValue,
+    stored: bool,
 }
 
 /// Returns the HTTP answer for a reply.
@@ -97,6 +98,7 @@
                     target: &c.target,
                     input: raw(&c.input),
                     output: raw(&c.output),
+                    stored: c.stored,
                 })
                 .collect();
             json(StatusCode::OK, &serde_json::json!({ "calls": calls }))
--- a/crates/policy/src/programs/requests.rs
+++ b/crates/policy/src/programs/requests.rs
@@ -121,7 +121,8 @@
             return Reply::Refused(answers::not_found());
         };
         let skipped = from.max(1) - 1;
-        let calls = self.programs[key].calls.iter().zip(1..).skip(skipped as usize);
+        let program = &self.programs[key];
+        let calls = program.calls.iter().zip(1..).skip(skipped as usize);
 
         Reply::History {
             calls: calls
@@ -131,6 +132,7 @@
                     target: record.call.target.clone(),
                     input: text(&record.call.input),
                     output: output_text(&record.outcome),
+                    stored: call <= program.stored,
                 })
                 .collect(),
         }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -249,7 +249,10 @@
 async fn run_to_end(state: Shared, run: Run) -> Option<RunOutput> {
     let task = tokio::spawn(async move {
         let delay = lock(&state).delay;
-        tokio::time::sleep(delay).await;
+        // Even a sleep of nothing would take a tick of the timer, a millisecond.
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
 
         let operation = run.operation.clone();
         let mut state = lock(&state);
