Answers that could not be sent are sent again; one maker of JSON answers

Cause: a home that cannot reach an entry host for a moment dropped the answer, and the caller waited until its deadline. Found by reading, not seen in a run. Also: paths named at the top of the scheduler's modules; the bench says what it does.

--- a/crates/camphorwalk/src/commands/bench.rs
+++ b/crates/camphorwalk/src/commands/bench.rs
@@ -117,6 +117,7 @@
             What::Path(path) => path.run().await,
             What::Control(control) => control.run(),
             What::Memory(memory) => {
+                eprintln!("bench: {} programs of {} calls", memory.programs, memory.calls);
                 let report = memory::measure(memory.programs, memory.calls, memory.input);
                 print(&report, memory.json)
             }
@@ -157,6 +158,7 @@
             return usage("--calls: at most 20000");
         }
 
+        eprintln!("bench: {} calls each way, about {} s", self.calls, self.calls / 8);
         match path::measure(self.calls).await {
             Ok(report) => print(&report, self.json),
             Err(e) => {
@@ -173,6 +175,7 @@
             return usage("hosts, tenants, seconds and stretch are above zero");
         }
 
+        eprintln!("bench: {} hosts for {} virtual seconds", self.hosts, self.seconds);
         let report = control::measure(ControlOptions {
             hosts: self.hosts,
             tenants: self.tenants,
--- a/crates/node/src/callers/answers.rs
+++ b/crates/node/src/callers/answers.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 use serde_json::value::RawValue;
 
+use crate::responses::json;
+
 /// A request that did not get as far as the API: its path, query or body is malformed.
 #[derive(Debug, Serialize, JsonSchema)]
 pub struct Malformed {
@@ -158,13 +160,3 @@
 fn whole_seconds(after: Duration) -> u64 {
     after.as_millis().div_ceil(1_000).max(1) as u64
 }
-
-fn json(status: StatusCode, body: &impl Serialize) -> Response<Body> {
-    let body = serde_json::to_vec(body).expect("an answer is plain data");
-
-    Response::builder()
-        .status(status)
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(body.into())
-        .expect("a status and a fixed header make an answer")
-}
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -242,10 +242,11 @@
     }
 
     fn send(&self, to: HostId, mut message: PeerMessage) {
-        // Only the traffic side knows how much was streamed before an answer.
+        // Only the traffic side knows how much was streamed before an answer. One that is sent
+        // again has the number already.
         if let Some(Body::Answer(answer)) = &mut message.body {
             let ticket = Ticket { entry: to, request: RequestId(answer.request) };
-            answer.chunks = self.shared.streams.take_sent(ticket);
+            answer.chunks = answer.chunks.max(self.shared.streams.take_sent(ticket));
         }
 
         if !self.peers.send(to, message.clone()) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod host;
 pub mod metrics;
 pub mod operators;
+mod responses;
 pub mod secrets;
 pub mod settings;
 pub mod streams;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -21,6 +21,7 @@
 
 use crate::errors::cannot_listen;
 use crate::host::{Phase, Shared};
+use crate::responses::json;
 
 /// The largest body of an operator's request, in bytes: a configuration of hundreds of
 /// tenants is well below.
@@ -352,13 +353,3 @@
 fn unexpected() -> HttpError {
     HttpError::for_internal_error("the control thread gave another kind of answer".into())
 }
-
-fn json(status: StatusCode, body: &impl Serialize) -> Response<Body> {
-    let body = serde_json::to_vec(body).expect("an answer is plain data");
-
-    Response::builder()
-        .status(status)
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(body.into())
-        .expect("a status and a fixed header make an answer")
-}
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -3,6 +3,9 @@
 use camphorwalk_node::{Error, Settings};
 use serde_json::{Value, json};
 
+/// A change that makes good settings wrong.
+type Change = fn(&mut Value);
+
 fn good() -> Value {
     json!({
         "name": "a1", "zone": "a",
@@ -31,7 +34,7 @@
 
 #[test]
 fn each_fault_has_its_place_and_reason() {
-    let cases: [(fn(&mut Value), &str); 9] = [
+    let cases: [(Change, &str); 9] = [
         (|s| s["name"] = json!(""), "name: it is empty"),
         (|s| s["zone"] = json!(7), "zone: a text is expected"),
         (|s| s["callers"] = json!("host:80"), "callers: an IP number with a port is expected"),
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod extension;
 mod gossip;
+mod late;
 mod operators;
 mod sweep;
 mod work;
@@ -38,6 +39,7 @@
 use crate::wire::{AttemptEnd, CallId, Dispatch};
 
 use self::asks::Asks;
+use self::late::LateAnswer;
 pub use self::operators::{HostStatus, OperatorReply, OperatorRequest, Status};
 use self::work::Work;
 
@@ -292,6 +294,8 @@
     slices: Slices,
     /// Requests of this host's callers that are not answered yet, and who answers them.
     waiting: Map<RequestId, Waiting>,
+    /// Answers that could not be sent yet.
+    late: Vec<LateAnswer>,
     /// Questions to the hosts that keep queues.
     asks: Asks,
     /// Questions for a token, by the call that asks.
@@ -379,6 +383,7 @@
                 times: Default::default(),
             }),
             waiting: Map::default(),
+            late: Vec::new(),
             asks: Asks::default(),
             takes: Map::default(),
             next_take: 0,
@@ -413,6 +418,7 @@
             self.queues.wake_at(),
             self.slices.wake_at(),
             self.asks.wake_at(),
+            self.late_at(),
         ];
 
         wakes.into_iter().flatten().min().expect("membership always has a next time")
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -5,7 +5,9 @@
 use camphorwalk_core::calls::{Code, Ran, Refusal, Reply, Request};
 use camphorwalk_core::config::Tenant;
 use camphorwalk_core::hash::stable_hash;
-use camphorwalk_core::ids::{HostId, KeyId, PartitionId, ProgramId, RequestId, TenantId, Ticket};
+use camphorwalk_core::ids::{
+    HostId, KeyId, PartitionId, ProgramId, RequestId, TargetId, TenantId, Ticket,
+};
 use camphorwalk_core::messages::forward::{CallerGone, Forward};
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
@@ -14,6 +16,8 @@
 use super::{Action, Scheduler, Waiting};
 use crate::leases::LeaseEvent;
 use crate::programs::ProgramEvent;
+use crate::queue::QueueEvent;
+use crate::slices::SliceEvent;
 
 /// When to come back while a program's home moves: about the time until the lease of a
 /// host that died is taken over.
@@ -166,7 +170,7 @@
             }
             Some(Body::Gossip(gossip)) => self.on_gossip(now, from, gossip, out),
             Some(Body::Slices(message)) => {
-                let event = crate::slices::SliceEvent::Message { from, message };
+                let event = SliceEvent::Message { from, message };
                 self.work.push_back(Work::Slice(event));
             }
             Some(Body::Queue(message)) => self.on_queue_message(from, message, out),
@@ -174,7 +178,7 @@
             Some(Body::AskLive(ask)) => self.on_ask_live(from, &ask, out),
             Some(Body::Over(over)) => {
                 let programs = super::sweep::from_bytes(&over.programs);
-                self.on_over(camphorwalk_core::ids::TargetId(over.target), programs, out);
+                self.on_over(TargetId(over.target), programs, out);
             }
             // Chunks go from the connection straight to the caller's stream.
             Some(Body::Chunk(_)) | None => {}
@@ -200,15 +204,25 @@
     }
 
     /// A message was not sent, and never will be.
-    pub(super) fn on_unsent(&mut self, to: HostId, message: PeerMessage, out: &mut Vec<Action>) {
-        if let Some(Body::Forward(forward)) = message.body {
-            let request = RequestId(forward.request);
-            let is_call = self.waiting.get(&request).is_some_and(|w| w.is_call);
-            let reply = no_home(is_call, "the program's home cannot be reached", HOME_MOVES);
-            self.answer_here(request, reply, out);
-            self.work.push_back(Work::Lease(LeaseEvent::Suspect));
+    pub(super) fn on_unsent(
+        &mut self,
+        now: Instant,
+        to: HostId,
+        message: PeerMessage,
+        out: &mut Vec<Action>,
+    ) {
+        match &message.body {
+            Some(Body::Forward(forward)) => {
+                let request = RequestId(forward.request);
+                let is_call = self.waiting.get(&request).is_some_and(|w| w.is_call);
+                let reply = no_home(is_call, "the program's home cannot be reached", HOME_MOVES);
+                self.answer_here(request, reply, out);
+                self.work.push_back(Work::Lease(LeaseEvent::Suspect));
+            }
+            Some(Body::Answer(_)) => self.keep_answer(now, to, message),
+            // What else hosts say is said again, or is not missed.
+            _ => {}
         }
-        let _ = to;
     }
 
     /// The connection to a host broke: requests passed on to it may or may not have arrived.
@@ -237,7 +251,7 @@
     /// A host has gone silent.
     pub(super) fn on_gone(&mut self, now: Instant, host: HostId, out: &mut Vec<Action>) {
         self.work.push_back(Work::Lease(LeaseEvent::Suspect));
-        self.work.push_back(Work::Queue(crate::queue::QueueEvent::HostGone(host)));
+        self.work.push_back(Work::Queue(QueueEvent::HostGone(host)));
         self.on_peer_down(host, out);
         self.ask_again(now, host, out);
     }
--- a/crates/policy/src/scheduler/work.rs
+++ b/crates/policy/src/scheduler/work.rs
@@ -3,16 +3,17 @@
 use std::time::Duration;
 
 use camphorwalk_core::calls::{Code, Ran, Refusal, Reply};
-use camphorwalk_core::config::Config;
-use camphorwalk_core::ids::{Epoch, PartitionId, Ticket};
+use camphorwalk_core::config::{Config, Tenant};
+use camphorwalk_core::ids::{Epoch, PartitionId, RequestId, TenantId, Ticket};
 use camphorwalk_core::messages::forward::Answer;
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
 
 use super::{Action, Event, OpId, Scheduler, Waiting};
 use crate::configs::{ConfigEvent, ConfigNext};
-use crate::leases::{Busy, LeaseEvent, LeaseName, LeaseNext, Wanted};
-use crate::membership::MembershipNext;
+use crate::leases::rows::SessionRow;
+use crate::leases::{Busy, Holder, LeaseEvent, LeaseName, LeaseNext, Wanted};
+use crate::membership::{Member, MembershipNext};
 use crate::programs::{ProgramEvent, ProgramNext};
 use crate::queue::{QueueEvent, QueueNext};
 use crate::slices::{self, SliceEvent, SliceHost, SliceNext, TakeId};
@@ -36,7 +37,7 @@
             }
             Event::CallerGone(request) => self.on_caller_gone(request, out),
             Event::Peer { from, message } => self.on_peer(now, from, message, out),
-            Event::Unsent { to, message } => self.on_unsent(to, message, out),
+            Event::Unsent { to, message } => self.on_unsent(now, to, message, out),
             Event::PeerDown(host) => self.on_peer_down(host, out),
             Event::Platform { op, reply } => self.work.push_back(match op {
                 OpId::Lease(op) => Work::Lease(LeaseEvent::Platform { op, reply }),
@@ -80,6 +81,7 @@
         self.membership.wake(now, &mut next);
         self.on_membership(now, next, out);
         self.repeat_asks(now, out);
+        self.send_late_answers(now, out);
         self.extend_columns(now);
 
         let due = |at: Option<Instant>| at.is_some_and(|at| at <= now);
@@ -185,8 +187,8 @@
     fn on_tables(
         &mut self,
         now: Instant,
-        routes: Vec<(LeaseName, crate::leases::Holder)>,
-        hosts: Vec<crate::leases::rows::SessionRow>,
+        routes: Vec<(LeaseName, Holder)>,
+        hosts: Vec<SessionRow>,
         out: &mut Vec<Action>,
     ) {
         for (name, holder) in routes {
@@ -211,9 +213,7 @@
             }
             ConfigNext::Adopted(config) => {
                 self.adopted_at = now;
-                let tenant = |t: &camphorwalk_core::config::Tenant| {
-                    (camphorwalk_core::ids::TenantId::from_name(&t.name), t.name.clone())
-                };
+                let tenant = |t: &Tenant| (TenantId::from_name(&t.name), t.name.clone());
                 self.board.tenants = config.tenants.iter().map(tenant).collect();
                 self.board.config = Some(config.clone());
                 self.work.push_back(Work::Lease(LeaseEvent::Wanted(wanted(&config))));
@@ -293,7 +293,7 @@
     }
 
     fn on_alive_changed(&mut self, out: &mut Vec<Action>) {
-        let stays = |m: &&&crate::membership::Member| !m.leaving;
+        let stays = |m: &&&Member| !m.leaving;
         let alive = self.membership.alive();
         self.board.alive = alive.iter().filter(stays).map(|m| (m.host, m.zone)).collect();
 
@@ -323,19 +323,14 @@
     }
 
     /// Answers a caller of this host, once.
-    pub(super) fn answer_here(
-        &mut self,
-        request: camphorwalk_core::ids::RequestId,
-        reply: Reply,
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn answer_here(&mut self, request: RequestId, reply: Reply, out: &mut Vec<Action>) {
         if self.waiting.remove(&request).is_some() {
             out.push(Action::Answer { request, reply: Box::new(reply) });
         }
     }
 
     /// Notes that a caller waits for a host.
-    pub(super) fn wait_for(&mut self, request: camphorwalk_core::ids::RequestId, waiting: Waiting) {
+    pub(super) fn wait_for(&mut self, request: RequestId, waiting: Waiting) {
         self.waiting.insert(request, waiting);
     }
 }
