A key taken out of the declarations stops like a withdrawn one

Cause: found by reading: only keys withdrawn by name were told to the programs and checked at the home and before sending; one that a new configuration no longer has was refused at the door alone, so its waiting calls and streams went on, and an entry host that lagged could pass its requests on.

--- a/crates/node/src/auth.rs
+++ b/crates/node/src/auth.rs
@@ -24,11 +24,14 @@
 pub struct Keys {
     callers: Map<Digest, Caller>,
     withdrawn: Set<KeyId>,
+    /// Keys that an earlier configuration had and the one in force has not.
+    removed: Set<KeyId>,
 }
 
 impl Keys {
     /// Takes over the keys of a configuration; keys withdrawn before stay withdrawn.
     pub fn adopt(&mut self, config: &Config) {
+        self.removed.extend(self.callers.values().map(|caller| caller.key));
         self.callers.clear();
 
         for tenant in &config.tenants {
@@ -41,6 +44,7 @@
                         tenant_name: tenant_name.clone(),
                         key: KeyId::from_name(&key.id),
                     };
+                    self.removed.remove(&caller.key);
                     self.callers.insert(digest, caller);
                 }
             }
@@ -54,7 +58,7 @@
 
     /// Returns whether a key may be used, if it was good once.
     pub fn stands(&self, key: KeyId) -> bool {
-        !self.withdrawn.contains(&key)
+        !self.withdrawn.contains(&key) && !self.removed.contains(&key)
     }
 
     /// Returns whose key this secret is.
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use camphorwalk_core::config::Config;
+use camphorwalk_core::config::{Config, Tenant};
 use camphorwalk_core::hash::{Map, Set, rendezvous};
-use camphorwalk_core::ids::{HostId, PartitionId, PoolId, TenantId, ZoneId};
+use camphorwalk_core::ids::{HostId, KeyId, PartitionId, PoolId, TenantId, ZoneId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::ConfigVersion;
 
@@ -36,6 +36,8 @@
     pub versions: Map<HostId, ConfigVersion>,
     /// Until when this host's leases surely hold.
     pub leases_until: Instant,
+    /// Keys that an earlier configuration had and the one in force has not.
+    pub removed_keys: Set<KeyId>,
     /// Whether this host is leaving.
     pub leaving: bool,
     /// The tenants by id, for their names.
@@ -57,11 +59,28 @@
             sessions: Vec::new(),
             versions: Map::default(),
             leases_until: Instant::default(),
+            removed_keys: Set::default(),
             leaving: false,
             tenants: Map::default(),
         }
     }
 
+    /// Takes over a configuration; returns the keys that it no longer has, in order.
+    pub fn adopt(&mut self, config: &Arc<Config>) -> Vec<KeyId> {
+        let new = keys_of(config);
+        let old = self.config.as_deref().map(keys_of).unwrap_or_default();
+        let mut gone: Vec<_> = old.difference(&new).copied().collect();
+        gone.sort_unstable();
+
+        self.removed_keys.extend(&gone);
+        self.removed_keys.retain(|key| !new.contains(key));
+        let tenant = |t: &Tenant| (TenantId::from_name(&t.name), t.name.clone());
+        self.tenants = config.tenants.iter().map(tenant).collect();
+        self.config = Some(config.clone());
+
+        gone
+    }
+
     /// Returns the number of partitions, or 1 before a configuration is known.
     pub fn partitions(&self) -> u16 {
         self.config.as_ref().map_or(1, |cfg| cfg.fleet.partitions)
@@ -87,3 +106,9 @@
         rendezvous(pool.0, all).map_or(self.me, HostId)
     }
 }
+
+fn keys_of(config: &Config) -> Set<KeyId> {
+    let keys = config.tenants.iter().flat_map(|tenant| &tenant.keys);
+
+    keys.map(|key| KeyId::from_name(&key.id)).collect()
+}
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -193,8 +193,8 @@
             return self.answer(ticket, Reply::Refused(refusal), out);
         };
 
-        // The entry host may not have heard of a withdrawal yet.
-        if self.configs.is_withdrawn(key) {
+        // The entry host may not have heard of a withdrawal, or of a configuration, yet.
+        if self.configs.is_withdrawn(key) || self.board.removed_keys.contains(&key) {
             let refusal = Refusal::not_run(Code::Unauthorized, "the key is not accepted");
             return self.answer(ticket, Reply::Refused(refusal), out);
         }
--- a/crates/policy/src/scheduler/work.rs
+++ b/crates/policy/src/scheduler/work.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use camphorwalk_core::calls::{Code, Ran, Refusal, Reply};
-use camphorwalk_core::config::{Config, Tenant};
-use camphorwalk_core::ids::{Epoch, PartitionId, RequestId, TenantId, Ticket};
+use camphorwalk_core::config::Config;
+use camphorwalk_core::ids::{Epoch, PartitionId, RequestId, Ticket};
 use camphorwalk_core::messages::forward::Answer;
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
@@ -213,9 +213,11 @@
             }
             ConfigNext::Adopted(config) => {
                 self.adopted_at = now;
-                let tenant = |t: &Tenant| (TenantId::from_name(&t.name), t.name.clone());
-                self.board.tenants = config.tenants.iter().map(tenant).collect();
-                self.board.config = Some(config.clone());
+                // A key that is taken out of the declarations is withdrawn like one that is named:
+                // what waits or streams under it ends.
+                for key in self.board.adopt(&config) {
+                    self.work.push_back(Work::Program(ProgramEvent::KeyWithdrawn(key)));
+                }
                 self.work.push_back(Work::Lease(LeaseEvent::Wanted(wanted(&config))));
                 self.work.push_back(Work::Program(ProgramEvent::Config(config.clone())));
                 self.work.push_back(Work::Queue(QueueEvent::Config(config.clone())));
