A target that refuses connections is left alone

Seen: with one of two engines gone, 11 of 25 model turns of a program were served and the rest refused, although the other engine was idle. Cause: a refused connection was told to the queue as a place that was not used; the dead target then always looked idle and got each call first, until no retry was left. Ruled out: the retry budget, which rightly stops. Now it is told as a target that went away, which the queue leaves alone for a growing time.

--- a/crates/camphorwalk/tests/faults.rs
+++ b/crates/camphorwalk/tests/faults.rs
@@ -198,6 +198,29 @@
     assert_eq!(held, 1);
 }
 
+/// An engine's process is gone and its port refuses connections at once, so it always looks
+/// idle. Callers go on with turn after turn: the queue leaves it alone after the first refused
+/// connection, instead of sending each call there first until no retry is left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_refuses_connections_is_left_alone() {
+    let mut fleet = Fleet::start(&["a1", "b1"]).await;
+    let program = open_at(&fleet, 0).await;
+    let path = format!("{program}/calls");
+    fleet.engines[0].kill();
+
+    let mut served = 0;
+    for after in 0..25 {
+        let body = call_body(after, "model");
+        let key = format!("turn-{after}");
+        let client = caller(0);
+        let answer =
+            client.send(Method::POST, fleet.callers(0), &path, Some(&key), Some(&body)).await;
+        served += u32::from(answer.unwrap().status == 200);
+    }
+
+    assert_eq!(served, 25);
+}
+
 /// A host gets SIGTERM while it serves a stream and a deposit. Neither is cut: both callers
 /// get their whole answers, the host hands its leases back and ends by itself, and another
 /// host goes on with the program at once.
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -262,7 +262,7 @@
             // The last look before anything is sent: a key withdrawn meanwhile has no effect
             // at any target.
             let stands = read(&shared.keys).stands(dispatch.key);
-            let end = if stands { targets.run(dispatch).await } else { AttemptEnd::NotSent };
+            let end = if stands { targets.run(dispatch).await } else { key_withdrawn() };
             shared.metrics.attempts.with_label_values(&[end_label(&end)]).inc();
             shared.control.send(Event::Ended { attempt, end });
         });
@@ -413,6 +413,11 @@
     (since.as_secs() << 32) | u64::from(rand::rng().next_u32())
 }
 
+/// Returns the end of an attempt whose key was withdrawn before it was sent.
+fn key_withdrawn() -> AttemptEnd {
+    AttemptEnd::Refused { message: "its key was withdrawn".into() }
+}
+
 fn end_label(end: &AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Done { .. } => "done",
--- a/crates/node/src/targets.rs
+++ b/crates/node/src/targets.rs
@@ -7,14 +7,17 @@
 mod service;
 mod sse;
 
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
-use camphorwalk_core::config::{Config, TargetKind};
+use camphorwalk_core::config::{Config, Target, TargetKind};
 use camphorwalk_core::hash::{Map, Set};
 use camphorwalk_core::ids::{AttemptId, ProgramId, TargetId, Ticket};
 use camphorwalk_policy::wire::{AttemptEnd, Dispatch, Work};
+use futures::future::BoxFuture;
 use http::{Request, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper_util::client::legacy::Client;
@@ -35,9 +38,7 @@
 const LARGEST_ANSWER: usize = 16 << 20;
 
 /// Takes a part of a stream on towards its caller; returns whether it could.
-pub type SendPart = dyn Fn(Ticket, u32, String) -> std::pin::Pin<Box<dyn std::future::Future<Output = bool> + Send>>
-    + Send
-    + Sync;
+pub type SendPart = dyn Fn(Ticket, u32, String) -> BoxFuture<'static, bool> + Send + Sync;
 
 /// Where a target is.
 #[derive(Clone, Copy, Debug)]
@@ -45,7 +46,7 @@
     /// What it is.
     pub kind: TargetKind,
     /// Where it listens.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
 }
 
 /// Sends attempts to targets. Clones share everything.
@@ -84,7 +85,7 @@
 
     /// Takes over the targets of a configuration.
     pub fn adopt(&self, config: &Config) {
-        let address = |t: &camphorwalk_core::config::Target| {
+        let address = |t: &Target| {
             (TargetId::from_name(&t.name), TargetAddress { kind: t.kind, address: t.address })
         };
         let addresses = config.targets.iter().map(address).collect();
@@ -95,7 +96,8 @@
     /// Runs an attempt to its end.
     pub async fn run(&self, dispatch: Dispatch) -> AttemptEnd {
         let Some(target) = self.address(dispatch.target) else {
-            return AttemptEnd::NotSent;
+            let message = "it is not in the configuration of this host".into();
+            return AttemptEnd::Refused { message };
         };
         let cancel = CancellationToken::new();
         lock(&self.shared.running).insert(dispatch.attempt, cancel.clone());
@@ -114,7 +116,7 @@
         cancel: &CancellationToken,
     ) -> AttemptEnd {
         let timeout = dispatch.timeout;
-        let streamed = std::sync::atomic::AtomicBool::new(false);
+        let streamed = AtomicBool::new(false);
         let work = async {
             match &dispatch.work {
                 Work::Generate { prompt, max_tokens } => {
@@ -132,7 +134,7 @@
             end = work => end,
             () = cancel.cancelled() => AttemptEnd::Cancelled,
             () = tokio::time::sleep(timeout) => AttemptEnd::Lost {
-                streamed: streamed.load(std::sync::atomic::Ordering::Relaxed),
+                streamed: streamed.load(Ordering::Relaxed),
                 crashed: false,
             },
         }
@@ -217,6 +219,6 @@
     AttemptEnd::Lost { streamed: false, crashed: true }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/node/src/targets/service.rs
+++ b/crates/node/src/targets/service.rs
@@ -45,7 +45,7 @@
         input: &str,
     ) -> AttemptEnd {
         let Ok(input) = serde_json::from_str::<&RawValue>(input) else {
-            return AttemptEnd::NotSent;
+            return AttemptEnd::Refused { message: "the input is not JSON".into() };
         };
         let (program, call) = (dispatch.program, dispatch.number);
         let body = serde_json::to_vec(&Run { operation, key, program, call, input })
--- a/crates/policy/src/programs/attempts.rs
+++ b/crates/policy/src/programs/attempts.rs
@@ -33,7 +33,11 @@
 
         match end {
             AttemptEnd::Done { output, usage } => self.done(cx, id, output.into(), usage),
-            AttemptEnd::NotSent => self.not_run(cx, id, PlaceEndKind::NotSent, "it was not sent"),
+            // A target that refuses connections does so at once, and so always looks idle. Told
+            // as a place that was not used, each call would be sent there first.
+            AttemptEnd::NotSent => {
+                self.not_run(cx, id, PlaceEndKind::Crashed, "it cannot be reached");
+            }
             AttemptEnd::Refused { message } => {
                 self.not_run(cx, id, PlaceEndKind::Failed, &message);
             }
--- a/crates/policy/src/wire.rs
+++ b/crates/policy/src/wire.rs
@@ -143,7 +143,8 @@
         /// The tokens it took.
         usage: Usage,
     },
-    /// Not one byte of the request was sent, and none will be.
+    /// The target could not be connected to: not one byte of the request was sent, and none
+    /// will be.
     NotSent,
     /// The target answered that it did not run it (a full queue, a refusal).
     Refused {
