--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -255,7 +255,7 @@
     }
 
     fn dispatch(&self, dispatch: camphorwalk_policy::wire::Dispatch) {
-        let attempt = dispatch.attempt;
+        let (attempt, stream) = (dispatch.attempt, dispatch.stream);
         let (targets, shared) = (self.targets.clone(), self.shared.clone());
 
         tokio::spawn(async move {
@@ -263,6 +263,10 @@
             // at any target.
             let stands = read(&shared.keys).stands(dispatch.key);
             let end = if stands { targets.run(dispatch).await } else { key_withdrawn() };
+            // A cancelled attempt may be answered to nobody: what was counted for the answer goes.
+            if let (AttemptEnd::Cancelled, Some(ticket)) = (&end, stream) {
+                shared.streams.take_sent(ticket);
+            }
             shared.metrics.attempts.with_label_values(&[end_label(&end)]).inc();
             shared.control.send(Event::Ended { attempt, end });
         });
