--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -46,6 +46,26 @@
     },
 }
 
+impl Request {
+    /// Returns the program that it is about.
+    ///
+    /// ```
+    /// use camphorwalk_core::calls::Request;
+    /// use camphorwalk_core::ids::ProgramId;
+    /// assert_eq!(Request::End { program: ProgramId(7) }.program(), ProgramId(7));
+    /// ```
+    pub fn program(&self) -> ProgramId {
+        match self {
+            Self::Open(open) => open.program,
+            Self::Call(call) => call.program,
+            Self::View { program }
+            | Self::Outcome { program, .. }
+            | Self::History { program, .. }
+            | Self::End { program } => *program,
+        }
+    }
+}
+
 /// A request to open a program.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/policy/src/programs/requests.rs
+++ b/crates/policy/src/programs/requests.rs
@@ -28,7 +28,7 @@
 impl Programs {
     /// Takes in a request.
     pub(super) fn request(&mut self, cx: &mut Cx<'_>, asked: Asked) {
-        let program = program_of(&asked.request);
+        let program = asked.request.program();
 
         let Some(partition) = self.cfg.as_ref().map(|cfg| cfg.partition(program)) else {
             return self.refuse(cx, asked.ticket, answers::not_served(&asked.request));
@@ -177,18 +177,6 @@
     }
 }
 
-/// Returns the program that a request is about.
-pub(super) fn program_of(request: &Request) -> ProgramId {
-    match request {
-        Request::Open(open) => open.program,
-        Request::Call(call) => call.program,
-        Request::View { program }
-        | Request::Outcome { program, .. }
-        | Request::History { program, .. }
-        | Request::End { program } => *program,
-    }
-}
-
 /// Returns a call's output as its history shows it.
 fn output_text(outcome: &Recorded) -> Box<str> {
     match outcome {
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -51,7 +51,7 @@
         }
         self.choose_program(&mut body);
 
-        let partition = program_of(&body).partition(self.board.partitions());
+        let partition = body.program().partition(self.board.partitions());
         match self.home_of(partition) {
             Some(home) if home == self.board.me => {
                 let ticket = Ticket { entry: self.board.me, request };
@@ -256,15 +256,3 @@
         self.ask_again(now, host, out);
     }
 }
-
-/// Returns the program that a request is about.
-fn program_of(request: &Request) -> ProgramId {
-    match request {
-        Request::Open(open) => open.program,
-        Request::Call(call) => call.program,
-        Request::View { program }
-        | Request::Outcome { program, .. }
-        | Request::History { program, .. }
-        | Request::End { program } => *program,
-    }
-}
--- a/crates/policy/tests/scheduler_keys.rs
+++ b/crates/policy/tests/scheduler_keys.rs
@@ -1,5 +1,7 @@
 //! Keys that are taken out of the declarations.
 
+mod scheduler_support;
+
 use camphorwalk_core::calls::{Code, Reply, Request};
 use camphorwalk_core::config::Config;
 use camphorwalk_core::ids::{HostId, KeyId, ProgramId, TenantId};
@@ -7,22 +9,10 @@
 use camphorwalk_core::messages::gossip::Gossip;
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::scheduler::{Action, Event, Scheduler, SchedulerOptions, Times};
+use camphorwalk_policy::scheduler::{Action, Event, Scheduler};
+use scheduler_support::scheduler;
 use serde_json::json;
 
-fn scheduler() -> Scheduler {
-    Scheduler::new(SchedulerOptions {
-        host: "a1".into(),
-        zone: "a".into(),
-        peer_address: "127.0.0.1:1".parse().expect("an address"),
-        session: 1,
-        seal_key: [0; 32],
-        times: Times::default(),
-        read_config: |bytes| serde_json::from_slice(bytes).map_err(|e| e.to_string().into()),
-        write_config: |config| serde_json::to_vec(config).expect("plain data").into(),
-    })
-}
-
 /// Returns a version whose tenant has these keys, as a peer sends it.
 fn config(version: u64, keys: &[&str]) -> Event {
     let keys: Vec<_> = keys.iter().map(|id| json!({ "id": id, "sha256": "00" })).collect();
--- a/crates/policy/tests/scheduler_late_answers.rs
+++ b/crates/policy/tests/scheduler_late_answers.rs
@@ -1,23 +1,13 @@
 //! Answers that a home cannot send at once.
 
+mod scheduler_support;
+
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::forward::Answer;
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::scheduler::{Action, Event, Scheduler, SchedulerOptions, Times};
-
-fn scheduler() -> Scheduler {
-    Scheduler::new(SchedulerOptions {
-        host: "a1".into(),
-        zone: "a".into(),
-        peer_address: "127.0.0.1:1".parse().expect("an address"),
-        session: 1,
-        seal_key: [0; 32],
-        times: Times::default(),
-        read_config: |_| Err("none here".into()),
-        write_config: |_| Box::default(),
-    })
-}
+use camphorwalk_policy::scheduler::{Action, Event, Scheduler};
+use scheduler_support::scheduler;
 
 fn answer(request: u64) -> PeerMessage {
     Body::Answer(Answer { request, chunks: 2, body: "{}".into() }).into()
