--- a/crates/camphorwalk/src/commands/bench.rs
+++ b/crates/camphorwalk/src/commands/bench.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use serde::Serialize;
 
+use crate::bench::limits::LimitsOptions;
 use crate::exit::Exit;
 use crate::measure::control::{self, ControlOptions};
 use crate::measure::{memory, path};
@@ -26,6 +27,7 @@
 #[argh(subcommand)]
 enum What {
     Queues(Queues),
+    Limits(Limits),
     Path(Path),
     Control(Control),
     Memory(Memory),
@@ -49,6 +51,18 @@
     json: bool,
 }
 
+/// Compares lent slices with a static split and one leased counter for each tenant.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "limits")]
+struct Limits {
+    /// how many seeds; each scenario runs once with each
+    #[argh(option, default = "10")]
+    seeds: u64,
+    /// print JSON on one line
+    #[argh(switch)]
+    json: bool,
+}
+
 /// Measures what the path through a host adds to a call.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "path")]
@@ -114,6 +128,7 @@
     pub async fn run(self) -> Exit {
         match self.what {
             What::Queues(queues) => queues.run(),
+            What::Limits(limits) => limits.run(),
             What::Path(path) => path.run().await,
             What::Control(control) => control.run(),
             What::Memory(memory) => {
@@ -152,6 +167,18 @@
     }
 }
 
+impl Limits {
+    fn run(self) -> Exit {
+        if self.seeds == 0 {
+            return usage("--seeds: at least 1");
+        }
+
+        eprintln!("bench: runs {} seeds; this takes a while", self.seeds);
+        let options = LimitsOptions { seeds: self.seeds, ..LimitsOptions::default() };
+        print(&crate::bench::limits::run(options), self.json)
+    }
+}
+
 impl Path {
     async fn run(self) -> Exit {
         if self.calls > MOST_CALLS {
