Membership looks at its members when something can have changed; dead fields go

Cause, found by reading the whole change: wake() went over all members at each event of the host, of whatever kind. It now does so once the first of them can have gone silent or be forgotten, when one is found to be leaving, and after gossip as before. Also gone: a field of gossip that was always 0, a map of tenants' names and an accessor that nobody read.

--- a/crates/core/src/messages/gossip.rs
+++ b/crates/core/src/messages/gossip.rs
@@ -75,9 +75,6 @@
     /// Whether it is leaving.
     #[prost(bool, tag = "6")]
     pub leaving: bool,
-    /// The number of the last renewal of its session that the platform confirmed.
-    #[prost(uint64, tag = "7")]
-    pub renewal: u64,
 }
 
 /// Who holds a partition.
--- a/crates/policy/src/board.rs
+++ b/crates/policy/src/board.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use camphorwalk_core::config::{Config, Tenant};
+use camphorwalk_core::config::Config;
 use camphorwalk_core::hash::{Map, Set, rendezvous};
-use camphorwalk_core::ids::{HostId, KeyId, PartitionId, PoolId, TenantId, ZoneId};
+use camphorwalk_core::ids::{HostId, KeyId, PartitionId, PoolId, ZoneId};
 use camphorwalk_core::time::Instant;
 use camphorwalk_core::units::ConfigVersion;
 
@@ -40,8 +40,6 @@
     pub removed_keys: Set<KeyId>,
     /// Whether this host is leaving.
     pub leaving: bool,
-    /// The tenants by id, for their names.
-    pub tenants: Map<TenantId, Box<str>>,
 }
 
 impl Board {
@@ -61,7 +59,6 @@
             leases_until: Instant::default(),
             removed_keys: Set::default(),
             leaving: false,
-            tenants: Map::default(),
         }
     }
 
@@ -74,8 +71,6 @@
 
         self.removed_keys.extend(&gone);
         self.removed_keys.retain(|key| !new.contains(key));
-        let tenant = |t: &Tenant| (TenantId::from_name(&t.name), t.name.clone());
-        self.tenants = config.tenants.iter().map(tenant).collect();
         self.config = Some(config.clone());
 
         gone
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -102,7 +102,6 @@
             session: self.session,
             heartbeat: self.heartbeat,
             leaving: self.leaving,
-            renewal: 0,
         }
     }
 }
@@ -150,6 +149,9 @@
     sent: VecDeque<Instant>,
     leaving: bool,
     next: Instant,
+    /// Until when nobody goes silent for too long or is forgotten, unless something is heard.
+    /// Every event of the host asks for it, so that most need not look at all members.
+    next_look: Instant,
     /// Whether a host was found to be leaving since the last look.
     leaving_changed: bool,
 }
@@ -165,6 +167,7 @@
             sent: VecDeque::new(),
             leaving: false,
             next: Instant::default(),
+            next_look: Instant::default(),
             leaving_changed: false,
         }
     }
@@ -271,7 +274,9 @@
 
     /// Gossips, if it is time, and looks who has gone silent.
     pub fn wake(&mut self, now: Instant, out: &mut Vec<MembershipNext>) {
-        self.look(now, out);
+        if now > self.next_look || self.leaving_changed {
+            self.look(now, out);
+        }
         if now < self.next {
             return;
         }
@@ -327,11 +332,6 @@
         self.members.get(&host).is_some_and(|m| m.alive)
     }
 
-    /// Returns a host by its id.
-    pub fn member(&self, host: HostId) -> Option<&Member> {
-        self.members.get(&host)
-    }
-
     /// Finds out whose state changed since the last look.
     fn look(&mut self, now: Instant, out: &mut Vec<MembershipNext>) {
         let suspect_after = self.options.suspect_after;
@@ -350,6 +350,9 @@
 
         let forget_after = suspect_after * FORGET_FACTOR;
         self.members.retain(|_, m| m.heard.is_none_or(|at| now.since(at) <= forget_after));
+        let lasts =
+            |m: &Member| Some(m.heard? + if m.alive { suspect_after } else { forget_after });
+        self.next_look = self.members.values().filter_map(lasts).min().unwrap_or(Instant(u64::MAX));
         gone.sort_unstable();
         // What a gone host left undone is asked of another at once, so the choice among those
         // alive comes first: else the gone host would be asked again, and never answer.
@@ -442,7 +445,6 @@
             session: self.options.session,
             heartbeat: self.heartbeat,
             leaving: self.leaving,
-            renewal: 0,
         }
     }
 }
