Rename the store's client crate to camphorwalk-store

Cause: the users' platform needs an adapter folder of its own, platform/, and two folders of one name would be mistaken for each other. Before and after: names only; cargo check of the workspace passes on both.

--- a/crates/camphorwalk/src/lib.rs
+++ b/crates/camphorwalk/src/lib.rs
@@ -19,5 +19,5 @@
 pub use camphorwalk_declare as declare;
 pub use camphorwalk_node as node;
 pub use camphorwalk_peer as peer;
-pub use camphorwalk_platform as platform;
 pub use camphorwalk_policy as policy;
+pub use camphorwalk_store as platform;
--- a/crates/node/src/errors.rs
+++ b/crates/node/src/errors.rs
@@ -31,7 +31,7 @@
     },
     /// The client of the platform cannot be made.
     #[error("platform client: {0}")]
-    Platform(#[from] camphorwalk_platform::Error),
+    Platform(#[from] camphorwalk_store::Error),
     /// The peers cannot be started.
     #[error("peers: {0}")]
     Peers(#[from] camphorwalk_peer::Error),
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -9,10 +9,10 @@
 use camphorwalk_core::messages::forward::Chunk;
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_peer::{Inbound, PeerOptions, Peers, Secret};
-use camphorwalk_platform::{Client, ClientOptions};
 use camphorwalk_policy::configs::OperatorId;
 use camphorwalk_policy::scheduler::{Action, Event, OperatorReply, SchedulerOptions};
 use camphorwalk_policy::wire::AttemptEnd;
+use camphorwalk_store::{Client, ClientOptions};
 use rand::RngCore as _;
 use tokio::sync::{mpsc, oneshot, watch};
 
--- a/crates/platform/src/metrics.rs
+++ b/crates/store/src/metrics.rs
@@ -23,15 +23,15 @@
     /// Makes metrics that are not registered yet.
     pub(crate) fn new() -> prometheus::Result<Self> {
         let operations = Opts::new(
-            "camphorwalk_platform_operations_total",
+            "camphorwalk_store_operations_total",
             "Operations on the platform, by kind and outcome.",
         );
         let retries = Opts::new(
-            "camphorwalk_platform_retries_total",
+            "camphorwalk_store_retries_total",
             "Operations on the platform that were tried again, by kind.",
         );
         let seconds = HistogramOpts::new(
-            "camphorwalk_platform_operation_seconds",
+            "camphorwalk_store_operation_seconds",
             "How long operations on the platform took, in seconds, with all tries.",
         );
 
--- a/crates/platform/src/options.rs
+++ b/crates/store/src/options.rs
@@ -24,7 +24,7 @@
     /// Makes the options for the platform at `address`, with defaults for the rest.
     ///
     /// ```
-    /// use camphorwalk_platform::ClientOptions;
+    /// use camphorwalk_store::ClientOptions;
     /// let options = ClientOptions::new("127.0.0.1:9000".parse().unwrap(), "a");
     /// assert_eq!(options.retry.most_tries, 3);
     /// ```
--- a/crates/platform/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use camphorwalk_core::platform::{HostListing, ObjectName, PlatformOp, PlatformReply, RowVersion};
-use camphorwalk_platform::{Client, ClientOptions, Error, RetryOptions, ShareOptions};
 use camphorwalk_standin::platform::{Mode, ModeSetting};
+use camphorwalk_store::{Client, ClientOptions, Error, RetryOptions, ShareOptions};
 use prometheus::{Registry, TextEncoder};
 
 use support::{any_port, client, commit, key, options, plain, platform, row, witnessed};
--- a/crates/platform/tests/fuzz.rs
+++ b/crates/store/tests/fuzz.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, Row, Transaction, Write};
-use camphorwalk_platform::{Client, ClientOptions, RetryOptions};
 use camphorwalk_standin::Platform;
 use camphorwalk_standin::platform::{Mode, ModeSetting};
+use camphorwalk_store::{Client, ClientOptions, RetryOptions};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/crates/platform/tests/lost_answers.rs
+++ b/crates/store/tests/lost_answers.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use camphorwalk_core::platform::{Check, PlatformOp, PlatformReply, RowVersion, Transaction};
-use camphorwalk_platform::{Client, ClientOptions, RetryOptions};
 use camphorwalk_standin::platform::{Mode, ModeSetting};
+use camphorwalk_store::{Client, ClientOptions, RetryOptions};
 
 use support::{
     LATE, both, client, commit, impatient, key, next, options, plain, platform, row, witnessed,
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -8,9 +8,9 @@
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
 };
-use camphorwalk_platform::{Client, ClientOptions, RetryOptions, ShareOptions};
 use camphorwalk_standin::platform::{Mode, ModeSetting};
 use camphorwalk_standin::{Platform, PlatformOptions};
+use camphorwalk_store::{Client, ClientOptions, RetryOptions, ShareOptions};
 
 /// Long enough for any answer that comes at all.
 pub const PATIENT: Duration = Duration::from_secs(30);
