--- a/crates/camphorwalk/src/bin/camphorwalkd.rs
+++ b/crates/camphorwalk/src/bin/camphorwalkd.rs
@@ -13,12 +13,15 @@
 
 /// Runs an entry host. When it is ready to listen it prints one JSON line with its addresses.
 /// SIGTERM and SIGINT have it leave: it finishes what runs, hands back what it holds and ends.
+/// Without --settings it runs on the users' platform, whose settings file it finds by the
+/// environment.
 #[derive(FromArgs, Debug)]
 #[argh(example = "Check the settings:\n  {command_name} --settings a1.json --check")]
+#[argh(example = "Check the settings file that the platform wrote:\n  {command_name} --check")]
 struct Args {
     /// the settings, a JSON file
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
 
     /// read the settings, report every fault and end
     #[argh(switch)]
@@ -28,7 +31,11 @@
 fn main() -> ExitCode {
     let args: Args = camphorwalk::arguments::from_env();
 
-    let exit = match load(&args.settings) {
+    let Some(settings) = &args.settings else {
+        return camphorwalk::platform_host::main(args.check).into();
+    };
+
+    let exit = match load(settings) {
         Err(e) => {
             report(&e);
             Exit::Refused
--- a/crates/camphorwalk/src/lib.rs
+++ b/crates/camphorwalk/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod measure;
 pub mod operator;
 pub mod output;
+pub mod platform_host;
 
 pub use camphorwalk_bench as bench;
 pub use camphorwalk_core as core;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod calls;
 pub mod config;
+pub mod entry;
 pub mod errors;
 pub mod hash;
 pub mod ids;
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -4,6 +4,7 @@
 //! roll-out, hosts of two versions talk to each other. The messages of each part stand in
 //! a module of their own.
 
+pub mod entry;
 pub mod forward;
 pub mod gossip;
 pub mod live;
@@ -14,7 +15,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerMessage {
     /// The part it is for; `None` comes from a newer version and is passed over.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Body>,
 }
 
@@ -51,6 +52,12 @@
     /// Programs that are over.
     #[prost(message, tag = "10")]
     Over(live::Over),
+    /// What an entry host has under way.
+    #[prost(message, tag = "11")]
+    EntryNews(entry::EntryNews),
+    /// A manifest, for a host that has an older one.
+    #[prost(message, tag = "12")]
+    Manifest(entry::Manifest),
 }
 
 impl From<Body> for PeerMessage {
--- /dev/null
+++ b/crates/core/src/messages/entry.rs
@@ -0,0 +1,62 @@
+//! What entry hosts tell each other several times a second.
+
+/// What an entry host has under way.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct EntryNews {
+    /// What each tenant asks of the sender.
+    #[prost(message, repeated, tag = "1")]
+    pub demand: Vec<Demand>,
+    /// The calls that the sender has in flight at each target.
+    #[prost(message, repeated, tag = "2")]
+    pub in_flight: Vec<InFlight>,
+    /// The version of the manifest in force at the sender; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub manifest_version: u64,
+    /// Calls under which targets went down.
+    #[prost(message, repeated, tag = "4")]
+    pub crashes: Vec<CrashNews>,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+}
+
+/// A tenant's demand at one host.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Demand {
+    /// The tenant's name.
+    #[prost(string, tag = "1")]
+    pub tenant: String,
+    /// Calls a second.
+    #[prost(double, tag = "2")]
+    pub per_second: f64,
+}
+
+/// One host's calls in flight at a target.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct InFlight {
+    /// The target's id.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// The calls.
+    #[prost(uint32, tag = "2")]
+    pub calls: u32,
+}
+
+/// A call under which targets went down.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct CrashNews {
+    /// The call's fingerprint.
+    #[prost(fixed64, tag = "1")]
+    pub call: u64,
+    /// How many targets went down.
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+}
+
+/// A manifest as it lies in the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Manifest {
+    /// Its text.
+    #[prost(string, tag = "1")]
+    pub text: String,
+}
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -1,6 +1,8 @@
 //! The platform's services as the policy sees them: rows with versions, transactions,
 //! objects and the list of hosts.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
@@ -99,6 +101,27 @@
         /// The most rows to return.
         limit: u32,
     },
+    /// Reads a table's rows after the key `after`, with the version of the platform at which
+    /// they stand, so that changes can be followed from there. Answers: `Changes`,
+    /// `Unavailable`.
+    Snapshot {
+        /// The table.
+        table: Box<str>,
+        /// The last key already seen, or empty.
+        after: Box<str>,
+        /// The most rows to return.
+        limit: u32,
+    },
+    /// Reads what changed in a table after a version, waiting up to `wait` for a first change.
+    /// Answers: `Changes`, `HistoryGone`, `Unavailable`.
+    Changes {
+        /// The table.
+        table: Box<str>,
+        /// The last version already seen.
+        after: RowVersion,
+        /// How long the platform may wait for a change.
+        wait: Duration,
+    },
     /// Stores an object under the hash of its content. Answers: `Stored`, `Unavailable`,
     /// `Unknown`.
     PutObject(Box<[u8]>),
@@ -106,6 +129,17 @@
     GetObject(ObjectName),
 }
 
+/// What changed in a table.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TableChanges {
+    /// The rows written, with their newest content.
+    pub written: Vec<Row>,
+    /// The rows deleted.
+    pub deleted: Vec<RowKey>,
+    /// The newest version of the platform: the next question goes on from here.
+    pub version: RowVersion,
+}
+
 /// The answer to a [`PlatformOp`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlatformReply {
@@ -116,6 +150,10 @@
     Conflict(Vec<Row>),
     /// The rows read, in key order.
     Rows(Vec<Row>),
+    /// What changed in a table, in order.
+    Changes(TableChanges),
+    /// The platform no longer has the history that was asked for: the table is to be read whole.
+    HistoryGone,
     /// The object is stored.
     Stored(ObjectName),
     /// The object's content, checked against its name; `None` if it is not there.
--- /dev/null
+++ b/crates/entry/src/call.rs
@@ -0,0 +1,319 @@
+//! A caller's call, from its head to its answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use camphorwalk_adapter::head;
+use camphorwalk_core::entry::{CallHead, Route, Routing};
+use camphorwalk_core::hash::stable_hash;
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::crashes::Fingerprint;
+use camphorwalk_policy::entry::placement::Shape;
+use camphorwalk_policy::entry::rates::Admission;
+use camphorwalk_policy::entry::routes;
+use camphorwalk_policy::entry::waiting::Urgency;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+use tracing::info;
+
+use crate::answer::{Answer, Refusal, close_after};
+use crate::budget::{self, Hold};
+use crate::host::{OpenRequest, Shared};
+use crate::turns::{self, Continuation};
+use crate::{callers, clock, plain, stream};
+
+/// How long a call may take where neither the caller nor the route says.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How long a caller may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// When a caller is told to come back while no manifest is known yet.
+const NO_MANIFEST_RETRY: Duration = Duration::from_millis(400);
+
+/// A call on its way to a target.
+pub(crate) struct Call {
+    pub(crate) shared: Rc<Shared>,
+    pub(crate) head: CallHead,
+    pub(crate) method: Method,
+    /// The path and query as sent.
+    pub(crate) path: Box<str>,
+    /// The caller's headers.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    routing: Arc<Routing>,
+    route: usize,
+    pub(crate) tenant: Option<Box<str>>,
+    pub(crate) service: Box<str>,
+    /// When its head was read.
+    pub(crate) began: Instant,
+    /// When the caller or the route gives up.
+    pub(crate) deadline: Instant,
+    /// Whether a target may have run it.
+    pub(crate) may_have_run: Cell<bool>,
+    fingerprint: Fingerprint,
+    /// Held until the answer is whole.
+    pub(crate) open: Option<OpenRequest>,
+}
+
+impl Call {
+    /// Returns its route.
+    pub(crate) fn route(&self) -> &Route {
+        &self.routing.routes[self.route]
+    }
+
+    /// Returns the tokens that each event of its stream stands for.
+    pub(crate) fn tokens_per_event(&self) -> u64 {
+        let engine = self.routing.services.get(&self.service).and_then(|s| s.engine.as_ref());
+
+        engine.map_or(1, |engine| u64::from(engine.tokens_per_event))
+    }
+
+    /// Returns the name of the line of calls that are best served by one target.
+    fn line<'a>(head: &'a CallHead) -> &'a str {
+        let named = head.session.as_deref().or(head.affinity.as_deref());
+
+        named.unwrap_or(&head.request_id)
+    }
+
+    /// Returns what placement is told of it.
+    pub(crate) fn shape(&self) -> Shape {
+        let mut parts: Vec<_> = self.head.prefix.iter().map(|p| (p.id, p.tokens)).collect();
+
+        if parts.is_empty()
+            && let Some(object) = self.head.affinity.as_deref().filter(|_| self.route().sticky)
+        {
+            /// What a target saves that handled the object lately, in prompt tokens of the
+            /// same time: half of the mean work of such calls.
+            const WARM_TOKENS: u32 = 2_000;
+            parts.push((stable_hash(&[object.as_bytes()]), WARM_TOKENS));
+        }
+
+        Shape { parts, avoid: Vec::new() }
+    }
+
+    /// Returns how urgent it is.
+    pub(crate) fn urgency(&self) -> Urgency {
+        let is_new = self.route().repeat.is_stream()
+            && self.head.begins_line()
+            && !self.shared.places.is_under_way(self.head.program.as_deref());
+        let deadline = match self.head.program_deadline {
+            Some(left) => self.deadline.min(self.began + left),
+            None => self.deadline,
+        };
+
+        Urgency { is_new, rank: self.route().rank, deadline }
+    }
+
+    /// Returns what it is known by when it comes again.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint
+    }
+}
+
+/// Serves a request.
+pub(crate) async fn serve(shared: Rc<Shared>, req: Request<Incoming>) -> Answer {
+    let began = clock::now();
+    let open = shared.open();
+    let was_chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
+    let request_id = head_text(&req, "request-id");
+    let program = head_text(&req, "program-id");
+    let mut route = Box::from("none");
+
+    let result = attempt(&shared, req, began, open, &mut route).await;
+    let mut answer = match result {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            let after = refusal.retry_after.map(|after| after.as_millis() as u64);
+            info!(
+                request = %request_id, program = %program, route = %route,
+                status = refusal.status.as_u16(), reason = refusal.reason, retry_after_ms = after,
+                took_ms = clock::now().since(began).as_millis() as u64, "call: refused"
+            );
+            shared.metrics.refusals.with_label_values(&[refusal.reason]).inc();
+            refusal.answer(&request_id)
+        }
+    };
+
+    let status = answer.status();
+    shared.metrics.answers.with_label_values(&[&route, status.as_str()]).inc();
+    shared
+        .metrics
+        .latency
+        .with_label_values(&[&route])
+        .observe(clock::now().since(began).as_secs_f64());
+
+    // After a chunked body the library may have dropped a second length of the request, and
+    // what follows could be a request hidden in the body. Closing leaves it unread.
+    let rejected = matches!(
+        status,
+        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT
+    );
+    if was_chunked || rejected || shared.is_leaving() {
+        close_after(&mut answer);
+    }
+
+    answer
+}
+
+fn head_text(req: &Request<Incoming>, name: &str) -> Box<str> {
+    req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().into()
+}
+
+async fn attempt(
+    shared: &Rc<Shared>,
+    req: Request<Incoming>,
+    began: Instant,
+    open: OpenRequest,
+    route_name: &mut Box<str>,
+) -> Result<Answer, Refusal> {
+    let call = read(shared, req, began, open).await?;
+    *route_name = call.route().name.clone();
+    admit(&call)?;
+
+    let call = Rc::new(call);
+    let left = clock::until(call.deadline);
+    match timeout(left, forward(Rc::clone(&call))).await {
+        Ok(result) => result,
+        Err(_) => Err(Refusal::late(call.may_have_run.get())),
+    }
+}
+
+/// Reads a request, and finds its route and tenant.
+async fn read(
+    shared: &Rc<Shared>,
+    req: Request<Incoming>,
+    began: Instant,
+    open: OpenRequest,
+) -> Result<Call, Refusal> {
+    let (parts, body) = req.into_parts();
+
+    if parts.headers.contains_key(header::TRANSFER_ENCODING)
+        && parts.headers.contains_key(header::CONTENT_LENGTH)
+    {
+        return Err(Refusal::wrong(StatusCode::BAD_REQUEST, "two lengths of one body"));
+    }
+
+    let head = head::read_call(&parts.headers)
+        .map_err(|_| Refusal::wrong(StatusCode::BAD_REQUEST, "a header makes no sense"))?;
+    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+    let hostname = hostname(&parts.headers, &parts.uri);
+    let (routing, route) = find_route(shared, hostname, parts.uri.path())?;
+    let tenant = find_tenant(&routing, &routing.routes[route], &head)?;
+    let service = routes::service(&routing.routes[route], Call::line(&head))
+        .ok_or_else(|| Refusal::later("the route has no service", NO_MANIFEST_RETRY))?
+        .into();
+    let timeout = routing.routes[route].timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let deadline = began + head.deadline.unwrap_or(timeout).min(timeout);
+    let limits = callers::limits(shared);
+    let body = read_body(body, limits.body_bytes, clock::until(deadline)).await?;
+    let fingerprint = Fingerprint(stable_hash(&[
+        parts.method.as_str().as_bytes(),
+        path.as_bytes(),
+        tenant.as_deref().unwrap_or_default().as_bytes(),
+        &body,
+    ]));
+
+    Ok(Call {
+        shared: Rc::clone(shared),
+        method: parts.method,
+        path: path.into(),
+        headers: parts.headers,
+        body,
+        routing,
+        route,
+        tenant,
+        service,
+        began,
+        deadline,
+        may_have_run: Cell::new(false),
+        fingerprint,
+        open: Some(open),
+        head,
+    })
+}
+
+fn hostname<'a>(headers: &'a HeaderMap, uri: &'a http::Uri) -> &'a str {
+    let header = headers.get(header::HOST).and_then(|value| value.to_str().ok());
+
+    header.or(uri.host()).unwrap_or_default()
+}
+
+fn find_route(
+    shared: &Shared,
+    hostname: &str,
+    path: &str,
+) -> Result<(Arc<Routing>, usize), Refusal> {
+    let table = shared.routes.borrow();
+    let table = table
+        .as_ref()
+        .ok_or_else(|| Refusal::later("no manifest is known yet", NO_MANIFEST_RETRY))?;
+    let route = table
+        .find(hostname, path)
+        .ok_or_else(|| Refusal::wrong(StatusCode::NOT_FOUND, "no route for this path"))?;
+
+    Ok((Arc::clone(table.routing()), route))
+}
+
+fn find_tenant(
+    routing: &Routing,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<Box<str>>, Refusal> {
+    if route.public || routing.tenants.is_empty() {
+        return Ok(None);
+    }
+
+    let index = head.key.as_ref().and_then(|key| routing.keys.get(key));
+    let unknown = || Refusal::wrong(StatusCode::UNAUTHORIZED, "the key is not known");
+
+    index.map(|i| Some(routing.tenants[*i].name.clone())).ok_or_else(unknown)
+}
+
+async fn read_body(body: Incoming, most: usize, left: Duration) -> Result<Bytes, Refusal> {
+    let collected = timeout(left.min(BODY_TIMEOUT), Limited::new(body, most).collect()).await;
+
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Err(Refusal::wrong(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"))
+        }
+        Ok(Err(_)) => Err(Refusal::wrong(StatusCode::BAD_REQUEST, "the body cannot be read")),
+        Err(_) => Err(Refusal::wrong(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
+    }
+}
+
+/// Refuses what must not run: calls that bring targets down, and those over the tenant's rate.
+fn admit(call: &Call) -> Result<(), Refusal> {
+    if call.shared.crashes.borrow().is_barred(call.fingerprint) {
+        return Err(Refusal::wrong(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "targets went down under this call",
+        ));
+    }
+
+    let Some(tenant) = &call.tenant else { return Ok(()) };
+    match call.shared.rates.borrow_mut().admit(clock::now(), tenant) {
+        Admission::Admitted => Ok(()),
+        Admission::Refused(after) => Err(Refusal::over_rate(after)),
+    }
+}
+
+async fn forward(call: Rc<Call>) -> Result<Answer, Refusal> {
+    if !call.route().repeat.is_stream() {
+        return plain::forward(&call).await;
+    }
+
+    // The store is asked for the budget and for earlier turns at the same time.
+    let (hold, continuation) = tokio::join!(budget::hold(&call), turns::continuation(&call));
+    let hold: Option<Hold> = hold?;
+    let continuation: Continuation = continuation?;
+    call.shared.places.began(call.head.program.as_deref());
+
+    stream::forward(call, hold, continuation).await
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,81 @@
+//! Callers' connections.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::entry::CallLimits;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::errors::{Error, Result};
+use crate::host::Shared;
+use crate::{call, connections};
+
+/// The pause after a failed accept, mostly for want of descriptors.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The least buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8_192;
+
+/// What callers may send before a manifest is known.
+const FIRST_LIMITS: CallLimits = CallLimits {
+    head_bytes: 16_384,
+    body_bytes: 4 << 20,
+    head_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// Starts to take callers' connections.
+pub(crate) async fn start(shared: &Rc<Shared>) -> Result<()> {
+    let address = shared.settings.callers;
+    let listener = TcpListener::bind(address).await.map_err(|e| Error::listen(address, e))?;
+    let shared = Rc::clone(shared);
+
+    tokio::task::spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(serve(Rc::clone(&shared), stream));
+                }
+                Err(e) => {
+                    tracing::warn!(error = %e, "callers: accept failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+
+    Ok(())
+}
+
+/// Returns what callers may send.
+pub(crate) fn limits(shared: &Shared) -> CallLimits {
+    shared.routes.borrow().as_ref().map_or(FIRST_LIMITS, |table| table.routing().limits)
+}
+
+async fn serve(shared: Rc<Shared>, stream: TcpStream) {
+    connections::guard(&stream);
+    let limits = limits(&shared);
+    let service = {
+        let shared = Rc::clone(&shared);
+        service_fn(move |req| {
+            let shared = Rc::clone(&shared);
+            async move { Ok::<_, Infallible>(call::serve(shared, req).await) }
+        })
+    };
+    // The time for a head also bounds how long a connection stays unused, so it is the longer
+    // of the two.
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head_timeout.max(limits.idle_timeout))
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+
+    // A caller may go at any time; what ran for it is ended by the drop of its future.
+    if let Err(e) = connection.await {
+        tracing::trace!(error = %e, "callers: connection closed");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/fleet.rs
@@ -0,0 +1,339 @@
+//! The other hosts: who they are, by their rows in the store, and what they tell of themselves.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::messages::entry::{Demand, EntryNews, InFlight, Manifest};
+use camphorwalk_core::messages::{Body, PeerMessage};
+use camphorwalk_core::platform::{
+    Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
+};
+use camphorwalk_core::time::Instant;
+use camphorwalk_peer::{Inbound, PeerOptions, Peers, Secret};
+use rand::RngCore as _;
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use crate::host::Shared;
+use crate::{clock, places, watch};
+
+/// The table of hosts, each under its name.
+const HOSTS_TABLE: &str = "hosts";
+
+/// The table of what the fleet shares.
+const FLEET_TABLE: &str = "fleet";
+
+/// How often hosts tell each other what they have under way, in a small fleet. Calls take a
+/// fifth of a second; within this time no host can fill a target that others think idle.
+const LEAST_NEWS_PERIOD: Duration = Duration::from_millis(100);
+
+/// What each further host adds to that period, so that a host's messages stay under a few
+/// hundred a second at any size.
+const NEWS_PERIOD_PER_HOST: Duration = Duration::from_millis(5);
+
+/// How often a host writes its row, and reads those of the others.
+const BEAT_PERIOD: Duration = Duration::from_secs(5);
+
+/// A host whose row has not changed for this long is gone for good.
+const HOST_GONE: Duration = Duration::from_secs(40);
+
+/// A host that told nothing for this long has nothing in flight that counts.
+const SILENT: Duration = Duration::from_secs(2);
+
+/// The pause after a failed question to the store.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
+
+/// How many messages of other hosts wait.
+const INBOUND_BUFFER: usize = 1_024;
+
+/// A host's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct HostRow {
+    /// Where its peers reach it.
+    peers: SocketAddr,
+    zone: Box<str>,
+    /// The run of its process.
+    run: u64,
+    /// Counts up with each write.
+    beat: u64,
+}
+
+/// Another host, as its row shows it.
+struct Known {
+    version: RowVersion,
+    changed: Instant,
+    address: SocketAddr,
+}
+
+/// What is known of the fleet.
+pub(crate) struct Fleet {
+    name: Box<str>,
+    known: RefCell<Map<HostId, Known>>,
+    heard: RefCell<Map<HostId, Instant>>,
+    store_away: Cell<bool>,
+}
+
+impl Fleet {
+    /// Begins with no other hosts.
+    pub(crate) fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            known: RefCell::default(),
+            heard: RefCell::default(),
+            store_away: Cell::new(false),
+        }
+    }
+
+    /// Returns how many hosts there are, this one included.
+    pub(crate) fn size(&self) -> usize {
+        self.known.borrow().len() + 1
+    }
+
+    /// Takes in whether the store answered, and logs when that changes.
+    pub(crate) fn store_answered(&self, answered: bool) {
+        if self.store_away.replace(!answered) == answered {
+            match answered {
+                true => info!("store: answers again"),
+                false => warn!("store: does not answer"),
+            }
+        }
+    }
+
+    fn news_period(&self) -> Duration {
+        let hosts = u32::try_from(self.size()).unwrap_or(u32::MAX);
+
+        LEAST_NEWS_PERIOD.max(NEWS_PERIOD_PER_HOST.saturating_mul(hosts))
+    }
+}
+
+/// Starts to know the other hosts and to talk with them.
+pub(crate) fn start(shared: &Rc<Shared>) {
+    tokio::task::spawn_local(run(Rc::clone(shared)));
+}
+
+async fn run(shared: Rc<Shared>) {
+    let secret = secret(&shared).await;
+    let (tx, rx) = mpsc::channel(INBOUND_BUFFER);
+    let settings = &shared.settings;
+    let options = PeerOptions {
+        keepalive: Duration::from_millis(500),
+        silence_limit: SILENT,
+        connect_timeout: Duration::from_millis(500),
+        max_backoff: Duration::from_millis(400),
+        ..PeerOptions::new(settings.peers, &settings.name, &settings.zone, shared.run.0, secret)
+    };
+    let peers = match Peers::start(options, tx).await {
+        Ok(peers) => peers,
+        Err(e) => {
+            warn!(error = %e, "fleet: cannot listen for other hosts, goes on alone");
+            return;
+        }
+    };
+
+    tokio::task::spawn_local(beat(Rc::clone(&shared), peers.clone()));
+    tokio::task::spawn_local(hear(Rc::clone(&shared), peers.clone(), rx));
+    tell(shared, peers).await;
+}
+
+/// Gets the secret by which the hosts know each other. The first host of a fleet writes it.
+async fn secret(shared: &Shared) -> Secret {
+    let key = RowKey::new(FLEET_TABLE, "secret");
+
+    loop {
+        let mut bytes = [0; 32];
+        rand::rng().fill_bytes(&mut bytes);
+        let text: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        let reply = match shared.ask_store(PlatformOp::Read(vec![key.clone()])).await {
+            PlatformReply::Rows(rows) if rows.is_empty() => {
+                let tx = Transaction {
+                    checks: vec![Check { key: key.clone(), version: RowVersion::ABSENT }],
+                    writes: vec![Write { key: key.clone(), value: Some(text.into()) }],
+                };
+                shared.ask_store(PlatformOp::Commit(tx)).await;
+                continue;
+            }
+            reply => reply,
+        };
+
+        if let PlatformReply::Rows(rows) = reply
+            && let Some(secret) = rows.first().and_then(|row| Secret::from_hex(&row.value).ok())
+        {
+            return secret;
+        }
+        sleep(FAILED_PAUSE).await;
+    }
+}
+
+/// Writes this host's row and reads those of the others, again and again.
+async fn beat(shared: Rc<Shared>, peers: Peers) {
+    let mut beat = 0;
+
+    loop {
+        beat += 1;
+        let row = HostRow {
+            peers: shared.settings.peers,
+            zone: shared.settings.zone.clone(),
+            run: shared.run.0,
+            beat,
+        };
+        let key = RowKey::new(HOSTS_TABLE, shared.settings.name.clone());
+        let value = serde_json::to_string(&row).ok().map(Into::into);
+        let write = Transaction { checks: Vec::new(), writes: vec![Write { key, value }] };
+        shared.ask_store(PlatformOp::Commit(write)).await;
+
+        let op = PlatformOp::Scan {
+            table: HOSTS_TABLE.into(),
+            prefix: "".into(),
+            after: "".into(),
+            limit: 500,
+        };
+        let answered = match shared.ask_store(op).await {
+            PlatformReply::Rows(rows) => {
+                know(&shared, &peers, &rows);
+                true
+            }
+            _ => false,
+        };
+
+        // The first rounds are short: hosts start together, and each must know the others
+        // before it knows its share of the rates.
+        let pause = match answered {
+            true if beat > 4 => BEAT_PERIOD,
+            _ => FAILED_PAUSE,
+        };
+        sleep(pause).await;
+    }
+}
+
+/// Takes in the rows of all hosts.
+fn know(shared: &Rc<Shared>, peers: &Peers, rows: &[Row]) {
+    let now = clock::now();
+    let fleet = &shared.fleet;
+    let mut known = fleet.known.borrow_mut();
+
+    for row in rows.iter().filter(|row| row.key.key != fleet.name) {
+        let host = HostId::from_name(&row.key.key);
+        let content: HostRow = match serde_json::from_str(&row.value) {
+            Ok(content) => content,
+            Err(e) => {
+                warn!(host = %row.key.key, error = %e, "fleet: row passed over");
+                continue;
+            }
+        };
+        let changed = known.get(&host).is_none_or(|known| known.version != row.version);
+
+        if changed {
+            if known.get(&host).is_none_or(|known| known.address != content.peers) {
+                info!(host = %row.key.key, address = %content.peers, "fleet: host known");
+            }
+            let new = Known { version: row.version, changed: now, address: content.peers };
+            known.insert(host, new);
+            peers.set_address(host, content.peers);
+        }
+    }
+
+    known.retain(|host, known| {
+        let keep = now.since(known.changed) < HOST_GONE;
+        if !keep {
+            info!(address = %known.address, "fleet: host gone");
+            peers.forget(*host);
+        }
+        keep
+    });
+    shared.rates.borrow_mut().set_others(known.keys().copied().collect());
+}
+
+/// Tells the other hosts what is under way, again and again.
+async fn tell(shared: Rc<Shared>, peers: Peers) {
+    loop {
+        sleep(shared.fleet.news_period()).await;
+        shared.rates.borrow_mut().tick(clock::now());
+        forget_silent(&shared);
+
+        let news = news(&shared);
+        let hosts: Vec<_> = shared.fleet.known.borrow().keys().copied().collect();
+        for host in hosts {
+            // News that do not go out are told again in the next round.
+            peers.send(host, PeerMessage::from(Body::EntryNews(news.clone())));
+        }
+    }
+}
+
+fn news(shared: &Shared) -> EntryNews {
+    let rates = shared.rates.borrow();
+    let targets = shared.targets.borrow();
+    let demand = rates.demand();
+    let in_flight = targets.in_flight();
+
+    EntryNews {
+        demand: demand
+            .map(|(tenant, per_second)| Demand { tenant: tenant.into(), per_second })
+            .collect(),
+        in_flight: in_flight
+            .map(|(target, calls)| InFlight { target: target.into(), calls })
+            .collect(),
+        manifest_version: shared
+            .routes
+            .borrow()
+            .as_ref()
+            .map_or(0, |table| table.routing().version),
+        crashes: shared.crashes.borrow_mut().take_news(),
+        leaving: shared.is_leaving(),
+    }
+}
+
+/// What a silent host had in flight no longer counts.
+fn forget_silent(shared: &Rc<Shared>) {
+    let now = clock::now();
+    let silent: Vec<_> = {
+        let mut heard = shared.fleet.heard.borrow_mut();
+        heard.extract_if(|_, at| now.since(*at) > SILENT).map(|(host, _)| host).collect()
+    };
+
+    for host in silent {
+        info!(host = host.0, "fleet: host silent");
+        shared.targets.borrow_mut().hear(host, Map::default());
+    }
+}
+
+/// Takes in what other hosts tell.
+async fn hear(shared: Rc<Shared>, peers: Peers, mut rx: mpsc::Receiver<Inbound>) {
+    while let Some(inbound) = rx.recv().await {
+        let Inbound::Message { from, message } = inbound else { continue };
+
+        match message.body {
+            Some(Body::EntryNews(news)) => take_in(&shared, &peers, from, news),
+            Some(Body::Manifest(manifest)) => watch::adopt(&shared, &manifest.text, "peer"),
+            _ => {}
+        }
+    }
+}
+
+fn take_in(shared: &Rc<Shared>, peers: &Peers, from: HostId, news: EntryNews) {
+    let now = clock::now();
+    if shared.fleet.heard.borrow_mut().insert(from, now).is_none() {
+        info!(host = from.0, "fleet: host heard");
+    }
+
+    let demand = news.demand.into_iter().map(|d| (d.tenant.into(), d.per_second)).collect();
+    shared.rates.borrow_mut().hear(now, from, demand);
+    let in_flight = news.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
+    shared.targets.borrow_mut().hear(from, in_flight);
+    for crash in news.crashes {
+        shared.crashes.borrow_mut().hear(now, crash);
+    }
+
+    // A host that the store turns away learns the manifest from those that reach it.
+    let own = shared.routes.borrow().as_ref().map_or(0, |table| table.routing().version);
+    if news.manifest_version < own {
+        let text = shared.manifest_text.borrow().to_string();
+        peers.send(from, PeerMessage::from(Body::Manifest(Manifest { text })));
+    }
+    places::wake_all(shared);
+}
--- /dev/null
+++ b/crates/entry/src/host.rs
@@ -0,0 +1,211 @@
+//! A running entry host.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::entry::EntrySettings;
+use camphorwalk_core::platform::{PlatformOp, PlatformReply};
+use camphorwalk_policy::entry::budgets::{Budgets, RunId};
+use camphorwalk_policy::entry::crashes::Crashes;
+use camphorwalk_policy::entry::placement::Targets;
+use camphorwalk_policy::entry::rates::Rates;
+use camphorwalk_policy::entry::routes::RouteTable;
+use camphorwalk_policy::entry::turns::TurnCache;
+use camphorwalk_store::{Client, ClientOptions, RetryOptions, ShareOptions};
+use rand::RngCore as _;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout_at};
+use tracing::info;
+
+use crate::connections::Connections;
+use crate::errors::Result;
+use crate::fleet::Fleet;
+use crate::metrics::Metrics;
+use crate::places::Places;
+use crate::{callers, fleet, probes, turns, watch};
+
+/// How long one try of a call to the store may take. Its answers come within some
+/// milliseconds, and within a third of a second when it is slow.
+const STORE_DEADLINE: Duration = Duration::from_millis(800);
+
+/// The part of the store's rates that one host may use: no host needs more, and a host in
+/// disorder leaves the others the rest.
+const STORE_SHARE: f64 = 0.25;
+
+/// The part of the process's memory that turns at hand may take.
+const TURN_CACHE_PART: u64 = 6;
+
+/// How long a leaving host stays after the last call, so that the balancer, which asks each
+/// second and believes the second answer, has sent its new connections elsewhere.
+const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
+
+/// How long before the end of the grace period a leaving host ends, whatever still runs.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+
+/// What the parts of a host share.
+pub(crate) struct Shared {
+    pub(crate) settings: EntrySettings,
+    pub(crate) run: RunId,
+    pub(crate) store: Client,
+    pub(crate) routes: RefCell<Option<RouteTable>>,
+    /// The text of the manifest in force, for hosts that cannot reach the store.
+    pub(crate) manifest_text: RefCell<Box<str>>,
+    pub(crate) rates: RefCell<Rates>,
+    pub(crate) targets: RefCell<Targets>,
+    pub(crate) places: Places,
+    pub(crate) connections: Connections,
+    pub(crate) budgets: RefCell<Budgets>,
+    pub(crate) turns: RefCell<TurnCache>,
+    pub(crate) written: RefCell<turns::Written>,
+    pub(crate) crashes: RefCell<Crashes>,
+    pub(crate) fleet: Fleet,
+    pub(crate) metrics: Metrics,
+    leaving: Cell<bool>,
+    leaving_signal: Notify,
+    /// Requests that were read and are not answered.
+    open_requests: Cell<usize>,
+}
+
+impl Shared {
+    /// Returns whether the host takes new callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.leaving.get() && self.routes.borrow().is_some()
+    }
+
+    /// Returns whether the host was asked to end.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Waits until the host is asked to end.
+    pub(crate) async fn left(&self) {
+        while !self.leaving.get() {
+            self.leaving_signal.notified().await;
+        }
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn open(self: &Rc<Self>) -> OpenRequest {
+        self.open_requests.set(self.open_requests.get() + 1);
+
+        OpenRequest(Rc::clone(self))
+    }
+
+    /// Runs an operation on the store, and keeps count of how it fares.
+    pub(crate) async fn ask_store(&self, op: PlatformOp) -> PlatformReply {
+        let reply = self.store.run(op).await;
+        let answered = !matches!(reply, PlatformReply::Unavailable | PlatformReply::Unknown);
+        self.fleet.store_answered(answered);
+
+        reply
+    }
+}
+
+/// A request that was read and is not answered.
+pub(crate) struct OpenRequest(Rc<Shared>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+/// A running entry host.
+pub struct Host {
+    shared: Rc<Shared>,
+}
+
+impl Host {
+    /// Starts a host. Must be called within a `LocalSet` of tokio's current-thread runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be listened on.
+    pub async fn start(settings: EntrySettings) -> Result<Self> {
+        let metrics = Metrics::new()?;
+        let run = RunId(rand::rng().next_u64());
+        let store = store_client(&settings, run, &metrics)?;
+        let turn_bytes = usize::try_from(settings.memory_bytes / TURN_CACHE_PART).unwrap_or(0);
+        info!(
+            name = %settings.name, zone = %settings.zone, callers = %settings.callers,
+            run = format!("{:016x}", run.0), "host: started"
+        );
+
+        let shared = Rc::new(Shared {
+            run,
+            store,
+            routes: RefCell::default(),
+            manifest_text: RefCell::default(),
+            rates: RefCell::default(),
+            targets: RefCell::new(Targets::new(&settings.zone)),
+            places: Places::default(),
+            connections: Connections::default(),
+            budgets: RefCell::new(Budgets::new(run)),
+            turns: RefCell::new(TurnCache::new(turn_bytes)),
+            written: RefCell::default(),
+            crashes: RefCell::default(),
+            fleet: Fleet::new(&settings.name),
+            metrics,
+            leaving: Cell::new(false),
+            leaving_signal: Notify::new(),
+            open_requests: Cell::new(0),
+            settings,
+        });
+
+        probes::start(&shared).await?;
+        callers::start(&shared).await?;
+        watch::start(&shared);
+        fleet::start(&shared);
+        turns::start_sweeper(&shared);
+
+        Ok(Self { shared })
+    }
+
+    /// Takes in that the settings file was read anew. A process keeps its addresses; nothing
+    /// else of the settings changes while it runs.
+    pub fn reloaded(&self, settings: &EntrySettings) {
+        let same = *settings == self.shared.settings;
+        info!(same, "host: settings read again");
+    }
+
+    /// Leaves: says that it is not ready, serves what comes until callers have moved on, and
+    /// returns when nothing is open or the grace period is over.
+    pub async fn leave(&self) {
+        let shared = &self.shared;
+        shared.leaving.set(true);
+        shared.leaving_signal.notify_waiters();
+        info!(open = shared.open_requests.get(), "host: leaving");
+
+        let begun = Instant::now();
+        let end = begun + shared.settings.grace.saturating_sub(GRACE_MARGIN);
+        let done = async {
+            sleep(BALANCER_DELAY).await;
+            while shared.open_requests.get() > 0 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let finished = timeout_at(end, done).await.is_ok();
+
+        info!(finished, open = shared.open_requests.get(), "host: left");
+    }
+}
+
+fn store_client(settings: &EntrySettings, run: RunId, metrics: &Metrics) -> Result<Client> {
+    let limits = settings.store_limits;
+    let store = Client::new(ClientOptions {
+        deadline: STORE_DEADLINE,
+        retry: RetryOptions { saved: 20.0, ..RetryOptions::default() },
+        share: ShareOptions {
+            reads_per_second: limits.reads_per_second * STORE_SHARE,
+            writes_per_second: limits.writes_per_second * STORE_SHARE,
+            saved_seconds: 1.0,
+        },
+        seed: run.0,
+        dialect: camphorwalk_adapter::store::dialect(),
+        ..ClientOptions::new(settings.store, &settings.zone)
+    })?;
+    store.register(metrics.registry())?;
+
+    Ok(store)
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,31 @@
+//! An entry host on the users' platform: it takes any call of a caller, finds its route and
+//! target, and forwards it.
+//!
+//! Everything runs on one thread: a host has half a core or less, and a second thread would
+//! cost a switch for each call. Decisions are made by `camphorwalk_policy::entry`, which does no
+//! I/O; this crate carries them out.
+
+#![warn(rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod answer;
+mod budget;
+mod call;
+mod callers;
+pub mod clock;
+mod connections;
+pub mod errors;
+mod events;
+mod fleet;
+mod forward;
+mod host;
+mod metrics;
+mod places;
+mod plain;
+mod probes;
+mod stream;
+mod turns;
+mod watch;
+
+pub use errors::{Error, Result};
+pub use host::Host;
--- /dev/null
+++ b/crates/entry/src/places.rs
@@ -0,0 +1,235 @@
+//! Places at targets: a call gets one at once, or waits for one.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::hash::{Map, Set, stable_hash};
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::placement::{Choice, Outcome, Shape, TargetKey};
+use camphorwalk_policy::entry::waiting::{Urgency, WaiterId, Waiting};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tracing::info;
+
+use crate::answer::Refusal;
+use crate::clock;
+use crate::host::Shared;
+
+/// When a call that finds no target at all is told to come back, if nothing is known.
+const NOWHERE_RETRY: Duration = Duration::from_millis(300);
+
+/// The time that a call of a full service is told to stay away: the hold of one place.
+const FULL_RETRY: Duration = Duration::from_millis(250);
+
+struct Waiter {
+    shape: Shape,
+    tx: oneshot::Sender<TargetKey>,
+}
+
+/// The calls that wait at this host.
+#[derive(Default)]
+pub(crate) struct Places {
+    waiting: RefCell<Waiting>,
+    waiters: RefCell<Map<WaiterId, Waiter>>,
+    next: Cell<u64>,
+    /// Programs that have run something at this host, two generations of them.
+    under_way: RefCell<[Set<u64>; 2]>,
+}
+
+/// How many programs are remembered as under way, in each generation.
+const PROGRAMS_REMEMBERED: usize = 8_192;
+
+impl Places {
+    /// Takes in that a program runs a turn here.
+    pub(crate) fn began(&self, program: Option<&str>) {
+        let Some(program) = program else { return };
+        let mut under_way = self.under_way.borrow_mut();
+        under_way[0].insert(stable_hash(&[program.as_bytes()]));
+
+        if under_way[0].len() >= PROGRAMS_REMEMBERED {
+            under_way.swap(0, 1);
+            under_way[0].clear();
+        }
+    }
+
+    /// Returns whether a program has run something at this host.
+    pub(crate) fn is_under_way(&self, program: Option<&str>) -> bool {
+        let Some(program) = program else { return false };
+        let program = stable_hash(&[program.as_bytes()]);
+
+        self.under_way.borrow().iter().any(|programs| programs.contains(&program))
+    }
+}
+
+/// A place at a target. Dropped without an outcome it counts as left by its caller.
+pub(crate) struct Place {
+    shared: Rc<Shared>,
+    /// The target.
+    pub(crate) key: TargetKey,
+    service: Box<str>,
+    taken: Instant,
+    ended: bool,
+}
+
+impl Place {
+    fn new(shared: &Rc<Shared>, service: &str, key: TargetKey) -> Self {
+        let taken = clock::now();
+
+        Self { shared: Rc::clone(shared), key, service: service.into(), taken, ended: false }
+    }
+
+    /// Ends the call at its target.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.finish(outcome);
+    }
+
+    /// Ends the call with a whole answer.
+    pub(crate) fn answered(self) {
+        let held = clock::now().since(self.taken);
+        self.end(Outcome::Answered(held));
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        self.ended = true;
+        let ejected = self.shared.targets.borrow_mut().ended(clock::now(), self.key, outcome);
+
+        if ejected {
+            let targets = self.shared.targets.borrow();
+            let id = targets.get(self.key).map(|t| &*t.entry.id);
+            info!(target_id = id, "place: target ejected after failures");
+            self.shared.metrics.ejections.inc();
+        }
+
+        wake(&self.shared, &self.service);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.finish(Outcome::Left);
+        }
+    }
+}
+
+/// A waiting call; dropping it takes it out of the queue.
+struct Queued<'a> {
+    shared: &'a Rc<Shared>,
+    service: &'a str,
+    urgency: Urgency,
+    id: WaiterId,
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        let places = &self.shared.places;
+        places.waiting.borrow_mut().remove(self.service, self.urgency, self.id);
+        places.waiters.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Gets a place at a target of a service, waiting for one until the urgency's deadline.
+pub(crate) async fn take(
+    shared: &Rc<Shared>,
+    service: &str,
+    shape: &Shape,
+    urgency: Urgency,
+) -> Result<Place, Refusal> {
+    let now = clock::now();
+    let nobody_waits = shared.places.waiting.borrow().is_empty(service);
+    let choice = shared.targets.borrow().choose(now, service, shape);
+
+    match choice {
+        Choice::Target(key) if nobody_waits => {
+            shared.targets.borrow_mut().sent(key, shape);
+            return Ok(Place::new(shared, service, key));
+        }
+        Choice::Nowhere => return Err(nowhere(shared, service)),
+        Choice::Target(_) | Choice::Full => {}
+    }
+
+    let places = f64::from(shared.targets.borrow().capacity(now, service).0)
+        / shared.fleet.size().max(1) as f64;
+    if urgency.is_new && !shared.places.waiting.borrow().takes_new(service, places) {
+        return Err(Refusal::later("all targets are full", FULL_RETRY));
+    }
+
+    wait(shared, service, shape, urgency).await
+}
+
+/// Takes a place at a target that a call was at before, whatever waits for it: the call held
+/// its slot until now.
+pub(crate) fn same(shared: &Rc<Shared>, service: &str, key: TargetKey, shape: &Shape) -> Place {
+    shared.targets.borrow_mut().sent(key, shape);
+
+    Place::new(shared, service, key)
+}
+
+async fn wait(
+    shared: &Rc<Shared>,
+    service: &str,
+    shape: &Shape,
+    urgency: Urgency,
+) -> Result<Place, Refusal> {
+    let places = &shared.places;
+    let id = WaiterId(places.next.get());
+    places.next.set(id.0 + 1);
+    let (tx, rx) = oneshot::channel();
+
+    places.waiters.borrow_mut().insert(id, Waiter { shape: shape.clone(), tx });
+    places.waiting.borrow_mut().push(service, urgency, id);
+    let queued = Queued { shared, service, urgency, id };
+    shared.metrics.waited.inc();
+    wake(shared, service);
+
+    let granted = timeout(clock::until(urgency.deadline), rx).await;
+    drop(queued);
+
+    match granted {
+        Ok(Ok(key)) => Ok(Place::new(shared, service, key)),
+        Ok(Err(_)) => Err(nowhere(shared, service)),
+        Err(_) => Err(Refusal::late(false)),
+    }
+}
+
+/// Gives free places of a service to the calls that wait, in their order.
+pub(crate) fn wake(shared: &Rc<Shared>, service: &str) {
+    loop {
+        let places = &shared.places;
+        let Some(id) = places.waiting.borrow().first(service) else { return };
+        let choice = {
+            let waiters = places.waiters.borrow();
+            let Some(waiter) = waiters.get(&id) else { return };
+            shared.targets.borrow().choose(clock::now(), service, &waiter.shape)
+        };
+
+        if choice == Choice::Full {
+            return;
+        }
+
+        places.waiting.borrow_mut().remove_first(service);
+        let Some(waiter) = places.waiters.borrow_mut().remove(&id) else { continue };
+
+        // Dropping the sender of a call that has nowhere to go tells it so.
+        let Choice::Target(key) = choice else { continue };
+        shared.targets.borrow_mut().sent(key, &waiter.shape);
+
+        if waiter.tx.send(key).is_err() {
+            shared.targets.borrow_mut().ended(clock::now(), key, Outcome::Left);
+        }
+    }
+}
+
+/// Gives free places of all services.
+pub(crate) fn wake_all(shared: &Rc<Shared>) {
+    let services = shared.places.waiting.borrow().services();
+
+    services.iter().for_each(|service| wake(shared, service));
+}
+
+fn nowhere(shared: &Shared, service: &str) -> Refusal {
+    let back = shared.targets.borrow().next_return(clock::now(), service);
+
+    Refusal::later("no target can be reached", back.unwrap_or(NOWHERE_RETRY).max(Duration::from_millis(50)))
+}
--- /dev/null
+++ b/crates/entry/src/probes.rs
@@ -0,0 +1,67 @@
+//! What the platform asks of a host: whether it is ready, and its metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use camphorwalk_adapter::paths;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::errors::{Error, Result};
+use crate::host::Shared;
+
+/// Starts to answer at the addresses of the settings.
+pub(crate) async fn start(shared: &Rc<Shared>) -> Result<()> {
+    listen(shared, shared.settings.ready).await?;
+    listen(shared, shared.settings.metrics).await
+}
+
+async fn listen(shared: &Rc<Shared>, address: SocketAddr) -> Result<()> {
+    let listener = TcpListener::bind(address).await.map_err(|e| Error::listen(address, e))?;
+    let shared = Rc::clone(shared);
+
+    tokio::task::spawn_local(async move {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    tracing::warn!(error = %e, "probe: accept failed");
+                    tokio::time::sleep(crate::callers::ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let shared = Rc::clone(&shared);
+            let service = service_fn(move |req| {
+                let answer = answer(&shared, &req);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+
+            tokio::task::spawn_local(async move {
+                // Whoever asks may hang up at any time.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+
+    Ok(())
+}
+
+fn answer(shared: &Shared, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, body) = match req.uri().path() {
+        paths::READY if shared.is_ready() => (StatusCode::OK, Bytes::new()),
+        paths::READY => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        paths::METRICS => (StatusCode::OK, shared.metrics.text().into()),
+        _ => (StatusCode::NOT_FOUND, Bytes::new()),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+
+    response
+}
--- /dev/null
+++ b/crates/entry/src/turns.rs
@@ -0,0 +1,232 @@
+//! Turns that can be continued: each is a row of the store, written before the end of its
+//! answer is passed on.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use camphorwalk_core::platform::{
+    Check, PlatformOp, PlatformReply, RowKey, RowVersion, Transaction, Write,
+};
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::turns::{Turn, TurnKey};
+use futures::future::try_join_all;
+use http::StatusCode;
+use tracing::{info, warn};
+
+use crate::answer::Refusal;
+use crate::call::Call;
+use crate::clock;
+use crate::host::Shared;
+
+/// The table of turns.
+const TABLE: &str = "turns";
+
+/// When a caller is told to come back while it cannot be told whether a turn exists.
+const UNSURE_RETRY: Duration = Duration::from_millis(300);
+
+/// How much longer than its retention a turn's row stays, so that a turn that was read just
+/// before is still there when it is used.
+const SWEEP_MARGIN: Duration = Duration::from_secs(30);
+
+/// How often rows that are past their time are deleted.
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+
+/// The most rows that one transaction deletes.
+const SWEEP_BATCH: usize = 50;
+
+/// What a turn continues from.
+#[derive(Clone, Default)]
+pub(crate) struct Continuation {
+    /// The earlier turns, the oldest first.
+    earlier: Vec<Rc<Turn>>,
+    /// Their names.
+    line: Vec<TurnKey>,
+}
+
+impl Continuation {
+    /// Returns the whole prompt: what was said before and the new input.
+    pub(crate) fn body(&self, input: &Bytes) -> Bytes {
+        if self.earlier.is_empty() {
+            return input.clone();
+        }
+
+        let mut body = BytesMut::new();
+        self.earlier.iter().for_each(|turn| body.extend_from_slice(turn.said()));
+        body.extend_from_slice(input);
+        body.freeze()
+    }
+}
+
+/// The rows that this host wrote, in the order of their writing.
+#[derive(Default)]
+pub(crate) struct Written {
+    rows: VecDeque<(Instant, TurnKey)>,
+}
+
+/// Finds the turns that a call continues from.
+pub(crate) async fn continuation(call: &Call) -> Result<Continuation, Refusal> {
+    let Some(previous) = call.head.previous.as_deref().filter(|_| call.route().keeps.is_some())
+    else {
+        return Ok(Continuation::default());
+    };
+    let shared = &call.shared;
+    let key = TurnKey::new(call.tenant.as_deref().unwrap_or_default(), previous);
+    let last = read(shared, key).await?.ok_or_else(|| {
+        info!(request = %call.head.request_id, previous, "turn: no such turn");
+        Refusal::wrong(StatusCode::NOT_FOUND, "there is no such turn")
+    })?;
+
+    let earlier = last.line.iter().map(|key| async move {
+        // A turn's row is written after those of the turns before it, and deleted after them
+        // at the earliest when none may be continued any more.
+        read(shared, *key).await?.ok_or_else(unsure)
+    });
+    let mut earlier = try_join_all(earlier).await?;
+    let line = last.line_with(key);
+    earlier.push(last);
+
+    Ok(Continuation { earlier, line })
+}
+
+/// Reads a turn; `None` if there is certainly none.
+async fn read(shared: &Shared, key: TurnKey) -> Result<Option<Rc<Turn>>, Refusal> {
+    if let Some(turn) = shared.turns.borrow().get(key) {
+        return Ok(Some(turn));
+    }
+
+    shared.metrics.turn_reads.inc();
+    let rows = match shared.ask_store(PlatformOp::Read(vec![row_key(key)])).await {
+        PlatformReply::Rows(rows) => rows,
+        _ => return Err(unsure()),
+    };
+    let Some(row) = rows.first() else { return Ok(None) };
+    let turn: Turn = serde_json::from_str(&row.value).map_err(|e| {
+        warn!(turn = %row.key.key, error = %e, "turn: row not understood");
+        unsure()
+    })?;
+    let turn = Rc::new(turn);
+    shared.turns.borrow_mut().put(key, Rc::clone(&turn));
+
+    Ok(Some(turn))
+}
+
+/// Keeps a turn whose stream has ended, if its route keeps turns. Until then its end may not be
+/// passed on: the caller could continue it at another host, or after all hosts lost power.
+pub(crate) async fn keep(
+    call: &Call,
+    continuation: &Continuation,
+    said: Vec<u8>,
+) -> Result<(), &'static str> {
+    if call.route().keeps.is_none() {
+        return Ok(());
+    }
+
+    let shared = &call.shared;
+    let key = TurnKey::new(call.tenant.as_deref().unwrap_or_default(), &call.head.request_id);
+    let mut text = call.body.to_vec();
+    text.extend_from_slice(&said);
+    let turn = Turn::new(continuation.line.clone(), text);
+    let value = serde_json::to_string(&turn).map_err(|_| "the turn cannot be written")?;
+    let row = row_key(key);
+    let reply = shared
+        .ask_store(PlatformOp::Commit(Transaction {
+            checks: vec![Check { key: row.clone(), version: RowVersion::ABSENT }],
+            writes: vec![Write { key: row, value: Some(value.into()) }],
+        }))
+        .await;
+
+    match reply {
+        PlatformReply::Committed(_) => {
+            shared.turns.borrow_mut().put(key, Rc::new(turn));
+            shared.written.borrow_mut().rows.push_back((clock::now(), key));
+            Ok(())
+        }
+        PlatformReply::Conflict(_) => Err("another turn has this id"),
+        _ => Err("the store did not take the turn"),
+    }
+}
+
+/// Starts to delete the rows of turns that can no longer be continued.
+pub(crate) fn start_sweeper(shared: &Rc<Shared>) {
+    let shared = Rc::clone(shared);
+
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(SWEEP_PERIOD).await;
+            sweep(&shared).await;
+        }
+    });
+}
+
+async fn sweep(shared: &Shared) {
+    let Some(retention) = longest_retention(shared) else { return };
+
+    // Budgets are needed for as long as a program may return, which is as long as its turns
+    // are kept.
+    let old = shared.budgets.borrow_mut().forget(clock::now(), retention + SWEEP_MARGIN);
+    for (program, version) in old {
+        let key = crate::budget::row_key(program);
+        delete(shared, vec![Check { key: key.clone(), version }], vec![key]).await;
+    }
+
+    loop {
+        let batch = past_retention(shared, retention + SWEEP_MARGIN);
+        if batch.is_empty() {
+            return;
+        }
+        delete(shared, Vec::new(), batch).await;
+    }
+}
+
+/// Takes out the oldest rows that lie in one part of the store.
+fn past_retention(shared: &Shared, age: Duration) -> Vec<RowKey> {
+    let now = clock::now();
+    let mut written = shared.written.borrow_mut();
+    let old = written.rows.iter().take_while(|(at, _)| now.since(*at) > age).count();
+    let Some((_, first)) = written.rows.front().copied().filter(|_| old > 0) else {
+        return Vec::new();
+    };
+    let part = |key: TurnKey| key.0 % camphorwalk_policy::entry::turns::PARTS;
+    let mut batch = Vec::new();
+    let mut left = VecDeque::new();
+
+    for (at, key) in written.rows.drain(..old) {
+        match part(key) == part(first) && batch.len() < SWEEP_BATCH {
+            true => batch.push(row_key(key)),
+            false => left.push_back((at, key)),
+        }
+    }
+    left.extend(written.rows.drain(..));
+    written.rows = left;
+
+    batch
+}
+
+/// Deletes rows. What fails is left lying: it does no harm, and the host that reads it finds a
+/// turn that was true.
+async fn delete(shared: &Shared, checks: Vec<Check>, keys: Vec<RowKey>) {
+    let rows = keys.len();
+    let writes = keys.into_iter().map(|key| Write { key, value: None }).collect();
+    let reply = shared.ask_store(PlatformOp::Commit(Transaction { checks, writes })).await;
+
+    if !matches!(reply, PlatformReply::Committed(_)) {
+        info!(rows, "turn: old rows not deleted");
+    }
+}
+
+fn longest_retention(shared: &Shared) -> Option<Duration> {
+    let table = shared.routes.borrow();
+    let routes = table.as_ref()?.routing().routes.iter();
+
+    routes.filter_map(|route| route.keeps).map(|keeps| keeps.retention).max()
+}
+
+fn row_key(key: TurnKey) -> RowKey {
+    RowKey::new(TABLE, key.row())
+}
+
+fn unsure() -> Refusal {
+    Refusal::later("it cannot be told whether the turn exists", UNSURE_RETRY)
+}
--- /dev/null
+++ b/crates/policy/src/entry.rs
@@ -0,0 +1,10 @@
+//! The decisions about calls that an entry host forwards: which route and target, whose rate,
+//! which budget, who waits, and what is kept of a turn.
+
+pub mod budgets;
+pub mod crashes;
+pub mod placement;
+pub mod rates;
+pub mod routes;
+pub mod turns;
+pub mod waiting;
--- /dev/null
+++ b/crates/policy/src/entry/placement.rs
@@ -0,0 +1,365 @@
+//! Which target gets a call.
+//!
+//! A host knows what it sent itself, and several times a second hears what the others have in
+//! flight at each target. From that it estimates for each target how long the call would take
+//! there: the prompt parts that are not cached, the generation at the target's own speed, and
+//! the wait behind what is in flight beyond its slots.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use camphorwalk_core::entry::{TargetEntry, TargetState};
+use camphorwalk_core::hash::{Map, Set};
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::time::Instant;
+use slotmap::SlotMap;
+
+slotmap::new_key_type! {
+    /// A run of a target, as this host knows it.
+    pub struct TargetKey;
+}
+
+/// The prompt tokens that an engine reads in a millisecond, by the users' sheets.
+const PROMPT_TOKENS_PER_MS: f64 = 76.8;
+
+/// How long a generation holds its slot before anything was measured: seven events of eleven
+/// tokens at 2.62 ms, by the users' sheets.
+const FIRST_HOLD_MS: f64 = 200.0;
+
+/// What a target in another availability zone costs more, in milliseconds: the way there and
+/// back, and the price of the bytes.
+const FAR_MS: f64 = 4.0;
+
+/// What one call in flight within the slots adds, in milliseconds: engines slow down a little
+/// with each.
+const SHARED_MS: f64 = 1.5;
+
+/// How many calls beyond its slots a target may have before calls wait at the hosts. A few keep
+/// a slot from standing idle between two calls; more would wait in the order of their arrival
+/// instead of that of their rank.
+const QUEUED_AT_TARGET: u32 = 2;
+
+/// After so many failures in a row a target gets no calls for a while.
+const FAILURES_TO_EJECT: u32 = 2;
+
+/// How long a target gets no calls after it failed, the first time and at most. A target that
+/// crashed is back after some seconds.
+const FIRST_EJECTION: Duration = Duration::from_millis(500);
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+
+/// How many prompt parts are remembered for each target.
+const PARTS_REMEMBERED: usize = 4_096;
+
+/// The weight of a new measurement of a target's speed.
+const SPEED_WEIGHT: f64 = 0.15;
+
+/// A target as this host sees it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What it says of itself.
+    pub entry: TargetEntry,
+    /// Whether its entry is gone or says that it leaves: it gets nothing new.
+    pub leaving: bool,
+    /// Calls of this host in flight.
+    own: u32,
+    /// Calls of the other hosts in flight, as they last told.
+    others: u32,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+    /// The mean time that a call holds a slot, in milliseconds.
+    hold_ms: f64,
+    /// Prompt parts that were read here, two generations of them.
+    parts: [Set<u64>; 2],
+}
+
+/// What is asked of a target.
+#[derive(Clone, Debug, Default)]
+pub struct Shape {
+    /// The prompt parts and their tokens, in order.
+    pub parts: Vec<(u64, u32)>,
+    /// Targets that the call was sent to already.
+    pub avoid: Vec<TargetKey>,
+}
+
+/// Where a call goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// To this target.
+    Target(TargetKey),
+    /// All that could take it are full: it waits.
+    Full,
+    /// No target of the service can be used.
+    Nowhere,
+}
+
+/// How a call at a target ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    /// It answered, after the call held its slot this long.
+    Answered(Duration),
+    /// It refused the call without running it: it is full.
+    Shed,
+    /// The connection failed, or nothing came in time.
+    Failed,
+    /// The call ended for reasons of its own: the caller left.
+    Left,
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub struct Targets {
+    targets: SlotMap<TargetKey, Target>,
+    by_id: Map<Box<str>, TargetKey>,
+    by_service: Map<Box<str>, Vec<TargetKey>>,
+    zone: Box<str>,
+    told: Map<HostId, Map<Box<str>, u32>>,
+}
+
+impl Targets {
+    /// Begins with no targets; `zone` is the host's own.
+    pub fn new(zone: &str) -> Self {
+        Self { zone: zone.into(), ..Self::default() }
+    }
+
+    /// Returns a target.
+    pub fn get(&self, key: TargetKey) -> Option<&Target> {
+        self.targets.get(key)
+    }
+
+    /// Returns the target with this id.
+    pub fn by_id(&self, id: &str) -> Option<&Target> {
+        self.targets.get(*self.by_id.get(id)?)
+    }
+
+    /// Returns the targets of a service that may get calls.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+
+        keys.filter_map(|key| Some((*key, self.targets.get(*key)?))).filter(|(_, t)| !t.leaving)
+    }
+
+    /// Takes in an entry; returns the key of a former run whose connections are to be closed.
+    pub fn put(&mut self, entry: TargetEntry) -> Option<TargetKey> {
+        let leaving = entry.state == TargetState::Draining;
+
+        if let Some(key) = self.by_id.get(&entry.id).copied() {
+            let known = &mut self.targets[key];
+            let is_same_run = known.entry.born == entry.born && known.entry.address == entry.address;
+
+            if is_same_run {
+                let moved = known.entry.service != entry.service;
+                known.entry = entry;
+                known.leaving = leaving;
+                if moved {
+                    self.index();
+                }
+                return None;
+            }
+
+            self.remove(key);
+            self.insert(entry, leaving);
+            return Some(key);
+        }
+
+        self.insert(entry, leaving);
+        None
+    }
+
+    fn insert(&mut self, entry: TargetEntry, leaving: bool) {
+        let id = entry.id.clone();
+        let service = entry.service.clone();
+        let others = self.told.values().filter_map(|told| told.get(&id)).sum();
+        let key = self.targets.insert(Target {
+            entry,
+            leaving,
+            own: 0,
+            others,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+            hold_ms: FIRST_HOLD_MS,
+            parts: Default::default(),
+        });
+
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    /// Takes in that a target's entry is gone: it gets nothing new, and is forgotten.
+    pub fn gone(&mut self, id: &str) -> Option<TargetKey> {
+        let key = self.by_id.get(id).copied()?;
+        self.remove(key);
+
+        Some(key)
+    }
+
+    fn remove(&mut self, key: TargetKey) {
+        if let Some(target) = self.targets.remove(key) {
+            self.by_id.remove(&target.entry.id);
+            self.index();
+        }
+    }
+
+    fn index(&mut self) {
+        self.by_service.clear();
+
+        for (key, target) in &self.targets {
+            self.by_service.entry(target.entry.service.clone()).or_default().push(key);
+        }
+    }
+
+    /// Returns the ids of all targets.
+    pub fn ids(&self) -> Vec<Box<str>> {
+        self.by_id.keys().cloned().collect()
+    }
+
+    /// Returns what this host has in flight at each target, to be told to the others.
+    pub fn in_flight(&self) -> impl Iterator<Item = (&str, u32)> {
+        self.targets.values().filter(|t| t.own > 0).map(|t| (&*t.entry.id, t.own))
+    }
+
+    /// Takes in what another host has in flight; an empty map if it is silent.
+    pub fn hear(&mut self, host: HostId, in_flight: Map<Box<str>, u32>) {
+        self.told.insert(host, in_flight);
+
+        for target in self.targets.values_mut() {
+            target.others = self.told.values().filter_map(|told| told.get(&target.entry.id)).sum();
+        }
+    }
+
+    /// Chooses the target of a service that would be done with a call first.
+    pub fn choose(&self, now: Instant, service: &str, shape: &Shape) -> Choice {
+        let usable = |(key, target): &(TargetKey, &Target)| {
+            !shape.avoid.contains(key) && !target.is_ejected(now)
+        };
+        let mut any = false;
+        let mut best: Option<(f64, TargetKey)> = None;
+
+        for (key, target) in self.of_service(service).filter(usable) {
+            any = true;
+
+            if !target.has_room() {
+                continue;
+            }
+
+            let cost = self.cost(target, shape);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+
+        match best {
+            Some((_, key)) => Choice::Target(key),
+            None if any => Choice::Full,
+            None => Choice::Nowhere,
+        }
+    }
+
+    /// Returns the milliseconds that a call would take at a target.
+    fn cost(&self, target: &Target, shape: &Shape) -> f64 {
+        let slots = target.entry.slots.max(1);
+        let load = target.load();
+        let prompt = f64::from(target.missing(&shape.parts)) / PROMPT_TOKENS_PER_MS;
+        let waiting = f64::from((load + 1).saturating_sub(slots));
+        let wait = waiting * target.hold_ms / f64::from(slots);
+        let way = if target.entry.zone == self.zone { 0.0 } else { FAR_MS };
+
+        target.hold_ms + prompt + wait + way + f64::from(load.min(slots)) * SHARED_MS
+    }
+
+    /// Counts a call that is sent to a target.
+    pub fn sent(&mut self, key: TargetKey, shape: &Shape) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        target.own += 1;
+        target.remember(&shape.parts);
+    }
+
+    /// Counts a call out, and learns from how it ended. Returns whether the target was ejected.
+    pub fn ended(&mut self, now: Instant, key: TargetKey, outcome: Outcome) -> bool {
+        let Some(target) = self.targets.get_mut(key) else { return false };
+        target.own = target.own.saturating_sub(1);
+
+        match outcome {
+            Outcome::Answered(held) => {
+                target.failures = 0;
+                target.ejections = 0;
+                target.ejected_until = None;
+                target.learn_hold(held);
+                false
+            }
+            Outcome::Left => false,
+            Outcome::Shed => false,
+            Outcome::Failed => target.fail(now),
+        }
+    }
+
+    /// Returns when the first ejected target of a service gets calls again.
+    pub fn next_return(&self, now: Instant, service: &str) -> Option<Duration> {
+        let until = self.of_service(service).filter_map(|(_, target)| target.ejected_until);
+
+        until.min().map(|at| at.since(now))
+    }
+
+    /// Returns the slots of a service's usable targets, and what is in flight there.
+    pub fn capacity(&self, now: Instant, service: &str) -> (u32, u32) {
+        let usable = self.of_service(service).filter(|(_, target)| !target.is_ejected(now));
+
+        usable.fold((0, 0), |(slots, load), (_, t)| (slots + t.entry.slots, load + t.load()))
+    }
+
+    /// Returns where a target listens.
+    pub fn address(&self, key: TargetKey) -> Option<SocketAddr> {
+        self.targets.get(key).map(|target| target.entry.address)
+    }
+}
+
+impl Target {
+    /// Returns the calls in flight, of all hosts.
+    pub fn load(&self) -> u32 {
+        self.own + self.others
+    }
+
+    fn has_room(&self) -> bool {
+        self.load() < self.entry.slots + QUEUED_AT_TARGET
+    }
+
+    fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the tokens that must be read: a part counts only with all parts before it.
+    fn missing(&self, parts: &[(u64, u32)]) -> u32 {
+        let is_kept = |id: &u64| self.parts.iter().any(|generation| generation.contains(id));
+        let missing = parts.iter().skip_while(|(id, _)| is_kept(id));
+
+        missing.map(|(_, tokens)| tokens).sum()
+    }
+
+    fn remember(&mut self, parts: &[(u64, u32)]) {
+        self.parts[0].extend(parts.iter().map(|(id, _)| *id));
+
+        if self.parts[0].len() > PARTS_REMEMBERED / 2 {
+            self.parts.swap(0, 1);
+            self.parts[0].clear();
+        }
+    }
+
+    fn learn_hold(&mut self, held: Duration) {
+        let held = held.as_secs_f64() * 1_000.0;
+        self.hold_ms += (held - self.hold_ms) * SPEED_WEIGHT;
+    }
+
+    fn fail(&mut self, now: Instant) -> bool {
+        self.failures += 1;
+
+        if self.failures < FAILURES_TO_EJECT || self.is_ejected(now) {
+            return false;
+        }
+
+        let ejection = FIRST_EJECTION * 2u32.saturating_pow(self.ejections);
+        self.ejections += 1;
+        self.ejected_until = Some(now + ejection.min(LONGEST_EJECTION));
+        true
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod board;
 pub mod configs;
+pub mod entry;
 pub mod leases;
 pub mod membership;
 pub mod programs;
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -180,8 +180,9 @@
                 let programs = super::sweep::from_bytes(&over.programs);
                 self.on_over(TargetId(over.target), programs, out);
             }
-            // Chunks go from the connection straight to the caller's stream.
-            Some(Body::Chunk(_)) | None => {}
+            // Chunks go from the connection straight to the caller's stream; the last two are for
+            // hosts that forward calls and have no programs of their own.
+            Some(Body::Chunk(_) | Body::EntryNews(_) | Body::Manifest(_)) | None => {}
         }
     }
 
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -39,6 +39,10 @@
             PlatformOp::Scan { table, prefix, after, limit } => {
                 PlatformReply::Rows(self.scan(&table, &prefix, &after, limit as usize))
             }
+            // Its hosts poll; nothing of the product's own protocol asks for changes.
+            PlatformOp::Snapshot { .. } | PlatformOp::Changes { .. } => {
+                PlatformReply::Unavailable
+            }
             PlatformOp::PutObject(content) => {
                 let name = ObjectName::of(&content);
                 self.put_object(name.clone(), Bytes::from(content));
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -9,12 +9,13 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
+use crate::dialect::{Call, Dialect};
 use crate::errors::{Error, Result};
 use crate::limits::{Access, RetryBudget, Share};
 use crate::metrics::Metrics;
 use crate::operations::{self, Earlier, OnLoss};
 use crate::options::{ClientOptions, RetryOptions};
-use crate::transport::{Attempt, Call, Transport};
+use crate::transport::{Attempt, Transport};
 
 /// The name of listing the hosts in metrics.
 const HOSTS: &str = "hosts";
@@ -32,6 +33,8 @@
 struct Inner {
     /// The connections.
     transport: Transport,
+    /// How operations are put to the platform.
+    dialect: Dialect,
     /// When an operation is tried again.
     retry: RetryOptions,
     /// What is left to be asked.
@@ -81,6 +84,7 @@
         };
         let inner = Inner {
             transport: Transport::new(&options)?,
+            dialect: options.dialect,
             retry: options.retry,
             limits: Mutex::new(limits),
             metrics: Metrics::new()?,
@@ -102,7 +106,10 @@
     pub async fn run(&self, op: PlatformOp) -> PlatformReply {
         let name = operations::name(&op);
         let started = Instant::now();
-        let call = operations::call(&op);
+        let Some(call) = (self.inner.dialect.call)(&op) else {
+            tracing::error!(operation = name, "platform: the dialect has no such operation");
+            return PlatformReply::Unavailable;
+        };
         let outcome = self.try_call(name, operations::access(&op), operations::on_loss(&op), &call);
 
         let reply = match outcome.await {
@@ -112,8 +119,10 @@
             }
             Outcome::Unanswered { lost } => operations::unanswered(&op, lost),
             Outcome::Answered { status, body, earlier } => {
-                operations::reply(&op, earlier, status, &body)
-                    .unwrap_or_else(|| senseless(&op, earlier, status))
+                match (self.inner.dialect.answer)(&op, status, &body) {
+                    Some(answer) => operations::reply(&op, earlier, answer),
+                    None => senseless(&op, earlier, status),
+                }
             }
         };
 
@@ -225,7 +234,11 @@
     match reply {
         PlatformReply::Committed(_) => "committed",
         PlatformReply::Conflict(_) => "conflict",
-        PlatformReply::Rows(_) | PlatformReply::Stored(_) | PlatformReply::Object(_) => "ok",
+        PlatformReply::Rows(_)
+        | PlatformReply::Changes(_)
+        | PlatformReply::Stored(_)
+        | PlatformReply::Object(_) => "ok",
+        PlatformReply::HistoryGone => "history_gone",
         PlatformReply::Unavailable => "unavailable",
         PlatformReply::Unknown => "unknown",
     }
--- /dev/null
+++ b/crates/store/src/dialect.rs
@@ -0,0 +1,49 @@
+//! How operations are put to a platform, and what its answers say.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use camphorwalk_core::platform::{PlatformOp, PlatformReply, Row, RowVersion};
+use http::{Method, StatusCode};
+
+use crate::operations;
+
+/// A request to the platform, as it is sent at each try.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path, with its query.
+    pub path: Box<str>,
+    /// The body.
+    pub body: Bytes,
+    /// How long the platform was asked to wait for changes; a try takes that much longer.
+    pub wait: Duration,
+}
+
+/// What one answer says, whatever became of earlier tries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The transaction took effect with this version.
+    Committed(RowVersion),
+    /// These checked rows stand differently.
+    Conflict(Vec<Row>),
+    /// The reply to an operation other than a transaction.
+    Reply(PlatformReply),
+}
+
+/// A platform's way of speaking.
+#[derive(Clone, Copy, Debug)]
+pub struct Dialect {
+    /// Makes the request of an operation; `None` if the platform has no such operation.
+    pub call: fn(&PlatformOp) -> Option<Call>,
+    /// Reads an answer; `None` if it makes no sense.
+    pub answer: fn(&PlatformOp, StatusCode, &Bytes) -> Option<Answer>,
+}
+
+impl Default for Dialect {
+    /// Returns the product's own dialect, which its stand-in speaks.
+    fn default() -> Self {
+        Self { call: operations::call, answer: operations::answer }
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 mod client;
+pub mod dialect;
 pub mod errors;
 mod limits;
 mod metrics;
@@ -17,5 +18,6 @@
 mod witness;
 
 pub use client::Client;
+pub use dialect::Dialect;
 pub use errors::{Error, Result};
 pub use options::{ClientOptions, RetryOptions, ShareOptions};
--- a/crates/store/src/operations.rs
+++ b/crates/store/src/operations.rs
@@ -1,5 +1,7 @@
 //! Each operation as a request, and each answer as a reply.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use camphorwalk_core::platform::{
     HostListing, ObjectName, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction,
@@ -7,8 +9,8 @@
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use crate::dialect::{Answer, Call};
 use crate::limits::Access;
-use crate::transport::Call;
 use crate::witness::{self, Explanation};
 
 /// What may be done when the answer to a try was lost.
@@ -40,6 +42,8 @@
         PlatformOp::Scan { .. } => "scan",
         PlatformOp::PutObject(_) => "put_object",
         PlatformOp::GetObject(_) => "get_object",
+        PlatformOp::Snapshot { .. } => "snapshot",
+        PlatformOp::Changes { .. } => "changes",
     }
 }
 
@@ -47,7 +51,11 @@
 pub(crate) fn access(op: &PlatformOp) -> Access {
     match op {
         PlatformOp::Commit(_) | PlatformOp::PutObject(_) => Access::Write,
-        PlatformOp::Read(_) | PlatformOp::Scan { .. } | PlatformOp::GetObject(_) => Access::Read,
+        PlatformOp::Read(_)
+        | PlatformOp::Scan { .. }
+        | PlatformOp::GetObject(_)
+        | PlatformOp::Snapshot { .. }
+        | PlatformOp::Changes { .. } => Access::Read,
     }
 }
 
@@ -59,7 +67,9 @@
         PlatformOp::PutObject(_)
         | PlatformOp::Read(_)
         | PlatformOp::Scan { .. }
-        | PlatformOp::GetObject(_) => OnLoss::SendAgain,
+        | PlatformOp::GetObject(_)
+        | PlatformOp::Snapshot { .. }
+        | PlatformOp::Changes { .. } => OnLoss::SendAgain,
         PlatformOp::Commit(tx) if tx.writes.is_empty() => OnLoss::SendAgain,
         // The module `witness` tells why this is safe.
         PlatformOp::Commit(tx) if witness::has_witness(tx) => OnLoss::SendAgain,
@@ -96,9 +106,9 @@
     limit: u32,
 }
 
-/// Returns the request of an operation.
-pub(crate) fn call(op: &PlatformOp) -> Call {
-    match op {
+/// Returns the request of an operation in the product's own dialect, if it has one.
+pub(crate) fn call(op: &PlatformOp) -> Option<Call> {
+    let call = match op {
         PlatformOp::Commit(tx) => post("/v1/tx", tx),
         PlatformOp::Read(keys) => post("/v1/read", &ReadRequest { keys }),
         PlatformOp::Scan { table, prefix, after, limit } => {
@@ -108,9 +118,13 @@
             method: Method::PUT,
             path: object_path(&ObjectName::of(content)),
             body: Bytes::copy_from_slice(content),
+            wait: Duration::ZERO,
         },
         PlatformOp::GetObject(name) => get(object_path(name)),
-    }
+        PlatformOp::Snapshot { .. } | PlatformOp::Changes { .. } => return None,
+    };
+
+    Some(call)
 }
 
 /// Returns the request for the list of hosts.
@@ -125,14 +139,14 @@
 
 /// Makes a request that asks for something.
 fn get(path: Box<str>) -> Call {
-    Call { method: Method::GET, path, body: Bytes::new() }
+    Call { method: Method::GET, path, body: Bytes::new(), wait: Duration::ZERO }
 }
 
 /// Makes a request with a JSON body; the types of this module cannot fail to be written.
 fn post<T: Serialize>(path: &str, body: &T) -> Call {
     let body = serde_json::to_vec(body).unwrap_or_default().into();
 
-    Call { method: Method::POST, path: path.into(), body }
+    Call { method: Method::POST, path: path.into(), body, wait: Duration::ZERO }
 }
 
 /// The answer to a transaction.
@@ -166,40 +180,39 @@
     Some(answer.hosts)
 }
 
-/// Returns the reply that an answer gives, or none if it makes no sense.
-///
-pub(crate) fn reply(
-    op: &PlatformOp,
-    earlier: Earlier,
-    status: StatusCode,
-    body: &Bytes,
-) -> Option<PlatformReply> {
+/// Returns what an answer in the product's own dialect says, or none if it makes no sense.
+pub(crate) fn answer(op: &PlatformOp, status: StatusCode, body: &Bytes) -> Option<Answer> {
     match op {
-        PlatformOp::Commit(tx) => commit_reply(tx, earlier, status, body),
-        PlatformOp::Read(_) | PlatformOp::Scan { .. } => {
-            parse(status, body).map(|answer: RowsAnswer| PlatformReply::Rows(answer.rows))
-        }
-        PlatformOp::PutObject(content) => {
-            status.is_success().then(|| PlatformReply::Stored(ObjectName::of(content)))
-        }
-        PlatformOp::GetObject(name) => object_reply(name, status, body),
+        PlatformOp::Commit(_) => commit_answer(status, body),
+        PlatformOp::Read(_) | PlatformOp::Scan { .. } => parse(status, body)
+            .map(|answer: RowsAnswer| Answer::Reply(PlatformReply::Rows(answer.rows))),
+        PlatformOp::PutObject(content) => status
+            .is_success()
+            .then(|| Answer::Reply(PlatformReply::Stored(ObjectName::of(content)))),
+        PlatformOp::GetObject(name) => object_reply(name, status, body).map(Answer::Reply),
+        PlatformOp::Snapshot { .. } | PlatformOp::Changes { .. } => None,
     }
 }
 
-/// Returns the reply that an answer to a transaction gives.
-fn commit_reply(
-    tx: &Transaction,
-    earlier: Earlier,
-    status: StatusCode,
-    body: &Bytes,
-) -> Option<PlatformReply> {
+/// Returns what an answer to a transaction says.
+fn commit_answer(status: StatusCode, body: &Bytes) -> Option<Answer> {
     if status != StatusCode::OK && status != StatusCode::CONFLICT {
         return None;
     }
 
     match serde_json::from_slice(body).ok()? {
-        CommitAnswer::Committed(version) => Some(PlatformReply::Committed(version)),
-        CommitAnswer::Conflict(rows) => Some(conflict_reply(tx, earlier, rows)),
+        CommitAnswer::Committed(version) => Some(Answer::Committed(version)),
+        CommitAnswer::Conflict(rows) => Some(Answer::Conflict(rows)),
+    }
+}
+
+/// Returns the reply that an answer comes to, given what became of the tries before it.
+pub(crate) fn reply(op: &PlatformOp, earlier: Earlier, answer: Answer) -> PlatformReply {
+    match (op, answer) {
+        (PlatformOp::Commit(tx), Answer::Conflict(rows)) => conflict_reply(tx, earlier, rows),
+        (_, Answer::Conflict(rows)) => PlatformReply::Conflict(rows),
+        (_, Answer::Committed(version)) => PlatformReply::Committed(version),
+        (_, Answer::Reply(reply)) => reply,
     }
 }
 
--- a/crates/store/src/options.rs
+++ b/crates/store/src/options.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::dialect::Dialect;
+
 /// What a client starts with.
 #[derive(Clone, Debug)]
 pub struct ClientOptions {
@@ -18,6 +20,8 @@
     pub share: ShareOptions,
     /// The seed of the jitter between tries.
     pub seed: u64,
+    /// How operations are put to the platform.
+    pub dialect: Dialect,
 }
 
 impl ClientOptions {
@@ -36,6 +40,7 @@
             retry: RetryOptions::default(),
             share: ShareOptions::default(),
             seed: 0,
+            dialect: Dialect::default(),
         }
     }
 }
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderName};
-use http::{HeaderValue, Method, Request, StatusCode, Uri};
+use http::{HeaderValue, Request, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use crate::dialect::Call;
 use crate::errors::{Error, Result};
 use crate::options::ClientOptions;
 
@@ -23,17 +24,6 @@
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// A request to the platform, as it is sent at each try.
-#[derive(Clone, Debug)]
-pub(crate) struct Call {
-    /// The method.
-    pub(crate) method: Method,
-    /// The path.
-    pub(crate) path: Box<str>,
-    /// The body.
-    pub(crate) body: Bytes,
-}
-
 /// What is known after one try.
 #[derive(Debug)]
 pub(crate) enum Attempt {
@@ -85,7 +75,7 @@
         };
 
         // The request may be under way when the deadline passes, so that nothing is known.
-        tokio::time::timeout(self.deadline, self.exchange(req)).await.unwrap_or(Attempt::Lost)
+        tokio::time::timeout(self.deadline + call.wait, self.exchange(req)).await.unwrap_or(Attempt::Lost)
     }
 
     /// Makes the HTTP request of a call.
@@ -115,7 +105,7 @@
         };
         let status = response.status();
 
-        if status == StatusCode::SERVICE_UNAVAILABLE {
+        if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
             return Attempt::NotDone;
         }
 
