Rates by one bucket that hosts tell each other of; programs under way go first

Ruled out: budgets (three programs were refused by their budget alone). Change: each host takes the others' admitted calls out of its own bucket; a third of the burst is left to programs under way; only calls that run count. Turns of one program ask for their budget one after the other, as parallel ones failed each other's writes.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -18,6 +18,9 @@
     /// Whether the sender is leaving.
     #[prost(bool, tag = "5")]
     pub leaving: bool,
+    /// The random number of the run of the sender's process.
+    #[prost(fixed64, tag = "6")]
+    pub run: u64,
 }
 
 /// A tenant's demand at one host.
@@ -26,9 +29,15 @@
     /// The tenant's name.
     #[prost(string, tag = "1")]
     pub tenant: String,
-    /// Calls a second.
+    /// The calls a second that come to the sender.
     #[prost(double, tag = "2")]
     pub per_second: f64,
+    /// The calls that it has admitted since its process began.
+    #[prost(uint64, tag = "3")]
+    pub admitted: u64,
+    /// The level of its token bucket.
+    #[prost(double, tag = "4")]
+    pub level: f64,
 }
 
 /// One host's calls in flight at a target.
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -66,6 +66,11 @@
     let program = ProgramKey(stable_hash(&[b"program", tenant.as_bytes(), program.as_bytes()]));
     let most = call.head.tokens.map_or(UNSAID_MOST, |tokens| u64::from(tokens.most_output));
 
+    // The turns of sub-agents come together. One after the other they find what the first one's
+    // write left over, and do not fail each other's writes.
+    let lock = shared.budget_locks.borrow_mut().entry(program).or_default().clone();
+    let _turn = lock.lock().await;
+
     for _ in 0..MOST_WRITES {
         let reservation =
             shared.budgets.borrow_mut().reserve(clock::now(), program, budget, most);
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -57,8 +57,10 @@
     /// Whether a target may have run it.
     pub(crate) may_have_run: Cell<bool>,
     fingerprint: Fingerprint,
+    /// Whether it begins a program.
+    is_new: bool,
     /// Held until the answer is whole.
-    pub(crate) open: Option<OpenRequest>,
+    _open: OpenRequest,
 }
 
 impl Call {
@@ -99,15 +101,19 @@
 
     /// Returns how urgent it is.
     pub(crate) fn urgency(&self) -> Urgency {
-        let is_new = self.route().repeat.is_stream()
-            && self.head.begins_line()
-            && !self.shared.places.is_under_way(self.head.program.as_deref());
         let deadline = match self.head.program_deadline {
             Some(left) => self.deadline.min(self.began + left),
             None => self.deadline,
         };
 
-        Urgency { is_new, rank: self.route().rank, deadline }
+        Urgency { is_new: self.is_new, rank: self.route().rank, deadline }
+    }
+
+    /// Returns whether it begins a program, as far as this host can tell.
+    fn begins_program(&self) -> bool {
+        self.route().repeat.is_stream()
+            && self.head.begins_line()
+            && !self.shared.places.is_under_way(self.head.program.as_deref())
     }
 
     /// Returns what it is known by when it comes again.
@@ -116,6 +122,18 @@
     }
 }
 
+/// What came to be known of a call, for the logs of a refusal.
+struct Known {
+    route: Box<str>,
+    tenant: Box<str>,
+}
+
+impl Default for Known {
+    fn default() -> Self {
+        Self { route: "none".into(), tenant: Box::default() }
+    }
+}
+
 /// Serves a request.
 pub(crate) async fn serve(shared: Rc<Shared>, req: Request<Incoming>) -> Answer {
     let began = clock::now();
@@ -123,15 +141,16 @@
     let was_chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
     let request_id = head_text(&req, "request-id");
     let program = head_text(&req, "program-id");
-    let mut route = Box::from("none");
+    let mut known = Known::default();
 
-    let result = attempt(&shared, req, began, open, &mut route).await;
+    let result = attempt(&shared, req, began, open, &mut known).await;
+    let Known { route, tenant } = known;
     let mut answer = match result {
         Ok(answer) => answer,
         Err(refusal) => {
             let after = refusal.retry_after.map(|after| after.as_millis() as u64);
             info!(
-                request = %request_id, program = %program, route = %route,
+                request = %request_id, program = %program, route = %route, tenant = %tenant,
                 status = refusal.status.as_u16(), reason = refusal.reason, retry_after_ms = after,
                 took_ms = clock::now().since(began).as_millis() as u64, "call: refused"
             );
@@ -170,18 +189,25 @@
     req: Request<Incoming>,
     began: Instant,
     open: OpenRequest,
-    route_name: &mut Box<str>,
+    known: &mut Known,
 ) -> Result<Answer, Refusal> {
     let call = read(shared, req, began, open).await?;
-    *route_name = call.route().name.clone();
+    known.route = call.route().name.clone();
+    known.tenant = call.tenant.clone().unwrap_or_default();
     admit(&call)?;
 
     let call = Rc::new(call);
     let left = clock::until(call.deadline);
-    match timeout(left, forward(Rc::clone(&call))).await {
+    let result = match timeout(left, forward(Rc::clone(&call))).await {
         Ok(result) => result,
         Err(_) => Err(Refusal::late(call.may_have_run.get())),
+    };
+
+    // Only calls that run count towards a tenant's rate.
+    if let (Err(_), false, Some(tenant)) = (&result, call.may_have_run.get(), &call.tenant) {
+        call.shared.rates.borrow_mut().give_back(tenant);
     }
+    result
 }
 
 /// Reads a request, and finds its route and tenant.
@@ -219,7 +245,8 @@
         &body,
     ]));
 
-    Ok(Call {
+    let mut call = Call {
+        is_new: false,
         shared: Rc::clone(shared),
         method: parts.method,
         path: path.into(),
@@ -233,9 +260,12 @@
         deadline,
         may_have_run: Cell::new(false),
         fingerprint,
-        open: Some(open),
+        _open: open,
         head,
-    })
+    };
+    call.is_new = call.begins_program();
+
+    Ok(call)
 }
 
 fn hostname<'a>(headers: &'a HeaderMap, uri: &'a http::Uri) -> &'a str {
@@ -298,7 +328,7 @@
     }
 
     let Some(tenant) = &call.tenant else { return Ok(()) };
-    match call.shared.rates.borrow_mut().admit(clock::now(), tenant) {
+    match call.shared.rates.borrow_mut().admit(clock::now(), tenant, call.is_new) {
         Admission::Admitted => Ok(()),
         Admission::Refused(after) => Err(Refusal::over_rate(after)),
     }
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -42,8 +42,6 @@
 pub struct Connection {
     /// The sending side.
     pub sender: SendRequest<Full<Bytes>>,
-    /// Whether it was used before: it may be closing, or fallen silent.
-    pub is_reused: bool,
 }
 
 struct Unused {
@@ -69,7 +67,7 @@
 
         while let Some(Unused { sender, until }) = queue.pop_front() {
             if now < until && sender.is_ready() {
-                return Some(Connection { sender, is_reused: true });
+                return Some(Connection { sender });
             }
         }
 
@@ -132,7 +130,7 @@
         }
     });
 
-    Ok(Connection { sender, is_reused: false })
+    Ok(Connection { sender })
 }
 
 /// Sets what a connection needs to notice that the other side fell silent.
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -14,6 +14,7 @@
 };
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::{Inbound, PeerOptions, Peers, Secret};
+use camphorwalk_policy::entry::rates::TenantNews;
 use rand::RngCore as _;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -268,13 +269,17 @@
 fn news(shared: &Shared) -> EntryNews {
     let rates = shared.rates.borrow();
     let targets = shared.targets.borrow();
-    let demand = rates.demand();
+    let demand = rates.news().map(|(tenant, news)| Demand {
+        tenant: tenant.into(),
+        per_second: news.demand,
+        admitted: news.admitted,
+        level: news.level,
+    });
     let in_flight = targets.in_flight();
 
     EntryNews {
-        demand: demand
-            .map(|(tenant, per_second)| Demand { tenant: tenant.into(), per_second })
-            .collect(),
+        run: shared.run.0,
+        demand: demand.collect(),
         in_flight: in_flight
             .map(|(target, calls)| InFlight { target: target.into(), calls })
             .collect(),
@@ -321,8 +326,11 @@
         info!(host = from.0, "fleet: host heard");
     }
 
-    let demand = news.demand.into_iter().map(|d| (d.tenant.into(), d.per_second)).collect();
-    shared.rates.borrow_mut().hear(now, from, demand);
+    let tenants = news.demand.into_iter().map(|d| {
+        let news = TenantNews { admitted: d.admitted, demand: d.per_second, level: d.level };
+        (d.tenant.into(), news)
+    });
+    shared.rates.borrow_mut().hear(now, from, news.run, tenants);
     let in_flight = news.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
     shared.targets.borrow_mut().hear(from, in_flight);
     for crash in news.crashes {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use camphorwalk_core::entry::EntrySettings;
+use camphorwalk_core::hash::Map;
 use camphorwalk_core::platform::{PlatformOp, PlatformReply};
-use camphorwalk_policy::entry::budgets::{Budgets, RunId};
+use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
 use camphorwalk_policy::entry::crashes::Crashes;
 use camphorwalk_policy::entry::placement::Targets;
 use camphorwalk_policy::entry::rates::Rates;
@@ -14,7 +15,7 @@
 use camphorwalk_policy::entry::turns::TurnCache;
 use camphorwalk_store::{Client, ClientOptions, RetryOptions, ShareOptions};
 use rand::RngCore as _;
-use tokio::sync::Notify;
+use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep, timeout_at};
 use tracing::info;
 
@@ -56,13 +57,14 @@
     pub(crate) places: Places,
     pub(crate) connections: Connections,
     pub(crate) budgets: RefCell<Budgets>,
+    /// Taken while a program's budget is asked for.
+    pub(crate) budget_locks: RefCell<Map<ProgramKey, Rc<Mutex<()>>>>,
     pub(crate) turns: RefCell<TurnCache>,
     pub(crate) written: RefCell<turns::Written>,
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) fleet: Fleet,
     pub(crate) metrics: Metrics,
     leaving: Cell<bool>,
-    leaving_signal: Notify,
     /// Requests that were read and are not answered.
     open_requests: Cell<usize>,
 }
@@ -78,13 +80,6 @@
         self.leaving.get()
     }
 
-    /// Waits until the host is asked to end.
-    pub(crate) async fn left(&self) {
-        while !self.leaving.get() {
-            self.leaving_signal.notified().await;
-        }
-    }
-
     /// Counts a request until the guard is dropped.
     pub(crate) fn open(self: &Rc<Self>) -> OpenRequest {
         self.open_requests.set(self.open_requests.get() + 1);
@@ -142,13 +137,13 @@
             places: Places::default(),
             connections: Connections::default(),
             budgets: RefCell::new(Budgets::new(run)),
+            budget_locks: RefCell::default(),
             turns: RefCell::new(TurnCache::new(turn_bytes)),
             written: RefCell::default(),
             crashes: RefCell::default(),
             fleet: Fleet::new(&settings.name),
             metrics,
             leaving: Cell::new(false),
-            leaving_signal: Notify::new(),
             open_requests: Cell::new(0),
             settings,
         });
@@ -174,7 +169,6 @@
     pub async fn leave(&self) {
         let shared = &self.shared;
         shared.leaving.set(true);
-        shared.leaving_signal.notify_waiters();
         info!(open = shared.open_requests.get(), "host: leaving");
 
         let begun = Instant::now();
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -167,6 +167,7 @@
     // are kept.
     let old = shared.budgets.borrow_mut().forget(clock::now(), retention + SWEEP_MARGIN);
     for (program, version) in old {
+        shared.budget_locks.borrow_mut().remove(&program);
         let key = crate::budget::row_key(program);
         delete(shared, vec![Check { key: key.clone(), version }], vec![key]).await;
     }
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -1,9 +1,9 @@
-//! Tenants' rates over all hosts, by shares that follow the demand.
+//! Tenants' rates over all hosts, by one token bucket that each host keeps for itself.
 //!
-//! Each host tells the others several times a second how much each tenant asks of it. A host
-//! then admits the part of a tenant's rate that its demand has in the demand at all hosts. The
-//! shares of all hosts sum to one, whatever the balancer sends where, and a call waits for
-//! nobody.
+//! Each host tells the others several times a second how many calls of each tenant it has
+//! admitted, and takes the others' calls out of its own bucket. So all hosts know one level but
+//! for the time that news take, and a call waits for nobody, whichever host the balancer sends
+//! it to. What a silent host admits is estimated: it keeps its share by the last known demand.
 
 use std::time::Duration;
 
@@ -12,22 +12,29 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 
-/// How long a silent host's demand counts as it was last told. Behind a cut a host goes on
-/// admitting its share; if the others took it over at once, both sides together would exceed
-/// the rate. It is as long as the longest cut that the users' sheets name, and a little more.
-pub const SILENT_DEMAND_KEPT: Duration = Duration::from_secs(15);
+/// How long a silent host is taken to go on admitting its share. Behind a cut it does; if the
+/// others took its share over at once, both sides together would exceed the rate. It is as long
+/// as the longest cut that the users' sheets name, and a little more.
+const SILENT_SHARE_KEPT: Duration = Duration::from_secs(15);
 
-/// The part of an even share that a host has whatever its demand, so that the first calls of a
-/// tenant at a host are not refused before its demand is known elsewhere.
+/// A host that told nothing for this long is silent. News come every 100 ms in a small fleet.
+const SILENT: Duration = Duration::from_millis(700);
+
+/// The time that news take: their period, and the way between two zones.
+const NEWS_LAG: Duration = Duration::from_millis(130);
+
+/// The part of an even share that a host has by its mere being there, when shares are estimated.
 const FLOOR: f64 = 0.25;
 
-/// The part of its share of the burst that a host begins with. A whole one for each new
-/// process would let a fleet that restarts admit the burst twice in a window.
+/// The part of the burst that a process begins with, until it hears the level of another. A
+/// whole one would let a fleet that restarts admit the burst twice in a window.
 const FIRST_LEVEL: f64 = 0.3;
 
-/// How fast growing and falling demand is believed. Growth is believed quickly, so that a
-/// tenant that comes to a host is not refused there; decline slowly, since the others take over
-/// what one gives up.
+/// The part of the burst that is left to programs under way. A program of which one call is
+/// refused fails as a whole, and what it took before is lost; a new one has lost nothing yet.
+const KEPT_FOR_PROGRAMS: f64 = 0.35;
+
+/// How fast growing and falling demand is believed.
 const RISE: Duration = Duration::from_millis(300);
 const FALL: Duration = Duration::from_secs(2);
 
@@ -36,29 +43,53 @@
 pub enum Admission {
     /// It is within its tenant's rate.
     Admitted,
-    /// It is over the rate; a token comes after this time.
+    /// It is over the rate; there are tokens for it after this time.
     Refused(Duration),
 }
 
+/// What a host tells of a tenant.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TenantNews {
+    /// The calls that it has admitted since its process began.
+    pub admitted: u64,
+    /// The calls a second that come to it.
+    pub demand: f64,
+    /// The level of its bucket.
+    pub level: f64,
+}
+
 /// One tenant at this host.
 #[derive(Clone, Debug)]
 struct Account {
     rate: f64,
     burst: f64,
+    /// The tokens that are left; below zero if other hosts admitted calls before their news came.
     level: f64,
     at: Instant,
+    /// Whether the level comes from this process alone so far.
+    is_fresh: bool,
+    admitted: u64,
     /// Calls that came since the last tick.
     arrived: u32,
     /// Calls a second, smoothed.
     demand: f64,
-    share: f64,
+    /// Calls a second that come to the other hosts.
+    others_demand: f64,
 }
 
-/// What a host told of its demand.
-#[derive(Clone, Debug)]
+/// What another host told.
+#[derive(Clone, Debug, Default)]
 struct Told {
     at: Instant,
-    demand: Map<Box<str>, f64>,
+    run: u64,
+    tenants: Map<Box<str>, ToldTenant>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ToldTenant {
+    news: TenantNews,
+    /// What was taken out of the bucket for it since it fell silent.
+    estimated: f64,
 }
 
 /// The rates of all tenants at this host.
@@ -78,15 +109,21 @@
 
         for tenant in tenants {
             let Some(rate) = tenant.rate else { continue };
-            let mut account = self.accounts.remove(&tenant.name).unwrap_or_else(|| {
-                let share = 1.0 / (self.others.len() + 1) as f64;
-                let level = tenant.burst * share * FIRST_LEVEL;
-
-                Account { rate, burst: 0.0, level, at: now, arrived: 0, demand: 0.0, share }
+            let mut account = self.accounts.remove(&tenant.name).unwrap_or_else(|| Account {
+                rate,
+                burst: tenant.burst,
+                level: tenant.burst * FIRST_LEVEL,
+                at: now,
+                is_fresh: true,
+                admitted: 0,
+                arrived: 0,
+                demand: 0.0,
+                others_demand: 0.0,
             });
             account.refill(now);
             account.rate = rate;
             account.burst = tenant.burst;
+            account.level = account.level.min(account.most());
             accounts.insert(tenant.name.clone(), account);
         }
 
@@ -99,18 +136,49 @@
         self.others = others;
     }
 
-    /// Takes in what a host tells of its demand, in calls a second by tenant.
-    pub fn hear(&mut self, now: Instant, host: HostId, demand: Map<Box<str>, f64>) {
-        self.told.insert(host, Told { at: now, demand });
+    /// Takes in what the run `run` of a host tells of its tenants.
+    pub fn hear(
+        &mut self,
+        now: Instant,
+        host: HostId,
+        run: u64,
+        news: impl IntoIterator<Item = (Box<str>, TenantNews)>,
+    ) {
+        let is_new = !self.told.contains_key(&host);
+        let told = self.told.entry(host).or_default();
+        let same_run = told.run == run;
+        told.at = now;
+        told.run = run;
+
+        for (tenant, news) in news {
+            let before = told.tenants.insert(tenant.clone(), ToldTenant { news, estimated: 0.0 });
+            let Some(account) = self.accounts.get_mut(&tenant) else { continue };
+            account.refill(now);
+            let counted = match before {
+                Some(before) if same_run => before.news.admitted,
+                // What a host admitted before this one first heard of it is in its level.
+                _ if is_new => news.admitted,
+                _ => 0,
+            };
+            let estimated = before.map_or(0.0, |before| before.estimated);
+            account.level -= news.admitted as f64 - counted as f64 - estimated;
+
+            // A new process believes what the others know.
+            if account.is_fresh {
+                account.level = account.level.min(news.level);
+            }
+        }
     }
 
-    /// Returns this host's demand, to be told to the others.
-    pub fn demand(&self) -> impl Iterator<Item = (&str, f64)> {
-        self.accounts.iter().filter(|(_, a)| a.demand > 0.01).map(|(name, a)| (&**name, a.demand))
+    /// Returns what the other hosts are to be told.
+    pub fn news(&self) -> impl Iterator<Item = (&str, TenantNews)> {
+        self.accounts.iter().filter(|(_, a)| a.admitted > 0 || a.arrived > 0).map(|(name, a)| {
+            (&**name, TenantNews { admitted: a.admitted, demand: a.demand, level: a.level })
+        })
     }
 
-    /// Counts what came since the last tick, and cuts the shares anew. Called several times a
-    /// second.
+    /// Counts what came since the last tick, and takes out what silent hosts admit. Called
+    /// several times a second.
     pub fn tick(&mut self, now: Instant) {
         let passed = self.ticked.map_or(Duration::ZERO, |t| now.since(t));
         self.ticked = Some(now);
@@ -119,41 +187,91 @@
             return;
         }
 
+        let all_heard = self.told.len() >= self.others.len();
         for (name, account) in &mut self.accounts {
             account.refill(now);
             account.smooth(passed);
-            account.share = share(name, account, &self.others, &self.told, now);
+            // Some seconds after the start all that are there were heard.
+            account.is_fresh &= !all_heard;
+            take_out_silent(now, passed, name, account, &self.others, &mut self.told);
         }
     }
 
-    /// Takes a token for a call of a tenant; tenants without a rate have no limit.
-    pub fn admit(&mut self, now: Instant, tenant: &str) -> Admission {
+    /// Takes a token for a call of a tenant; tenants without a rate have no limit. `is_new`
+    /// tells that the call begins a program.
+    pub fn admit(&mut self, now: Instant, tenant: &str, is_new: bool) -> Admission {
         let Some(account) = self.accounts.get_mut(tenant) else { return Admission::Admitted };
         account.arrived += 1;
         account.refill(now);
 
-        if account.level < 1.0 {
-            return Admission::Refused(account.next_token());
+        let needed = 1.0 + account.reserve(is_new);
+        if account.level < needed {
+            return Admission::Refused(account.time_to(needed));
         }
 
         account.level -= 1.0;
+        account.admitted += 1;
         Admission::Admitted
     }
 
-    /// Gives back the token of a call that did not reach a target.
+    /// Gives back the token of a call that has not run and never will.
     pub fn give_back(&mut self, tenant: &str) {
         if let Some(account) = self.accounts.get_mut(tenant) {
-            account.level += 1.0;
+            account.level = (account.level + 1.0).min(account.most());
+            account.admitted = account.admitted.saturating_sub(1);
+        }
+    }
+}
+
+/// Takes out of a bucket what silent hosts admit by their share of the demand.
+fn take_out_silent(
+    now: Instant,
+    passed: Duration,
+    tenant: &str,
+    account: &mut Account,
+    others: &[HostId],
+    told: &mut Map<HostId, Told>,
+) {
+    let floor = FLOOR * account.rate / (others.len() + 1) as f64;
+    let mut silent = Vec::new();
+    account.others_demand = 0.0;
+
+    for host in others {
+        let demand = match told.get(host) {
+            // A host that was never heard counts as one with the demand of this one: then hosts
+            // that cannot hear each other share evenly.
+            None => account.demand,
+            Some(told) if now.since(told.at) > SILENT_SHARE_KEPT => continue,
+            Some(told) => told.tenants.get(tenant).map_or(0.0, |t| t.news.demand),
+        };
+        account.others_demand += demand;
+
+        if told.get(host).is_none_or(|told| now.since(told.at) > SILENT) {
+            silent.push((*host, demand));
+        }
+    }
+
+    let all = account.demand + account.others_demand + floor * (others.len() + 1) as f64;
+    for (host, demand) in silent {
+        let taken = account.rate * (demand + floor) / all * passed.as_secs_f64();
+        account.level = (account.level - taken).max(-account.most());
+
+        if let Some(told) = told.get_mut(&host) {
+            told.tenants.entry(tenant.into()).or_default().estimated += taken;
         }
     }
 }
 
 impl Account {
+    /// Returns the most tokens that the bucket holds.
+    fn most(&self) -> f64 {
+        self.burst.max(1.0)
+    }
+
     fn refill(&mut self, now: Instant) {
         let passed = now.since(self.at).as_secs_f64();
-        let most = (self.burst * self.share).max(1.0);
 
-        self.level = (self.level + passed * self.rate * self.share).min(most);
+        self.level = (self.level + passed * self.rate).min(self.most());
         self.at = self.at.max(now);
     }
 
@@ -165,35 +283,22 @@
         self.demand += (seen - self.demand) * part;
     }
 
-    fn next_token(&self) -> Duration {
-        let missing = 1.0 - self.level;
-        let seconds = missing / (self.rate * self.share).max(1e-3);
-
-        Duration::from_secs_f64(seconds.min(60.0))
+    /// Returns what must be left after a call.
+    ///
+    /// The other hosts may have admitted calls whose news are still on their way. Without this
+    /// reserve a tenant that sends many times its rate gets, at each time when the bucket runs
+    /// dry, as many calls too many as come within that time. The demand counts no more than
+    /// twice the rate: what is beyond it is refused there too.
+    fn reserve(&self, is_new: bool) -> f64 {
+        let others = self.others_demand.min(2.0 * self.rate);
+        let unheard = (others * NEWS_LAG.as_secs_f64()).min(self.most() / 4.0);
+
+        if is_new { unheard.max(self.most() * KEPT_FOR_PROGRAMS) } else { unheard }
     }
-}
 
-/// Returns this host's part of a tenant's rate.
-///
-/// A host that was never heard counts as one with the same demand as this one: then hosts that
-/// cannot hear each other share evenly.
-fn share(
-    tenant: &str,
-    account: &Account,
-    others: &[HostId],
-    told: &Map<HostId, Told>,
-    now: Instant,
-) -> f64 {
-    let floor = FLOOR * account.rate / (others.len() + 1) as f64;
-    let own = account.demand + floor;
-    let sum: f64 = others
-        .iter()
-        .map(|host| match told.get(host) {
-            None => own,
-            Some(told) if now.since(told.at) > SILENT_DEMAND_KEPT => floor,
-            Some(told) => told.demand.get(tenant).copied().unwrap_or(0.0) + floor,
-        })
-        .sum();
+    fn time_to(&self, needed: f64) -> Duration {
+        let seconds = (needed - self.level) / self.rate.max(1e-3);
 
-    own / (own + sum)
+        Duration::from_secs_f64(seconds.clamp(0.01, 60.0))
+    }
 }
