Store calls go through hosts that the store answers; lost answers cost milliseconds

Ruled out: the workers; they were under half full meanwhile. Change: a host believes the store away after one operation without an answer and then asks a peer that reaches it; tries wait eight times the usual time of an answer, doubling.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerMessage {
     /// The part it is for; `None` comes from a newer version and is passed over.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
 
@@ -58,6 +58,12 @@
     /// A manifest, for a host that has an older one.
     #[prost(message, tag = "12")]
     Manifest(entry::Manifest),
+    /// An operation on the platform for a host that cannot reach it.
+    #[prost(message, tag = "13")]
+    StoreAsk(entry::StoreAsk),
+    /// The reply to such an operation.
+    #[prost(message, tag = "14")]
+    StoreReply(entry::StoreReply),
 }
 
 impl From<Body> for PeerMessage {
--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -21,6 +21,9 @@
     /// The random number of the run of the sender's process.
     #[prost(fixed64, tag = "6")]
     pub run: u64,
+    /// Whether the platform's store answers the sender.
+    #[prost(bool, tag = "7")]
+    pub store_answers: bool,
 }
 
 /// A tenant's demand at one host.
@@ -69,3 +72,25 @@
     #[prost(string, tag = "1")]
     pub text: String,
 }
+
+/// An operation on the platform, asked of a host that reaches it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StoreAsk {
+    /// The number of the question at the sender.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The operation, as JSON.
+    #[prost(bytes = "vec", tag = "2")]
+    pub op: Vec<u8>,
+}
+
+/// The reply to an operation on the platform.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StoreReply {
+    /// The number of the question.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The reply, as JSON.
+    #[prost(bytes = "vec", tag = "2")]
+    pub reply: Vec<u8>,
+}
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -84,7 +84,7 @@
 }
 
 /// An operation on the platform.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlatformOp {
     /// Runs a transaction. Answers: `Committed`, `Conflict`, `Unavailable`, `Unknown`.
     Commit(Transaction),
@@ -130,7 +130,7 @@
 }
 
 /// What changed in a table.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableChanges {
     /// The rows written, with their newest content.
     pub written: Vec<Row>,
@@ -141,7 +141,7 @@
 }
 
 /// The answer to a [`PlatformOp`].
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlatformReply {
     /// The transaction took effect; each row written has this version.
     Committed(RowVersion),
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -16,6 +16,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::host::Shared;
+use crate::store;
 
 /// The table of budgets.
 const TABLE: &str = "budgets";
@@ -110,8 +111,7 @@
             return Err(unsure());
         }
     };
-    let reply = shared
-        .ask_store(PlatformOp::Commit(Transaction {
+    let reply = store::ask(shared, PlatformOp::Commit(Transaction {
             checks: vec![Check { key: key.clone(), version }],
             writes: vec![Write { key: key.clone(), value: Some(text) }],
         }))
@@ -125,7 +125,7 @@
         PlatformReply::Conflict(rows) => take_in(shared, program, &rows),
         // It may have taken effect or may still do so: the row tells, and whatever is written
         // next changes the version that a late one waits for.
-        PlatformReply::Unknown => match shared.ask_store(PlatformOp::Read(vec![key])).await {
+        PlatformReply::Unknown => match store::ask(shared, PlatformOp::Read(vec![key])).await {
             PlatformReply::Rows(rows) => take_in(shared, program, &rows),
             _ => Err(unsure()),
         },
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The other hosts: who they are, by their rows in the store, and what they tell of themselves.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,13 +16,14 @@
 use camphorwalk_peer::{Inbound, PeerOptions, Peers, Secret};
 use camphorwalk_policy::entry::rates::TenantNews;
 use rand::RngCore as _;
+use rand::seq::IteratorRandom as _;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tracing::{info, warn};
 
 use crate::host::Shared;
-use crate::{clock, places, watch};
+use crate::{clock, places, store, watch};
 
 /// The table of hosts, each under its name.
 const HOSTS_TABLE: &str = "hosts";
@@ -47,6 +48,9 @@
 /// A host that told nothing for this long has nothing in flight that counts.
 const SILENT: Duration = Duration::from_secs(2);
 
+/// What a host told within this time still holds.
+const FRESH: Duration = Duration::from_millis(700);
+
 /// The pause after a failed question to the store.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
 
@@ -76,8 +80,16 @@
 pub(crate) struct Fleet {
     name: Box<str>,
     known: RefCell<Map<HostId, Known>>,
-    heard: RefCell<Map<HostId, Instant>>,
-    store_away: Cell<bool>,
+    heard: RefCell<Map<HostId, Heard>>,
+    peers: RefCell<Option<Peers>>,
+}
+
+/// What another host told last.
+#[derive(Clone, Copy)]
+struct Heard {
+    at: Instant,
+    /// Whether the store answers it.
+    store_answers: bool,
 }
 
 impl Fleet {
@@ -87,7 +99,7 @@
             name: name.into(),
             known: RefCell::default(),
             heard: RefCell::default(),
-            store_away: Cell::new(false),
+            peers: RefCell::default(),
         }
     }
 
@@ -96,13 +108,24 @@
         self.known.borrow().len() + 1
     }
 
-    /// Takes in whether the store answered, and logs when that changes.
-    pub(crate) fn store_answered(&self, answered: bool) {
-        if self.store_away.replace(!answered) == answered {
-            match answered {
-                true => info!("store: answers again"),
-                false => warn!("store: does not answer"),
-            }
+    /// Returns a host that the store answers, by its last news.
+    pub(crate) fn store_peer(&self) -> Option<(HostId, Peers)> {
+        let now = clock::now();
+        let heard = self.heard.borrow();
+        let reaching = heard
+            .iter()
+            .filter(|(_, heard)| heard.store_answers && now.since(heard.at) < FRESH)
+            .map(|(host, _)| *host);
+        let host = reaching.choose(&mut rand::rng())?;
+
+        Some((host, self.peers.borrow().clone()?))
+    }
+
+    /// Sends a message to another host, if it can be sent.
+    pub(crate) fn send(&self, host: HostId, body: Body) {
+        if let Some(peers) = &*self.peers.borrow() {
+            // Whoever waits for it notices by a timeout.
+            peers.send(host, PeerMessage::from(body));
         }
     }
 
@@ -137,6 +160,7 @@
         }
     };
 
+    *shared.fleet.peers.borrow_mut() = Some(peers.clone());
     tokio::task::spawn_local(beat(Rc::clone(&shared), peers.clone()));
     tokio::task::spawn_local(hear(Rc::clone(&shared), peers.clone(), rx));
     tell(shared, peers).await;
@@ -150,13 +174,13 @@
         let mut bytes = [0; 32];
         rand::rng().fill_bytes(&mut bytes);
         let text: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
-        let reply = match shared.ask_store(PlatformOp::Read(vec![key.clone()])).await {
+        let reply = match store::probe(&shared, PlatformOp::Read(vec![key.clone()])).await {
             PlatformReply::Rows(rows) if rows.is_empty() => {
                 let tx = Transaction {
                     checks: vec![Check { key: key.clone(), version: RowVersion::ABSENT }],
                     writes: vec![Write { key: key.clone(), value: Some(text.into()) }],
                 };
-                shared.ask_store(PlatformOp::Commit(tx)).await;
+                store::probe(&shared, PlatformOp::Commit(tx)).await;
                 continue;
             }
             reply => reply,
@@ -186,7 +210,7 @@
         let key = RowKey::new(HOSTS_TABLE, shared.settings.name.clone());
         let value = serde_json::to_string(&row).ok().map(Into::into);
         let write = Transaction { checks: Vec::new(), writes: vec![Write { key, value }] };
-        shared.ask_store(PlatformOp::Commit(write)).await;
+        store::probe(&shared, PlatformOp::Commit(write)).await;
 
         let op = PlatformOp::Scan {
             table: HOSTS_TABLE.into(),
@@ -194,7 +218,7 @@
             after: "".into(),
             limit: 500,
         };
-        let answered = match shared.ask_store(op).await {
+        let answered = match store::probe(&shared, op).await {
             PlatformReply::Rows(rows) => {
                 know(&shared, &peers, &rows);
                 true
@@ -290,6 +314,7 @@
             .map_or(0, |table| table.routing().version),
         crashes: shared.crashes.borrow_mut().take_news(),
         leaving: shared.is_leaving(),
+        store_answers: shared.store.answers(),
     }
 }
 
@@ -298,7 +323,7 @@
     let now = clock::now();
     let silent: Vec<_> = {
         let mut heard = shared.fleet.heard.borrow_mut();
-        heard.extract_if(|_, at| now.since(*at) > SILENT).map(|(host, _)| host).collect()
+        heard.extract_if(|_, heard| now.since(heard.at) > SILENT).map(|(host, _)| host).collect()
     };
 
     for host in silent {
@@ -315,6 +340,11 @@
         match message.body {
             Some(Body::EntryNews(news)) => take_in(&shared, &peers, from, news),
             Some(Body::Manifest(manifest)) => watch::adopt(&shared, &manifest.text, "peer"),
+            Some(Body::StoreAsk(ask)) => {
+                let shared = Rc::clone(&shared);
+                tokio::task::spawn_local(async move { store::serve(&shared, from, ask).await });
+            }
+            Some(Body::StoreReply(reply)) => store::take_in(&shared, reply),
             _ => {}
         }
     }
@@ -322,7 +352,8 @@
 
 fn take_in(shared: &Rc<Shared>, peers: &Peers, from: HostId, news: EntryNews) {
     let now = clock::now();
-    if shared.fleet.heard.borrow_mut().insert(from, now).is_none() {
+    let heard = Heard { at: now, store_answers: news.store_answers };
+    if shared.fleet.heard.borrow_mut().insert(from, heard).is_none() {
         info!(host = from.0, "fleet: host heard");
     }
 
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -6,7 +6,6 @@
 
 use camphorwalk_core::entry::EntrySettings;
 use camphorwalk_core::hash::Map;
-use camphorwalk_core::platform::{PlatformOp, PlatformReply};
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
 use camphorwalk_policy::entry::crashes::Crashes;
 use camphorwalk_policy::entry::placement::Targets;
@@ -24,11 +23,18 @@
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
 use crate::places::Places;
+use crate::store::Store;
 use crate::{callers, fleet, probes, turns, watch};
 
-/// How long one try of a call to the store may take. Its answers come within some
+/// The longest that one try of a call to the store may take. Its answers come within some
 /// milliseconds, and within a third of a second when it is slow.
-const STORE_DEADLINE: Duration = Duration::from_millis(800);
+const STORE_DEADLINE: Duration = Duration::from_millis(500);
+
+/// The least time of one try: some times the usual time of a transaction.
+const STORE_LEAST_DEADLINE: Duration = Duration::from_millis(80);
+
+/// For how long an operation is tried again. A caller's whole program takes a second or two.
+const STORE_RETRY_WINDOW: Duration = Duration::from_millis(400);
 
 /// The part of the store's rates that one host may use: no host needs more, and a host in
 /// disorder leaves the others the rest.
@@ -48,7 +54,7 @@
 pub(crate) struct Shared {
     pub(crate) settings: EntrySettings,
     pub(crate) run: RunId,
-    pub(crate) store: Client,
+    pub(crate) store: Store,
     pub(crate) routes: RefCell<Option<RouteTable>>,
     /// The text of the manifest in force, for hosts that cannot reach the store.
     pub(crate) manifest_text: RefCell<Box<str>>,
@@ -86,15 +92,6 @@
 
         OpenRequest(Rc::clone(self))
     }
-
-    /// Runs an operation on the store, and keeps count of how it fares.
-    pub(crate) async fn ask_store(&self, op: PlatformOp) -> PlatformReply {
-        let reply = self.store.run(op).await;
-        let answered = !matches!(reply, PlatformReply::Unavailable | PlatformReply::Unknown);
-        self.fleet.store_answered(answered);
-
-        reply
-    }
 }
 
 /// A request that was read and is not answered.
@@ -120,7 +117,7 @@
     pub async fn start(settings: EntrySettings) -> Result<Self> {
         let metrics = Metrics::new()?;
         let run = RunId(rand::rng().next_u64());
-        let store = store_client(&settings, run, &metrics)?;
+        let store = Store::new(store_client(&settings, run, &metrics)?);
         let turn_bytes = usize::try_from(settings.memory_bytes / TURN_CACHE_PART).unwrap_or(0);
         info!(
             name = %settings.name, zone = %settings.zone, callers = %settings.callers,
@@ -189,7 +186,14 @@
     let limits = settings.store_limits;
     let store = Client::new(ClientOptions {
         deadline: STORE_DEADLINE,
-        retry: RetryOptions { saved: 20.0, ..RetryOptions::default() },
+        least_deadline: STORE_LEAST_DEADLINE,
+        retry: RetryOptions {
+            most_tries: 4,
+            saved: 50.0,
+            ratio: 0.5,
+            window: STORE_RETRY_WINDOW,
+            ..RetryOptions::default()
+        },
         share: ShareOptions {
             reads_per_second: limits.reads_per_second * STORE_SHARE,
             writes_per_second: limits.writes_per_second * STORE_SHARE,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod places;
 mod plain;
 mod probes;
+mod store;
 mod stream;
 mod turns;
 mod watch;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,6 +28,8 @@
     pub(crate) connects: IntCounter,
     /// The version of the manifest in force.
     pub(crate) manifest_version: IntGauge,
+    /// Operations on the store that another host ran.
+    pub(crate) relayed: IntCounter,
     /// Turns read from the store because they were not at hand.
     pub(crate) turn_reads: IntCounter,
 }
@@ -64,6 +66,10 @@
                 "camphorwalk_manifest_version",
                 "The version of the manifest in force.",
             )?,
+            relayed: IntCounter::new(
+                "camphorwalk_store_relayed_total",
+                "Operations on the store that another host ran.",
+            )?,
             turn_reads: IntCounter::new(
                 "camphorwalk_turn_reads_total",
                 "Turns read from the store because they were not at hand.",
@@ -80,6 +86,7 @@
         registry.register(Box::new(metrics.connects.clone()))?;
         registry.register(Box::new(metrics.manifest_version.clone()))?;
         registry.register(Box::new(metrics.turn_reads.clone()))?;
+        registry.register(Box::new(metrics.relayed.clone()))?;
 
         Ok(metrics)
     }
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -19,6 +19,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::host::Shared;
+use crate::store;
 
 /// The table of turns.
 const TABLE: &str = "turns";
@@ -97,7 +98,7 @@
     }
 
     shared.metrics.turn_reads.inc();
-    let rows = match shared.ask_store(PlatformOp::Read(vec![row_key(key)])).await {
+    let rows = match store::ask(shared, PlatformOp::Read(vec![row_key(key)])).await {
         PlatformReply::Rows(rows) => rows,
         _ => return Err(unsure()),
     };
@@ -129,23 +130,37 @@
     text.extend_from_slice(&said);
     let turn = Turn::new(continuation.line.clone(), text);
     let value = serde_json::to_string(&turn).map_err(|_| "the turn cannot be written")?;
+
+    write(shared, key, value.into()).await?;
+    shared.turns.borrow_mut().put(key, Rc::new(turn));
+    shared.written.borrow_mut().rows.push_back((clock::now(), key));
+
+    Ok(())
+}
+
+/// Writes the row of a turn.
+async fn write(shared: &Shared, key: TurnKey, value: Box<str>) -> Result<(), &'static str> {
     let row = row_key(key);
-    let reply = shared
-        .ask_store(PlatformOp::Commit(Transaction {
-            checks: vec![Check { key: row.clone(), version: RowVersion::ABSENT }],
-            writes: vec![Write { key: row, value: Some(value.into()) }],
-        }))
-        .await;
-
-    match reply {
-        PlatformReply::Committed(_) => {
-            shared.turns.borrow_mut().put(key, Rc::new(turn));
-            shared.written.borrow_mut().rows.push_back((clock::now(), key));
-            Ok(())
+    let tx = Transaction {
+        checks: vec![Check { key: row.clone(), version: RowVersion::ABSENT }],
+        writes: vec![Write { key: row, value: Some(value.clone()) }],
+    };
+
+    // Writing it a second time is harmless: the row is there only once, and only this turn can
+    // have written it with this content. The second time may go through another host.
+    for _ in 0..2 {
+        match store::ask(shared, PlatformOp::Commit(tx.clone())).await {
+            PlatformReply::Committed(_) => return Ok(()),
+            PlatformReply::Conflict(rows) if rows.iter().any(|row| row.value == value) => {
+                return Ok(());
+            }
+            PlatformReply::Conflict(_) => return Err("another turn has this id"),
+            PlatformReply::Unknown => {}
+            _ => return Err("the store did not take the turn"),
         }
-        PlatformReply::Conflict(_) => Err("another turn has this id"),
-        _ => Err("the store did not take the turn"),
     }
+
+    Err("it cannot be told whether the store took the turn")
 }
 
 /// Starts to delete the rows of turns that can no longer be continued.
@@ -210,7 +225,7 @@
 async fn delete(shared: &Shared, checks: Vec<Check>, keys: Vec<RowKey>) {
     let rows = keys.len();
     let writes = keys.into_iter().map(|key| Write { key, value: None }).collect();
-    let reply = shared.ask_store(PlatformOp::Commit(Transaction { checks, writes })).await;
+    let reply = store::ask(shared, PlatformOp::Commit(Transaction { checks, writes })).await;
 
     if !matches!(reply, PlatformReply::Committed(_)) {
         info!(rows, "turn: old rows not deleted");
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -15,10 +15,11 @@
 use tracing::{info, warn};
 
 use crate::host::Shared;
-use crate::{clock, places};
+use crate::{clock, places, store};
 
-/// How long the store may hold a question for changes of the manifest.
-const MANIFEST_WAIT: Duration = Duration::from_secs(5);
+/// How long the store may hold a question for changes of the manifest. A connection that fell
+/// silent shows after this time; the manifest must be in force after two seconds.
+const MANIFEST_WAIT: Duration = Duration::from_millis(1_200);
 
 /// How often the targets' entries are asked for. A leaving target must be left alone two
 /// seconds after its entry says so.
@@ -72,7 +73,7 @@
 async fn snapshot(shared: &Rc<Shared>, table: &str, after: Box<str>) -> Option<TableChanges> {
     let op = PlatformOp::Snapshot { table: table.into(), after, limit: MOST_ROWS };
 
-    match shared.ask_store(op).await {
+    match store::probe(&shared, op).await {
         PlatformReply::Changes(changes) => Some(changes),
         _ => None,
     }
@@ -82,7 +83,7 @@
     let table = paths::OPERATORS_TABLE.into();
     let op = PlatformOp::Changes { table, after, wait: MANIFEST_WAIT };
 
-    match shared.ask_store(op).await {
+    match store::probe(&shared, op).await {
         PlatformReply::Changes(changes) => {
             adopt_newest(shared, &changes);
             Some(changes.version)
@@ -189,7 +190,7 @@
     let op =
         PlatformOp::Changes { table: paths::TARGETS_TABLE.into(), after, wait: Duration::ZERO };
 
-    match shared.ask_store(op).await {
+    match store::probe(&shared, op).await {
         PlatformReply::Changes(changes) => {
             take_in(shared, table, changes);
             true
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -3,6 +3,7 @@
 
 pub mod budgets;
 pub mod crashes;
+pub mod outage;
 pub mod placement;
 pub mod rates;
 pub mod routes;
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -180,9 +180,16 @@
                 let programs = super::sweep::from_bytes(&over.programs);
                 self.on_over(TargetId(over.target), programs, out);
             }
-            // Chunks go from the connection straight to the caller's stream; the last two are for
+            // Chunks go from the connection straight to the caller's stream; the others are for
             // hosts that forward calls and have no programs of their own.
-            Some(Body::Chunk(_) | Body::EntryNews(_) | Body::Manifest(_)) | None => {}
+            Some(
+                Body::Chunk(_)
+                | Body::EntryNews(_)
+                | Body::Manifest(_)
+                | Body::StoreAsk(_)
+                | Body::StoreReply(_),
+            )
+            | None => {}
         }
     }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -11,7 +11,7 @@
 
 use crate::dialect::{Call, Dialect};
 use crate::errors::{Error, Result};
-use crate::limits::{Access, RetryBudget, Share};
+use crate::limits::{Access, Patience, RetryBudget, Share};
 use crate::metrics::Metrics;
 use crate::operations::{self, Earlier, OnLoss};
 use crate::options::{ClientOptions, RetryOptions};
@@ -50,6 +50,8 @@
     share: Share,
     /// The budget of retries.
     budget: RetryBudget,
+    /// How long tries wait for their answers.
+    patience: Patience,
     /// The jitter between tries.
     rng: SmallRng,
 }
@@ -80,6 +82,7 @@
         let limits = Limits {
             share: Share::new(options.share, Instant::now()),
             budget: RetryBudget::new(options.retry),
+            patience: Patience::new(options.least_deadline, options.deadline),
             rng: SmallRng::seed_from_u64(options.seed),
         };
         let inner = Inner {
@@ -159,15 +162,24 @@
         let started = Instant::now();
         let mut lost = false;
         let mut tries = 1;
+        let mut lost_tries = 0;
 
         loop {
-            match self.inner.transport.send(call).await {
+            let patience = self.limits().patience.next(lost_tries);
+            let sent = Instant::now();
+            let attempt = self.inner.transport.send(call, patience + call.wait).await;
+            self.learn_patience(&attempt, call, sent.elapsed());
+
+            match attempt {
                 Attempt::Answered(status, body) => {
                     let earlier = self.earlier(lost, started);
                     return Outcome::Answered { status, body, earlier };
                 }
                 Attempt::NotDone => {}
-                Attempt::Lost => lost = true,
+                Attempt::Lost => {
+                    lost = true;
+                    lost_tries += 1;
+                }
             }
 
             if lost && on_loss == OnLoss::GiveUp {
@@ -184,6 +196,19 @@
         }
     }
 
+    /// Takes in how long the answer to a try took. Questions that wait for changes say nothing.
+    fn learn_patience(&self, attempt: &Attempt, call: &Call, took: Duration) {
+        if !call.wait.is_zero() {
+            return;
+        }
+
+        match attempt {
+            Attempt::Answered(..) => self.limits().patience.answered(took),
+            Attempt::Lost => self.limits().patience.lost(took),
+            Attempt::NotDone => {}
+        }
+    }
+
     /// Returns what became of the tries before the one that was just answered.
     ///
     /// A host that was paused meanwhile may find that others have tidied up the rows that
--- a/crates/store/src/limits.rs
+++ b/crates/store/src/limits.rs
@@ -2,7 +2,7 @@
 //!
 //! Time is passed in.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::options::{RetryOptions, ShareOptions};
 
@@ -113,3 +113,43 @@
         self.retries.take()
     }
 }
+
+/// How many times the usual time of an answer a try waits for it.
+const PATIENCE_FACTOR: f64 = 8.0;
+
+/// The weight of the newest answer in the usual time.
+const NEWEST_WEIGHT: f64 = 0.1;
+
+/// How long a try waits for its answer.
+#[derive(Debug)]
+pub(crate) struct Patience {
+    least: Duration,
+    most: Duration,
+    /// The usual time of an answer, in seconds.
+    usual: f64,
+}
+
+impl Patience {
+    /// Begins with what is least expected.
+    pub(crate) fn new(least: Duration, most: Duration) -> Self {
+        Self { least: least.min(most), most, usual: 0.0 }
+    }
+
+    /// Returns how long a try waits after `lost` tries without an answer.
+    pub(crate) fn next(&self, lost: u32) -> Duration {
+        let usual = Duration::from_secs_f64(self.usual * PATIENCE_FACTOR);
+
+        usual.max(self.least).saturating_mul(1 << lost.min(8)).min(self.most)
+    }
+
+    /// Takes in how long an answer took.
+    pub(crate) fn answered(&mut self, took: Duration) {
+        self.usual += (took.as_secs_f64() - self.usual) * NEWEST_WEIGHT;
+    }
+
+    /// Takes in that a try waited this long in vain: answers may take longer now.
+    pub(crate) fn lost(&mut self, waited: Duration) {
+        let bound = waited.as_secs_f64() / PATIENCE_FACTOR;
+        self.usual = self.usual.max(bound);
+    }
+}
--- a/crates/store/src/options.rs
+++ b/crates/store/src/options.rs
@@ -14,6 +14,10 @@
     pub zone: Box<str>,
     /// How long one try may take; an operation may take some of these.
     pub deadline: Duration,
+    /// The least time that a try gets. A try gets a few times what answers took of late, at
+    /// least this and at most `deadline`, and twice as much after each lost answer: one lost
+    /// answer then costs an operation milliseconds instead of the whole deadline.
+    pub least_deadline: Duration,
     /// When an operation is tried again.
     pub retry: RetryOptions,
     /// How much the host may ask of the platform.
@@ -37,6 +41,7 @@
             address,
             zone: zone.into(),
             deadline: Duration::from_millis(500),
+            least_deadline: Duration::from_millis(500),
             retry: RetryOptions::default(),
             share: ShareOptions::default(),
             seed: 0,
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -44,8 +44,6 @@
     address: SocketAddr,
     /// The host's availability zone.
     zone: HeaderValue,
-    /// How long one try may take.
-    deadline: Duration,
 }
 
 impl Transport {
@@ -65,17 +63,17 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .build(connector);
 
-        Ok(Self { client, address: options.address, zone, deadline: options.deadline })
+        Ok(Self { client, address: options.address, zone })
     }
 
-    /// Makes one try.
-    pub(crate) async fn send(&self, call: &Call) -> Attempt {
+    /// Makes one try, which may take as long as `deadline`.
+    pub(crate) async fn send(&self, call: &Call, deadline: Duration) -> Attempt {
         let Some(req) = self.request(call) else {
             return Attempt::NotDone;
         };
 
         // The request may be under way when the deadline passes, so that nothing is known.
-        tokio::time::timeout(self.deadline + call.wait, self.exchange(req))
+        tokio::time::timeout(deadline, self.exchange(req))
             .await
             .unwrap_or(Attempt::Lost)
     }
--- a/crates/store/tests/support/mod.rs
+++ b/crates/store/tests/support/mod.rs
@@ -35,6 +35,7 @@
 pub fn options(address: SocketAddr) -> ClientOptions {
     ClientOptions {
         deadline: PATIENT,
+        least_deadline: PATIENT,
         retry: RetryOptions {
             most_tries: 3,
             ratio: 1.0,
