Rates: averaged demand, and a new process believes others' levels for two seconds only; cuts are no crashes

One host's estimate went to the lowest level, and as a replaced host was never heard, all hosts went on taking over the lowest level they heard. Besides, calls under way when a zone was cut with resets were barred as if they had brought targets down. Ruled out: the shares by themselves; a test with a cut and a host that was never heard passes. Change: demand is averaged over 3 s; levels are believed for 2 s after a start; a crash counts only if 0.9 s later the target is still refused and its zone is still heard.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -328,9 +328,19 @@
     }
 
     let Some(tenant) = &call.tenant else { return Ok(()) };
-    match call.shared.rates.borrow_mut().admit(clock::now(), tenant, call.is_new) {
+    let admission = call.shared.rates.borrow_mut().admit(clock::now(), tenant, call.is_new);
+    match admission {
         Admission::Admitted => Ok(()),
-        Admission::Refused(after) => Err(Refusal::over_rate(after)),
+        Admission::Refused(after) => {
+            if let Some(state) = call.shared.rates.borrow().explain(tenant) {
+                info!(
+                    request = %call.head.request_id, tenant = %tenant, is_new = call.is_new,
+                    level = state.level, rate = state.rate, demand = state.demand,
+                    others_demand = state.others_demand, "rate: over"
+                );
+            }
+            Err(Refusal::over_rate(after))
+        }
     }
 }
 
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -74,6 +74,7 @@
     version: RowVersion,
     changed: Instant,
     address: SocketAddr,
+    zone: Box<str>,
 }
 
 /// What is known of the fleet.
@@ -121,6 +122,16 @@
         Some((host, self.peers.borrow().clone()?))
     }
 
+    /// Returns whether a host of a zone told its news of late.
+    pub(crate) fn hears_zone(&self, zone: &str) -> bool {
+        let now = clock::now();
+        let heard = self.heard.borrow();
+        let known = self.known.borrow();
+        let is_there = |host: &HostId| known.get(host).is_some_and(|known| *known.zone == *zone);
+
+        heard.iter().any(|(host, heard)| now.since(heard.at) < FRESH && is_there(host))
+    }
+
     /// Sends a message to another host, if it can be sent.
     pub(crate) fn send(&self, host: HostId, body: Body) {
         if let Some(peers) = &*self.peers.borrow() {
@@ -257,9 +268,10 @@
             if known.get(&host).is_none_or(|known| known.address != content.peers) {
                 info!(host = %row.key.key, address = %content.peers, "fleet: host known");
             }
-            let new = Known { version: row.version, changed: now, address: content.peers };
+            let address = content.peers;
+            let new = Known { version: row.version, changed: now, address, zone: content.zone };
             known.insert(host, new);
-            peers.set_address(host, content.peers);
+            peers.set_address(host, address);
         }
     }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -1,9 +1,12 @@
 //! Sending a call to a target once, and what is known after it.
 
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use camphorwalk_adapter::head::{self, AnswerHead, Outgoing};
+use camphorwalk_policy::entry::crashes::Fingerprint;
 use camphorwalk_policy::entry::placement::{Outcome, TargetKey};
 use http::{Request, Response};
 use http_body_util::Full;
@@ -14,6 +17,7 @@
 use crate::call::Call;
 use crate::clock;
 use crate::connections::{self, ConnectError, Connection};
+use crate::host::Shared;
 use crate::places::Place;
 
 /// An answer's head, whose body is still to come.
@@ -109,7 +113,7 @@
     sending: &Sending<'_>,
     mut connection: Connection,
     target: &str,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 ) -> Exchange {
     let call = sending.call;
     let outgoing = Outgoing {
@@ -178,7 +182,7 @@
 ) {
     /// A refusal's body is short and comes with its head.
     const LIMIT: Duration = Duration::from_millis(100);
-    let shared = std::rc::Rc::clone(&sending.call.shared);
+    let shared = Rc::clone(&sending.call.shared);
     let Some(keep) = keep else { return };
 
     tokio::task::spawn_local(async move {
@@ -199,9 +203,14 @@
     Sent::Unknown { reason, crashed: is_down(shared, key, sending.call).await }
 }
 
-/// Returns whether the process of a target is gone, and counts the crash.
-pub(crate) async fn is_down(shared: &crate::host::Shared, key: TargetKey, call: &Call) -> bool {
-    let Some(address) = shared.targets.borrow().address(key) else { return true };
+/// Returns whether nothing listens at the address of a target; whether it went down under the
+/// call is then found out.
+pub(crate) async fn is_down(shared: &Rc<Shared>, key: TargetKey, call: &Call) -> bool {
+    let target = {
+        let targets = shared.targets.borrow();
+        targets.get(key).map(|t| (t.entry.address, t.entry.zone.clone()))
+    };
+    let Some((address, zone)) = target else { return true };
 
     shared.metrics.connects.inc();
     match connections::connect(address).await {
@@ -210,13 +219,42 @@
             false
         }
         Err(ConnectError::Refused) => {
-            let crashes = shared.crashes.borrow_mut().count(clock::now(), call.fingerprint());
-            info!(
-                request = %call.head.request_id, target = %address, crashes,
-                "call: target went down under it"
-            );
+            let request = call.head.request_id.clone();
+            let suspect = Suspect { address, zone, request, fingerprint: call.fingerprint() };
+            tokio::task::spawn_local(count_crash(Rc::clone(shared), suspect));
             true
         }
         Err(ConnectError::Silent | ConnectError::Broken) => false,
     }
 }
+
+/// A target that may have gone down under a call.
+struct Suspect {
+    address: SocketAddr,
+    zone: Box<str>,
+    request: Box<str>,
+    fingerprint: Fingerprint,
+}
+
+/// Counts a crash unless the target's zone is cut off.
+///
+/// A cut may refuse connections like the machine of a process that is gone. Without the
+/// difference, calls that were under way when a zone was cut off are barred as if they had
+/// brought its targets down. Some time later a host behind a cut is silent, while one beside a
+/// crashed target still tells its news.
+async fn count_crash(shared: Rc<Shared>, suspect: Suspect) {
+    /// Longer than news are fresh, so that hosts behind a new cut are silent; shorter than
+    /// targets take to be back.
+    const DELAY: Duration = Duration::from_millis(900);
+    let Suspect { address, zone, request, fingerprint } = suspect;
+    tokio::time::sleep(DELAY).await;
+
+    let in_reach = *zone == *shared.settings.zone || shared.fleet.hears_zone(&zone);
+    if !in_reach || connections::connect(address).await.is_ok() {
+        info!(request = %request, target = %address, in_reach, "call: target did not go down");
+        return;
+    }
+
+    let crashes = shared.crashes.borrow_mut().count(clock::now(), fingerprint);
+    info!(request = %request, target = %address, crashes, "call: target went down under it");
+}
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -30,13 +30,17 @@
 /// whole one would let a fleet that restarts admit the burst twice in a window.
 const FIRST_LEVEL: f64 = 0.3;
 
+/// How long a new process believes the lower level of another host. If it went on, an estimate
+/// of one host that is too low would spread to all and stay.
+const FRESH: Duration = Duration::from_secs(2);
+
 /// The part of the burst that is left to programs under way. A program of which one call is
 /// refused fails as a whole, and what it took before is lost; a new one has lost nothing yet.
 const KEPT_FOR_PROGRAMS: f64 = 0.35;
 
-/// How fast growing and falling demand is believed.
-const RISE: Duration = Duration::from_millis(300);
-const FALL: Duration = Duration::from_secs(2);
+/// The time over which demand is averaged. A program's calls come in clumps of a second; an
+/// average that follows them gives silent hosts the share of their last clump for a whole cut.
+const SMOOTHING: Duration = Duration::from_secs(3);
 
 /// What becomes of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -47,6 +51,19 @@
     Refused(Duration),
 }
 
+/// What decides about a tenant's calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateState {
+    /// The tokens left.
+    pub level: f64,
+    /// The tenant's rate, in calls a second.
+    pub rate: f64,
+    /// The calls a second that come to this host.
+    pub demand: f64,
+    /// The calls a second that come to the others, as they told or as estimated.
+    pub others_demand: f64,
+}
+
 /// What a host tells of a tenant.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TenantNews {
@@ -66,8 +83,8 @@
     /// The tokens that are left; below zero if other hosts admitted calls before their news came.
     level: f64,
     at: Instant,
-    /// Whether the level comes from this process alone so far.
-    is_fresh: bool,
+    /// Until when the level of another host that is lower goes before this one's.
+    fresh_until: Instant,
     admitted: u64,
     /// Calls that came since the last tick.
     arrived: u32,
@@ -116,7 +133,7 @@
                 burst: tenant.burst,
                 level: tenant.burst * FIRST_LEVEL,
                 at: now,
-                is_fresh: true,
+                fresh_until: now + FRESH,
                 admitted: 0,
                 arrived: 0,
                 demand: 0.0,
@@ -167,7 +184,7 @@
             account.level -= news.admitted as f64 - counted as f64 - estimated;
 
             // A new process believes what the others know.
-            if account.is_fresh {
+            if now < account.fresh_until {
                 account.level = account.level.min(news.level);
             }
         }
@@ -190,12 +207,9 @@
             return;
         }
 
-        let all_heard = self.told.len() >= self.others.len();
         for (name, account) in &mut self.accounts {
             account.refill(now);
             account.smooth(passed);
-            // Some seconds after the start all that are there were heard.
-            account.is_fresh &= !all_heard;
             take_out_silent(now, passed, name, account, &self.others, &mut self.told);
         }
         for told in self.told.values_mut().filter(|told| now.since(told.at) > SILENT) {
@@ -220,6 +234,18 @@
         Admission::Admitted
     }
 
+    /// Returns what decides about a tenant's calls, for the logs.
+    pub fn explain(&self, tenant: &str) -> Option<RateState> {
+        let account = self.accounts.get(tenant)?;
+
+        Some(RateState {
+            level: account.level,
+            rate: account.rate,
+            demand: account.demand,
+            others_demand: account.others_demand,
+        })
+    }
+
     /// Gives back the token of a call that has not run and never will.
     pub fn give_back(&mut self, tenant: &str) {
         if let Some(account) = self.accounts.get_mut(tenant) {
@@ -285,8 +311,7 @@
 
     fn smooth(&mut self, passed: Duration) {
         let seen = f64::from(std::mem::take(&mut self.arrived)) / passed.as_secs_f64();
-        let constant = if seen > self.demand { RISE } else { FALL };
-        let part = 1.0 - (-passed.as_secs_f64() / constant.as_secs_f64()).exp();
+        let part = 1.0 - (-passed.as_secs_f64() / SMOOTHING.as_secs_f64()).exp();
 
         self.demand += (seen - self.demand) * part;
     }
--- a/crates/policy/tests/entry_rates.rs
+++ b/crates/policy/tests/entry_rates.rs
@@ -175,3 +175,30 @@
     let most = (100.0 * 5.0 + 100.0) * 1.1 + 20.0;
     assert!(f64::from(used + used_after) <= most, "{used} and {used_after}");
 }
+
+#[test]
+fn a_cut_refuses_nobody_who_stays_within_the_rate() {
+    // A zone is cut off while a host that was replaced for good still stands in the list, so
+    // that no host ever heard all others. The tenant sends six tenths of its rate throughout.
+    let mut fleet = Fleet::new(12, &tenant(120.0, 120.0));
+    fleet.cut = vec![11];
+    let mut calls = [1; 12];
+    calls[11] = 0;
+    (0..100).for_each(|_| {
+        fleet.tick(&calls, false);
+    });
+    for host in &mut fleet.hosts[..11] {
+        host.set_others((0..12).map(id).collect());
+    }
+
+    fleet.cut = vec![0, 1, 2, 3];
+    let admitted: u32 = (0..50)
+        .map(|round| {
+            // Seven calls a tick over eleven hosts.
+            let calls: Vec<u32> = (0..11).map(|host| u32::from((host + round) % 11 < 7)).collect();
+            fleet.tick(&calls, false)
+        })
+        .sum();
+
+    assert_eq!(admitted, 50 * 7);
+}
