Grants and turns without the store: a host that a majority hears grants in its place, two others hold each turn

Ruled out: spending the one turn of slack that the rule leaves; a program needs four to seven. Change: budgets are admitted strictly (a turn must fit what is left), rows are merged by the highest figure of each run, witnesses learn rows as they are written; turns are held by two hosts and written when the store is back; a turn that nobody has is 404 only if that is certain. Open: a store of which only some parts answer; zones cut from the store.

--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -30,6 +30,8 @@
     pub name: Box<str>,
     /// Its availability zone.
     pub zone: Box<str>,
+    /// Whether the whole deployment starts for the first time: then nothing was before.
+    pub is_first_start: bool,
     /// Where callers reach it.
     pub callers: SocketAddr,
     /// Where it is asked whether it is ready.
--- a/crates/core/src/hash.rs
+++ b/crates/core/src/hash.rs
@@ -58,6 +58,20 @@
     members.into_iter().max_by_key(|member| (mix(item, *member), *member))
 }
 
+/// Returns `members` in the order of their rendezvous weight for `item`, the highest first.
+///
+/// ```
+/// use camphorwalk_core::hash::{rendezvous, rendezvous_order};
+/// let all = [1, 2, 3];
+/// assert_eq!(rendezvous_order(7, all).first().copied(), rendezvous(7, all));
+/// ```
+pub fn rendezvous_order(item: u64, members: impl IntoIterator<Item = u64>) -> Vec<u64> {
+    let mut members: Vec<u64> = members.into_iter().collect();
+    members.sort_unstable_by_key(|member| std::cmp::Reverse((mix(item, *member), *member)));
+
+    members
+}
+
 /// Mixes two numbers into a well spread weight (the finalizer of SplitMix64).
 fn mix(a: u64, b: u64) -> u64 {
     let mut z = a.wrapping_add(b.wrapping_mul(0x9e37_79b9_7f4a_7c15));
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -58,12 +58,12 @@
     /// A manifest, for a host that has an older one.
     #[prost(message, tag = "12")]
     Manifest(entry::Manifest),
-    /// An operation on the platform for a host that cannot reach it.
+    /// A question to another entry host.
     #[prost(message, tag = "13")]
-    StoreAsk(entry::StoreAsk),
-    /// The reply to such an operation.
+    Ask(entry::Ask),
+    /// The reply to such a question.
     #[prost(message, tag = "14")]
-    StoreReply(entry::StoreReply),
+    Reply(entry::Reply),
 }
 
 impl From<Body> for PeerMessage {
--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -73,20 +73,20 @@
     pub text: String,
 }
 
-/// An operation on the platform, asked of a host that reaches it.
+/// A question to another entry host.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct StoreAsk {
+pub struct Ask {
     /// The number of the question at the sender.
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    /// The operation, as JSON.
+    /// The question, as JSON.
     #[prost(bytes = "vec", tag = "2")]
-    pub op: Vec<u8>,
+    pub question: Vec<u8>,
 }
 
-/// The reply to an operation on the platform.
+/// The reply to a question.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct StoreReply {
+pub struct Reply {
     /// The number of the question.
     #[prost(uint64, tag = "1")]
     pub id: u64,
--- /dev/null
+++ b/crates/entry/src/asks.rs
@@ -0,0 +1,162 @@
+//! Questions between hosts, and their replies.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::messages::Body;
+use camphorwalk_core::messages::entry as wire;
+use camphorwalk_core::platform::{PlatformOp, PlatformReply};
+use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, RunId};
+use camphorwalk_policy::entry::turns::{Turn, TurnKey};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tracing::warn;
+
+use crate::host::Shared;
+use crate::{budget, store, turns};
+
+/// A question to another host.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Ask {
+    /// To run an operation on the store.
+    Store(PlatformOp),
+    /// For a turn's tokens, while the store is away.
+    Grant(GrantAsk),
+    /// To take in that a program's row stands so.
+    Row(ProgramKey, BudgetRow),
+    /// For a program's row as the other host knows it.
+    KnownRow(ProgramKey),
+    /// To hold a turn until the store has it.
+    Hold(TurnKey, Turn),
+    /// For a turn.
+    Find(TurnKey),
+}
+
+/// A question for a turn's tokens.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct GrantAsk {
+    pub(crate) program: ProgramKey,
+    /// The run of the host that is to get them.
+    pub(crate) run: RunId,
+    /// The most tokens of the turn.
+    pub(crate) most: u64,
+    /// The row as the asking host knows it.
+    pub(crate) known: BudgetRow,
+}
+
+/// The reply to a question.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Reply {
+    /// What the store replied.
+    Store(PlatformReply),
+    /// A program's row, with the tokens granted if they were asked for.
+    Granted(BudgetRow),
+    /// The budget does not hold them.
+    Spent,
+    /// It is done.
+    Done,
+    /// The turn, if it is at hand.
+    Turn(Option<Turn>),
+    /// This host cannot answer now.
+    Refused,
+}
+
+/// The questions that wait for replies.
+#[derive(Default)]
+pub(crate) struct Asks {
+    waiting: RefCell<Map<u64, oneshot::Sender<Reply>>>,
+    next: Cell<u64>,
+}
+
+/// A question that waits for its reply; forgotten when dropped.
+struct Waiting<'a> {
+    asks: &'a Asks,
+    id: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.asks.waiting.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Asks another host. Returns `None` if no reply came within `limit`: then it may or may not
+/// have done what it was asked.
+pub(crate) async fn ask(
+    shared: &Shared,
+    host: HostId,
+    question: &Ask,
+    limit: Duration,
+) -> Option<Reply> {
+    let question = encode(question)?;
+    let asks = &shared.asks;
+    let id = asks.next.get();
+    asks.next.set(id + 1);
+    let (tx, rx) = oneshot::channel();
+    asks.waiting.borrow_mut().insert(id, tx);
+    let _waiting = Waiting { asks, id };
+
+    if !shared.fleet.send(host, Body::Ask(wire::Ask { id, question })) {
+        return None;
+    }
+    timeout(limit, rx).await.ok()?.ok()
+}
+
+/// Tells another host something without waiting for its reply.
+pub(crate) fn tell(shared: &Shared, host: HostId, question: &Ask) {
+    /// No question has this number, so that the reply finds nobody waiting.
+    const NOBODY: u64 = u64::MAX;
+
+    if let Some(question) = encode(question) {
+        // What is told this way is told again in another way if it is lost.
+        shared.fleet.send(host, Body::Ask(wire::Ask { id: NOBODY, question }));
+    }
+}
+
+/// Answers a question of another host.
+pub(crate) async fn serve(shared: Rc<Shared>, from: HostId, message: wire::Ask) {
+    let reply = match serde_json::from_slice(&message.question) {
+        Ok(question) => answer(&shared, question).await,
+        Err(e) => {
+            warn!(error = %e, host = from.0, "ask: question of another host not understood");
+            Reply::Refused
+        }
+    };
+
+    if let Some(reply) = encode(&reply) {
+        // The asking host notices by a timeout if it does not arrive.
+        shared.fleet.send(from, Body::Reply(wire::Reply { id: message.id, reply }));
+    }
+}
+
+async fn answer(shared: &Rc<Shared>, question: Ask) -> Reply {
+    match question {
+        Ask::Store(op) => store::run_for_peer(shared, op).await,
+        Ask::Grant(ask) => budget::grant_for_peer(shared, &ask),
+        Ask::Row(program, row) => budget::take_row(shared, program, &row),
+        Ask::KnownRow(program) => budget::known_row(shared, program),
+        Ask::Hold(key, turn) => turns::hold(shared, key, turn),
+        Ask::Find(key) => Reply::Turn(turns::at_hand(shared, key)),
+    }
+}
+
+/// Takes in a reply.
+pub(crate) fn take_in(shared: &Shared, message: &wire::Reply) {
+    let Some(tx) = shared.asks.waiting.borrow_mut().remove(&message.id) else { return };
+
+    match serde_json::from_slice(&message.reply) {
+        // Whoever asked may have gone.
+        Ok(reply) => drop(tx.send(reply)),
+        Err(e) => warn!(error = %e, "ask: reply of another host not understood"),
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Option<Vec<u8>> {
+    serde_json::to_vec(value)
+        .inspect_err(|e| warn!(error = %e, "ask: message not written"))
+        .ok()
+}
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use camphorwalk_core::hash::stable_hash;
+use camphorwalk_core::ids::HostId;
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
 };
@@ -13,6 +14,7 @@
 use tracing::{info, warn};
 
 use crate::answer::Refusal;
+use crate::asks::{self, Ask, GrantAsk, Reply};
 use crate::call::Call;
 use crate::clock;
 use crate::host::Shared;
@@ -28,6 +30,15 @@
 /// When a caller is told to come back while the count cannot be had.
 const UNSURE_RETRY: Duration = Duration::from_millis(300);
 
+/// How many hosts know a program's row besides those that run it. Two survive one loss.
+const WITNESSES: usize = 2;
+
+/// How long a grant by another host may take: the way there and back, and its work.
+const GRANT_DEADLINE: Duration = Duration::from_millis(150);
+
+/// How long after the store's return grants that were made without it may not be written yet.
+const WRITE_LOOSE_TIME: Duration = Duration::from_secs(3);
+
 /// The most tokens of a turn that does not say. A turn without a size cannot be reserved for.
 const UNSAID_MOST: u64 = 1_024;
 
@@ -73,15 +84,16 @@
     let _turn = lock.lock().await;
 
     for _ in 0..MOST_WRITES {
-        let reservation = shared.budgets.borrow_mut().reserve(clock::now(), program, budget, most);
+        let reservation =
+            shared.budgets.borrow_mut().reserve(clock::now(), program, budget, most);
 
         match reservation {
             Reservation::Reserved => {
                 return Ok(Some(Hold { shared: Rc::clone(shared), program, most, used: 0 }));
             }
-            Reservation::Spent { .. } => {
+            Reservation::Spent { certain } => {
                 info!(
-                    request = %call.head.request_id, program = %program.0, budget, most,
+                    request = %call.head.request_id, program = %program.0, budget, most, certain,
                     "budget: spent"
                 );
                 return Err(Refusal::wrong(
@@ -89,20 +101,37 @@
                     "the program's budget is spent",
                 ));
             }
-            Reservation::Write(row, version) => write(shared, program, row, version).await?,
+            Reservation::Write(row, version) => {
+                // For a moment after the store's return, grants that were made without it may
+                // not be written yet.
+                if !shared.store.was_there_for(WRITE_LOOSE_TIME) {
+                    learn_from_peer(shared, program).await;
+                }
+                if let Written::Away = write(shared, program, row, version).await? {
+                    ask_for_grant(call, program, budget, most).await?;
+                }
+            }
         }
     }
 
     Err(Refusal::later("the program's budget is contended", UNSURE_RETRY))
 }
 
+/// What came of writing a row.
+enum Written {
+    /// What the store holds now is known.
+    Learned,
+    /// The store is away, for this host and those that it hears.
+    Away,
+}
+
 /// Writes a program's row, and takes in what the store then holds.
 async fn write(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     program: ProgramKey,
     row: BudgetRow,
     version: RowVersion,
-) -> Result<(), Refusal> {
+) -> Result<Written, Refusal> {
     let key = row_key(program);
     let text: Box<str> = match serde_json::to_string(&row) {
         Ok(text) => text.into(),
@@ -111,38 +140,159 @@
             return Err(unsure());
         }
     };
-    let reply = store::ask(shared, PlatformOp::Commit(Transaction {
-            checks: vec![Check { key: key.clone(), version }],
-            writes: vec![Write { key: key.clone(), value: Some(text) }],
-        }))
-        .await;
+    let tx = Transaction {
+        checks: vec![Check { key: key.clone(), version }],
+        writes: vec![Write { key: key.clone(), value: Some(text) }],
+    };
 
-    match reply {
+    match store::ask(shared, PlatformOp::Commit(tx)).await {
         PlatformReply::Committed(version) => {
+            tell_witness(shared, program, &row);
             shared.budgets.borrow_mut().learn(clock::now(), program, row, version);
-            Ok(())
+            Ok(Written::Learned)
         }
         PlatformReply::Conflict(rows) => take_in(shared, program, &rows),
+        PlatformReply::Unavailable => Ok(Written::Away),
         // It may have taken effect or may still do so: the row tells, and whatever is written
         // next changes the version that a late one waits for.
-        PlatformReply::Unknown => match store::ask(shared, PlatformOp::Read(vec![key])).await {
+        _ => match store::ask(shared, PlatformOp::Read(vec![key])).await {
             PlatformReply::Rows(rows) => take_in(shared, program, &rows),
+            PlatformReply::Unavailable => Ok(Written::Away),
             _ => Err(unsure()),
         },
+    }
+}
+
+/// Returns the hosts that are heard, in the order in which they grant a program's tokens while
+/// the store is away.
+fn grant_order(shared: &Shared, program: ProgramKey) -> Vec<HostId> {
+    shared.fleet.order(program.0)
+}
+
+/// Tells the hosts that would grant in the store's place how a program's row stands. They need
+/// it the moment that the store is away.
+fn tell_witness(shared: &Shared, program: ProgramKey, row: &BudgetRow) {
+    let own = shared.fleet.own();
+    let first = grant_order(shared, program).into_iter().take(WITNESSES);
+
+    for host in first.filter(|host| *host != own) {
+        asks::tell(shared, host, &Ask::Row(program, row.clone()));
+    }
+}
+
+/// Asks the host that grants in the store's place for a turn's tokens.
+async fn ask_for_grant(
+    call: &Call,
+    program: ProgramKey,
+    budget: u64,
+    most: u64,
+) -> Result<(), Refusal> {
+    let shared = &call.shared;
+    let empty = BudgetRow { budget, ..BudgetRow::default() };
+    let known = shared.budgets.borrow().row(program).cloned().unwrap_or(empty);
+    let ask = GrantAsk { program, run: shared.run, most, known };
+    let host = grant_order(shared, program).first().copied().ok_or_else(unsure)?;
+    let reply = match host == shared.fleet.own() {
+        true => Some(grant_for_peer(shared, &ask)),
+        false => asks::ask(shared, host, &Ask::Grant(ask), GRANT_DEADLINE).await,
+    };
+
+    match reply {
+        Some(Reply::Granted(row)) => {
+            info!(request = %call.head.request_id, program = %program.0, host = host.0, "budget: granted without the store");
+            shared.budgets.borrow_mut().learn_loose(clock::now(), program, &row);
+            Ok(())
+        }
+        Some(Reply::Spent) => {
+            Err(Refusal::wrong(StatusCode::PAYMENT_REQUIRED, "the program's budget is spent"))
+        }
         _ => Err(unsure()),
     }
 }
 
-fn take_in(shared: &Shared, program: ProgramKey, rows: &[Row]) -> Result<(), Refusal> {
+/// Grants a turn's tokens in the store's place.
+///
+/// Only a host that hears a majority does, and only while nobody that it hears reaches the
+/// store: a group that is cut off with a minority of the hosts cannot know what the others
+/// grant. A process that the store never answered knows nothing of before.
+pub(crate) fn grant_for_peer(shared: &Shared, ask: &GrantAsk) -> Reply {
+    let store_is_away = !shared.store.answers() && shared.fleet.store_peer().is_none();
+
+    if !store_is_away || !shared.store.has_answered() || !shared.fleet.is_majority() {
+        return Reply::Refused;
+    }
+
+    let GrantAsk { program, run, most, known } = ask;
+    let granted =
+        shared.budgets.borrow_mut().grant_loose(clock::now(), *program, *run, *most, known);
+    match granted {
+        Some(row) => {
+            tell_witness(shared, *program, &row);
+            Reply::Granted(row)
+        }
+        None => Reply::Spent,
+    }
+}
+
+/// Takes in how a program's row stands at another host.
+pub(crate) fn take_row(shared: &Shared, program: ProgramKey, row: &BudgetRow) -> Reply {
+    let mut budgets = shared.budgets.borrow_mut();
+    match shared.store.answers() {
+        true => budgets.note(clock::now(), program, row),
+        false => budgets.learn_loose(clock::now(), program, row),
+    }
+
+    Reply::Done
+}
+
+/// Learns of a program's row from the host that granted in the store's place.
+async fn learn_from_peer(shared: &Shared, program: ProgramKey) {
+    let own = shared.fleet.own();
+    let Some(host) = grant_order(shared, program).into_iter().find(|host| *host != own) else {
+        return;
+    };
+
+    // Without a reply the store's row has to do.
+    if let Some(Reply::Granted(row)) =
+        asks::ask(shared, host, &Ask::KnownRow(program), GRANT_DEADLINE).await
+    {
+        shared.budgets.borrow_mut().note(clock::now(), program, &row);
+    }
+}
+
+/// Returns a program's row as this host knows it.
+pub(crate) fn known_row(shared: &Shared, program: ProgramKey) -> Reply {
+    shared.budgets.borrow().row(program).cloned().map_or(Reply::Refused, Reply::Granted)
+}
+
+/// Writes the grants that were made without the store.
+pub(crate) async fn write_loose(shared: &Rc<Shared>) {
+    for _ in 0..MOST_WRITES {
+        let loose = shared.budgets.borrow().loose();
+        if loose.is_empty() {
+            return;
+        }
+
+        info!(programs = loose.len(), "budget: grants made without the store are written");
+        for (program, row, version) in loose {
+            // What fails stays loose, and is written in the next round.
+            if let Ok(Written::Away) = write(shared, program, row, version).await {
+                return;
+            }
+        }
+    }
+}
+
+fn take_in(shared: &Shared, program: ProgramKey, rows: &[Row]) -> Result<Written, Refusal> {
     let key = row_key(program);
     let Some(row) = rows.iter().find(|row| row.key == key) else {
-        return Ok(());
+        return Ok(Written::Learned);
     };
 
     match serde_json::from_str(&row.value) {
         Ok(content) => {
             shared.budgets.borrow_mut().learn(clock::now(), program, content, row.version);
-            Ok(())
+            Ok(Written::Learned)
         }
         Err(e) => {
             warn!(program = %program.0, error = %e, "budget: row not understood");
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::hash::Map;
+use camphorwalk_core::hash::{Map, rendezvous_order};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::entry::{Demand, EntryNews, InFlight, Manifest};
 use camphorwalk_core::messages::{Body, PeerMessage};
@@ -23,7 +23,7 @@
 use tracing::{info, warn};
 
 use crate::host::Shared;
-use crate::{clock, places, store, watch};
+use crate::{asks, clock, places, store, watch};
 
 /// The table of hosts, each under its name.
 const HOSTS_TABLE: &str = "hosts";
@@ -80,6 +80,7 @@
 /// What is known of the fleet.
 pub(crate) struct Fleet {
     name: Box<str>,
+    own: HostId,
     known: RefCell<Map<HostId, Known>>,
     heard: RefCell<Map<HostId, Heard>>,
     peers: RefCell<Option<Peers>>,
@@ -93,11 +94,18 @@
     store_answers: bool,
 }
 
+impl Heard {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.since(self.at) < FRESH
+    }
+}
+
 impl Fleet {
     /// Begins with no other hosts.
     pub(crate) fn new(name: &str) -> Self {
         Self {
             name: name.into(),
+            own: HostId::from_name(name),
             known: RefCell::default(),
             heard: RefCell::default(),
             peers: RefCell::default(),
@@ -110,16 +118,47 @@
     }
 
     /// Returns a host that the store answers, by its last news.
-    pub(crate) fn store_peer(&self) -> Option<(HostId, Peers)> {
+    pub(crate) fn store_peer(&self) -> Option<HostId> {
         let now = clock::now();
         let heard = self.heard.borrow();
-        let reaching = heard
-            .iter()
-            .filter(|(_, heard)| heard.store_answers && now.since(heard.at) < FRESH)
-            .map(|(host, _)| *host);
-        let host = reaching.choose(&mut rand::rng())?;
+        let reaching = heard.iter().filter(|(_, heard)| heard.store_answers && heard.is_fresh(now));
 
-        Some((host, self.peers.borrow().clone()?))
+        reaching.map(|(host, _)| *host).choose(&mut rand::rng())
+    }
+
+    /// Returns whether this host hears more than half of all hosts, itself included. Of two
+    /// groups of hosts that are cut from each other, at most one does.
+    pub(crate) fn is_majority(&self) -> bool {
+        let now = clock::now();
+        let known = self.known.borrow();
+        let heard = self.heard.borrow();
+        let there = heard.iter().filter(|(host, heard)| {
+            known.contains_key(host) && heard.is_fresh(now)
+        });
+
+        (there.count() + 1) * 2 > known.len() + 1
+    }
+
+    /// Returns the hosts that are heard, this one included, in the fixed order of an item.
+    pub(crate) fn order(&self, item: u64) -> Vec<HostId> {
+        let now = clock::now();
+        let heard = self.heard.borrow();
+        let fresh = heard.iter().filter(|(_, heard)| heard.is_fresh(now)).map(|(host, _)| host.0);
+
+        rendezvous_order(item, fresh.chain([self.own.0])).into_iter().map(HostId).collect()
+    }
+
+    /// Returns the id of this host.
+    pub(crate) fn own(&self) -> HostId {
+        self.own
+    }
+
+    /// Returns whether a known host is not heard.
+    pub(crate) fn misses_someone(&self) -> bool {
+        let now = clock::now();
+        let heard = self.heard.borrow();
+
+        self.known.borrow().keys().any(|host| heard.get(host).is_none_or(|h| !h.is_fresh(now)))
     }
 
     /// Returns whether a host of a zone told its news of late.
@@ -129,15 +168,15 @@
         let known = self.known.borrow();
         let is_there = |host: &HostId| known.get(host).is_some_and(|known| *known.zone == *zone);
 
-        heard.iter().any(|(host, heard)| now.since(heard.at) < FRESH && is_there(host))
+        heard.iter().any(|(host, heard)| heard.is_fresh(now) && is_there(host))
     }
 
-    /// Sends a message to another host, if it can be sent.
-    pub(crate) fn send(&self, host: HostId, body: Body) {
-        if let Some(peers) = &*self.peers.borrow() {
-            // Whoever waits for it notices by a timeout.
-            peers.send(host, PeerMessage::from(body));
-        }
+    /// Sends a message to another host. Returns false if it cannot be sent; a message that is
+    /// sent may still be lost.
+    pub(crate) fn send(&self, host: HostId, body: Body) -> bool {
+        let peers = self.peers.borrow();
+
+        peers.as_ref().is_some_and(|peers| peers.send(host, PeerMessage::from(body)))
     }
 
     fn news_period(&self) -> Duration {
@@ -178,20 +217,20 @@
 }
 
 /// Gets the secret by which the hosts know each other. The first host of a fleet writes it.
-async fn secret(shared: &Shared) -> Secret {
+async fn secret(shared: &Rc<Shared>) -> Secret {
     let key = RowKey::new(FLEET_TABLE, "secret");
 
     loop {
         let mut bytes = [0; 32];
         rand::rng().fill_bytes(&mut bytes);
         let text: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
-        let reply = match store::probe(&shared, PlatformOp::Read(vec![key.clone()])).await {
+        let reply = match store::probe(shared, PlatformOp::Read(vec![key.clone()])).await {
             PlatformReply::Rows(rows) if rows.is_empty() => {
                 let tx = Transaction {
                     checks: vec![Check { key: key.clone(), version: RowVersion::ABSENT }],
                     writes: vec![Write { key: key.clone(), value: Some(text.into()) }],
                 };
-                store::probe(&shared, PlatformOp::Commit(tx)).await;
+                store::probe(shared, PlatformOp::Commit(tx)).await;
                 continue;
             }
             reply => reply,
@@ -352,11 +391,10 @@
         match message.body {
             Some(Body::EntryNews(news)) => take_in(&shared, &peers, from, news),
             Some(Body::Manifest(manifest)) => watch::adopt(&shared, &manifest.text, "peer"),
-            Some(Body::StoreAsk(ask)) => {
-                let shared = Rc::clone(&shared);
-                tokio::task::spawn_local(async move { store::serve(&shared, from, ask).await });
+            Some(Body::Ask(ask)) => {
+                tokio::task::spawn_local(asks::serve(Rc::clone(&shared), from, ask));
             }
-            Some(Body::StoreReply(reply)) => store::take_in(&shared, reply),
+            Some(Body::Reply(reply)) => asks::take_in(&shared, &reply),
             _ => {}
         }
     }
@@ -369,6 +407,10 @@
         info!(host = from.0, "fleet: host heard");
     }
 
+    if !news.store_answers {
+        shared.store.away_somewhere(now);
+    }
+
     let tenants = news.demand.into_iter().map(|d| {
         let news = TenantNews { admitted: d.admitted, demand: d.per_second, level: d.level };
         (d.tenant.into(), news)
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -6,25 +6,27 @@
 
 use camphorwalk_core::entry::EntrySettings;
 use camphorwalk_core::hash::Map;
+use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
 use camphorwalk_policy::entry::crashes::Crashes;
 use camphorwalk_policy::entry::placement::Targets;
 use camphorwalk_policy::entry::rates::Rates;
 use camphorwalk_policy::entry::routes::RouteTable;
-use camphorwalk_policy::entry::turns::TurnCache;
+use camphorwalk_policy::entry::turns::{Turn, TurnCache, TurnKey};
 use camphorwalk_store::{Client, ClientOptions, RetryOptions, ShareOptions};
 use rand::RngCore as _;
 use tokio::sync::Mutex;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant as TokioInstant, sleep, timeout_at};
 use tracing::info;
 
+use crate::asks::Asks;
 use crate::connections::Connections;
 use crate::errors::Result;
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
 use crate::places::Places;
 use crate::store::Store;
-use crate::{callers, fleet, probes, turns, watch};
+use crate::{callers, clock, fleet, probes, turns, watch};
 
 /// The longest that one try of a call to the store may take. Its answers come within some
 /// milliseconds, and within a third of a second when it is slow.
@@ -54,7 +56,9 @@
 pub(crate) struct Shared {
     pub(crate) settings: EntrySettings,
     pub(crate) run: RunId,
+    began: Instant,
     pub(crate) store: Store,
+    pub(crate) asks: Asks,
     pub(crate) routes: RefCell<Option<RouteTable>>,
     /// The text of the manifest in force, for hosts that cannot reach the store.
     pub(crate) manifest_text: RefCell<Box<str>>,
@@ -67,6 +71,8 @@
     pub(crate) budget_locks: RefCell<Map<ProgramKey, Rc<Mutex<()>>>>,
     pub(crate) turns: RefCell<TurnCache>,
     pub(crate) written: RefCell<turns::Written>,
+    /// Turns that the store does not have yet.
+    pub(crate) held: RefCell<Map<TurnKey, Rc<Turn>>>,
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) fleet: Fleet,
     pub(crate) metrics: Metrics,
@@ -81,6 +87,14 @@
         !self.leaving.get() && self.routes.borrow().is_some()
     }
 
+    /// Returns whether all turns of the last `retention` are certainly in the store or at a host:
+    /// not if the store was away, or if a former run of this process may have known more.
+    pub(crate) fn knows_all_turns(&self, retention: Duration) -> bool {
+        let is_old = clock::now().since(self.began) > retention;
+
+        (is_old || self.settings.is_first_start) && self.store.was_there_for(retention)
+    }
+
     /// Returns whether the host was asked to end.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.get()
@@ -125,8 +139,10 @@
         );
 
         let shared = Rc::new(Shared {
+            began: clock::now(),
             run,
             store,
+            asks: Asks::default(),
             routes: RefCell::default(),
             manifest_text: RefCell::default(),
             rates: RefCell::default(),
@@ -137,6 +153,7 @@
             budget_locks: RefCell::default(),
             turns: RefCell::new(TurnCache::new(turn_bytes)),
             written: RefCell::default(),
+            held: RefCell::default(),
             crashes: RefCell::default(),
             fleet: Fleet::new(&settings.name),
             metrics,
@@ -168,7 +185,7 @@
         shared.leaving.set(true);
         info!(open = shared.open_requests.get(), "host: leaving");
 
-        let begun = Instant::now();
+        let begun = TokioInstant::now();
         let end = begun + shared.settings.grace.saturating_sub(GRACE_MARGIN);
         let done = async {
             sleep(BALANCER_DELAY).await;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 mod answer;
+mod asks;
 mod budget;
 mod call;
 mod callers;
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -11,11 +11,14 @@
 };
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
-use futures::future::try_join_all;
+use futures::StreamExt as _;
+use futures::future::{join_all, try_join_all};
+use futures::stream::FuturesUnordered;
 use http::StatusCode;
 use tracing::{info, warn};
 
 use crate::answer::Refusal;
+use crate::asks::{self, Ask, Reply};
 use crate::call::Call;
 use crate::clock;
 use crate::host::Shared;
@@ -27,6 +30,19 @@
 /// When a caller is told to come back while it cannot be told whether a turn exists.
 const UNSURE_RETRY: Duration = Duration::from_millis(300);
 
+/// How many other hosts hold a turn that the store does not take. With two the loss of one
+/// host besides the one that wrote it is borne.
+const COPIES: usize = 2;
+
+/// How long another host may take to say that it holds a turn.
+const HOLD_DEADLINE: Duration = Duration::from_millis(100);
+
+/// How many hosts are asked for a turn that the store does not have.
+const MOST_ASKED: usize = 12;
+
+/// How long another host may take to find a turn.
+const FIND_DEADLINE: Duration = Duration::from_millis(60);
+
 /// How much longer than its retention a turn's row stays, so that a turn that was read just
 /// before is still there when it is used.
 const SWEEP_MARGIN: Duration = Duration::from_secs(30);
@@ -74,9 +90,15 @@
     };
     let shared = &call.shared;
     let key = TurnKey::new(call.tenant.as_deref().unwrap_or_default(), previous);
+    let retention = call.route().keeps.map_or(Duration::ZERO, |keeps| keeps.retention);
     let last = read(shared, key).await?.ok_or_else(|| {
-        info!(request = %call.head.request_id, previous, "turn: no such turn");
-        Refusal::wrong(StatusCode::NOT_FOUND, "there is no such turn")
+        // Turns of the time without the store may be at hosts that are not heard.
+        let certain = shared.knows_all_turns(retention) && !shared.fleet.misses_someone();
+        info!(request = %call.head.request_id, previous, certain, "turn: no such turn");
+        match certain {
+            true => Refusal::wrong(StatusCode::NOT_FOUND, "there is no such turn"),
+            false => unsure(),
+        }
     })?;
 
     let earlier = last.line.iter().map(|key| async move {
@@ -91,28 +113,103 @@
     Ok(Continuation { earlier, line })
 }
 
-/// Reads a turn; `None` if there is certainly none.
-async fn read(shared: &Shared, key: TurnKey) -> Result<Option<Rc<Turn>>, Refusal> {
+/// Reads a turn; `None` if neither the store nor a host that is heard has it.
+async fn read(shared: &Rc<Shared>, key: TurnKey) -> Result<Option<Rc<Turn>>, Refusal> {
     if let Some(turn) = shared.turns.borrow().get(key) {
         return Ok(Some(turn));
     }
 
     shared.metrics.turn_reads.inc();
-    let rows = match store::ask(shared, PlatformOp::Read(vec![row_key(key)])).await {
-        PlatformReply::Rows(rows) => rows,
-        _ => return Err(unsure()),
+    let reply = store::ask(shared, PlatformOp::Read(vec![row_key(key)])).await;
+    let is_absent = matches!(&reply, PlatformReply::Rows(rows) if rows.is_empty());
+    let turn = match reply {
+        PlatformReply::Rows(rows) if !rows.is_empty() => {
+            let row = &rows[0];
+            serde_json::from_str(&row.value).map_err(|e| {
+                warn!(turn = %row.key.key, error = %e, "turn: row not understood");
+                unsure()
+            })?
+        }
+        // It may have ended while the store was away.
+        _ => match find(shared, key).await {
+            Some(turn) => turn,
+            None if is_absent => return Ok(None),
+            None => return Err(unsure()),
+        },
     };
-    let Some(row) = rows.first() else { return Ok(None) };
-    let turn: Turn = serde_json::from_str(&row.value).map_err(|e| {
-        warn!(turn = %row.key.key, error = %e, "turn: row not understood");
-        unsure()
-    })?;
     let turn = Rc::new(turn);
     shared.turns.borrow_mut().put(key, Rc::clone(&turn));
 
     Ok(Some(turn))
 }
 
+/// Asks the hosts that may hold a turn.
+async fn find(shared: &Shared, key: TurnKey) -> Option<Turn> {
+    let own = shared.fleet.own();
+    let hosts = shared.fleet.order(key.0).into_iter().filter(|host| *host != own).take(MOST_ASKED);
+    let mut replies: FuturesUnordered<_> = hosts
+        .map(|host| async move { asks::ask(shared, host, &Ask::Find(key), FIND_DEADLINE).await })
+        .collect();
+
+    while let Some(reply) = replies.next().await {
+        if let Some(Reply::Turn(Some(turn))) = reply {
+            return Some(turn);
+        }
+    }
+
+    None
+}
+
+/// Returns a turn if it is at hand.
+pub(crate) fn at_hand(shared: &Shared, key: TurnKey) -> Option<Turn> {
+    shared.turns.borrow().get(key).map(|turn| Turn::clone(&turn))
+}
+
+/// Holds another host's turn until the store has it.
+pub(crate) fn hold(shared: &Shared, key: TurnKey, turn: Turn) -> Reply {
+    let turn = Rc::new(turn);
+    shared.turns.borrow_mut().put(key, Rc::clone(&turn));
+    shared.held.borrow_mut().insert(key, turn);
+
+    Reply::Done
+}
+
+/// Has other hosts hold a turn that the store does not take. Returns whether enough do.
+async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) -> bool {
+    let own = shared.fleet.own();
+    let hosts = shared.fleet.order(key.0).into_iter().filter(|host| *host != own).take(COPIES);
+    let ask = Ask::Hold(key, Turn::clone(turn));
+    let replies = join_all(hosts.map(|host| asks::ask(shared, host, &ask, HOLD_DEADLINE))).await;
+    let copies = replies.iter().filter(|reply| matches!(reply, Some(Reply::Done))).count();
+
+    if copies == 0 {
+        return false;
+    }
+    shared.held.borrow_mut().insert(key, Rc::clone(turn));
+    true
+}
+
+/// Writes the turns that are held since the store was away.
+pub(crate) async fn write_held(shared: &Rc<Shared>) {
+    let held: Vec<_> = shared.held.borrow().iter().map(|(k, t)| (*k, Rc::clone(t))).collect();
+    if held.is_empty() {
+        return;
+    }
+
+    info!(turns = held.len(), "turn: turns held without the store are written");
+    for (key, turn) in held {
+        let Ok(value) = serde_json::to_string(&*turn) else { continue };
+        // What fails stays held, and is written when the store answers the next time.
+        match write(shared, key, value.into()).await {
+            Ok(()) => {
+                shared.held.borrow_mut().remove(&key);
+                shared.written.borrow_mut().rows.push_back((clock::now(), key));
+            }
+            Err(reason) => info!(turn = %key.row(), reason, "turn: held turn not written"),
+        }
+    }
+}
+
 /// Keeps a turn whose stream has ended, if its route keeps turns. Until then its end may not be
 /// passed on: the caller could continue it at another host, or after all hosts lost power.
 pub(crate) async fn keep(
@@ -130,16 +227,24 @@
     text.extend_from_slice(&said);
     let turn = Turn::new(continuation.line.clone(), text);
     let value = serde_json::to_string(&turn).map_err(|_| "the turn cannot be written")?;
+    let turn = Rc::new(turn);
 
-    write(shared, key, value.into()).await?;
-    shared.turns.borrow_mut().put(key, Rc::new(turn));
-    shared.written.borrow_mut().rows.push_back((clock::now(), key));
+    match write(shared, key, value.into()).await {
+        Ok(()) => shared.written.borrow_mut().rows.push_back((clock::now(), key)),
+        Err(reason) => {
+            if !hold_at_peers(shared, key, &turn).await {
+                return Err(reason);
+            }
+            info!(request = %call.head.request_id, reason, "turn: held by other hosts");
+        }
+    }
+    shared.turns.borrow_mut().put(key, turn);
 
     Ok(())
 }
 
 /// Writes the row of a turn.
-async fn write(shared: &Shared, key: TurnKey, value: Box<str>) -> Result<(), &'static str> {
+async fn write(shared: &Rc<Shared>, key: TurnKey, value: Box<str>) -> Result<(), &'static str> {
     let row = row_key(key);
     let tx = Transaction {
         checks: vec![Check { key: row.clone(), version: RowVersion::ABSENT }],
@@ -175,7 +280,7 @@
     });
 }
 
-async fn sweep(shared: &Shared) {
+async fn sweep(shared: &Rc<Shared>) {
     let Some(retention) = longest_retention(shared) else { return };
 
     // Budgets are needed for as long as a program may return, which is as long as its turns
@@ -222,7 +327,7 @@
 
 /// Deletes rows. What fails is left lying: it does no harm, and the host that reads it finds a
 /// turn that was true.
-async fn delete(shared: &Shared, checks: Vec<Check>, keys: Vec<RowKey>) {
+async fn delete(shared: &Rc<Shared>, checks: Vec<Check>, keys: Vec<RowKey>) {
     let rows = keys.len();
     let writes = keys.into_iter().map(|key| Write { key, value: None }).collect();
     let reply = store::ask(shared, PlatformOp::Commit(Transaction { checks, writes })).await;
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -73,7 +73,7 @@
 async fn snapshot(shared: &Rc<Shared>, table: &str, after: Box<str>) -> Option<TableChanges> {
     let op = PlatformOp::Snapshot { table: table.into(), after, limit: MOST_ROWS };
 
-    match store::probe(&shared, op).await {
+    match store::probe(shared, op).await {
         PlatformReply::Changes(changes) => Some(changes),
         _ => None,
     }
@@ -83,7 +83,7 @@
     let table = paths::OPERATORS_TABLE.into();
     let op = PlatformOp::Changes { table, after, wait: MANIFEST_WAIT };
 
-    match store::probe(&shared, op).await {
+    match store::probe(shared, op).await {
         PlatformReply::Changes(changes) => {
             adopt_newest(shared, &changes);
             Some(changes.version)
@@ -190,7 +190,7 @@
     let op =
         PlatformOp::Changes { table: paths::TARGETS_TABLE.into(), after, wait: Duration::ZERO };
 
-    match store::probe(&shared, op).await {
+    match store::probe(shared, op).await {
         PlatformReply::Changes(changes) => {
             take_in(shared, table, changes);
             true
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -3,8 +3,13 @@
 //! A row for each program holds its budget and how many tokens each run of a host was granted.
 //! A host spends from its own grant without asking; before it spends more it raises its grant
 //! by a transaction on the row's version. So the tokens of all hosts together never exceed the
-//! budget by more than one turn, over restarts, cuts and lost answers: what a host that died was
-//! granted counts as spent.
+//! budget, over restarts, cuts and lost answers: what a host that died was granted counts as
+//! spent.
+//!
+//! While the store is away for all, one host at a time grants in its place: the first in a fixed
+//! order of those that a majority of the hosts hears. Its grants are *loose* until they are
+//! written. Figures of a row only grow, so rows that were written apart are merged by the
+//! highest figure of each run.
 
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::platform::RowVersion;
@@ -14,7 +19,7 @@
 use std::time::Duration;
 
 /// A program's name within the fleet: a hash of its tenant and its id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ProgramKey(pub u64);
 
 /// The random number of a run of a host's process.
@@ -53,11 +58,41 @@
 struct Account {
     row: BudgetRow,
     version: RowVersion,
+    /// Whether the row has grants that the store does not have yet.
+    loose: bool,
     spent: u64,
     reserved: u64,
     used_at: Instant,
 }
 
+impl Account {
+    fn new(now: Instant, budget: u64) -> Self {
+        Self {
+            row: BudgetRow { budget, granted: BTreeMap::new() },
+            version: RowVersion::ABSENT,
+            loose: false,
+            spent: 0,
+            reserved: 0,
+            used_at: now,
+        }
+    }
+
+    /// Takes over the higher figure of each run.
+    fn merge(&mut self, row: &BudgetRow) {
+        if self.row.budget == 0 {
+            self.row.budget = row.budget;
+        }
+        for (run, tokens) in &row.granted {
+            let own = self.row.granted.entry(*run).or_default();
+            *own = (*own).max(*tokens);
+        }
+    }
+
+    fn granted(&self, run: RunId) -> u64 {
+        self.row.granted.get(&run).copied().unwrap_or(0)
+    }
+}
+
 /// The programs that run turns at this host.
 #[derive(Clone, Debug)]
 pub struct Budgets {
@@ -85,9 +120,6 @@
     }
 
     /// Asks for the `most` tokens of a turn.
-    ///
-    /// The last turn may go over the budget, as long as there was any of it left: the caller
-    /// asked for its most, and mostly uses less.
     pub fn reserve(
         &mut self,
         now: Instant,
@@ -96,31 +128,25 @@
         most: u64,
     ) -> Reservation {
         let run = self.run;
-        let account = self.accounts.entry(program).or_insert_with(|| Account {
-            row: BudgetRow { budget, granted: BTreeMap::new() },
-            version: RowVersion::ABSENT,
-            spent: 0,
-            reserved: 0,
-            used_at: now,
-        });
+        let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, budget));
         account.used_at = now;
 
-        let own = account.row.granted.get(&run).copied().unwrap_or(0);
+        let own = account.granted(run);
         let others = account.row.granted.values().sum::<u64>() - own;
         let committed = account.spent + account.reserved;
 
-        if own >= committed + most && account.version != RowVersion::ABSENT {
+        if own >= committed + most {
             account.reserved += most;
             return Reservation::Reserved;
         }
-        if others + committed >= account.row.budget {
+        if others + committed + most > account.row.budget {
             return Reservation::Spent { certain: others == 0 };
         }
 
         let needed = committed + most;
-        let free = account.row.budget.saturating_sub(others + needed);
         let mut row = account.row.clone();
-        row.granted.insert(run, own.max(needed + (free / SPARE_PART).min(most)));
+        let spare = spare(row.budget, others + needed, most);
+        row.granted.insert(run, own.max(needed + spare));
 
         Reservation::Write(row, account.version)
     }
@@ -133,63 +159,92 @@
         row: BudgetRow,
         version: RowVersion,
     ) {
-        let account = self.accounts.entry(program).or_insert_with(|| Account {
-            row: BudgetRow::default(),
-            version,
-            spent: 0,
-            reserved: 0,
-            used_at: now,
-        });
+        let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, row.budget));
 
-        if version >= account.version {
-            account.row = row;
-            account.version = version;
+        if version < account.version {
+            return;
         }
+        account.version = version;
+        account.merge(&row);
+        account.loose &= account.row != row;
     }
 
-    /// Settles a turn: of the `most` tokens reserved, `used` were generated.
-    pub fn settle(&mut self, program: ProgramKey, most: u64, used: u64) {
-        let Some(account) = self.accounts.get_mut(&program) else { return };
+    /// Grants a turn's tokens to the run `run` of a host, in the store's place, and returns the
+    /// row as it then stands. `known` is what the asking host knows of it.
+    ///
+    /// Returns `None` if the budget does not hold the turn.
+    pub fn grant_loose(
+        &mut self,
+        now: Instant,
+        program: ProgramKey,
+        run: RunId,
+        most: u64,
+        known: &BudgetRow,
+    ) -> Option<BudgetRow> {
+        let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, known.budget));
+        account.used_at = now;
+        account.merge(known);
 
-        account.reserved = account.reserved.saturating_sub(most);
-        account.spent += used;
+        let total = account.row.granted.values().sum::<u64>();
+        if total + most > account.row.budget {
+            return None;
+        }
+
+        *account.row.granted.entry(run).or_default() += most;
+        account.loose = true;
+        Some(account.row.clone())
     }
 
-    /// Returns what this host should write to give back what it will not use of a program, if
-    /// anything: asked by a host that found the budget spent.
-    pub fn release(&mut self, program: ProgramKey) -> Option<(BudgetRow, RowVersion)> {
-        let account = self.accounts.get(&program)?;
-        let own = account.row.granted.get(&self.run).copied()?;
-        let committed = account.spent + account.reserved;
+    /// Takes in a row with loose grants, or what another host knows of one.
+    pub fn learn_loose(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
+        let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, row.budget));
+        account.used_at = now;
+        let before = account.row.clone();
+        account.merge(row);
+        account.loose |= account.row != before;
+    }
 
-        if own <= committed {
-            return None;
-        }
+    /// Takes in how a program's row stands at another host, which writes it itself.
+    pub fn note(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
+        let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, row.budget));
+        account.used_at = now;
+        account.merge(row);
+    }
 
-        let mut row = account.row.clone();
-        row.granted.insert(self.run, committed);
-        Some((row, account.version))
+    /// Returns the row of a program as this host knows it.
+    pub fn row(&self, program: ProgramKey) -> Option<&BudgetRow> {
+        self.accounts.get(&program).map(|account| &account.row)
     }
 
-    /// Returns whether this host knows a program's row.
-    pub fn knows(&self, program: ProgramKey) -> bool {
-        self.accounts.get(&program).is_some_and(|a| a.version != RowVersion::ABSENT)
+    /// Returns the programs with grants that the store does not have, with their rows and the
+    /// versions that they replace.
+    pub fn loose(&self) -> Vec<(ProgramKey, BudgetRow, RowVersion)> {
+        let loose = self.accounts.iter().filter(|(_, account)| account.loose);
+
+        loose.map(|(program, a)| (*program, a.row.clone(), a.version)).collect()
     }
 
-    /// Returns the other runs that were granted tokens of a program.
-    pub fn holders(&self, program: ProgramKey) -> Vec<RunId> {
-        let account = self.accounts.get(&program);
-        let runs = account.into_iter().flat_map(|a| a.row.granted.keys().copied());
+    /// Settles a turn: of the `most` tokens reserved, `used` were generated.
+    pub fn settle(&mut self, program: ProgramKey, most: u64, used: u64) {
+        let Some(account) = self.accounts.get_mut(&program) else { return };
 
-        runs.filter(|run| *run != self.run).collect()
+        account.reserved = account.reserved.saturating_sub(most);
+        account.spent += used;
     }
 
     /// Forgets programs that ran nothing for `idle`, and returns them with the versions of
     /// their rows, which are then needless.
     pub fn forget(&mut self, now: Instant, idle: Duration) -> Vec<(ProgramKey, RowVersion)> {
-        let is_old = |a: &Account| a.reserved == 0 && now.since(a.used_at) > idle;
+        let is_old = |a: &Account| a.reserved == 0 && !a.loose && now.since(a.used_at) > idle;
         let old = self.accounts.extract_if(|_, account| is_old(account));
 
-        old.map(|(program, account)| (program, account.version)).collect()
+        old.map(|(program, account)| (program, account.version))
+            .filter(|(_, version)| *version != RowVersion::ABSENT)
+            .collect()
     }
 }
+
+/// Returns what is granted beyond a turn's need.
+fn spare(budget: u64, total: u64, most: u64) -> u64 {
+    (budget.saturating_sub(total) / SPARE_PART).min(most)
+}
--- a/crates/policy/src/scheduler/entry.rs
+++ b/crates/policy/src/scheduler/entry.rs
@@ -186,8 +186,8 @@
                 Body::Chunk(_)
                 | Body::EntryNews(_)
                 | Body::Manifest(_)
-                | Body::StoreAsk(_)
-                | Body::StoreReply(_),
+                | Body::Ask(_)
+                | Body::Reply(_),
             )
             | None => {}
         }
--- a/crates/policy/tests/entry_budgets.rs
+++ b/crates/policy/tests/entry_budgets.rs
@@ -59,8 +59,8 @@
         turns += 1;
     }
 
-    // 2,288 tokens are enough for 30 turns of 77, of which the last begins with any left.
-    assert_eq!(turns, 30);
+    // 2,288 tokens hold 26 turns of 77 and one more of 286.
+    assert_eq!(turns, 27);
     assert!(store.version <= 16, "{} writes", store.version);
 }
 
@@ -80,7 +80,7 @@
         handed += 286;
     }
 
-    assert!(granted + handed <= 572 + 286, "{granted} and {handed}");
+    assert!(granted + handed <= 572, "{granted} and {handed}");
 }
 
 #[test]
@@ -98,17 +98,55 @@
 }
 
 #[test]
-fn a_host_gives_back_what_it_will_not_use() {
+fn grants_without_the_store_are_kept_when_it_is_back() {
+    // The store is away. A host grants in its place, and the program's turns run at two others.
+    // When the store is back, a host that knows nothing of it must find all that was granted.
     let mut store = Store::default();
-    let mut first = Budgets::new(RunId(1));
-    let mut second = Budgets::new(RunId(2));
-    assert!(reserve(&mut first, &mut store, 400, 286));
-    first.settle(PROGRAM, 286, 10);
+    let mut steward = Budgets::new(RunId(1));
+    let mut entry = Budgets::new(RunId(2));
+    let known = BudgetRow { budget: 572, granted: BTreeMap::new() };
+    let row = steward.grant_loose(NOW, PROGRAM, RunId(2), 286, &known).expect("there is enough");
+    entry.learn_loose(NOW, PROGRAM, &row);
+    assert_eq!(entry.reserve(NOW, PROGRAM, 572, 286), Reservation::Reserved);
+
+    for (_, row, version) in entry.loose() {
+        assert!(store.write(row, version));
+    }
+
+    let mut stranger = Budgets::new(RunId(3));
+    assert!(reserve(&mut stranger, &mut store, 572, 286));
+    assert!(!reserve(&mut stranger, &mut store, 572, 286));
+}
+
+#[test]
+fn loose_grants_survive_that_the_store_got_others_meanwhile() {
+    // The store turned some hosts away and served others, which wrote the same program's row.
+    let mut store = Store::default();
+    let mut apart = Budgets::new(RunId(1));
+    let mut served = Budgets::new(RunId(2));
+    let known = BudgetRow { budget: 1_000, granted: BTreeMap::new() };
+    apart.grant_loose(NOW, PROGRAM, RunId(1), 300, &known).expect("there is enough");
+    assert!(reserve(&mut served, &mut store, 1_000, 300));
+
+    while let Some((_, row, version)) = apart.loose().pop() {
+        store.write(row, version);
+        let (row, version) = store.row.clone().unwrap();
+        apart.learn(NOW, PROGRAM, row, version);
+    }
+
+    let granted = &store.row.as_ref().unwrap().0.granted;
+    assert_eq!(granted.get(&RunId(1)), Some(&300));
+    assert!(granted.contains_key(&RunId(2)));
+}
+
+#[test]
+fn a_spent_budget_gets_nothing_from_whoever_grants_in_the_stores_place() {
+    let mut steward = Budgets::new(RunId(1));
+    let known = BudgetRow { budget: 572, granted: BTreeMap::from([(RunId(9), 572)]) };
 
-    let (row, version) = first.release(PROGRAM).expect("most of its grant is left");
-    assert!(store.write(row, version));
+    let grant = steward.grant_loose(NOW, PROGRAM, RunId(2), 286, &known);
 
-    assert!(reserve(&mut second, &mut store, 400, 286));
+    assert_eq!(grant, None);
 }
 
 #[test]
@@ -139,7 +177,7 @@
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
 
     /// Whatever hosts run turns in whatever order, are restarted with their grants lost, or use
-    /// more or less of a turn: no more than the budget and one turn is ever handed out.
+    /// more or less of a turn: no more than the budget is ever handed out.
     #[test]
     fn no_order_of_turns_and_restarts_exceeds_the_budget(
         steps in prop::collection::vec((0usize..4, 0u64..=100, any::<bool>()), 1..60),
@@ -161,6 +199,6 @@
             }
         }
 
-        prop_assert!(handed <= budget + 100, "{} of {}", handed, budget);
+        prop_assert!(handed <= budget, "{} of {}", handed, budget);
     }
 }
