Health of the store by parts; targets learned from other hosts after an outage

Ruled out: longer grace for lapsed entries, which a new process never saw. Change: a part that is away is tried again by one call each 250 ms while the others are used; a host asks another for its targets while entries may have lapsed.

--- a/crates/core/src/entry/target.rs
+++ b/crates/core/src/entry/target.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 /// Whether a target takes new calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetState {
     /// It takes calls.
     Ready,
@@ -12,7 +14,7 @@
 }
 
 /// What a target says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// The name of this run of the target.
     pub id: Box<str>,
--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use camphorwalk_core::entry::TargetEntry;
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::Body;
@@ -34,6 +35,8 @@
     Hold(TurnKey, Turn),
     /// For a turn.
     Find(TurnKey),
+    /// For the targets that the other host knows.
+    Targets,
 }
 
 /// A question for a turn's tokens.
@@ -61,6 +64,8 @@
     Done,
     /// The turn, if it is at hand.
     Turn(Option<Turn>),
+    /// The targets that are known.
+    Targets(Vec<TargetEntry>),
     /// This host cannot answer now.
     Refused,
 }
@@ -136,10 +141,11 @@
 async fn answer(shared: &Rc<Shared>, question: Ask) -> Reply {
     match question {
         Ask::Store(op) => store::run_for_peer(shared, op).await,
-        Ask::Grant(ask) => budget::grant_for_peer(shared, &ask),
+        Ask::Grant(ask) => budget::grant_for_peer(shared, &ask).await,
         Ask::Row(program, row) => budget::take_row(shared, program, &row),
         Ask::KnownRow(program) => budget::known_row(shared, program),
         Ask::Hold(key, turn) => turns::hold(shared, key, turn),
+        Ask::Targets => Reply::Targets(shared.targets.borrow().entries()),
         Ask::Find(key) => Reply::Turn(turns::at_hand(shared, key)),
     }
 }
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -193,7 +193,7 @@
     let ask = GrantAsk { program, run: shared.run, most, known };
     let host = grant_order(shared, program).first().copied().ok_or_else(unsure)?;
     let reply = match host == shared.fleet.own() {
-        true => Some(grant_for_peer(shared, &ask)),
+        true => Some(grant_for_peer(shared, &ask).await),
         false => asks::ask(shared, host, &Ask::Grant(ask), GRANT_DEADLINE).await,
     };
 
@@ -213,10 +213,19 @@
 /// Grants a turn's tokens in the store's place.
 ///
 /// Only a host that hears a majority does, and only while nobody that it hears reaches the
-/// store: a group that is cut off with a minority of the hosts cannot know what the others
-/// grant. A process that the store never answered knows nothing of before.
-pub(crate) fn grant_for_peer(shared: &Shared, ask: &GrantAsk) -> Reply {
-    let store_is_away = !shared.store.answers() && shared.fleet.store_peer().is_none();
+/// store, or the store answers but not for the program's part: a group that is cut off with a
+/// minority of the hosts cannot know what the others grant. A process that the store never answered knows nothing of before.
+pub(crate) async fn grant_for_peer(shared: &Rc<Shared>, ask: &GrantAsk) -> Reply {
+    // A part that this host did not need of late may be away without its knowing.
+    let key = row_key(ask.program);
+    if shared.store.answers_for(&key) {
+        store::ask(shared, PlatformOp::Read(vec![key])).await;
+    }
+
+
+    let key = row_key(ask.program);
+    let store_is_away = !shared.store.answers_for(&key)
+        && (shared.store.answers() || shared.fleet.store_peer().is_none());
 
     if !store_is_away || !shared.store.has_answered() || !shared.fleet.is_majority() {
         return Reply::Refused;
@@ -237,7 +246,7 @@
 /// Takes in how a program's row stands at another host.
 pub(crate) fn take_row(shared: &Shared, program: ProgramKey, row: &BudgetRow) -> Reply {
     let mut budgets = shared.budgets.borrow_mut();
-    match shared.store.answers() {
+    match shared.store.answers_for(&row_key(program)) {
         true => budgets.note(clock::now(), program, row),
         false => budgets.learn_loose(clock::now(), program, row),
     }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -126,6 +126,15 @@
         reaching.map(|(host, _)| *host).choose(&mut rand::rng())
     }
 
+    /// Returns a host that is heard.
+    pub(crate) fn any_peer(&self) -> Option<HostId> {
+        let now = clock::now();
+        let heard = self.heard.borrow();
+        let fresh = heard.iter().filter(|(_, heard)| heard.is_fresh(now));
+
+        fresh.map(|(host, _)| *host).choose(&mut rand::rng())
+    }
+
     /// Returns whether this host hears more than half of all hosts, itself included. Of two
     /// groups of hosts that are cut from each other, at most one does.
     pub(crate) fn is_majority(&self) -> bool {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -26,7 +26,7 @@
 use crate::metrics::Metrics;
 use crate::places::Places;
 use crate::store::Store;
-use crate::{callers, clock, fleet, probes, turns, watch};
+use crate::{callers, clock, fleet, probes, store, turns, watch};
 
 /// The longest that one try of a call to the store may take. Its answers come within some
 /// milliseconds, and within a third of a second when it is slow.
@@ -166,6 +166,7 @@
         callers::start(&shared).await?;
         watch::start(&shared);
         fleet::start(&shared);
+        store::start_write_back(&shared);
         turns::start_sweeper(&shared);
 
         Ok(Self { shared })
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -4,10 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::platform::{PlatformOp, PlatformReply};
+use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowKey};
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::outage::{Change, StoreHealth};
 use camphorwalk_store::Client;
+use tokio::sync::Notify;
 use tracing::{info, warn};
 
 use crate::asks::{self, Ask, Reply};
@@ -24,19 +25,26 @@
     health: RefCell<StoreHealth>,
     /// When it was last away, for this host or another.
     away_at: Cell<Option<Instant>>,
+    /// Told when a part is back.
+    write_back: Notify,
 }
 
 impl Store {
     /// Makes the way; it connects when it is used.
     pub(crate) fn new(client: Client) -> Self {
-        Self { client, health: RefCell::default(), away_at: Cell::new(None) }
+        Self { client, health: RefCell::default(), away_at: Cell::new(None), write_back: Notify::new() }
     }
 
-    /// Returns whether the store answers this host.
+    /// Returns whether the store as a whole answers this host.
     pub(crate) fn answers(&self) -> bool {
+        self.health.borrow().answers()
+    }
+
+    /// Returns whether the part of a row answers this host.
+    pub(crate) fn answers_for(&self, key: &RowKey) -> bool {
         let health = self.health.borrow();
 
-        health.has_answered() && !health.is_away()
+        health.answers() && !health.is_away(part_of(&key.key))
     }
 
     /// Returns whether the store has ever answered this process.
@@ -55,14 +63,36 @@
     }
 }
 
+/// Returns the name of the part of the store that holds a key.
+fn part_of(key: &str) -> &str {
+    key.split_once('/').map_or("", |(part, _)| part)
+}
+
+/// Returns the name of the part of the store that an operation is on.
+fn part(op: &PlatformOp) -> &str {
+    match op {
+        PlatformOp::Commit(tx) => {
+            let first = tx.writes.first().map(|w| &w.key).or(tx.checks.first().map(|c| &c.key));
+            first.map_or("", |key| part_of(&key.key))
+        }
+        PlatformOp::Read(keys) => keys.first().map_or("", |key| part_of(&key.key)),
+        PlatformOp::Scan { prefix, .. } => part_of(prefix),
+        _ => "",
+    }
+}
+
 /// Runs an operation for a call: at once without an answer if neither the store nor a host that
 /// reaches it answers.
 pub(crate) async fn ask(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
-    if shared.store.health.borrow().is_away() {
-        return relay(shared, op).await;
-    }
+    let is_held_up = {
+        let mut health = shared.store.health.borrow_mut();
+        health.is_away(part(&op)) && !health.try_again(clock::now(), part(&op))
+    };
 
-    probe(shared, op).await
+    match is_held_up {
+        true => relay(shared, op).await,
+        false => probe(shared, op).await,
+    }
 }
 
 /// Runs an operation of the host's own, which also finds out whether the store is back.
@@ -75,34 +105,44 @@
 
 async fn ask_straight(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
     let began = clock::now();
+    let part: Box<str> = part(&op).into();
     let reply = shared.store.client.run(op).await;
     let answered = !matches!(reply, PlatformReply::Unavailable | PlatformReply::Unknown);
     let change = {
         let mut health = shared.store.health.borrow_mut();
         match answered {
-            true => health.answered(clock::now()),
-            false => health.failed(began),
+            true => health.answered(clock::now(), &part),
+            false => health.failed(began, &part),
         }
     };
 
-    if shared.store.health.borrow().is_away() {
+    if shared.store.health.borrow().misses_any() {
         shared.store.away_somewhere(clock::now());
     }
     match change {
-        Some(Change::Lost) => warn!("store: does not answer"),
+        Some(Change::Lost) => warn!(part = %part, "store: does not answer"),
         Some(Change::Regained) => {
-            info!("store: answers again");
-            let shared = Rc::clone(shared);
-            tokio::task::spawn_local(async move {
-                budget::write_loose(&shared).await;
-                turns::write_held(&shared).await;
-            });
+            info!(part = %part, "store: answers again");
+            shared.store.write_back.notify_one();
         }
         None => {}
     }
     reply
 }
 
+/// Starts to write what was granted and held without the store, whenever it is back.
+pub(crate) fn start_write_back(shared: &Rc<Shared>) {
+    let shared = Rc::clone(shared);
+
+    tokio::task::spawn_local(async move {
+        loop {
+            shared.store.write_back.notified().await;
+            budget::write_loose(&shared).await;
+            turns::write_held(&shared).await;
+        }
+    });
+}
+
 /// Has another host run an operation.
 async fn relay(shared: &Shared, op: PlatformOp) -> PlatformReply {
     // A question that waits for changes would hold the other host's reply for longer than a
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -189,24 +189,30 @@
     true
 }
 
-/// Writes the turns that are held since the store was away.
+/// Writes the turns that are held since the store was away. Stops at the first that the store
+/// does not take; the rest follow when it answers again.
 pub(crate) async fn write_held(shared: &Rc<Shared>) {
     let held: Vec<_> = shared.held.borrow().iter().map(|(k, t)| (*k, Rc::clone(t))).collect();
-    if held.is_empty() {
-        return;
-    }
+    let mut written = 0;
+    let mut failed = 0;
 
-    info!(turns = held.len(), "turn: turns held without the store are written");
-    for (key, turn) in held {
-        let Ok(value) = serde_json::to_string(&*turn) else { continue };
-        // What fails stays held, and is written when the store answers the next time.
-        match write(shared, key, value.into()).await {
-            Ok(()) => {
-                shared.held.borrow_mut().remove(&key);
-                shared.written.borrow_mut().rows.push_back((clock::now(), key));
-            }
-            Err(reason) => info!(turn = %key.row(), reason, "turn: held turn not written"),
+    for (key, turn) in &held {
+        if !shared.store.answers_for(&row_key(*key)) {
+            failed += 1;
+            continue;
+        }
+        let Ok(value) = serde_json::to_string(&**turn) else { continue };
+        if write(shared, *key, value.into()).await.is_err() {
+            failed += 1;
+            continue;
         }
+        shared.held.borrow_mut().remove(key);
+        shared.written.borrow_mut().rows.push_back((clock::now(), *key));
+        written += 1;
+    }
+
+    if !held.is_empty() {
+        info!(written, failed, "turn: turns held without the store");
     }
 }
 
@@ -276,6 +282,8 @@
         loop {
             tokio::time::sleep(SWEEP_PERIOD).await;
             sweep(&shared).await;
+            crate::budget::write_loose(&shared).await;
+            write_held(&shared).await;
         }
     });
 }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 
+use crate::asks::{self, Ask, Reply};
 use crate::host::Shared;
 use crate::{clock, places, store};
 
@@ -32,6 +33,9 @@
 /// that is missing after that is gone.
 const LAPSED_GRACE: Duration = Duration::from_millis(2_300);
 
+/// How long another host may take to tell its targets.
+const TARGETS_DEADLINE: Duration = Duration::from_millis(100);
+
 /// The most rows of one question.
 const MOST_ROWS: u32 = 500;
 
@@ -150,6 +154,7 @@
             table.regained = Some(clock::now());
         }
         table.lost |= !answered;
+        learn_from_peer(&shared, &mut table).await;
         drop_lapsed(&shared, &mut table);
         places::wake_all(&shared);
         sleep(if answered { TARGETS_PERIOD } else { FAILED_PAUSE }).await;
@@ -204,6 +209,29 @@
     }
 }
 
+/// Learns of targets from another host while the store does not show them all.
+///
+/// Entries lapse while the store is away, and a host that starts then finds a few or none,
+/// though all targets serve on and the other hosts know them.
+async fn learn_from_peer(shared: &Rc<Shared>, table: &mut Table) {
+    if !table.lost && shared.store.was_there_for(LAPSED_GRACE) {
+        return;
+    }
+    let Some(host) = shared.fleet.any_peer() else { return };
+    let reply = asks::ask(shared, host, &Ask::Targets, TARGETS_DEADLINE).await;
+    let Some(Reply::Targets(entries)) = reply else { return };
+
+    for entry in entries {
+        if shared.targets.borrow().by_id(&entry.id).is_some() {
+            continue;
+        }
+        info!(target_id = %entry.id, host = host.0, "targets: entry learned from another host");
+        table.lapsed.insert(entry.id.clone());
+        table.regained.get_or_insert_with(clock::now);
+        shared.targets.borrow_mut().put(entry);
+    }
+}
+
 fn take_in(shared: &Rc<Shared>, table: &mut Table, changes: TableChanges) {
     table.after = Some(changes.version);
     let was_away =
@@ -261,7 +289,7 @@
 fn drop_lapsed(shared: &Rc<Shared>, table: &mut Table) {
     let Some(at) = table.regained else { return };
 
-    if table.lost || clock::now().since(at) < LAPSED_GRACE {
+    if table.lost || !shared.store.was_there_for(LAPSED_GRACE) || clock::now().since(at) < LAPSED_GRACE {
         return;
     }
     table.regained = None;
--- a/crates/policy/src/entry/outage.rs
+++ b/crates/policy/src/entry/outage.rs
@@ -1,61 +1,117 @@
-//! Whether the platform's store can be reached, as a host believes it.
+//! Which parts of the platform's store can be reached, as a host believes it.
 
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
 use camphorwalk_core::time::Instant;
 
+/// How often a part that is away is tried again while the rest of the store answers. Calls that
+/// come meanwhile are not held up by it.
+const RETRY_PERIOD: Duration = Duration::from_millis(250);
+
 /// What an answer or its absence changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// The store is away from now on.
+    /// The part is away from now on.
     Lost,
-    /// The store answers again.
+    /// The part answers again.
     Regained,
 }
 
+/// What is believed of one part.
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    last_answer: Option<Instant>,
+    /// When it was tried last since it is away.
+    away: Option<Instant>,
+}
+
 /// A host's belief about the store.
 ///
-/// While it is away, calls are told so at once instead of waiting for answers that do not come;
-/// the hosts' own questions go on and find out when it is back.
-#[derive(Clone, Copy, Debug, Default)]
+/// The store may lose all of its parts or some of them. While a part is away, calls that need it
+/// are told so at once instead of waiting for answers that do not come. The part without a name
+/// holds the platform's own tables, which hosts ask for all the time: while it is away, all are.
+#[derive(Clone, Debug, Default)]
 pub struct StoreHealth {
-    last_answer: Option<Instant>,
-    away: bool,
+    parts: Map<Box<str>, Part>,
 }
 
+/// The part of the platform's own tables.
+const OWN_TABLES: &str = "";
+
 impl StoreHealth {
-    /// Returns whether the store is believed to be away.
-    pub fn is_away(&self) -> bool {
-        self.away
+    /// Returns whether a part is believed to be away.
+    pub fn is_away(&self, part: &str) -> bool {
+        let is_away = |name: &str| self.parts.get(name).is_some_and(|part| part.away.is_some());
+
+        is_away(OWN_TABLES) || is_away(part)
+    }
+
+    /// Returns whether the store as a whole answers this host.
+    pub fn answers(&self) -> bool {
+        self.parts.get(OWN_TABLES).is_some_and(|part| part.away.is_none())
     }
 
     /// Returns whether the store has ever answered this process.
     pub fn has_answered(&self) -> bool {
-        self.last_answer.is_some()
+        self.parts.values().any(|part| part.last_answer.is_some())
     }
 
-    /// Takes in an answer.
-    pub fn answered(&mut self, now: Instant) -> Option<Change> {
-        self.last_answer = Some(now);
+    /// Returns whether any part is away.
+    pub fn misses_any(&self) -> bool {
+        self.parts.values().any(|part| part.away.is_some())
+    }
 
-        std::mem::take(&mut self.away).then_some(Change::Regained)
+    /// Returns whether a part that is away is to be tried again by the call that asks, and takes
+    /// note that it is.
+    pub fn try_again(&mut self, now: Instant, part: &str) -> bool {
+        if !self.answers() {
+            return false;
+        }
+        let Some(Part { away: Some(tried), .. }) = self.parts.get_mut(part) else { return true };
+        let is_due = now.since(*tried) >= RETRY_PERIOD;
+
+        if is_due {
+            *tried = now;
+        }
+        is_due
+    }
+
+    /// Takes in an answer of a part.
+    pub fn answered(&mut self, now: Instant, part: &str) -> Option<Change> {
+        let state = self.state(part);
+        state.last_answer = Some(now);
+
+        state.away.take().map(|_| Change::Regained)
     }
 
-    /// Takes in that an operation that began at `began` got no answer. If another one got an
-    /// answer since, only this one's is lost.
+    /// Takes in that an operation on a part that began at `began` got no answer. If another one
+    /// got an answer since, only this one's is lost.
     ///
     /// ```
     /// use camphorwalk_core::time::Instant;
     /// use camphorwalk_policy::entry::outage::{Change, StoreHealth};
     /// let mut health = StoreHealth::default();
-    /// health.answered(Instant(5));
-    /// assert_eq!(health.failed(Instant(4)), None);
-    /// assert_eq!(health.failed(Instant(6)), Some(Change::Lost));
+    /// health.answered(Instant(5), "a");
+    /// assert_eq!(health.failed(Instant(4), "a"), None);
+    /// assert_eq!(health.failed(Instant(6), "a"), Some(Change::Lost));
+    /// assert!(!health.is_away("b"));
     /// ```
-    pub fn failed(&mut self, began: Instant) -> Option<Change> {
-        if self.away || self.last_answer.is_some_and(|at| at > began) {
+    pub fn failed(&mut self, began: Instant, part: &str) -> Option<Change> {
+        let state = self.state(part);
+
+        if state.away.is_some() || state.last_answer.is_some_and(|at| at > began) {
             return None;
         }
-
-        self.away = true;
+        state.away = Some(began);
         Some(Change::Lost)
     }
+
+    fn state(&mut self, part: &str) -> &mut Part {
+        if !self.parts.contains_key(part) {
+            self.parts.insert(part.into(), Part::default());
+        }
+
+        self.parts.entry(part.into()).or_default()
+    }
 }
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Returns what all targets say of themselves.
+    pub fn entries(&self) -> Vec<TargetEntry> {
+        self.targets.values().map(|target| target.entry.clone()).collect()
+    }
+
     /// Returns the ids of all targets.
     pub fn ids(&self) -> Vec<Box<str>> {
         self.by_id.keys().cloned().collect()
