Grants on both sides of a cut, tokens given back, held turns written in batches

Ruled out: giving each zone a fixed part of each budget; it would not hold one turn. Change: a program that begins behind a cut gets at most half of (budget and one turn) on each side; a host asks the others for tokens that they do not need (a counter of returned tokens that only grows); held turns go in one transaction a part, own ones first.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -31,6 +31,8 @@
     Row(ProgramKey, BudgetRow),
     /// For a program's row as the other host knows it.
     KnownRow(ProgramKey),
+    /// To give back what the other host holds of a program's tokens and does not need.
+    Yield(ProgramKey),
     /// To hold a turn until the store has it.
     Hold(TurnKey, Turn),
     /// For a turn.
@@ -49,6 +51,8 @@
     pub(crate) most: u64,
     /// The row as the asking host knows it.
     pub(crate) known: BudgetRow,
+    /// Whether the turn begins its program.
+    pub(crate) begins: bool,
 }
 
 /// The reply to a question.
@@ -144,6 +148,7 @@
         Ask::Grant(ask) => budget::grant_for_peer(shared, &ask).await,
         Ask::Row(program, row) => budget::take_row(shared, program, &row),
         Ask::KnownRow(program) => budget::known_row(shared, program),
+        Ask::Yield(program) => budget::yield_rest(shared, program),
         Ask::Hold(key, turn) => turns::hold(shared, key, turn),
         Ask::Targets => Reply::Targets(shared.targets.borrow().entries()),
         Ask::Find(key) => Reply::Turn(turns::at_hand(shared, key)),
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -7,8 +7,10 @@
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
 };
-use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, Reservation};
+use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, Reach, Reservation};
 use camphorwalk_policy::entry::turns::PARTS;
+use futures::future::join_all;
+use futures::stream::{self, StreamExt as _};
 use http::StatusCode;
 use std::time::Duration;
 use tracing::{info, warn};
@@ -39,6 +41,12 @@
 /// How long after the store's return grants that were made without it may not be written yet.
 const WRITE_LOOSE_TIME: Duration = Duration::from_secs(3);
 
+/// How many rows are written at the same time after the store's return.
+const WRITES_AT_ONCE: usize = 8;
+
+/// The pause between two rounds of writing grants that were made without the store.
+const LOOSE_PAUSE: Duration = Duration::from_millis(50);
+
 /// The most tokens of a turn that does not say. A turn without a size cannot be reserved for.
 const UNSAID_MOST: u64 = 1_024;
 
@@ -83,14 +91,21 @@
     let lock = shared.budget_locks.borrow_mut().entry(program).or_default().clone();
     let _turn = lock.lock().await;
 
+    let mut recalled = false;
     for _ in 0..MOST_WRITES {
+        let reach = reach(shared);
         let reservation =
-            shared.budgets.borrow_mut().reserve(clock::now(), program, budget, most);
+            shared.budgets.borrow_mut().reserve(clock::now(), program, budget, most, reach);
 
         match reservation {
             Reservation::Reserved => {
                 return Ok(Some(Hold { shared: Rc::clone(shared), program, most, used: 0 }));
             }
+            // Other hosts may hold tokens that they do not need.
+            Reservation::Spent { certain: false } if !recalled => {
+                recalled = true;
+                recall(shared, program).await;
+            }
             Reservation::Spent { certain } => {
                 info!(
                     request = %call.head.request_id, program = %program.0, budget, most, certain,
@@ -101,12 +116,35 @@
                     "the program's budget is spent",
                 ));
             }
+            Reservation::Withheld => {
+                info!(
+                    request = %call.head.request_id, program = %program.0, budget, most,
+                    "budget: withheld while hosts are silent"
+                );
+                return Err(unsure());
+            }
             Reservation::Write(row, version) => {
                 // For a moment after the store's return, grants that were made without it may
                 // not be written yet.
-                if !shared.store.was_there_for(WRITE_LOOSE_TIME) {
+                let is_sure =
+                    reach == Reach::All && shared.store.was_there_for(WRITE_LOOSE_TIME);
+                if !is_sure && !shared.budgets.borrow().knows(program) {
                     learn_from_peer(shared, program).await;
                 }
+                // A program under way has a row. If none is found, hosts that are silent may
+                // have granted tokens that nobody here knows of.
+                if version == RowVersion::ABSENT
+                    && !is_sure
+                    && !call.begins_line_of_program()
+                    && !shared.budgets.borrow().knows(program)
+                    && !has_row(shared, program).await
+                {
+                    info!(
+                        request = %call.head.request_id, program = %program.0,
+                        "budget: the program's row is not found while hosts are silent"
+                    );
+                    return Err(unsure());
+                }
                 if let Written::Away = write(shared, program, row, version).await? {
                     ask_for_grant(call, program, budget, most).await?;
                 }
@@ -117,6 +155,40 @@
     Err(Refusal::later("the program's budget is contended", UNSURE_RETRY))
 }
 
+/// Has the other hosts give back what they hold of a program's tokens and do not need.
+async fn recall(shared: &Shared, program: ProgramKey) {
+    let holders = shared.budgets.borrow().holders(program);
+    let hosts = holders.into_iter().filter_map(|run| shared.fleet.host_of_run(run.0));
+    let ask = Ask::Yield(program);
+    let replies = join_all(hosts.map(|host| asks::ask(shared, host, &ask, GRANT_DEADLINE))).await;
+
+    for reply in replies.into_iter().flatten() {
+        if let Reply::Granted(row) = reply {
+            shared.budgets.borrow_mut().note(clock::now(), program, &row);
+        }
+    }
+}
+
+/// Gives back what this host holds of a program's tokens and does not need.
+pub(crate) fn yield_rest(shared: &Shared, program: ProgramKey) -> Reply {
+    let row = shared.budgets.borrow_mut().yield_rest(program);
+
+    row.map_or(Reply::Refused, Reply::Granted)
+}
+
+/// Returns whether all hosts are heard.
+fn reach(shared: &Shared) -> Reach {
+    if shared.fleet.misses_someone() { Reach::Some } else { Reach::All }
+}
+
+/// Returns whether the store has a row of a program, and takes it in.
+async fn has_row(shared: &Rc<Shared>, program: ProgramKey) -> bool {
+    match store::ask(shared, PlatformOp::Read(vec![row_key(program)])).await {
+        PlatformReply::Rows(rows) if !rows.is_empty() => take_in(shared, program, &rows).is_ok(),
+        _ => false,
+    }
+}
+
 /// What came of writing a row.
 enum Written {
     /// What the store holds now is known.
@@ -190,7 +262,8 @@
     let shared = &call.shared;
     let empty = BudgetRow { budget, ..BudgetRow::default() };
     let known = shared.budgets.borrow().row(program).cloned().unwrap_or(empty);
-    let ask = GrantAsk { program, run: shared.run, most, known };
+    let begins = call.begins_line_of_program();
+    let ask = GrantAsk { program, run: shared.run, most, known, begins };
     let host = grant_order(shared, program).first().copied().ok_or_else(unsure)?;
     let reply = match host == shared.fleet.own() {
         true => Some(grant_for_peer(shared, &ask).await),
@@ -210,36 +283,39 @@
     }
 }
 
-/// Grants a turn's tokens in the store's place.
+/// Grants a turn's tokens in the store's place, while nobody that this host hears reaches the
+/// store, or the store answers but not for the program's part.
 ///
-/// Only a host that hears a majority does, and only while nobody that it hears reaches the
-/// store, or the store answers but not for the program's part: a group that is cut off with a
-/// minority of the hosts cannot know what the others grant. A process that the store never answered knows nothing of before.
+/// A host that hears a majority grants for all programs. A group that is cut off with a minority
+/// of the hosts cannot know what the others grant: it grants only for programs that began in it,
+/// and no more than half. A process that the store never answered knows nothing of before.
 pub(crate) async fn grant_for_peer(shared: &Rc<Shared>, ask: &GrantAsk) -> Reply {
     // A part that this host did not need of late may be away without its knowing.
     let key = row_key(ask.program);
     if shared.store.answers_for(&key) {
-        store::ask(shared, PlatformOp::Read(vec![key])).await;
+        store::ask(shared, PlatformOp::Read(vec![key.clone()])).await;
     }
 
-
-    let key = row_key(ask.program);
     let store_is_away = !shared.store.answers_for(&key)
         && (shared.store.answers() || shared.fleet.store_peer().is_none());
+    let began_here = ask.begins || shared.budgets.borrow().is_apart(ask.program);
+    let is_entitled = shared.fleet.is_majority() || began_here;
 
-    if !store_is_away || !shared.store.has_answered() || !shared.fleet.is_majority() {
+    if !store_is_away || !shared.store.has_answered() || !is_entitled {
         return Reply::Refused;
     }
 
-    let GrantAsk { program, run, most, known } = ask;
+    let GrantAsk { program, run, most, known, .. } = ask;
+    let reach = reach(shared);
     let granted =
-        shared.budgets.borrow_mut().grant_loose(clock::now(), *program, *run, *most, known);
+        shared.budgets.borrow_mut().grant_loose(clock::now(), *program, *run, *most, known, reach);
     match granted {
         Some(row) => {
             tell_witness(shared, *program, &row);
             Reply::Granted(row)
         }
-        None => Reply::Spent,
+        None if reach == Reach::All => Reply::Spent,
+        None => Reply::Refused,
     }
 }
 
@@ -274,7 +350,8 @@
     shared.budgets.borrow().row(program).cloned().map_or(Reply::Refused, Reply::Granted)
 }
 
-/// Writes the grants that were made without the store.
+/// Writes the grants that were made without the store: those of this host at once, and those
+/// that it made or knows of for others in a later round if they have not been written by then.
 pub(crate) async fn write_loose(shared: &Rc<Shared>) {
     for _ in 0..MOST_WRITES {
         let loose = shared.budgets.borrow().loose();
@@ -283,12 +360,12 @@
         }
 
         info!(programs = loose.len(), "budget: grants made without the store are written");
-        for (program, row, version) in loose {
-            // What fails stays loose, and is written in the next round.
-            if let Ok(Written::Away) = write(shared, program, row, version).await {
-                return;
-            }
-        }
+        // What fails stays loose, and is written in the next round.
+        let writes = loose.into_iter().map(|(program, row, version)| async move {
+            write(shared, program, row, version).await.is_ok()
+        });
+        stream::iter(writes).buffer_unordered(WRITES_AT_ONCE).count().await;
+        tokio::time::sleep(LOOSE_PAUSE).await;
     }
 }
 
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -109,6 +109,16 @@
         Urgency { is_new: self.is_new, rank: self.route().rank, deadline }
     }
 
+    /// Returns whether it may be the first turn of its program by its head alone: it continues
+    /// nothing, and its prompt has no part of a parent's line between the shared part and its
+    /// own.
+    pub(crate) fn begins_line_of_program(&self) -> bool {
+        /// The part that calls of a kind share, and the line's own.
+        const FIRST_TURN_PARTS: usize = 2;
+
+        self.head.begins_line() && self.head.prefix.len() <= FIRST_TURN_PARTS
+    }
+
     /// Returns whether it begins a program, as far as this host can tell.
     fn begins_program(&self) -> bool {
         self.route().repeat.is_stream()
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -92,6 +92,8 @@
     at: Instant,
     /// Whether the store answers it.
     store_answers: bool,
+    /// The run of its process.
+    run: u64,
 }
 
 impl Heard {
@@ -126,6 +128,15 @@
         reaching.map(|(host, _)| *host).choose(&mut rand::rng())
     }
 
+    /// Returns the host that a run of a process is on, if it is heard.
+    pub(crate) fn host_of_run(&self, run: u64) -> Option<HostId> {
+        let now = clock::now();
+        let heard = self.heard.borrow();
+        let mut there = heard.iter().filter(|(_, heard)| heard.run == run && heard.is_fresh(now));
+
+        there.next().map(|(host, _)| *host)
+    }
+
     /// Returns a host that is heard.
     pub(crate) fn any_peer(&self) -> Option<HostId> {
         let now = clock::now();
@@ -411,7 +422,7 @@
 
 fn take_in(shared: &Rc<Shared>, peers: &Peers, from: HostId, news: EntryNews) {
     let now = clock::now();
-    let heard = Heard { at: now, store_answers: news.store_answers };
+    let heard = Heard { at: now, store_answers: news.store_answers, run: news.run };
     if shared.fleet.heard.borrow_mut().insert(from, heard).is_none() {
         info!(host = from.0, "fleet: host heard");
     }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -12,7 +12,7 @@
 use camphorwalk_policy::entry::placement::Targets;
 use camphorwalk_policy::entry::rates::Rates;
 use camphorwalk_policy::entry::routes::RouteTable;
-use camphorwalk_policy::entry::turns::{Turn, TurnCache, TurnKey};
+use camphorwalk_policy::entry::turns::{TurnCache, TurnKey};
 use camphorwalk_store::{Client, ClientOptions, RetryOptions, ShareOptions};
 use rand::RngCore as _;
 use tokio::sync::Mutex;
@@ -72,7 +72,7 @@
     pub(crate) turns: RefCell<TurnCache>,
     pub(crate) written: RefCell<turns::Written>,
     /// Turns that the store does not have yet.
-    pub(crate) held: RefCell<Map<TurnKey, Rc<Turn>>>,
+    pub(crate) held: RefCell<Map<TurnKey, turns::Held>>,
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) fleet: Fleet,
     pub(crate) metrics: Metrics,
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -14,7 +14,8 @@
 use crate::asks::{self, Ask, Reply};
 use crate::clock;
 use crate::host::Shared;
-use crate::{budget, turns};
+use crate::turns::{self, Whose};
+use crate::budget;
 
 /// How long a reply through another host may take: that host's own tries, and the way.
 const RELAY_DEADLINE: Duration = Duration::from_millis(600);
@@ -137,8 +138,7 @@
     tokio::task::spawn_local(async move {
         loop {
             shared.store.write_back.notified().await;
-            budget::write_loose(&shared).await;
-            turns::write_held(&shared).await;
+            tokio::join!(turns::write_held(&shared, Whose::Own), budget::write_loose(&shared));
         }
     });
 }
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use camphorwalk_core::hash::Map;
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, RowKey, RowVersion, Transaction, Write,
 };
@@ -30,6 +31,10 @@
 /// When a caller is told to come back while it cannot be told whether a turn exists.
 const UNSURE_RETRY: Duration = Duration::from_millis(300);
 
+/// The most turns that one transaction writes: so many of the mean size are far under the
+/// megabyte that a call of the store may have.
+const WRITE_BATCH: usize = 50;
+
 /// How many other hosts hold a turn that the store does not take. With two the loss of one
 /// host besides the one that wrote it is borne.
 const COPIES: usize = 2;
@@ -169,7 +174,7 @@
 pub(crate) fn hold(shared: &Shared, key: TurnKey, turn: Turn) -> Reply {
     let turn = Rc::new(turn);
     shared.turns.borrow_mut().put(key, Rc::clone(&turn));
-    shared.held.borrow_mut().insert(key, turn);
+    shared.held.borrow_mut().insert(key, Held { turn, whose: Whose::Peers });
 
     Reply::Done
 }
@@ -185,35 +190,88 @@
     if copies == 0 {
         return false;
     }
-    shared.held.borrow_mut().insert(key, Rc::clone(turn));
+    shared.held.borrow_mut().insert(key, Held { turn: Rc::clone(turn), whose: Whose::Own });
     true
 }
 
-/// Writes the turns that are held since the store was away. Stops at the first that the store
-/// does not take; the rest follow when it answers again.
-pub(crate) async fn write_held(shared: &Rc<Shared>) {
-    let held: Vec<_> = shared.held.borrow().iter().map(|(k, t)| (*k, Rc::clone(t))).collect();
-    let mut written = 0;
-    let mut failed = 0;
-
-    for (key, turn) in &held {
-        if !shared.store.answers_for(&row_key(*key)) {
-            failed += 1;
-            continue;
+/// A turn that the store does not have yet.
+pub(crate) struct Held {
+    turn: Rc<Turn>,
+    whose: Whose,
+}
+
+/// Whose turns are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Whose {
+    /// Those that ran at this host.
+    Own,
+    /// Those that are held for other hosts, which write them themselves if they live.
+    Peers,
+}
+
+/// Writes the turns that are held since the store was away; what fails stays held.
+///
+/// All power may be lost a second after the store's return, and with it what was not written:
+/// the turns of a part go in one transaction, and all parts at the same time.
+pub(crate) async fn write_held(shared: &Rc<Shared>, whose: Whose) {
+    let mut parts: Map<u64, Vec<(TurnKey, Rc<Turn>)>> = Map::default();
+    for (key, held) in shared.held.borrow().iter().filter(|(_, held)| held.whose == whose) {
+        parts.entry(key.part()).or_default().push((*key, Rc::clone(&held.turn)));
+    }
+    if parts.is_empty() {
+        return;
+    }
+
+    let writes = parts.values().flat_map(|turns| turns.chunks(WRITE_BATCH));
+    let written: usize =
+        join_all(writes.map(|turns| write_batch(shared, turns))).await.into_iter().sum();
+    info!(written, left = shared.held.borrow().len(), "turn: turns held without the store");
+}
+
+/// Writes turns of one part; returns how many are written.
+async fn write_batch(shared: &Rc<Shared>, turns: &[(TurnKey, Rc<Turn>)]) -> usize {
+    let rows: Vec<(TurnKey, RowKey, Box<str>)> = turns
+        .iter()
+        .filter_map(|(key, turn)| {
+            let value = serde_json::to_string(&**turn).ok()?;
+            Some((*key, row_key(*key), value.into()))
+        })
+        .collect();
+    let tx = Transaction {
+        checks: rows
+            .iter()
+            .map(|(_, row, _)| Check { key: row.clone(), version: RowVersion::ABSENT })
+            .collect(),
+        writes: rows
+            .iter()
+            .map(|(_, row, value)| Write { key: row.clone(), value: Some(value.clone()) })
+            .collect(),
+    };
+
+    match store::ask(shared, PlatformOp::Commit(tx)).await {
+        PlatformReply::Committed(_) => {
+            rows.iter().for_each(|(key, _, _)| written(shared, *key));
+            rows.len()
         }
-        let Ok(value) = serde_json::to_string(&**turn) else { continue };
-        if write(shared, *key, value.into()).await.is_err() {
-            failed += 1;
-            continue;
+        // Another host has written some of them.
+        PlatformReply::Conflict(_) | PlatformReply::Unknown => {
+            let mut count = 0;
+            for (key, _, value) in rows {
+                if write(shared, key, value).await.is_ok() {
+                    written(shared, key);
+                    count += 1;
+                }
+            }
+            count
         }
-        shared.held.borrow_mut().remove(key);
-        shared.written.borrow_mut().rows.push_back((clock::now(), *key));
-        written += 1;
+        _ => 0,
     }
+}
 
-    if !held.is_empty() {
-        info!(written, failed, "turn: turns held without the store");
-    }
+/// Takes in that the store has a turn that was held.
+fn written(shared: &Shared, key: TurnKey) {
+    shared.held.borrow_mut().remove(&key);
+    shared.written.borrow_mut().rows.push_back((clock::now(), key));
 }
 
 /// Keeps a turn whose stream has ended, if its route keeps turns. Until then its end may not be
@@ -283,7 +341,8 @@
             tokio::time::sleep(SWEEP_PERIOD).await;
             sweep(&shared).await;
             crate::budget::write_loose(&shared).await;
-            write_held(&shared).await;
+            write_held(&shared, Whose::Own).await;
+            write_held(&shared, Whose::Peers).await;
         }
     });
 }
@@ -317,12 +376,11 @@
     let Some((_, first)) = written.rows.front().copied().filter(|_| old > 0) else {
         return Vec::new();
     };
-    let part = |key: TurnKey| key.0 % camphorwalk_policy::entry::turns::PARTS;
     let mut batch = Vec::new();
     let mut left = VecDeque::new();
 
     for (at, key) in written.rows.drain(..old) {
-        match part(key) == part(first) && batch.len() < SWEEP_BATCH {
+        match key.part() == first.part() && batch.len() < SWEEP_BATCH {
             true => batch.push(row_key(key)),
             false => left.push_back((at, key)),
         }
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -37,6 +37,48 @@
     pub budget: u64,
     /// The tokens granted to each run of a host.
     pub granted: BTreeMap<RunId, u64>,
+    /// The tokens that each run has given back unspent.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub returned: BTreeMap<RunId, u64>,
+    /// Whether it was made while some host was silent, which may have made another.
+    #[serde(default)]
+    pub apart: bool,
+}
+
+impl BudgetRow {
+    /// Returns what a run may spend in all.
+    fn held_by(&self, run: RunId) -> u64 {
+        let granted = self.granted.get(&run).copied().unwrap_or(0);
+
+        granted.saturating_sub(self.returned.get(&run).copied().unwrap_or(0))
+    }
+
+    /// Returns what all runs may spend in all.
+    fn held(&self) -> u64 {
+        self.granted.keys().map(|run| self.held_by(*run)).sum()
+    }
+}
+
+/// Whether all hosts are heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// They are: nobody else can grant a program's tokens unheard.
+    All,
+    /// Some host is silent. It may be behind a cut and grant tokens of programs that began
+    /// there.
+    Some,
+}
+
+impl Reach {
+    /// Returns how much of a budget may be granted on this side of a cut, for a program whose
+    /// row the other side cannot know: half of what keeps within the budget and one turn on
+    /// both sides together.
+    fn limit(self, row: &BudgetRow, most: u64) -> u64 {
+        match self {
+            Self::Some if row.apart => (row.budget + most) / 2,
+            Self::Some | Self::All => row.budget,
+        }
+    }
 }
 
 /// What comes of asking for a turn's tokens.
@@ -51,6 +93,8 @@
         /// Whether all that was granted elsewhere is known to be spent.
         certain: bool,
     },
+    /// What is left is withheld while some hosts are silent.
+    Withheld,
 }
 
 /// A program at this host.
@@ -68,7 +112,7 @@
 impl Account {
     fn new(now: Instant, budget: u64) -> Self {
         Self {
-            row: BudgetRow { budget, granted: BTreeMap::new() },
+            row: BudgetRow { budget, ..BudgetRow::default() },
             version: RowVersion::ABSENT,
             loose: false,
             spent: 0,
@@ -82,14 +126,15 @@
         if self.row.budget == 0 {
             self.row.budget = row.budget;
         }
+        self.row.apart |= row.apart;
         for (run, tokens) in &row.granted {
             let own = self.row.granted.entry(*run).or_default();
             *own = (*own).max(*tokens);
         }
-    }
-
-    fn granted(&self, run: RunId) -> u64 {
-        self.row.granted.get(&run).copied().unwrap_or(0)
+        for (run, tokens) in &row.returned {
+            let own = self.row.returned.entry(*run).or_default();
+            *own = (*own).max(*tokens);
+        }
     }
 }
 
@@ -104,16 +149,16 @@
     /// Begins with no programs.
     ///
     /// ```
-    /// use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, Reservation, RunId};
+    /// use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, Reach, Reservation, RunId};
     /// use camphorwalk_core::platform::RowVersion;
     /// use camphorwalk_core::time::Instant;
     /// let mut budgets = Budgets::new(RunId(1));
     /// let program = ProgramKey(9);
-    /// let Reservation::Write(row, _) = budgets.reserve(Instant(0), program, 1_000, 100) else {
+    /// let Reservation::Write(row, _) = budgets.reserve(Instant(0), program, 1_000, 100, Reach::All) else {
     ///     panic!("nothing is granted yet");
     /// };
     /// budgets.learn(Instant(0), program, row, RowVersion(5));
-    /// assert_eq!(budgets.reserve(Instant(0), program, 1_000, 100), Reservation::Reserved);
+    /// assert_eq!(budgets.reserve(Instant(0), program, 1_000, 100, Reach::All), Reservation::Reserved);
     /// ```
     pub fn new(run: RunId) -> Self {
         Self { run, accounts: Map::default() }
@@ -126,27 +171,35 @@
         program: ProgramKey,
         budget: u64,
         most: u64,
+        reach: Reach,
     ) -> Reservation {
         let run = self.run;
         let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, budget));
         account.used_at = now;
+        if account.version == RowVersion::ABSENT && account.row.granted.is_empty() {
+            account.row.apart = reach == Reach::Some;
+        }
 
-        let own = account.granted(run);
-        let others = account.row.granted.values().sum::<u64>() - own;
+        let own = account.row.held_by(run);
+        let others = account.row.held() - own;
         let committed = account.spent + account.reserved;
 
         if own >= committed + most {
             account.reserved += most;
             return Reservation::Reserved;
         }
-        if others + committed + most > account.row.budget {
+        let needed = committed + most;
+        let limit = reach.limit(&account.row, most);
+        if others + needed > account.row.budget {
             return Reservation::Spent { certain: others == 0 };
         }
+        if others + needed > limit {
+            return Reservation::Withheld;
+        }
 
-        let needed = committed + most;
         let mut row = account.row.clone();
-        let spare = spare(row.budget, others + needed, most);
-        row.granted.insert(run, own.max(needed + spare));
+        let spare = spare(limit, others + needed, most);
+        *row.granted.entry(run).or_default() += (needed + spare).saturating_sub(own);
 
         Reservation::Write(row, account.version)
     }
@@ -180,13 +233,17 @@
         run: RunId,
         most: u64,
         known: &BudgetRow,
+        reach: Reach,
     ) -> Option<BudgetRow> {
         let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, known.budget));
         account.used_at = now;
         account.merge(known);
+        if account.version == RowVersion::ABSENT {
+            account.row.apart |= reach == Reach::Some;
+        }
 
-        let total = account.row.granted.values().sum::<u64>();
-        if total + most > account.row.budget {
+        let total = account.row.held();
+        if total + most > reach.limit(&account.row, most) {
             return None;
         }
 
@@ -211,6 +268,41 @@
         account.merge(row);
     }
 
+    /// Gives back what this host was granted and does not need now, and returns the row as it
+    /// then stands: asked by a host that finds the budget spent.
+    ///
+    /// What a run has given back only grows and is set by that run alone, so that rows can be
+    /// merged as before. If the asking host does not write it, the tokens are lost, not doubled.
+    pub fn yield_rest(&mut self, program: ProgramKey) -> Option<BudgetRow> {
+        let account = self.accounts.get_mut(&program)?;
+        let rest = account.row.held_by(self.run).saturating_sub(account.spent + account.reserved);
+
+        if rest > 0 {
+            *account.row.returned.entry(self.run).or_default() += rest;
+        }
+        Some(account.row.clone())
+    }
+
+    /// Returns the other runs that hold tokens of a program.
+    pub fn holders(&self, program: ProgramKey) -> Vec<RunId> {
+        let row = self.accounts.get(&program).map(|account| &account.row);
+        let runs = row.into_iter().flat_map(|row| row.granted.keys().map(move |run| (row, *run)));
+
+        runs.filter(|(row, run)| *run != self.run && row.held_by(*run) > 0)
+            .map(|(_, run)| run)
+            .collect()
+    }
+
+    /// Returns whether this host knows of any grant to a program.
+    pub fn knows(&self, program: ProgramKey) -> bool {
+        self.accounts.get(&program).is_some_and(|account| !account.row.granted.is_empty())
+    }
+
+    /// Returns whether a program's grants were all made without the store.
+    pub fn is_apart(&self, program: ProgramKey) -> bool {
+        self.accounts.get(&program).is_some_and(|a| a.row.apart && a.version == RowVersion::ABSENT)
+    }
+
     /// Returns the row of a program as this host knows it.
     pub fn row(&self, program: ProgramKey) -> Option<&BudgetRow> {
         self.accounts.get(&program).map(|account| &account.row)
@@ -220,8 +312,13 @@
     /// versions that they replace.
     pub fn loose(&self) -> Vec<(ProgramKey, BudgetRow, RowVersion)> {
         let loose = self.accounts.iter().filter(|(_, account)| account.loose);
+        // Whoever spends a grant writes it first; several hosts that write one row at the same
+        // time make each other's writes fail.
+        let (own, others): (Vec<_>, Vec<_>) =
+            loose.partition(|(_, account)| account.row.granted.contains_key(&self.run));
+        let first = if own.is_empty() { others } else { own };
 
-        loose.map(|(program, a)| (*program, a.row.clone(), a.version)).collect()
+        first.into_iter().map(|(program, a)| (*program, a.row.clone(), a.version)).collect()
     }
 
     /// Settles a turn: of the `most` tokens reserved, `used` were generated.
--- a/crates/policy/src/entry/turns.rs
+++ b/crates/policy/src/entry/turns.rs
@@ -30,7 +30,12 @@
     /// assert_eq!(&*TurnKey(0x12).row(), "2/0000000000000012");
     /// ```
     pub fn row(self) -> Box<str> {
-        format!("{:x}/{:016x}", self.0 % PARTS, self.0).into()
+        format!("{:x}/{:016x}", self.part(), self.0).into()
+    }
+
+    /// Returns the number of the part that holds its row.
+    pub fn part(self) -> u64 {
+        self.0 % PARTS
     }
 }
 
--- a/crates/policy/tests/entry_budgets.rs
+++ b/crates/policy/tests/entry_budgets.rs
@@ -5,7 +5,9 @@
 
 use camphorwalk_core::platform::RowVersion;
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::budgets::{BudgetRow, Budgets, ProgramKey, Reservation, RunId};
+use camphorwalk_policy::entry::budgets::{
+    BudgetRow, Budgets, ProgramKey, Reach, Reservation, RunId,
+};
 use proptest::prelude::*;
 
 const PROGRAM: ProgramKey = ProgramKey(7);
@@ -34,9 +36,9 @@
 /// Reserves as a host does: writes, and learns from a conflict.
 fn reserve(host: &mut Budgets, store: &mut Store, budget: u64, most: u64) -> bool {
     for _ in 0..6 {
-        match host.reserve(NOW, PROGRAM, budget, most) {
+        match host.reserve(NOW, PROGRAM, budget, most, Reach::All) {
             Reservation::Reserved => return true,
-            Reservation::Spent { .. } => return false,
+            Reservation::Spent { .. } | Reservation::Withheld => return false,
             Reservation::Write(row, version) => {
                 store.write(row, version);
                 let (row, version) = store.row.clone().expect("a write or a conflict leaves it");
@@ -104,10 +106,10 @@
     let mut store = Store::default();
     let mut steward = Budgets::new(RunId(1));
     let mut entry = Budgets::new(RunId(2));
-    let known = BudgetRow { budget: 572, granted: BTreeMap::new() };
-    let row = steward.grant_loose(NOW, PROGRAM, RunId(2), 286, &known).expect("there is enough");
+    let known = BudgetRow { budget: 572, ..BudgetRow::default() };
+    let row = steward.grant_loose(NOW, PROGRAM, RunId(2), 286, &known, Reach::All).expect("there is enough");
     entry.learn_loose(NOW, PROGRAM, &row);
-    assert_eq!(entry.reserve(NOW, PROGRAM, 572, 286), Reservation::Reserved);
+    assert_eq!(entry.reserve(NOW, PROGRAM, 572, 286, Reach::All), Reservation::Reserved);
 
     for (_, row, version) in entry.loose() {
         assert!(store.write(row, version));
@@ -124,8 +126,8 @@
     let mut store = Store::default();
     let mut apart = Budgets::new(RunId(1));
     let mut served = Budgets::new(RunId(2));
-    let known = BudgetRow { budget: 1_000, granted: BTreeMap::new() };
-    apart.grant_loose(NOW, PROGRAM, RunId(1), 300, &known).expect("there is enough");
+    let known = BudgetRow { budget: 1_000, ..BudgetRow::default() };
+    apart.grant_loose(NOW, PROGRAM, RunId(1), 300, &known, Reach::All).expect("there is enough");
     assert!(reserve(&mut served, &mut store, 1_000, 300));
 
     while let Some((_, row, version)) = apart.loose().pop() {
@@ -142,9 +144,9 @@
 #[test]
 fn a_spent_budget_gets_nothing_from_whoever_grants_in_the_stores_place() {
     let mut steward = Budgets::new(RunId(1));
-    let known = BudgetRow { budget: 572, granted: BTreeMap::from([(RunId(9), 572)]) };
+    let known = BudgetRow { budget: 572, granted: BTreeMap::from([(RunId(9), 572)]), ..BudgetRow::default() };
 
-    let grant = steward.grant_loose(NOW, PROGRAM, RunId(2), 286, &known);
+    let grant = steward.grant_loose(NOW, PROGRAM, RunId(2), 286, &known, Reach::All);
 
     assert_eq!(grant, None);
 }
@@ -166,7 +168,7 @@
 
 #[test]
 fn a_row_reads_as_it_was_written() {
-    let row = BudgetRow { budget: 858, granted: BTreeMap::from([(RunId(u64::MAX), 286)]) };
+    let row = BudgetRow { budget: 858, granted: BTreeMap::from([(RunId(u64::MAX), 286)]), apart: true, ..BudgetRow::default() };
 
     let text = serde_json::to_string(&row).unwrap();
 
@@ -176,7 +178,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
 
-    /// Whatever hosts run turns in whatever order, are restarted with their grants lost, or use
+    /// Whatever hosts run turns in whatever order, are restarted with their grants lost, give back
+    /// what they do not need, or use
     /// more or less of a turn: no more than the budget is ever handed out.
     #[test]
     fn no_order_of_turns_and_restarts_exceeds_the_budget(
@@ -193,6 +196,9 @@
             if restarts && used % 5 == 0 {
                 hosts[host] = new();
             }
+            if used % 7 == 0 && let Some(row) = hosts[(host + 1) % 4].yield_rest(PROGRAM) {
+                hosts[host].note(NOW, PROGRAM, &row);
+            }
             if reserve(&mut hosts[host], &mut store, budget, 100) {
                 hosts[host].settle(PROGRAM, 100, used);
                 handed += used;
@@ -202,3 +208,65 @@
         prop_assert!(handed <= budget, "{} of {}", handed, budget);
     }
 }
+
+#[test]
+fn two_sides_of_a_cut_together_keep_within_the_budget_and_one_turn() {
+    // A zone is cut off from the others and from the store. A program that begins there also
+    // sends turns through another zone, whose hosts find no row of it and make one.
+    for budget in [500, 572, 858, 2_288] {
+        let mut store = Store::default();
+        let mut inside = Budgets::new(RunId(1));
+        let mut outside = Budgets::new(RunId(2));
+        let known = BudgetRow { budget, ..BudgetRow::default() };
+        let mut handed = 0;
+
+        while inside.grant_loose(NOW, PROGRAM, RunId(1), 286, &known, Reach::Some).is_some() {
+            handed += 286;
+        }
+        while let Reservation::Write(row, version) =
+            outside.reserve(NOW, PROGRAM, budget, 286, Reach::Some)
+        {
+            assert!(store.write(row.clone(), version));
+            outside.learn(NOW, PROGRAM, row, RowVersion(store.version));
+            while outside.reserve(NOW, PROGRAM, budget, 286, Reach::Some) == Reservation::Reserved {
+                outside.settle(PROGRAM, 286, 286);
+                handed += 286;
+            }
+        }
+
+        assert!(handed <= budget + 286, "{handed} of {budget}");
+        assert!(handed >= 286 * 2, "a turn on each side of {budget}");
+    }
+}
+
+#[test]
+fn a_program_from_before_a_cut_keeps_its_whole_budget_where_the_store_is() {
+    let mut store = Store::default();
+    let mut host = Budgets::new(RunId(1));
+    assert!(reserve(&mut host, &mut store, 572, 286));
+    host.settle(PROGRAM, 286, 200);
+
+    let second = host.reserve(NOW, PROGRAM, 572, 286, Reach::Some);
+
+    assert!(matches!(second, Reservation::Reserved | Reservation::Write(..)), "{second:?}");
+}
+
+#[test]
+fn a_turn_that_did_not_run_at_one_host_runs_at_the_next() {
+    // A caller's first try is refused after its tokens were granted; its next try reaches
+    // another host. The budget holds one turn and a half, and was answered as spent 38 times.
+    let mut store = Store::default();
+    let mut first = Budgets::new(RunId(1));
+    let mut next = Budgets::new(RunId(2));
+    assert!(reserve(&mut first, &mut store, 500, 286));
+    first.settle(PROGRAM, 286, 0);
+    assert!(!reserve(&mut next, &mut store, 500, 286));
+    assert_eq!(next.holders(PROGRAM), [RunId(1)]);
+
+    let row = first.yield_rest(PROGRAM).expect("it holds all of it");
+    next.note(NOW, PROGRAM, &row);
+
+    assert!(reserve(&mut next, &mut store, 500, 286));
+    assert!(next.holders(PROGRAM).is_empty());
+    assert!(!reserve(&mut first, &mut store, 500, 286));
+}
