A new program may continue an old turn; a host is gone after four beats

Ruled out: lost turns; the rows were there. Change: a turn that continues a kept one shows its past by that one being found; a host whose row was read unchanged in four periods is gone.

--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -134,7 +134,7 @@
                 // have granted tokens that nobody here knows of.
                 if version == RowVersion::ABSENT
                     && !is_sure
-                    && !call.begins_line_of_program()
+                    && !call.shows_its_past()
                     && !shared.budgets.borrow().knows(program)
                     && !has_row(shared, program).await
                 {
@@ -261,7 +261,7 @@
     let shared = &call.shared;
     let empty = BudgetRow { budget, ..BudgetRow::default() };
     let known = shared.budgets.borrow().row(program).cloned().unwrap_or(empty);
-    let begins = call.begins_line_of_program();
+    let begins = call.may_be_first();
     let ask = GrantAsk { program, run: shared.run, most, known, begins };
     let host = grant_order(shared, program).first().copied().ok_or_else(unsure)?;
     let reply = match host == shared.fleet.own() {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -112,11 +112,21 @@
     /// Returns whether it may be the first turn of its program by its head alone: it continues
     /// nothing, and its prompt has no part of a parent's line between the shared part and its
     /// own.
-    pub(crate) fn begins_line_of_program(&self) -> bool {
+    pub(crate) fn may_be_first(&self) -> bool {
+        self.head.begins_line() && self.has_no_parent()
+    }
+
+    /// Returns whether its program is certainly known elsewhere if it is under way: a turn that
+    /// continues a kept one runs only if that one is found, and a new program may do so too.
+    pub(crate) fn shows_its_past(&self) -> bool {
+        self.route().keeps.is_some() || self.has_no_parent()
+    }
+
+    fn has_no_parent(&self) -> bool {
         /// The part that calls of a kind share, and the line's own.
         const FIRST_TURN_PARTS: usize = 2;
 
-        self.head.begins_line() && self.head.prefix.len() <= FIRST_TURN_PARTS
+        self.head.prefix.len() <= FIRST_TURN_PARTS
     }
 
     /// Returns whether it begins a program, as far as this host can tell.
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -42,8 +42,12 @@
 /// How often a host writes its row, and reads those of the others.
 const BEAT_PERIOD: Duration = Duration::from_secs(5);
 
-/// A host whose row has not changed for this long is gone for good.
-const HOST_GONE: Duration = Duration::from_secs(40);
+/// So many rounds after the start are short.
+const FIRST_BEATS: u64 = 4;
+
+/// A host whose row was read unchanged so often is gone for good: it could not write it for
+/// longer than the longest cut that the users' sheets name. Reads that fail do not count.
+const READS_TO_GONE: u32 = 4;
 
 /// A host that told nothing for this long has nothing in flight that counts.
 const SILENT: Duration = Duration::from_secs(2);
@@ -72,7 +76,8 @@
 /// Another host, as its row shows it.
 struct Known {
     version: RowVersion,
-    changed: Instant,
+    /// How often the row was read since it changed.
+    unchanged: u32,
     address: SocketAddr,
     zone: Box<str>,
 }
@@ -289,7 +294,7 @@
         };
         let answered = match store::probe(&shared, op).await {
             PlatformReply::Rows(rows) => {
-                know(&shared, &peers, &rows);
+                know(&shared, &peers, &rows, beat > FIRST_BEATS);
                 true
             }
             _ => false,
@@ -298,16 +303,16 @@
         // The first rounds are short: hosts start together, and each must know the others
         // before it knows its share of the rates.
         let pause = match answered {
-            true if beat > 4 => BEAT_PERIOD,
+            true if beat >= FIRST_BEATS => BEAT_PERIOD,
             _ => FAILED_PAUSE,
         };
         sleep(pause).await;
     }
 }
 
-/// Takes in the rows of all hosts.
-fn know(shared: &Rc<Shared>, peers: &Peers, rows: &[Row]) {
-    let now = clock::now();
+/// Takes in the rows of all hosts. `is_period_over` tells that each has had the time to write
+/// its row again since the last read.
+fn know(shared: &Rc<Shared>, peers: &Peers, rows: &[Row], is_period_over: bool) {
     let fleet = &shared.fleet;
     let mut known = fleet.known.borrow_mut();
 
@@ -327,14 +332,16 @@
                 info!(host = %row.key.key, address = %content.peers, "fleet: host known");
             }
             let address = content.peers;
-            let new = Known { version: row.version, changed: now, address, zone: content.zone };
+            let new = Known { version: row.version, unchanged: 0, address, zone: content.zone };
             known.insert(host, new);
             peers.set_address(host, address);
+        } else if let Some(known) = known.get_mut(&host) {
+            known.unchanged += u32::from(is_period_over);
         }
     }
 
     known.retain(|host, known| {
-        let keep = now.since(known.changed) < HOST_GONE;
+        let keep = known.unchanged < READS_TO_GONE;
         if !keep {
             info!(address = %known.address, "fleet: host gone");
             peers.forget(*host);
