New programs leave slots to those under way; one line for each answered call; camphorwalk explain

Ruled out: waiting at the hosts in another order; the places were gone to new programs. Change: a new program goes only to a target with under 0.8 (first rank) or 0.65 of its slots taken, waits 50 ms at most and is told when to come back; a program whose row exists is not new. Answered calls are logged with what decided, whole calls sampled over 150 lines a second; explain puts a call's lines of several hosts in order.

--- a/crates/camphorwalk/src/bin/camphorwalk.rs
+++ b/crates/camphorwalk/src/bin/camphorwalk.rs
@@ -9,6 +9,7 @@
 use camphorwalk::commands::demo::Demo;
 use camphorwalk::commands::diff::Diff;
 use camphorwalk::commands::drain::Drain;
+use camphorwalk::commands::explain::Explain;
 use camphorwalk::commands::status::Status;
 use camphorwalk::commands::withdraw::Withdraw;
 use camphorwalk::exit::Exit;
@@ -29,6 +30,7 @@
     Demo(Demo),
     Diff(Diff),
     Drain(Drain),
+    Explain(Explain),
     Status(Status),
     Withdraw(Withdraw),
     Standin(camphorwalk_standin::program::Args),
@@ -46,6 +48,7 @@
         Command::Demo(demo) => demo.run().await,
         Command::Diff(diff) => diff.run().await,
         Command::Drain(drain) => drain.run().await,
+        Command::Explain(explain) => explain.run(),
         Command::Status(status) => status.run().await,
         Command::Withdraw(withdraw) => withdraw.run().await,
         Command::Standin(args) => match camphorwalk_standin::program::run(args).await {
--- a/crates/camphorwalk/src/commands.rs
+++ b/crates/camphorwalk/src/commands.rs
@@ -6,6 +6,7 @@
 pub mod demo;
 pub mod diff;
 pub mod drain;
+pub mod explain;
 pub mod status;
 pub mod withdraw;
 
--- a/crates/camphorwalk/tests/offline_commands.rs
+++ b/crates/camphorwalk/tests/offline_commands.rs
@@ -131,3 +131,44 @@
 
     assert_eq!(run(&args).status.code(), Some(2));
 }
+
+#[test]
+fn explain_puts_a_requests_lines_of_several_hosts_in_order() {
+    // A turn is refused at one host and held by another; the logs have lines of other calls, and
+    // some that are not JSON or are cut off.
+    let folder = tempfile::tempdir().unwrap();
+    let file = |name: &str, lines: &[&str]| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, lines.join("\n")).unwrap();
+        path.to_str().unwrap().to_owned()
+    };
+    let a = file(
+        "a.log",
+        &[
+            r#"{"timestamp":"2026-01-01T00:00:03Z","message":"call: refused","request":"r-1"}"#,
+            r#"{"timestamp":"2026-01-01T00:00:01Z","message":"budget: spent","request":"r-1"}"#,
+            "not json",
+            r#"{"timestamp":"2026-01-01T00:00:01Z","mess"#,
+        ],
+    );
+    let b = file(
+        "b.log",
+        &[
+            r#"host-b {"timestamp":"2026-01-01T00:00:02Z","message":"x","request":"r-1"}"#,
+            r#"{"timestamp":"2026-01-01T00:00:02Z","message":"y","request":"r-2"}"#,
+        ],
+    );
+
+    let (code, text) = ended(&["explain", "r-1", &a, &b]);
+    let (nothing, _) = ended(&["explain", "r-9", &a, &b]);
+    let (missing, _) = ended(&["explain", "r-1", "no-such-file"]);
+
+    assert_eq!((code, nothing, missing), (0, 1, 1));
+    let seconds: Vec<_> = text.lines().map(|line| line.find("00:00:0").unwrap()).collect();
+    assert_eq!(seconds.len(), 3);
+    let order: Vec<_> = ["budget: spent", "\"x\"", "call: refused"]
+        .iter()
+        .map(|part| text.find(part).unwrap())
+        .collect();
+    assert!(order.is_sorted(), "{text}");
+}
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -56,6 +56,8 @@
     program: ProgramKey,
     most: u64,
     used: u64,
+    /// Whether this turn is the first that was granted tokens of its program's budget.
+    pub(crate) is_first: bool,
 }
 
 impl Hold {
@@ -92,6 +94,7 @@
     let _turn = lock.lock().await;
 
     let mut recalled = false;
+    let mut is_first = !shared.budgets.borrow().knows(program);
     for _ in 0..MOST_WRITES {
         let reach = reach(shared);
         let reservation =
@@ -99,7 +102,8 @@
 
         match reservation {
             Reservation::Reserved => {
-                return Ok(Some(Hold { shared: Rc::clone(shared), program, most, used: 0 }));
+                let shared = Rc::clone(shared);
+                return Ok(Some(Hold { shared, program, most, used: 0, is_first }));
             }
             // Other hosts may hold tokens that they do not need.
             Reservation::Spent { certain: false } if !recalled => {
@@ -144,8 +148,10 @@
                     );
                     return Err(unsure());
                 }
-                if let Written::Away = write(shared, program, row, version).await? {
-                    ask_for_grant(call, program, budget, most).await?;
+                match write(shared, program, row, version).await? {
+                    Written::Committed => {}
+                    Written::Learned => is_first = false,
+                    Written::Away => ask_for_grant(call, program, budget, most).await?,
                 }
             }
         }
@@ -190,7 +196,9 @@
 
 /// What came of writing a row.
 enum Written {
-    /// What the store holds now is known.
+    /// It is written.
+    Committed,
+    /// It was not written as the store held another row, which is known now.
     Learned,
     /// The store is away, for this host and those that it hears.
     Away,
@@ -220,7 +228,7 @@
         PlatformReply::Committed(version) => {
             tell_witness(shared, program, &row);
             shared.budgets.borrow_mut().learn(clock::now(), program, row, version);
-            Ok(Written::Learned)
+            Ok(Written::Committed)
         }
         PlatformReply::Conflict(rows) => take_in(shared, program, &rows),
         PlatformReply::Unavailable => Ok(Written::Away),
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -36,6 +36,20 @@
 /// When a caller is told to come back while no manifest is known yet.
 const NO_MANIFEST_RETRY: Duration = Duration::from_millis(400);
 
+/// How a call was answered by a target, for the logs.
+#[derive(Clone, Copy)]
+pub(crate) struct Answered<'a> {
+    /// The target's id.
+    pub(crate) target: &'a str,
+    /// What all hosts had in flight there, this call included, as this host knew.
+    pub(crate) load: u32,
+    pub(crate) status: StatusCode,
+    /// To how many targets it was offered.
+    pub(crate) offers: u32,
+    /// The events passed on, of a stream.
+    pub(crate) events: Option<u64>,
+}
+
 /// A call on its way to a target.
 pub(crate) struct Call {
     pub(crate) shared: Rc<Shared>,
@@ -58,7 +72,7 @@
     pub(crate) may_have_run: Cell<bool>,
     fingerprint: Fingerprint,
     /// Whether it begins a program.
-    is_new: bool,
+    is_new: Cell<bool>,
     /// Held until the answer is whole.
     _open: OpenRequest,
 }
@@ -96,7 +110,8 @@
             parts.push((stable_hash(&[object.as_bytes()]), WARM_TOKENS));
         }
 
-        Shape { parts, avoid: Vec::new() }
+        let begins = self.is_new.get().then_some(self.route().rank);
+        Shape { begins, parts, avoid: Vec::new() }
     }
 
     /// Returns how urgent it is.
@@ -106,7 +121,7 @@
             None => self.deadline,
         };
 
-        Urgency { is_new: self.is_new, rank: self.route().rank, deadline }
+        Urgency { is_new: self.is_new.get(), rank: self.route().rank, deadline }
     }
 
     /// Returns whether it may be the first turn of its program by its head alone: it continues
@@ -132,10 +147,26 @@
     /// Returns whether it begins a program, as far as this host can tell.
     fn begins_program(&self) -> bool {
         self.route().repeat.is_stream()
-            && self.head.begins_line()
+            && self.may_be_first()
             && !self.shared.places.is_under_way(self.head.program.as_deref())
     }
 
+    /// Logs that a target answered it, and on what it was sent there.
+    pub(crate) fn log_answer(&self, answered: &Answered<'_>) {
+        if !self.shared.stories.keeps(&self.head.request_id) {
+            return;
+        }
+
+        let Answered { target, load, status, offers, events } = *answered;
+        info!(
+            request = %self.head.request_id, program = self.head.program.as_deref(),
+            route = %self.route().name, manifest = self.routing.version,
+            tenant = self.tenant.as_deref(), is_new = self.is_new.get(), target_id = target, load,
+            offers, events, status = status.as_u16(),
+            took_ms = clock::now().since(self.began).as_millis() as u64, "call: answered"
+        );
+    }
+
     /// Returns what it is known by when it comes again.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         self.fingerprint
@@ -265,8 +296,8 @@
         &body,
     ]));
 
-    let mut call = Call {
-        is_new: false,
+    let call = Call {
+        is_new: Cell::new(false),
         shared: Rc::clone(shared),
         method: parts.method,
         path: path.into(),
@@ -283,7 +314,7 @@
         _open: open,
         head,
     };
-    call.is_new = call.begins_program();
+    call.is_new.set(call.begins_program());
 
     Ok(call)
 }
@@ -348,13 +379,13 @@
     }
 
     let Some(tenant) = &call.tenant else { return Ok(()) };
-    let admission = call.shared.rates.borrow_mut().admit(clock::now(), tenant, call.is_new);
+    let admission = call.shared.rates.borrow_mut().admit(clock::now(), tenant, call.is_new.get());
     match admission {
         Admission::Admitted => Ok(()),
         Admission::Refused(after) => {
             if let Some(state) = call.shared.rates.borrow().explain(tenant) {
                 info!(
-                    request = %call.head.request_id, tenant = %tenant, is_new = call.is_new,
+                    request = %call.head.request_id, tenant = %tenant, is_new = call.is_new.get(),
                     level = state.level, rate = state.rate, demand = state.demand,
                     others_demand = state.others_demand, "rate: over"
                 );
@@ -373,6 +404,9 @@
     let (hold, continuation) = tokio::join!(budget::hold(&call), turns::continuation(&call));
     let hold: Option<Hold> = hold?;
     let continuation: Continuation = continuation?;
+    if hold.as_ref().is_some_and(|hold| !hold.is_first) {
+        call.is_new.set(false);
+    }
     call.shared.places.began(call.head.program.as_deref());
 
     stream::forward(call, hold, continuation).await
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -27,6 +27,7 @@
 use crate::metrics::Metrics;
 use crate::places::Places;
 use crate::store::Store;
+use crate::stories::Stories;
 use crate::{callers, clock, fleet, probes, store, turns, watch};
 
 /// The longest that one try of a call to the store may take. Its answers come within some
@@ -77,6 +78,7 @@
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) fleet: Fleet,
     pub(crate) metrics: Metrics,
+    pub(crate) stories: Stories,
     leaving: Cell<bool>,
     /// Requests that were read and are not answered.
     open_requests: Cell<usize>,
@@ -160,6 +162,7 @@
             crashes: RefCell::default(),
             fleet: Fleet::new(&settings.name),
             metrics,
+            stories: Stories::new(),
             leaving: Cell::new(false),
             open_requests: Cell::new(0),
             settings,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod plain;
 mod probes;
 mod store;
+mod stories;
 mod stream;
 mod turns;
 mod watch;
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -8,6 +8,7 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::placement::{Choice, Outcome, Shape, TargetKey};
 use camphorwalk_policy::entry::waiting::{Urgency, WaiterId, Waiting};
+use rand::Rng as _;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tracing::info;
@@ -19,9 +20,18 @@
 /// When a call that finds no target at all is told to come back, if nothing is known.
 const NOWHERE_RETRY: Duration = Duration::from_millis(300);
 
-/// The time that a call of a full service is told to stay away: the hold of one place.
+/// The time that a new program is told to stay away from a full service: about the hold of one
+/// place.
 const FULL_RETRY: Duration = Duration::from_millis(250);
 
+/// How long a new program may wait for a place: a quarter of the objective of its first event.
+/// After that it is better told to come back than kept.
+const NEW_WAIT: Duration = Duration::from_millis(50);
+
+/// While so many calls wait, a new program is refused at once: none of the places that become
+/// free within its wait would be its own.
+const MOST_NEW_WAITING: usize = 4;
+
 struct Waiter {
     shape: Shape,
     tx: oneshot::Sender<TargetKey>,
@@ -79,6 +89,13 @@
         Self { shared: Rc::clone(shared), key, service: service.into(), taken, ended: false }
     }
 
+    /// Returns the target's id, and what all hosts have in flight there as this one knows.
+    pub(crate) fn target(&self) -> (Box<str>, u32) {
+        let targets = self.shared.targets.borrow();
+
+        targets.get(self.key).map_or_else(Default::default, |t| (t.entry.id.clone(), t.load()))
+    }
+
     /// Ends the call at its target.
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.finish(outcome);
@@ -149,15 +166,20 @@
         Choice::Target(_) | Choice::Full => {}
     }
 
-    let places = f64::from(shared.targets.borrow().capacity(now, service).0)
-        / shared.fleet.size().max(1) as f64;
-    if urgency.is_new && !shared.places.waiting.borrow().takes_new(service, places) {
-        return Err(Refusal::later("all targets are full", FULL_RETRY));
+    if urgency.is_new && shared.places.waiting.borrow().len(service) >= MOST_NEW_WAITING {
+        return Err(full());
     }
-
     wait(shared, service, shape, urgency).await
 }
 
+/// The answer to a new program while all targets are taken. Its return is spread, so that those
+/// that came together do not come back together.
+fn full() -> Refusal {
+    let after = FULL_RETRY.mul_f64(rand::rng().random_range(0.7..1.3));
+
+    Refusal::later("all targets are full", after)
+}
+
 /// Takes a place at a target that a call was at before, whatever waits for it: the call held
 /// its slot until now.
 pub(crate) fn same(shared: &Rc<Shared>, service: &str, key: TargetKey, shape: &Shape) -> Place {
@@ -183,12 +205,15 @@
     shared.metrics.waited.inc();
     wake(shared, service);
 
-    let granted = timeout(clock::until(urgency.deadline), rx).await;
+    let left = clock::until(urgency.deadline);
+    let limit = if urgency.is_new { left.min(NEW_WAIT) } else { left };
+    let granted = timeout(limit, rx).await;
     drop(queued);
 
     match granted {
         Ok(Ok(key)) => Ok(Place::new(shared, service, key)),
         Ok(Err(_)) => Err(nowhere(shared, service)),
+        Err(_) if urgency.is_new => Err(full()),
         Err(_) => Err(Refusal::late(false)),
     }
 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -10,7 +10,7 @@
 use tracing::info;
 
 use crate::answer::{Answer, AnswerBody, Refusal};
-use crate::call::Call;
+use crate::call::{Answered, Call};
 use crate::forward::{self, Sending, Sent, Started};
 use crate::{clock, places};
 
@@ -50,7 +50,7 @@
         };
 
         let (reason, may_have_run) = match forward::send(&sending, place).await {
-            Sent::Started(started) => match finish(call, started).await {
+            Sent::Started(started) => match finish(call, started, offers + 1).await {
                 Ok(answer) => return Ok(answer),
                 Err(reason) => (reason, true),
             },
@@ -94,7 +94,7 @@
 }
 
 /// Takes an answer whole, and passes it on if it is the target's own.
-async fn finish(call: &Call, started: Started) -> Result<Answer, &'static str> {
+async fn finish(call: &Call, started: Started, offers: u32) -> Result<Answer, &'static str> {
     let Started { response, head, connection, place } = started;
     let (parts, body) = response.into_parts();
     let key = place.key;
@@ -111,6 +111,9 @@
         return Err(fault);
     }
 
+    let (target, load) = place.target();
+    let status = parts.status;
+    call.log_answer(&Answered { target: &target, load, status, offers, events: None });
     place.answered();
     if !head.closes {
         let shared = std::rc::Rc::clone(&call.shared);
--- /dev/null
+++ b/crates/entry/src/stories.rs
@@ -0,0 +1,76 @@
+//! Which calls' lines are logged when there are too many to log all.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use camphorwalk_core::hash::stable_hash;
+use camphorwalk_core::time::Instant;
+
+use crate::clock;
+
+/// The most lines a second about calls that went well. A line costs about as much as a small
+/// message; with these, logs stay under a hundredth of what a host does at its usual load.
+const MOST_LINES: u32 = 150;
+
+/// The time over which lines are counted.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// The highest level: one call in so many is logged, as a power of two.
+const MOST_LEVEL: u32 = 10;
+
+/// Chooses whole calls: all lines about a call are logged, or none but failures, which are
+/// always. All hosts choose the same calls at the same level.
+pub(crate) struct Stories {
+    /// One call in two to the power of this is logged.
+    level: Cell<u32>,
+    since: Cell<Instant>,
+    lines: Cell<u32>,
+    passed_over: Cell<u64>,
+}
+
+impl Stories {
+    /// Begins with all calls.
+    pub(crate) fn new() -> Self {
+        Self {
+            level: Cell::new(0),
+            since: Cell::new(clock::now()),
+            lines: Cell::new(0),
+            passed_over: Cell::new(0),
+        }
+    }
+
+    /// Returns whether the lines of a call are logged.
+    pub(crate) fn keeps(&self, request_id: &str) -> bool {
+        self.turn_period();
+        let mask = (1u64 << self.level.get()) - 1;
+        let keeps = stable_hash(&[request_id.as_bytes()]) & mask == 0;
+
+        match keeps {
+            true => self.lines.set(self.lines.get() + 1),
+            false => self.passed_over.set(self.passed_over.get() + 1),
+        }
+        keeps
+    }
+
+    fn turn_period(&self) {
+        let now = clock::now();
+        if now.since(self.since.get()) < PERIOD {
+            return;
+        }
+
+        let lines = self.lines.replace(0);
+        let level = self.level.get();
+        let next = match lines {
+            lines if lines > MOST_LINES => (level + 1).min(MOST_LEVEL),
+            lines if lines < MOST_LINES / 4 => level.saturating_sub(1),
+            _ => level,
+        };
+        self.since.set(now);
+        self.level.set(next);
+
+        if next != level {
+            let one_in = 1u64 << next;
+            tracing::info!(one_in, passed_over = self.passed_over.get(), "log: calls sampled");
+        }
+    }
+}
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -14,7 +14,7 @@
 
 use crate::answer::{Answer, AnswerBody, Broken, Refusal};
 use crate::budget::Hold;
-use crate::call::Call;
+use crate::call::{Answered, Call};
 use crate::events::Cutter;
 use crate::forward::{self, Sending, Sent, Started};
 use crate::plain::fault;
@@ -39,6 +39,8 @@
     events: u64,
     /// The data of the events passed on, each with a line feed.
     said: Vec<u8>,
+    /// To how many targets it was offered before the first event.
+    offers: u32,
     resumes: u32,
 }
 
@@ -106,7 +108,7 @@
     let mut answer = Response::new(AnswerBody::Whole(None));
     *answer.headers_mut() = head::write_answer(started.response.headers());
     *answer.body_mut() =
-        AnswerBody::Pieces(Box::pin(pieces(call, hold, continuation, body, started)));
+        AnswerBody::Pieces(Box::pin(pieces(call, hold, continuation, body, started, offers + 1)));
     Ok(answer)
 }
 
@@ -145,9 +147,15 @@
     continuation: Continuation,
     body: Bytes,
     started: Started,
+    offers: u32,
 ) -> impl futures::Stream<Item = Result<Bytes, Broken>> {
-    let mut progress =
-        Progress { last_event: call.head.last_event, events: 0, said: Vec::new(), resumes: 0 };
+    let mut progress = Progress {
+        last_event: call.head.last_event,
+        events: 0,
+        said: Vec::new(),
+        offers,
+        resumes: 0,
+    };
     let mut current = Some(started);
     let mut cutter = Cutter::default();
 
@@ -187,7 +195,7 @@
         }
 
         if let Some(started) = current.take() {
-            keep_connection(&call, started);
+            keep_connection(&call, started, &progress);
         }
         drop(hold.take());
         if let Err(reason) = turns::keep(&call, &continuation, std::mem::take(&mut progress.said)).await {
@@ -286,9 +294,17 @@
 }
 
 /// Counts a stream that ended whole, and keeps its connection.
-fn keep_connection(call: &Call, started: Started) {
-    let Started { head, connection, place, .. } = started;
+fn keep_connection(call: &Call, started: Started, progress: &Progress) {
+    let Started { head, connection, place, response } = started;
     let key = place.key;
+    let (target, load) = place.target();
+    call.log_answer(&Answered {
+        target: &target,
+        load,
+        status: response.status(),
+        offers: progress.offers + progress.resumes,
+        events: Some(progress.events),
+    });
     place.answered();
 
     if !head.closes {
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -80,9 +80,20 @@
     parts: [Set<u64>; 2],
 }
 
+/// The part of a target's slots up to which calls of new programs go there, by rank: the first
+/// rank, and all others.
+///
+/// When many users come at once, programs that are begun take longer and longer, until all are
+/// late and none is refused. With a part of the slots left to programs under way those finish
+/// in time, and a new one is told at once to come back. The first rank may take more, so that it
+/// is served first.
+const NEW_PROGRAMS_PART: [f64; 2] = [0.8, 0.65];
+
 /// What is asked of a target.
 #[derive(Clone, Debug, Default)]
 pub struct Shape {
+    /// The rank of the call if it begins a program.
+    pub begins: Option<u32>,
     /// The prompt parts and their tokens, in order.
     pub parts: Vec<(u64, u32)>,
     /// Targets that the call was sent to already.
@@ -254,7 +265,7 @@
         for (key, target) in self.of_service(service).filter(usable) {
             any = true;
 
-            if !target.has_room() {
+            if !target.has_room(shape) {
                 continue;
             }
 
@@ -345,8 +356,17 @@
         self.own + self.others
     }
 
-    fn has_room(&self) -> bool {
-        self.load() < self.entry.slots + QUEUED_AT_TARGET
+    fn has_room(&self, shape: &Shape) -> bool {
+        let most = match shape.begins {
+            None => self.entry.slots + QUEUED_AT_TARGET,
+            Some(rank) => {
+                let part = NEW_PROGRAMS_PART[usize::from(rank > 0)];
+                // Truncated, but a target of few slots takes one call at least.
+                ((f64::from(self.entry.slots) * part) as u32).max(1)
+            }
+        };
+
+        self.load() < most
     }
 
     fn is_ejected(&self, now: Instant) -> bool {
--- a/crates/policy/src/entry/waiting.rs
+++ b/crates/policy/src/entry/waiting.rs
@@ -25,13 +25,6 @@
     pub deadline: Instant,
 }
 
-/// How many calls of new programs may wait for each place that a host can count on. More would
-/// wait longer than their objective and fail as a whole.
-const NEW_PER_PLACE: f64 = 1.0;
-
-/// The least calls of new programs that may wait, so that a short burst is taken.
-const LEAST_NEW: usize = 4;
-
 /// The calls that wait, by service.
 #[derive(Clone, Debug, Default)]
 pub struct Waiting {
@@ -94,12 +87,4 @@
 
         waiting.map(|(service, _)| service.clone()).collect()
     }
-
-    /// Returns whether a call of a new program may still wait, at a host that can count on
-    /// `places` of the service.
-    pub fn takes_new(&self, service: &str, places: f64) -> bool {
-        let most = (places * NEW_PER_PLACE) as usize;
-
-        self.len(service) < most.max(LEAST_NEW)
-    }
 }
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -49,7 +49,7 @@
 #[test]
 fn a_line_of_turns_goes_where_its_prompt_is_cached() {
     let mut targets = targets(&["x", "y"]);
-    let shape = Shape { parts: vec![(1, 512), (2, 654)], avoid: Vec::new() };
+    let shape = Shape { parts: vec![(1, 512), (2, 654)], ..Shape::default() };
     let first = send(&mut targets, &shape).unwrap();
     targets.ended(NOW, first, Outcome::Answered(Duration::from_millis(200)));
 
@@ -67,7 +67,7 @@
     let mut there = targets(&ids);
 
     for line in 0..50 {
-        let shape = Shape { parts: vec![(1, 512), (line, 654)], avoid: Vec::new() };
+        let shape = Shape { parts: vec![(1, 512), (line, 654)], ..Shape::default() };
         let first = send(&mut here, &shape).unwrap();
         here.ended(NOW, first, Outcome::Answered(Duration::from_millis(200)));
         let second = send(&mut there, &shape).unwrap();
@@ -98,6 +98,21 @@
     assert_eq!(targets.choose(NOW, "engines", &Shape::default()), Choice::Full);
 }
 
+#[test]
+fn new_programs_leave_slots_to_those_under_way() {
+    // Many users come at once. Had all slots gone to new programs, the next turns of those that
+    // are begun would wait behind them, and all would end late.
+    let mut targets = Targets::new("a");
+    targets.put(TargetEntry { slots: 12, ..entry("x", "a") });
+    let begins = |rank| Shape { begins: Some(rank), ..Shape::default() };
+
+    let second_rank = (0..20).filter(|_| send(&mut targets, &begins(1)).is_some()).count();
+    let first_rank = (0..20).filter(|_| send(&mut targets, &begins(0)).is_some()).count();
+    let under_way = (0..20).filter(|_| send(&mut targets, &Shape::default()).is_some()).count();
+
+    assert_eq!((second_rank, first_rank, under_way), (7, 2, 5));
+}
+
 #[test]
 fn a_target_that_fails_again_and_again_is_left_alone_and_comes_back() {
     // Its zone is cut off: connections to it fall silent, and each call sent there is lost.
