Grants are withheld only while a whole zone is silent

Ruled out: letting single hosts that are cut off grant and others not withhold: both sides together would exceed the budget. Change: a host that hears no other of its zone grants nothing; the others withhold only while a zone is silent as a whole.

--- a/crates/camphorwalk/src/platform_host.rs
+++ b/crates/camphorwalk/src/platform_host.rs
@@ -17,7 +17,7 @@
 pub fn main(check: bool) -> Exit {
     let Some(path) = settings::path() else {
         eprintln!("camphorwalkd: neither --settings nor the platform's settings file is given");
-        return Exit::Refused;
+        return Exit::Usage;
     };
 
     let settings = match load(&path) {
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -181,9 +181,9 @@
     row.map_or(Reply::Refused, Reply::Granted)
 }
 
-/// Returns whether all hosts are heard.
+/// Returns whether all groups of hosts that may grant tokens are heard.
 fn reach(shared: &Shared) -> Reach {
-    if shared.fleet.misses_someone() { Reach::Some } else { Reach::All }
+    if shared.fleet.misses_zone() { Reach::Some } else { Reach::All }
 }
 
 /// Returns whether the store has a row of a program, and takes it in.
@@ -295,7 +295,8 @@
 ///
 /// A host that hears a majority grants for all programs. A group that is cut off with a minority
 /// of the hosts cannot know what the others grant: it grants only for programs that began in it,
-/// and no more than half. A process that the store never answered knows nothing of before.
+/// and no more than half. A host that is cut off alone grants nothing, so that the others need
+/// not withhold anything whenever one host dies. A process that the store never answered knows nothing of before.
 pub(crate) async fn grant_for_peer(shared: &Rc<Shared>, ask: &GrantAsk) -> Reply {
     // A part that this host did not need of late may be away without its knowing.
     let key = row_key(ask.program);
@@ -306,7 +307,8 @@
     let store_is_away = !shared.store.answers_for(&key)
         && (shared.store.answers() || shared.fleet.store_peer().is_none());
     let began_here = ask.begins || shared.budgets.borrow().is_apart(ask.program);
-    let is_entitled = shared.fleet.is_majority() || began_here;
+    let is_entitled =
+        shared.fleet.is_majority() || (began_here && shared.fleet.hears_own_zone());
 
     if !store_is_away || !shared.store.has_answered() || !is_entitled {
         return Reply::Refused;
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::hash::{Map, rendezvous_order};
+use camphorwalk_core::hash::{Map, Set, rendezvous_order};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::entry::{Demand, EntryNews, InFlight, Manifest};
 use camphorwalk_core::messages::{Body, PeerMessage};
@@ -85,6 +85,7 @@
 /// What is known of the fleet.
 pub(crate) struct Fleet {
     name: Box<str>,
+    zone: Box<str>,
     own: HostId,
     known: RefCell<Map<HostId, Known>>,
     heard: RefCell<Map<HostId, Heard>>,
@@ -109,9 +110,10 @@
 
 impl Fleet {
     /// Begins with no other hosts.
-    pub(crate) fn new(name: &str) -> Self {
+    pub(crate) fn new(name: &str, zone: &str) -> Self {
         Self {
             name: name.into(),
+            zone: zone.into(),
             own: HostId::from_name(name),
             known: RefCell::default(),
             heard: RefCell::default(),
@@ -177,6 +179,20 @@
         self.own
     }
 
+    /// Returns whether a zone is silent as a whole: it may be cut off, and its hosts may go on
+    /// together. A single host that is cut off does not grant anything.
+    pub(crate) fn misses_zone(&self) -> bool {
+        let known = self.known.borrow();
+        let zones: Set<&str> = known.values().map(|known| &*known.zone).collect();
+
+        zones.into_iter().any(|zone| *zone != *self.zone && !self.hears_zone(zone))
+    }
+
+    /// Returns whether another host of this host's own zone is heard, if there is one.
+    pub(crate) fn hears_own_zone(&self) -> bool {
+        self.hears_zone(&self.zone)
+    }
+
     /// Returns whether a known host is not heard.
     pub(crate) fn misses_someone(&self) -> bool {
         let now = clock::now();
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -160,7 +160,7 @@
             written: RefCell::default(),
             held: RefCell::default(),
             crashes: RefCell::default(),
-            fleet: Fleet::new(&settings.name),
+            fleet: Fleet::new(&settings.name, &settings.zone),
             metrics,
             stories: Stories::new(),
             leaving: Cell::new(false),
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -40,7 +40,7 @@
     /// The tokens that each run has given back unspent.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub returned: BTreeMap<RunId, u64>,
-    /// Whether it was made while some host was silent, which may have made another.
+    /// Whether it was made while some zone was silent, which may have made another.
     #[serde(default)]
     pub apart: bool,
 }
@@ -59,13 +59,13 @@
     }
 }
 
-/// Whether all hosts are heard.
+/// Whether all zones are heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
     /// They are: nobody else can grant a program's tokens unheard.
     All,
-    /// Some host is silent. It may be behind a cut and grant tokens of programs that began
-    /// there.
+    /// Some zone is silent as a whole. It may be behind a cut, and grant tokens of programs that
+    /// began there.
     Some,
 }
 
