--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -28,6 +28,20 @@
     /// neither.
     #[prost(bool, tag = "8")]
     pub store_away: bool,
+    /// The calls of programs under way that wait at the sender for a place.
+    #[prost(message, repeated, tag = "9")]
+    pub waiting: Vec<WaitingCalls>,
+}
+
+/// The calls that wait at one host for a service.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WaitingCalls {
+    /// The service's name.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The calls.
+    #[prost(uint32, tag = "2")]
+    pub calls: u32,
 }
 
 /// A tenant's demand at one host.
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -307,8 +307,7 @@
     let store_is_away = !shared.store.answers_for(&key)
         && (shared.store.answers() || shared.fleet.store_peer().is_none());
     let began_here = ask.begins || shared.budgets.borrow().is_apart(ask.program);
-    let is_entitled =
-        shared.fleet.is_majority() || (began_here && shared.fleet.hears_own_zone());
+    let is_entitled = shared.fleet.is_majority() || (began_here && shared.fleet.hears_own_zone());
 
     if !store_is_away || !shared.store.has_answered() || !is_entitled {
         return Reply::Refused;
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use camphorwalk_adapter::head;
+use camphorwalk_adapter::head::{self, Ids};
 use camphorwalk_core::entry::{CallHead, Route, Routing};
 use camphorwalk_core::hash::stable_hash;
 use camphorwalk_core::time::Instant;
@@ -25,7 +25,7 @@
 use crate::budget::{self, Hold};
 use crate::host::{OpenRequest, Shared};
 use crate::turns::{self, Continuation};
-use crate::{callers, clock, plain, stream};
+use crate::{callers, clock, places, plain, stream};
 
 /// How long a call may take where neither the caller nor the route says.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -91,7 +91,7 @@
     }
 
     /// Returns the name of the line of calls that are best served by one target.
-    fn line<'a>(head: &'a CallHead) -> &'a str {
+    fn line(head: &CallHead) -> &str {
         let named = head.session.as_deref().or(head.affinity.as_deref());
 
         named.unwrap_or(&head.request_id)
@@ -116,12 +116,14 @@
 
     /// Returns how urgent it is.
     pub(crate) fn urgency(&self) -> Urgency {
-        let deadline = match self.head.program_deadline {
-            Some(left) => self.deadline.min(self.began + left),
-            None => self.deadline,
+        let should_end = self.head.program_deadline.map(|left| self.began + left);
+        let is_late = should_end.is_some_and(|at| at <= clock::now());
+        let deadline = match should_end {
+            Some(at) if !is_late => self.deadline.min(at),
+            _ => self.deadline,
         };
 
-        Urgency { is_new: self.is_new.get(), rank: self.route().rank, deadline }
+        Urgency { is_late, is_new: self.is_new.get(), rank: self.route().rank, deadline }
     }
 
     /// Returns whether it may be the first turn of its program by its head alone: it continues
@@ -190,8 +192,7 @@
     let began = clock::now();
     let open = shared.open();
     let was_chunked = req.headers().contains_key(header::TRANSFER_ENCODING);
-    let request_id = head_text(&req, "request-id");
-    let program = head_text(&req, "program-id");
+    let Ids { request: request_id, program } = head::read_ids(req.headers());
     let mut known = Known::default();
 
     let result = attempt(&shared, req, began, open, &mut known).await;
@@ -231,10 +232,6 @@
     answer
 }
 
-fn head_text(req: &Request<Incoming>, name: &str) -> Box<str> {
-    req.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().into()
-}
-
 async fn attempt(
     shared: &Rc<Shared>,
     req: Request<Incoming>,
@@ -400,6 +397,12 @@
         return plain::forward(&call).await;
     }
 
+    // A new program that is refused after its budget was granted would come back as one under
+    // way, and take the places of those that are.
+    if call.is_new.get() {
+        places::may_begin(&call.shared, &call.service, &call.shape())?;
+    }
+
     // The store is asked for the budget and for earlier turns at the same time.
     let (hold, continuation) = tokio::join!(budget::hold(&call), turns::continuation(&call));
     let hold: Option<Hold> = hold?;
@@ -407,7 +410,8 @@
     if hold.as_ref().is_some_and(|hold| !hold.is_first) {
         call.is_new.set(false);
     }
+    let answer = stream::forward(Rc::clone(&call), hold, continuation).await?;
     call.shared.places.began(call.head.program.as_deref());
 
-    stream::forward(call, hold, continuation).await
+    Ok(answer)
 }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use camphorwalk_core::hash::{Map, Set, rendezvous_order};
 use camphorwalk_core::ids::HostId;
-use camphorwalk_core::messages::entry::{Demand, EntryNews, InFlight, Manifest};
+use camphorwalk_core::messages::entry::{Demand, EntryNews, InFlight, Manifest, WaitingCalls};
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
@@ -409,6 +409,12 @@
         leaving: shared.is_leaving(),
         store_answers: shared.store.answers(),
         store_away: shared.store.is_away(),
+        waiting: shared
+            .places
+            .waiting()
+            .into_iter()
+            .map(|(service, calls)| WaitingCalls { service: service.into(), calls })
+            .collect(),
     }
 }
 
@@ -422,7 +428,7 @@
 
     for host in silent {
         info!(host = host.0, "fleet: host silent");
-        shared.targets.borrow_mut().hear(host, Map::default());
+        shared.targets.borrow_mut().hear(host, Map::default(), Map::default());
     }
 }
 
@@ -460,7 +466,8 @@
     });
     shared.rates.borrow_mut().hear(now, from, news.run, tenants);
     let in_flight = news.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
-    shared.targets.borrow_mut().hear(from, in_flight);
+    let waiting = news.waiting.into_iter().map(|w| (w.service.into(), w.calls)).collect();
+    shared.targets.borrow_mut().hear(from, in_flight, waiting);
     for crash in news.crashes {
         shared.crashes.borrow_mut().hear(now, crash);
     }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -31,7 +31,7 @@
 /// What is known after a call was sent.
 pub(crate) enum Sent {
     /// The target answers.
-    Started(Started),
+    Started(Box<Started>),
     /// The call has not run at this target and never will.
     NotRun(&'static str),
     /// It may have run.
@@ -169,7 +169,7 @@
         return Sent::Unknown { reason: "the answer is to another call", crashed: false };
     }
 
-    Sent::Started(Started { response, head, connection, place })
+    Sent::Started(Box::new(Started { response, head, connection, place }))
 }
 
 /// Reads a refusal's body, so that its connection can be kept.
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -24,6 +24,9 @@
 /// place.
 const FULL_RETRY: Duration = Duration::from_millis(250);
 
+/// The longest time that a call is told to stay away.
+const LONGEST_RETRY: Duration = Duration::from_secs(1);
+
 /// How long a new program may wait for a place: a quarter of the objective of its first event.
 /// After that it is better told to come back than kept.
 const NEW_WAIT: Duration = Duration::from_millis(50);
@@ -63,6 +66,19 @@
         }
     }
 
+    /// Returns how many calls wait for each service.
+    pub(crate) fn waiting(&self) -> Vec<(Box<str>, u32)> {
+        let waiting = self.waiting.borrow();
+        let services = waiting.services().into_iter();
+
+        services
+            .map(|service| {
+                let calls = u32::try_from(waiting.len(&service)).unwrap_or(u32::MAX);
+                (service, calls)
+            })
+            .collect()
+    }
+
     /// Returns whether a program has run something at this host.
     pub(crate) fn is_under_way(&self, program: Option<&str>) -> bool {
         let Some(program) = program else { return false };
@@ -169,9 +185,38 @@
     if urgency.is_new && shared.places.waiting.borrow().len(service) >= MOST_NEW_WAITING {
         return Err(full());
     }
+    let expected = expected_wait(shared, service, urgency);
+    if !urgency.is_new && expected > clock::until(urgency.deadline) {
+        info!(
+            service,
+            expected_ms = expected.as_millis() as u64,
+            is_late = urgency.is_late,
+            "place: none can be had in time"
+        );
+        return Err(Refusal::later("no place can be had in time", expected.min(LONGEST_RETRY)));
+    }
     wait(shared, service, shape, urgency).await
 }
 
+/// Refuses a new program while no target has room for one.
+pub(crate) fn may_begin(shared: &Shared, service: &str, shape: &Shape) -> Result<(), Refusal> {
+    match shared.targets.borrow().choose(clock::now(), service, shape) {
+        Choice::Full => Err(full()),
+        Choice::Target(_) | Choice::Nowhere => Ok(()),
+    }
+}
+
+/// Returns how long a call will wait by what goes before it at this host, which gets an even
+/// share of the places that become free.
+fn expected_wait(shared: &Shared, service: &str, urgency: Urgency) -> Duration {
+    let ahead = shared.places.waiting.borrow().ahead(service, urgency);
+    let targets = shared.targets.borrow();
+    let slots = f64::from(targets.capacity(clock::now(), service).0);
+    let places = (slots / shared.fleet.size() as f64).max(1.0);
+
+    targets.mean_hold(service).mul_f64(ahead as f64 / places)
+}
+
 /// The answer to a new program while all targets are taken. Its return is spread, so that those
 /// that came together do not come back together.
 fn full() -> Refusal {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -50,7 +50,7 @@
         };
 
         let (reason, may_have_run) = match forward::send(&sending, place).await {
-            Sent::Started(started) => match finish(call, started, offers + 1).await {
+            Sent::Started(started) => match finish(call, *started, offers + 1).await {
                 Ok(answer) => return Ok(answer),
                 Err(reason) => (reason, true),
             },
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -72,7 +72,7 @@
             Sending { call: &call, body: body.clone(), last_event: call.head.last_event, patience };
 
         match forward::send(&sending, place).await {
-            Sent::Started(started) => break started,
+            Sent::Started(started) => break *started,
             Sent::NotRun(reason) => {
                 call.may_have_run.set(false);
                 call.shared.metrics.resends.with_label_values(&[reason]).inc();
@@ -284,7 +284,7 @@
             if started.response.status() == StatusCode::OK
                 && fault(started.response.status(), &started.head).is_none()
             {
-                return Some(started);
+                return Some(*started);
             }
             started.place.end(Outcome::Failed);
         }
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -132,6 +132,8 @@
     by_service: Map<Box<str>, Vec<TargetKey>>,
     zone: Box<str>,
     told: Map<HostId, Map<Box<str>, u32>>,
+    /// The calls under way that wait at other hosts, by host and service.
+    waiting: Map<HostId, Map<Box<str>, u32>>,
 }
 
 impl Targets {
@@ -244,9 +246,16 @@
         self.targets.values().filter(|t| t.own > 0).map(|t| (&*t.entry.id, t.own))
     }
 
-    /// Takes in what another host has in flight; an empty map if it is silent.
-    pub fn hear(&mut self, host: HostId, in_flight: Map<Box<str>, u32>) {
+    /// Takes in what another host has in flight by target, and what waits there by service;
+    /// empty maps if it is silent.
+    pub fn hear(
+        &mut self,
+        host: HostId,
+        in_flight: Map<Box<str>, u32>,
+        waiting: Map<Box<str>, u32>,
+    ) {
         self.told.insert(host, in_flight);
+        self.waiting.insert(host, waiting);
 
         for target in self.targets.values_mut() {
             target.others = self.told.values().filter_map(|told| told.get(&target.entry.id)).sum();
@@ -259,13 +268,14 @@
             !shape.avoid.contains(key) && !target.is_ejected(now)
         };
         let favourite = self.favourite(now, service, shape);
+        let is_held_back = shape.begins.is_some() && self.is_awaited(service);
         let mut any = false;
         let mut best: Option<(f64, TargetKey)> = None;
 
         for (key, target) in self.of_service(service).filter(usable) {
             any = true;
 
-            if !target.has_room(shape) {
+            if is_held_back || !target.has_room(shape) {
                 continue;
             }
 
@@ -282,6 +292,24 @@
         }
     }
 
+    /// Returns whether turns under way wait for a service at other hosts. One or two may wait for
+    /// one target although others are free.
+    fn is_awaited(&self, service: &str) -> bool {
+        const MOST_WAITING: u32 = 2;
+        let waiting = self.waiting.values().filter_map(|waiting| waiting.get(service));
+
+        waiting.sum::<u32>() > MOST_WAITING
+    }
+
+    /// Returns the mean time that a call holds a slot of a service's targets.
+    pub fn mean_hold(&self, service: &str) -> Duration {
+        let (sum, count) = self
+            .of_service(service)
+            .fold((0.0, 0u32), |(sum, count), (_, target)| (sum + target.hold_ms, count + 1));
+
+        Duration::from_secs_f64(sum / f64::from(count.max(1)) / 1_000.0)
+    }
+
     /// Returns the target that holds a program's prompts if nothing else is known: the same at
     /// all hosts, so that a line of turns that comes through another host finds its cache.
     fn favourite(&self, now: Instant, service: &str, shape: &Shape) -> Option<TargetKey> {
--- a/crates/policy/src/entry/waiting.rs
+++ b/crates/policy/src/entry/waiting.rs
@@ -2,8 +2,9 @@
 //!
 //! Engines take calls in the order of their arrival. So calls wait here once the targets are
 //! full, and the next place goes to the call whose program would lose most by waiting on:
-//! programs under way before new ones, since half a program is worth nothing; then by rank; then
-//! the earliest deadline.
+//! programs that can still end in time before those that are late anyway; programs under way
+//! before new ones, since half a program is worth nothing; then by rank; then the earliest
+//! deadline.
 
 use std::collections::BTreeMap;
 
@@ -17,6 +18,9 @@
 /// What a call waits for, and how urgent it is. Lower goes first, field by field.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency {
+    /// Whether its program is past the time at which it should be finished: it is worth little,
+    /// and while it waits others end in time that would be late behind it.
+    pub is_late: bool,
     /// Whether its program is new: nothing is lost yet if it is told to come back.
     pub is_new: bool,
     /// Its rank.
@@ -38,7 +42,7 @@
     /// use camphorwalk_core::time::Instant;
     /// use camphorwalk_policy::entry::waiting::{Urgency, WaiterId, Waiting};
     /// let mut waiting = Waiting::default();
-    /// let new = Urgency { is_new: true, rank: 0, deadline: Instant(1) };
+    /// let new = Urgency { is_late: false, is_new: true, rank: 0, deadline: Instant(1) };
     /// waiting.push("engines", new, WaiterId(1));
     /// waiting.push("engines", Urgency { is_new: false, ..new }, WaiterId(2));
     /// assert_eq!(waiting.first("engines"), Some(WaiterId(2)));
@@ -71,6 +75,13 @@
         self.queues.get(service)?.first_key_value().map(|((_, id), ())| *id)
     }
 
+    /// Returns how many calls of a service go before one of this urgency.
+    pub fn ahead(&self, service: &str, urgency: Urgency) -> usize {
+        let queue = self.queues.get(service);
+
+        queue.map_or(0, |queue| queue.range(..(urgency, WaiterId(0))).count())
+    }
+
     /// Returns how many calls wait for a service.
     pub fn len(&self, service: &str) -> usize {
         self.queues.get(service).map_or(0, BTreeMap::len)
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -80,7 +80,7 @@
 #[test]
 fn calls_that_other_hosts_have_in_flight_count() {
     let mut targets = targets(&["x", "y"]);
-    targets.hear(HostId(1), Map::from_iter([(Box::from("x"), 2)]));
+    targets.hear(HostId(1), Map::from_iter([(Box::from("x"), 2)]), Map::default());
 
     let chosen = send(&mut targets, &Shape::default()).unwrap();
 
@@ -113,6 +113,22 @@
     assert_eq!((second_rank, first_rank, under_way), (7, 2, 5));
 }
 
+#[test]
+fn no_program_begins_while_turns_under_way_wait_at_another_host() {
+    // Each host sees free slots that turns waiting elsewhere are about to take.
+    let mut targets = targets(&["x", "y"]);
+    let begins = Shape { begins: Some(0), ..Shape::default() };
+    let waiting = Map::from_iter([(Box::from("engines"), 3)]);
+
+    targets.hear(HostId(1), Map::default(), waiting);
+    let held_back = targets.choose(NOW, "engines", &begins);
+    targets.hear(HostId(1), Map::default(), Map::default());
+    let free = targets.choose(NOW, "engines", &begins);
+
+    assert_eq!(held_back, Choice::Full);
+    assert!(matches!(free, Choice::Target(_)));
+}
+
 #[test]
 fn a_target_that_fails_again_and_again_is_left_alone_and_comes_back() {
     // Its zone is cut off: connections to it fall silent, and each call sent there is lost.
@@ -153,9 +169,15 @@
 }
 
 #[test]
-fn programs_under_way_go_before_new_ones_and_then_the_lowest_rank() {
+fn programs_under_way_go_before_new_ones_and_late_ones_last() {
     let mut waiting = Waiting::default();
-    let urgency = |is_new, rank, ms| Urgency { is_new, rank, deadline: Instant::from_millis(ms) };
+    let urgency = |is_new, rank, ms| Urgency {
+        is_late: false,
+        is_new,
+        rank,
+        deadline: Instant::from_millis(ms),
+    };
+    waiting.push("engines", Urgency { is_late: true, ..urgency(false, 0, 1) }, WaiterId(5));
     waiting.push("engines", urgency(true, 0, 10), WaiterId(1));
     waiting.push("engines", urgency(false, 1, 10), WaiterId(2));
     waiting.push("engines", urgency(false, 0, 20), WaiterId(3));
@@ -167,5 +189,5 @@
         waiting.remove_first("engines");
     }
 
-    assert_eq!(order, [4, 3, 2, 1]);
+    assert_eq!(order, [4, 3, 2, 1, 5]);
 }
