A target that the store removed is not learned back from another host

Ruled out: the feed's lag; the removal was read 13 to 390 ms after it. Change: removals are remembered for ten seconds and not learned back. Budgets are also forgotten where no route keeps turns.

--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -53,6 +53,9 @@
 /// before is still there when it is used.
 const SWEEP_MARGIN: Duration = Duration::from_secs(30);
 
+/// How long programs may return where no route keeps turns: as long as on the users' sheets.
+const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
+
 /// How often rows that are past their time are deleted.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 
@@ -357,7 +360,7 @@
 }
 
 async fn sweep(shared: &Rc<Shared>) {
-    let Some(retention) = longest_retention(shared) else { return };
+    let retention = longest_retention(shared).unwrap_or(DEFAULT_RETENTION);
 
     // Budgets are needed for as long as a program may return, which is as long as its turns
     // are kept.
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -10,6 +10,7 @@
     PlatformOp, PlatformReply, Row, RowKey, RowVersion, TableChanges,
 };
 use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::removals::Removals;
 use camphorwalk_policy::entry::routes::{Adoption, RouteTable, adoption};
 use tokio::time::sleep;
 use tracing::{info, warn};
@@ -139,6 +140,7 @@
     lost: bool,
     /// Entries that lapsed while the store was away, and may be back.
     lapsed: Set<Box<str>>,
+    removals: Removals,
 }
 
 async fn follow_targets(shared: Rc<Shared>) {
@@ -222,7 +224,8 @@
     let Some(Reply::Targets(entries)) = reply else { return };
 
     for entry in entries {
-        if shared.targets.borrow().by_id(&entry.id).is_some() {
+        let is_known = shared.targets.borrow().by_id(&entry.id).is_some();
+        if is_known || !table.removals.may_learn(clock::now(), &entry.id) {
             continue;
         }
         info!(target_id = %entry.id, host = host.0, "targets: entry learned from another host");
@@ -242,7 +245,10 @@
             true => {
                 table.lapsed.insert(key.key);
             }
-            false => forget(shared, &key.key),
+            false => {
+                table.removals.saw(clock::now(), &key.key);
+                forget(shared, &key.key);
+            }
         }
     }
     for row in &changes.written {
@@ -294,6 +300,7 @@
     }
     table.regained = None;
     for id in std::mem::take(&mut table.lapsed) {
+        table.removals.saw(clock::now(), &id);
         forget(shared, &id);
     }
 }
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -6,6 +6,7 @@
 pub mod outage;
 pub mod placement;
 pub mod rates;
+pub mod removals;
 pub mod routes;
 pub mod turns;
 pub mod waiting;
