--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -11,5 +11,5 @@
     CallLimits, EngineSpec, Repeat, Route, Routing, ServiceShare, ServiceSpec, TenantSpec,
     TurnKeeping,
 };
-pub use settings::{EntrySettings, QuotaBounds, StoreLimits};
+pub use settings::{EntrySettings, StoreLimits};
 pub use target::{TargetEntry, TargetState};
--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -3,17 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How far a tenant's calls may exceed its limit over a window.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct QuotaBounds {
-    /// The length of the window.
-    pub window: Duration,
-    /// The part of the limit that may be exceeded.
-    pub overage: f64,
-    /// The calls that may be exceeded besides.
-    pub tolerance: f64,
-}
-
 /// What the store takes from all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StoreLimits {
@@ -46,10 +35,6 @@
     pub store_limits: StoreLimits,
     /// How long a process may go on after it was asked to end.
     pub grace: Duration,
-    /// How long a target may get calls after it said that it leaves.
-    pub target_drain: Duration,
-    /// How far quotas may be exceeded.
-    pub quota: QuotaBounds,
     /// The most memory of the process, in bytes.
     pub memory_bytes: u64,
 }
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -68,7 +68,7 @@
 
     // A kept connection may be closing. Then the request comes back unsent, and goes on a new one.
     while let Some(connection) = shared.connections.take(key) {
-        match exchange(sending, connection, &id, address).await {
+        match exchange(sending, connection, &id).await {
             Exchange::Unsent => continue,
             Exchange::Answered(response, connection) => {
                 return judge(sending, place, response, connection);
@@ -90,7 +90,7 @@
         }
     };
 
-    match exchange(sending, connection, &id, address).await {
+    match exchange(sending, connection, &id).await {
         Exchange::Unsent => {
             place.end(Outcome::Failed);
             Sent::NotRun("the connection broke before the request was sent")
@@ -109,16 +109,10 @@
     Lost(&'static str),
 }
 
-async fn exchange(
-    sending: &Sending<'_>,
-    mut connection: Connection,
-    target: &str,
-    address: SocketAddr,
-) -> Exchange {
+async fn exchange(sending: &Sending<'_>, mut connection: Connection, target: &str) -> Exchange {
     let call = sending.call;
     let outgoing = Outgoing {
         target,
-        address,
         tenant: call.tenant.as_deref(),
         remaining: clock::until(call.deadline),
         last_event: sending.last_event,
