"Not run" speaks of all attempts of a call, not of the last one

Cause: forward::judge cleared may_have_run when a later target said that it had not run the call, and stream::forward passed a refusal of places::take on after an attempt that may have run. An idempotent call or a resumable stream could so be told 503 although an earlier target may have run it.

Ruled out: calls that run at most once, which are sent no second time after such an attempt.

Before: a_full_target_does_not_unsay_that_another_ran_the_call got 503 with one run. What is known of the attempts is a type of the policy crate (attempts.rs) with its own tests; a request that came back unsent from a closing connection counts as not run again, where it was answered as lost.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -10,6 +10,7 @@
 use camphorwalk_core::entry::{CallHead, Route, Routing};
 use camphorwalk_core::hash::stable_hash;
 use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::attempts::Attempts;
 use camphorwalk_policy::entry::crashes::Fingerprint;
 use camphorwalk_policy::entry::placement::Shape;
 use camphorwalk_policy::entry::rates::Admission;
@@ -68,8 +69,8 @@
     pub(crate) began: Instant,
     /// When the caller or the route gives up.
     pub(crate) deadline: Instant,
-    /// Whether a target may have run it.
-    pub(crate) may_have_run: Cell<bool>,
+    /// What is known of its attempts.
+    pub(crate) attempts: Cell<Attempts>,
     fingerprint: Fingerprint,
     /// Whether it begins a program.
     is_new: Cell<bool>,
@@ -169,6 +170,34 @@
         );
     }
 
+    /// Returns whether a target may have run it.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.attempts.get().may_have_run()
+    }
+
+    /// Takes in that it is sent to a target.
+    pub(crate) fn sent(&self) {
+        let mut attempts = self.attempts.get();
+        attempts.sent();
+        self.attempts.set(attempts);
+    }
+
+    /// Takes in that the target that it was sent to last has certainly not run it.
+    pub(crate) fn not_run(&self) {
+        let mut attempts = self.attempts.get();
+        attempts.not_run();
+        self.attempts.set(attempts);
+    }
+
+    /// Returns the refusal as this call may be given it: one that a target may have run cannot be
+    /// told that it has not.
+    pub(crate) fn refuse(&self, refusal: Refusal) -> Refusal {
+        match self.may_have_run() {
+            true => Refusal::lost(refusal.reason),
+            false => refusal,
+        }
+    }
+
     /// Returns what it is known by when it comes again.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         self.fingerprint
@@ -248,11 +277,11 @@
     let left = clock::until(call.deadline);
     let result = match timeout(left, forward(Rc::clone(&call))).await {
         Ok(result) => result,
-        Err(_) => Err(Refusal::late(call.may_have_run.get())),
+        Err(_) => Err(Refusal::late(call.may_have_run())),
     };
 
     // Only calls that run count towards a tenant's rate.
-    if let (Err(_), false, Some(tenant)) = (&result, call.may_have_run.get(), &call.tenant) {
+    if let (Err(_), false, Some(tenant)) = (&result, call.may_have_run(), &call.tenant) {
         call.shared.rates.borrow_mut().give_back(tenant);
     }
     result
@@ -306,7 +335,7 @@
         service,
         began,
         deadline,
-        may_have_run: Cell::new(false),
+        attempts: Cell::default(),
         fingerprint,
         _open: open,
         head,
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -125,11 +125,14 @@
         Err(_) => return Exchange::Unsent,
     }
 
-    call.may_have_run.set(true);
+    call.sent();
     match timeout(sending.patience, connection.sender.try_send_request(req)).await {
         Ok(Ok(response)) => Exchange::Answered(response, connection),
         Ok(Err(mut e)) => match e.take_message() {
-            Some(_) => Exchange::Unsent,
+            Some(_) => {
+                call.not_run();
+                Exchange::Unsent
+            }
             None if e.error().is_parse() => Exchange::Lost("the target's answer makes no sense"),
             None => Exchange::Lost("the connection broke"),
         },
@@ -148,7 +151,7 @@
     let head = head::read_answer(request_id, response.status(), response.headers());
 
     if head.not_run && head.matches {
-        sending.call.may_have_run.set(false);
+        sending.call.not_run();
         if head.other_instance {
             place.end(Outcome::Failed);
             return Sent::NotRun("another target has the address");
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -39,7 +39,7 @@
 
     loop {
         let place = places::take(&call.shared, &call.service, &shape, call.urgency()).await;
-        let place = place.map_err(|refusal| after_runs(refusal, call))?;
+        let place = place.map_err(|refusal| call.refuse(refusal))?;
         let key = place.key;
         let can_go_on = may_repeat && runs + 1 < call.route().max_targets;
         let sending = Sending {
@@ -69,20 +69,12 @@
             return Err(Refusal::lost(reason));
         }
         if offers >= MOST_OFFERS {
-            return Err(after_runs(Refusal::later("all targets refused", FULL_RETRY), call));
+            return Err(call.refuse(Refusal::later("all targets refused", FULL_RETRY)));
         }
         call.shared.metrics.resends.with_label_values(&[reason]).inc();
     }
 }
 
-/// A call that a target may have run cannot be told that it has not.
-fn after_runs(refusal: Refusal, call: &Call) -> Refusal {
-    match call.may_have_run.get() {
-        true => Refusal::lost(refusal.reason),
-        false => refusal,
-    }
-}
-
 /// Returns how long an answer's head may take.
 fn patience(call: &Call, can_go_on: bool) -> Duration {
     let left = clock::until(call.deadline);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -65,7 +65,8 @@
     let mut offers = 0;
 
     let started = loop {
-        let place = places::take(&call.shared, &call.service, &shape, call.urgency()).await?;
+        let place = places::take(&call.shared, &call.service, &shape, call.urgency()).await;
+        let place = place.map_err(|refusal| call.refuse(refusal))?;
         let key = place.key;
         let patience = clock::until(call.deadline);
         let sending =
@@ -74,7 +75,6 @@
         match forward::send(&sending, place).await {
             Sent::Started(started) => break *started,
             Sent::NotRun(reason) => {
-                call.may_have_run.set(false);
                 call.shared.metrics.resends.with_label_values(&[reason]).inc();
                 info!(request = %call.head.request_id, offers, reason, "call: target did not run it");
             }
@@ -90,10 +90,7 @@
         offers += 1;
         shape.avoid.push(key);
         if offers >= MOST_OFFERS {
-            return Err(match call.may_have_run.get() {
-                true => Refusal::lost("all targets failed"),
-                false => Refusal::later("all targets refused", FULL_RETRY),
-            });
+            return Err(call.refuse(Refusal::later("all targets refused", FULL_RETRY)));
         }
     };
 
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -1,6 +1,7 @@
 //! The decisions about calls that an entry host forwards: which route and target, whose rate,
 //! which budget, who waits, and what is kept of a turn.
 
+pub mod attempts;
 pub mod budgets;
 pub mod crashes;
 pub mod outage;
