A zone that is cut off says that it is not ready, and keeps no turns

Cause: turns answered behind a cut were held by three hosts of the zone, and were lost if all machines lost power before the cut healed; a turn that continues one then reached no target (LOST).

Ruled out: holding the end of the stream until the cut heals (longer than callers wait); more copies in the zone (all of it loses power). Holding turns at hosts of other zones while the store is away for all stays: copies in two zones bear the loss of one.

Change: a host that reaches neither the store, nor a host that does, nor any host of another zone is isolated. It refuses turns that are to be kept, at once and with when to come back, says that it is not ready and closes callers' connections after their answers. The balancer then moves its callers to the nearest zones, which serve them in full. Calls that need nothing kept are served on.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -9,6 +9,7 @@
 use futures::Stream;
 use http::{HeaderValue, Response, StatusCode, header};
 use hyper::body::{Body, Frame, SizeHint};
+use rand::Rng as _;
 
 /// The reason that an answer's body ends before it is whole. The connection is then closed
 /// without the end of the body, so that the caller cannot take it for whole.
@@ -83,6 +84,12 @@
         Self { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after: Some(after) }
     }
 
+    /// Makes a refusal as `later` does, of a call that many others come with. Their return is
+    /// spread, so that they do not come back together.
+    pub fn later_spread(reason: &'static str, after: Duration) -> Self {
+        Self::later(reason, after.mul_f64(rand::rng().random_range(0.7..1.3)))
+    }
+
     /// Makes a refusal of a call over its tenant's rate.
     pub fn over_rate(after: Duration) -> Self {
         Self {
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -125,7 +125,7 @@
                     request = %call.head.request_id, program = %program.0, budget, most,
                     "budget: withheld while hosts are silent"
                 );
-                return Err(unsure());
+                return Err(unsure(shared));
             }
             Reservation::Write(row, version) => {
                 // For a moment after the store's return, grants that were made without it may
@@ -146,7 +146,7 @@
                         request = %call.head.request_id, program = %program.0,
                         "budget: the program's row is not found while hosts are silent"
                     );
-                    return Err(unsure());
+                    return Err(unsure(shared));
                 }
                 match write(shared, program, row, version).await? {
                     Written::Committed => {}
@@ -216,7 +216,7 @@
         Ok(text) => text.into(),
         Err(e) => {
             warn!(error = %e, "budget: row not written");
-            return Err(unsure());
+            return Err(unsure(shared));
         }
     };
     let tx = Transaction {
@@ -237,7 +237,7 @@
         _ => match store::ask(shared, PlatformOp::Read(vec![key])).await {
             PlatformReply::Rows(rows) => take_in(shared, program, &rows),
             PlatformReply::Unavailable => Ok(Written::Away),
-            _ => Err(unsure()),
+            _ => Err(unsure(shared)),
         },
     }
 }
@@ -271,7 +271,7 @@
     let known = shared.budgets.borrow().row(program).cloned().unwrap_or(empty);
     let begins = call.may_be_first();
     let ask = GrantAsk { program, run: shared.run, most, known, begins };
-    let host = grant_order(shared, program).first().copied().ok_or_else(unsure)?;
+    let host = grant_order(shared, program).first().copied().ok_or_else(|| unsure(shared))?;
     let reply = match host == shared.fleet.own() {
         true => Some(grant_for_peer(shared, &ask).await),
         false => asks::ask(shared, host, &Ask::Grant(ask), GRANT_DEADLINE).await,
@@ -286,7 +286,7 @@
         Some(Reply::Spent) => {
             Err(Refusal::wrong(StatusCode::PAYMENT_REQUIRED, "the program's budget is spent"))
         }
-        _ => Err(unsure()),
+        _ => Err(unsure(shared)),
     }
 }
 
@@ -390,11 +390,11 @@
         }
         Err(e) => {
             warn!(program = %program.0, error = %e, "budget: row not understood");
-            Err(unsure())
+            Err(unsure(shared))
         }
     }
 }
 
-fn unsure() -> Refusal {
-    Refusal::later("the program's budget cannot be told", UNSURE_RETRY)
+fn unsure(shared: &Shared) -> Refusal {
+    Refusal::later("the program's budget cannot be told", shared.come_back(UNSURE_RETRY))
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -254,7 +254,7 @@
         status,
         StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT
     );
-    if was_chunked || rejected || shared.is_leaving() {
+    if was_chunked || rejected || shared.sends_callers_away() {
         close_after(&mut answer);
     }
 
@@ -426,6 +426,8 @@
         return plain::forward(&call).await;
     }
 
+    turns::may_be_kept(&call)?;
+
     // A new program that is refused after its budget was granted would come back as one under
     // way, and take the places of those that are.
     if call.is_new.get() {
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -14,6 +14,7 @@
 };
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::{Inbound, PeerOptions, Peers, Secret};
+use camphorwalk_policy::entry::isolation::Contact;
 use camphorwalk_policy::entry::rates::TenantNews;
 use rand::RngCore as _;
 use rand::seq::IteratorRandom as _;
@@ -126,50 +127,43 @@
         self.known.borrow().len() + 1
     }
 
-    /// Returns a host that the store answers, by its last news.
-    pub(crate) fn store_peer(&self) -> Option<HostId> {
+    /// Returns the hosts that told their news of late, and what they told.
+    fn fresh(&self) -> Vec<(HostId, Heard)> {
         let now = clock::now();
         let heard = self.heard.borrow();
-        let reaching = heard.iter().filter(|(_, heard)| heard.store_answers && heard.is_fresh(now));
 
-        reaching.map(|(host, _)| *host).choose(&mut rand::rng())
+        heard.iter().filter(|(_, h)| h.is_fresh(now)).map(|(host, h)| (*host, *h)).collect()
+    }
+
+    /// Returns a host that the store answers, by its last news.
+    pub(crate) fn store_peer(&self) -> Option<HostId> {
+        let reaching = self.fresh().into_iter().filter(|(_, heard)| heard.store_answers);
+
+        reaching.map(|(host, _)| host).choose(&mut rand::rng())
     }
 
     /// Returns the host that a run of a process is on, if it is heard.
     pub(crate) fn host_of_run(&self, run: u64) -> Option<HostId> {
-        let now = clock::now();
-        let heard = self.heard.borrow();
-        let mut there = heard.iter().filter(|(_, heard)| heard.run == run && heard.is_fresh(now));
-
-        there.next().map(|(host, _)| *host)
+        self.fresh().into_iter().find(|(_, heard)| heard.run == run).map(|(host, _)| host)
     }
 
     /// Returns a host that is heard.
     pub(crate) fn any_peer(&self) -> Option<HostId> {
-        let now = clock::now();
-        let heard = self.heard.borrow();
-        let fresh = heard.iter().filter(|(_, heard)| heard.is_fresh(now));
-
-        fresh.map(|(host, _)| *host).choose(&mut rand::rng())
+        self.fresh().into_iter().map(|(host, _)| host).choose(&mut rand::rng())
     }
 
     /// Returns whether this host hears more than half of all hosts, itself included. Of two
     /// groups of hosts that are cut from each other, at most one does.
     pub(crate) fn is_majority(&self) -> bool {
-        let now = clock::now();
         let known = self.known.borrow();
-        let heard = self.heard.borrow();
-        let there =
-            heard.iter().filter(|(host, heard)| known.contains_key(host) && heard.is_fresh(now));
+        let there = self.fresh().into_iter().filter(|(host, _)| known.contains_key(host));
 
         (there.count() + 1) * 2 > known.len() + 1
     }
 
     /// Returns the hosts that are heard, this one included, in the fixed order of an item.
     pub(crate) fn order(&self, item: u64) -> Vec<HostId> {
-        let now = clock::now();
-        let heard = self.heard.borrow();
-        let fresh = heard.iter().filter(|(_, heard)| heard.is_fresh(now)).map(|(host, _)| host.0);
+        let fresh = self.fresh().into_iter().map(|(host, _)| host.0);
 
         rendezvous_order(item, fresh.chain([self.own.0])).into_iter().map(HostId).collect()
     }
@@ -195,20 +189,38 @@
 
     /// Returns whether a known host is not heard.
     pub(crate) fn misses_someone(&self) -> bool {
-        let now = clock::now();
-        let heard = self.heard.borrow();
+        let fresh: Set<HostId> = self.fresh().into_iter().map(|(host, _)| host).collect();
 
-        self.known.borrow().keys().any(|host| heard.get(host).is_none_or(|h| !h.is_fresh(now)))
+        !self.known.borrow().keys().all(|host| fresh.contains(host))
     }
 
     /// Returns whether a host of a zone told its news of late.
     pub(crate) fn hears_zone(&self, zone: &str) -> bool {
-        let now = clock::now();
-        let heard = self.heard.borrow();
+        self.contact(|known| *known.zone == *zone) == Contact::Heard
+    }
+
+    /// Returns whom this host hears in other zones.
+    pub(crate) fn contact_elsewhere(&self) -> Contact {
+        self.contact(|known| known.zone != self.zone)
+    }
+
+    /// Returns whom this host hears at all.
+    pub(crate) fn contact_anywhere(&self) -> Contact {
+        self.contact(|_| true)
+    }
+
+    /// Returns whom this host hears of the known hosts that `which` picks.
+    fn contact(&self, which: impl Fn(&Known) -> bool) -> Contact {
         let known = self.known.borrow();
-        let is_there = |host: &HostId| known.get(host).is_some_and(|known| *known.zone == *zone);
+        let is_picked = |host: &HostId| known.get(host).is_some_and(&which);
 
-        heard.iter().any(|(host, heard)| heard.is_fresh(now) && is_there(host))
+        if self.fresh().iter().any(|(host, _)| is_picked(host)) {
+            return Contact::Heard;
+        }
+        match known.values().any(&which) {
+            true => Contact::Silent,
+            false => Contact::NoneKnown,
+        }
     }
 
     /// Sends a message to another host. Returns false if it cannot be sent; a message that is
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -10,6 +10,7 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
 use camphorwalk_policy::entry::crashes::Crashes;
+use camphorwalk_policy::entry::isolation::{self, Surroundings};
 use camphorwalk_policy::entry::placement::Targets;
 use camphorwalk_policy::entry::rates::Rates;
 use camphorwalk_policy::entry::routes::RouteTable;
@@ -51,6 +52,11 @@
 /// second and believes the second answer, has sent its new connections elsewhere.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
 
+/// When a caller that cannot be served behind a cut is told to come back. The balancer asks each
+/// second and believes the second answer, so it sends new connections elsewhere two seconds
+/// after a cut is noticed at the latest; callers come back two or three times within that.
+const MOVE_RETRY: Duration = Duration::from_millis(800);
+
 /// How long before the end of the grace period a leaving host ends, whatever still runs.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -80,6 +86,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) stories: Stories,
     leaving: Cell<bool>,
+    /// Whether the host was cut off when that was last asked, for the logs.
+    was_isolated: Cell<bool>,
     /// Requests that were read and are not answered.
     open_requests: Cell<usize>,
 }
@@ -87,7 +95,36 @@
 impl Shared {
     /// Returns whether the host takes new callers.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.routes.borrow().is_some()
+        !self.leaving.get() && self.routes.borrow().is_some() && !self.is_isolated()
+    }
+
+    /// Returns whether the host is cut off from all that could keep what it promises.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let around = Surroundings {
+            store_in_reach: self.store.answers_whole() || self.fleet.store_peer().is_some(),
+            other_zones: self.fleet.contact_elsewhere(),
+            others: self.fleet.contact_anywhere(),
+        };
+        let isolated = isolation::is_isolated(around);
+
+        if self.was_isolated.replace(isolated) != isolated {
+            info!(isolated, ?around, "host: cut off, or no longer");
+        }
+        isolated
+    }
+
+    /// Returns when a call that cannot be decided now is to come back: after `usual`, or if the
+    /// host is cut off when the balancer has moved its caller to another zone.
+    pub(crate) fn come_back(&self, usual: Duration) -> Duration {
+        match self.is_isolated() {
+            true => MOVE_RETRY,
+            false => usual,
+        }
+    }
+
+    /// Returns whether callers are to come back on a new connection, which may lead elsewhere.
+    pub(crate) fn sends_callers_away(&self) -> bool {
+        self.is_leaving() || self.is_isolated()
     }
 
     /// Returns whether all turns of the last `retention` are certainly in the store or at a host:
@@ -164,6 +201,7 @@
             metrics,
             stories: Stories::new(),
             leaving: Cell::new(false),
+            was_isolated: Cell::new(false),
             open_requests: Cell::new(0),
             settings,
         });
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -8,7 +8,6 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::placement::{Choice, Outcome, Shape, TargetKey};
 use camphorwalk_policy::entry::waiting::{Urgency, WaiterId, Waiting};
-use rand::Rng as _;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tracing::info;
@@ -217,12 +216,9 @@
     targets.mean_hold(service).mul_f64(ahead as f64 / places)
 }
 
-/// The answer to a new program while all targets are taken. Its return is spread, so that those
-/// that came together do not come back together.
+/// The answer to a new program while all targets are taken.
 fn full() -> Refusal {
-    let after = FULL_RETRY.mul_f64(rand::rng().random_range(0.7..1.3));
-
-    Refusal::later("all targets are full", after)
+    Refusal::later_spread("all targets are full", FULL_RETRY)
 }
 
 /// Takes a place at a target that a call was at before, whatever waits for it: the call held
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -49,6 +49,13 @@
         self.health.borrow().answers()
     }
 
+    /// Returns whether all parts of the store answer this host, as far as they were asked.
+    pub(crate) fn answers_whole(&self) -> bool {
+        let health = self.health.borrow();
+
+        health.answers() && !health.misses_any()
+    }
+
     /// Returns whether the store stopped to answer this host.
     pub(crate) fn is_away(&self) -> bool {
         self.health.borrow().is_away("")
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -91,6 +91,21 @@
     rows: VecDeque<(Instant, TurnKey)>,
 }
 
+/// Refuses a turn that is to be kept at a host that is cut off.
+///
+/// Its answer would promise that it can be continued, and if all machines lost power before the
+/// cut heals it could not. Other zones can keep it, and the balancer moves callers there.
+pub(crate) fn may_be_kept(call: &Call) -> Result<(), Refusal> {
+    if call.route().keeps.is_none() || !call.shared.is_isolated() {
+        return Ok(());
+    }
+
+    Err(Refusal::later_spread(
+        "turns cannot be kept here while the zone is cut off",
+        call.shared.come_back(UNSURE_RETRY),
+    ))
+}
+
 /// Finds the turns that a call continues from.
 pub(crate) async fn continuation(call: &Call) -> Result<Continuation, Refusal> {
     let Some(previous) = call.head.previous.as_deref().filter(|_| call.route().keeps.is_some())
@@ -106,14 +121,14 @@
         info!(request = %call.head.request_id, previous, certain, "turn: no such turn");
         match certain {
             true => Refusal::wrong(StatusCode::NOT_FOUND, "there is no such turn"),
-            false => unsure(),
+            false => unsure(shared),
         }
     })?;
 
     let earlier = last.line.iter().map(|key| async move {
         // A turn's row is written after those of the turns before it, and deleted after them
         // at the earliest when none may be continued any more.
-        read(shared, *key).await?.ok_or_else(unsure)
+        read(shared, *key).await?.ok_or_else(|| unsure(shared))
     });
     let mut earlier = try_join_all(earlier).await?;
     let line = last.line_with(key);
@@ -136,14 +151,14 @@
             let row = &rows[0];
             serde_json::from_str(&row.value).map_err(|e| {
                 warn!(turn = %row.key.key, error = %e, "turn: row not understood");
-                unsure()
+                unsure(shared)
             })?
         }
         // It may have ended while the store was away.
         _ => match find(shared, key).await {
             Some(turn) => turn,
             None if is_absent => return Ok(None),
-            None => return Err(unsure()),
+            None => return Err(unsure(shared)),
         },
     };
     let turn = Rc::new(turn);
@@ -185,6 +200,10 @@
 
 /// Has other hosts hold a turn that the store does not take. Returns whether enough do.
 async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) -> bool {
+    if shared.is_isolated() {
+        return false;
+    }
+
     let own = shared.fleet.own();
     let hosts = shared.fleet.order(key.0).into_iter().filter(|host| *host != own).take(COPIES);
     let ask = Ask::Hold(key, Turn::clone(turn));
@@ -426,6 +445,6 @@
     RowKey::new(TABLE, key.row())
 }
 
-fn unsure() -> Refusal {
-    Refusal::later("it cannot be told whether the turn exists", UNSURE_RETRY)
+fn unsure(shared: &Shared) -> Refusal {
+    Refusal::later("it cannot be told whether the turn exists", shared.come_back(UNSURE_RETRY))
 }
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -4,6 +4,7 @@
 pub mod attempts;
 pub mod budgets;
 pub mod crashes;
+pub mod isolation;
 pub mod outage;
 pub mod placement;
 pub mod rates;
