No program begins while the targets of a service together are crowded

Cause: a new program began as long as one target had a free slot below its part.

Change: the load of all targets of a service against all their slots decides too, 0.75 for the first rank and 0.65 for the others.

--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -89,6 +89,9 @@
 /// is served first.
 const NEW_PROGRAMS_PART: [f64; 2] = [0.8, 0.65];
 
+/// The part of all slots of a service up to which new programs begin, by rank as above.
+const CROWDED_PART: [f64; 2] = [0.75, 0.65];
+
 /// What is asked of a target.
 #[derive(Clone, Debug, Default)]
 pub struct Shape {
@@ -268,7 +271,8 @@
             !shape.avoid.contains(key) && !target.is_ejected(now)
         };
         let favourite = self.favourite(now, service, shape);
-        let is_held_back = shape.begins.is_some() && self.is_awaited(service);
+        let is_held_back = shape.begins.is_some_and(|rank| self.is_crowded(now, service, rank))
+            || shape.begins.is_some() && self.is_awaited(service);
         let mut any = false;
         let mut best: Option<(f64, TargetKey)> = None;
 
@@ -292,6 +296,16 @@
         }
     }
 
+    /// Returns whether a service's targets together have no room for a new program of a rank.
+    ///
+    /// One of many targets mostly has a free slot, by news that are a tenth of a second old, while
+    /// the others are over their full slots: the mean of all tells how fast programs get on.
+    fn is_crowded(&self, now: Instant, service: &str, rank: u32) -> bool {
+        let (slots, load) = self.capacity(now, service);
+
+        f64::from(load) >= f64::from(slots) * CROWDED_PART[usize::from(rank > 0)]
+    }
+
     /// Returns whether turns under way wait for a service at other hosts. One or two may wait for
     /// one target although others are free.
     fn is_awaited(&self, service: &str) -> bool {
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -114,6 +114,29 @@
     assert_eq!((second_rank, first_rank, under_way), (7, 2, 5));
 }
 
+#[test]
+fn no_program_begins_while_the_targets_together_are_crowded() {
+    // A third of the engines is lost under the usual load. Of those that are left one mostly has
+    // a free slot by news that are a tenth of a second old, while turns at the others take twice
+    // their time. Programs that begin there are late, and make others late.
+    let mut targets = Targets::new("a");
+    for id in ["x", "y", "z"] {
+        targets.put(TargetEntry { slots: 12, ..entry(id, "a") });
+    }
+    let told = |x, y, z| Map::from_iter([("x".into(), x), ("y".into(), y), ("z".into(), z)]);
+    let begins = |rank| Shape { begins: Some(rank), ..Shape::default() };
+
+    targets.hear(HostId(1), told(14, 11, 3), Map::default());
+    let crowded = [0, 1].map(|rank| targets.choose(NOW, "engines", &begins(rank)));
+    let under_way = targets.choose(NOW, "engines", &Shape::default());
+    targets.hear(HostId(1), told(12, 10, 3), Map::default());
+    let first_rank = targets.choose(NOW, "engines", &begins(0));
+
+    assert_eq!(crowded, [Choice::Full, Choice::Full]);
+    assert!(matches!(under_way, Choice::Target(_)));
+    assert!(matches!(first_rank, Choice::Target(_)));
+}
+
 #[test]
 fn no_program_begins_while_turns_under_way_wait_at_another_host() {
     // Each host sees free slots that turns waiting elsewhere are about to take.
