Hosts that are cut off with their zone grant no tokens; halves and withholding go

Its zone was cut off, a host there granted tokens that only hosts of the zone knew of, all machines lost power before the cut healed, and the program came back to a full budget.

Ruled out: keeping to half on each side of a cut, which is what was there; it bounds both sides together, not what is forgotten.

Change: grants in the store's place need a majority and a host that is not cut off. With that no two groups can grant, so what kept two sides apart is needless and goes: Reach, the mark on rows, halves of budgets, withholding while a zone is silent (90 lines, and the refusals 'withheld while hosts are silent' on the side that has the store).

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -51,8 +51,6 @@
     pub(crate) most: u64,
     /// The row as the asking host knows it.
     pub(crate) known: BudgetRow,
-    /// Whether the turn begins its program.
-    pub(crate) begins: bool,
 }
 
 /// The reply to a question.
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -7,7 +7,7 @@
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
 };
-use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, Reach, Reservation};
+use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, Reservation};
 use camphorwalk_policy::entry::turns::PARTS;
 use futures::future::join_all;
 use futures::stream::{self, StreamExt as _};
@@ -96,9 +96,7 @@
     let mut recalled = false;
     let mut is_first = !shared.budgets.borrow().knows(program);
     for _ in 0..MOST_WRITES {
-        let reach = reach(shared);
-        let reservation =
-            shared.budgets.borrow_mut().reserve(clock::now(), program, budget, most, reach);
+        let reservation = shared.budgets.borrow_mut().reserve(clock::now(), program, budget, most);
 
         match reservation {
             Reservation::Reserved => {
@@ -120,22 +118,15 @@
                     "the program's budget is spent",
                 ));
             }
-            Reservation::Withheld => {
-                info!(
-                    request = %call.head.request_id, program = %program.0, budget, most,
-                    "budget: withheld while hosts are silent"
-                );
-                return Err(unsure(shared));
-            }
             Reservation::Write(row, version) => {
                 // For a moment after the store's return, grants that were made without it may
                 // not be written yet.
-                let is_sure = reach == Reach::All && shared.store.was_there_for(WRITE_LOOSE_TIME);
+                let is_sure = shared.store.was_there_for(WRITE_LOOSE_TIME);
                 if !is_sure && !shared.budgets.borrow().knows(program) {
                     learn_from_peer(shared, program).await;
                 }
-                // A program under way has a row. If none is found, hosts that are silent may
-                // have granted tokens that nobody here knows of.
+                // A program under way has a row. If none is found, a host that is not asked may
+                // have granted tokens that the store does not have yet.
                 if version == RowVersion::ABSENT
                     && !is_sure
                     && !call.shows_its_past()
@@ -144,7 +135,7 @@
                 {
                     info!(
                         request = %call.head.request_id, program = %program.0,
-                        "budget: the program's row is not found while hosts are silent"
+                        "budget: the program's row is not found after an outage"
                     );
                     return Err(unsure(shared));
                 }
@@ -181,11 +172,6 @@
     row.map_or(Reply::Refused, Reply::Granted)
 }
 
-/// Returns whether all groups of hosts that may grant tokens are heard.
-fn reach(shared: &Shared) -> Reach {
-    if shared.fleet.misses_zone() { Reach::Some } else { Reach::All }
-}
-
 /// Returns whether the store has a row of a program, and takes it in.
 async fn has_row(shared: &Rc<Shared>, program: ProgramKey) -> bool {
     match store::ask(shared, PlatformOp::Read(vec![row_key(program)])).await {
@@ -269,8 +255,7 @@
     let shared = &call.shared;
     let empty = BudgetRow { budget, ..BudgetRow::default() };
     let known = shared.budgets.borrow().row(program).cloned().unwrap_or(empty);
-    let begins = call.may_be_first();
-    let ask = GrantAsk { program, run: shared.run, most, known, begins };
+    let ask = GrantAsk { program, run: shared.run, most, known };
     let host = grant_order(shared, program).first().copied().ok_or_else(|| unsure(shared))?;
     let reply = match host == shared.fleet.own() {
         true => Some(grant_for_peer(shared, &ask).await),
@@ -293,10 +278,11 @@
 /// Grants a turn's tokens in the store's place, while nobody that this host hears reaches the
 /// store, or the store answers but not for the program's part.
 ///
-/// A host that hears a majority grants for all programs. A group that is cut off with a minority
-/// of the hosts cannot know what the others grant: it grants only for programs that began in it,
-/// and no more than half. A host that is cut off alone grants nothing, so that the others need
-/// not withhold anything whenever one host dies. A process that the store never answered knows nothing of before.
+/// Only a host that hears a majority grants, so that of two groups that are cut from each other at
+/// most one does, and the other side need not withhold anything. Hosts that are cut off with
+/// their zone grant nothing even if they are the majority: their grants would be forgotten if all
+/// machines lost power, and a program that comes back after that would get its budget again. A
+/// process that the store never answered knows nothing of before.
 pub(crate) async fn grant_for_peer(shared: &Rc<Shared>, ask: &GrantAsk) -> Reply {
     // A part that this host did not need of late may be away without its knowing.
     let key = row_key(ask.program);
@@ -306,24 +292,21 @@
 
     let store_is_away = !shared.store.answers_for(&key)
         && (shared.store.answers() || shared.fleet.store_peer().is_none());
-    let began_here = ask.begins || shared.budgets.borrow().is_apart(ask.program);
-    let is_entitled = shared.fleet.is_majority() || (began_here && shared.fleet.hears_own_zone());
+    let is_entitled = shared.fleet.is_majority() && !shared.is_isolated();
 
     if !store_is_away || !shared.store.has_answered() || !is_entitled {
         return Reply::Refused;
     }
 
-    let GrantAsk { program, run, most, known, .. } = ask;
-    let reach = reach(shared);
+    let GrantAsk { program, run, most, known } = ask;
     let granted =
-        shared.budgets.borrow_mut().grant_loose(clock::now(), *program, *run, *most, known, reach);
+        shared.budgets.borrow_mut().grant_loose(clock::now(), *program, *run, *most, known);
     match granted {
         Some(row) => {
             tell_witness(shared, *program, &row);
             Reply::Granted(row)
         }
-        None if reach == Reach::All => Reply::Spent,
-        None => Reply::Refused,
+        None => Reply::Spent,
     }
 }
 
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -173,20 +173,6 @@
         self.own
     }
 
-    /// Returns whether a zone is silent as a whole: it may be cut off, and its hosts may go on
-    /// together. A single host that is cut off does not grant anything.
-    pub(crate) fn misses_zone(&self) -> bool {
-        let known = self.known.borrow();
-        let zones: Set<&str> = known.values().map(|known| &*known.zone).collect();
-
-        zones.into_iter().any(|zone| *zone != *self.zone && !self.hears_zone(zone))
-    }
-
-    /// Returns whether another host of this host's own zone is heard, if there is one.
-    pub(crate) fn hears_own_zone(&self) -> bool {
-        self.hears_zone(&self.zone)
-    }
-
     /// Returns whether a known host is not heard.
     pub(crate) fn misses_someone(&self) -> bool {
         let fresh: Set<HostId> = self.fresh().into_iter().map(|(host, _)| host).collect();
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -40,9 +40,6 @@
     /// The tokens that each run has given back unspent.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub returned: BTreeMap<RunId, u64>,
-    /// Whether it was made while some zone was silent, which may have made another.
-    #[serde(default)]
-    pub apart: bool,
 }
 
 impl BudgetRow {
@@ -59,28 +56,6 @@
     }
 }
 
-/// Whether all zones are heard.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reach {
-    /// They are: nobody else can grant a program's tokens unheard.
-    All,
-    /// Some zone is silent as a whole. It may be behind a cut, and grant tokens of programs that
-    /// began there.
-    Some,
-}
-
-impl Reach {
-    /// Returns how much of a budget may be granted on this side of a cut, for a program whose
-    /// row the other side cannot know: half of what keeps within the budget and one turn on
-    /// both sides together.
-    fn limit(self, row: &BudgetRow, most: u64) -> u64 {
-        match self {
-            Self::Some if row.apart => (row.budget + most) / 2,
-            Self::Some | Self::All => row.budget,
-        }
-    }
-}
-
 /// What comes of asking for a turn's tokens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reservation {
@@ -93,8 +68,6 @@
         /// Whether all that was granted elsewhere is known to be spent.
         certain: bool,
     },
-    /// What is left is withheld while some hosts are silent.
-    Withheld,
 }
 
 /// A program at this host.
@@ -126,7 +99,6 @@
         if self.row.budget == 0 {
             self.row.budget = row.budget;
         }
-        self.row.apart |= row.apart;
         for (run, tokens) in &row.granted {
             let own = self.row.granted.entry(*run).or_default();
             *own = (*own).max(*tokens);
@@ -149,16 +121,16 @@
     /// Begins with no programs.
     ///
     /// ```
-    /// use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, Reach, Reservation, RunId};
+    /// use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, Reservation, RunId};
     /// use camphorwalk_core::platform::RowVersion;
     /// use camphorwalk_core::time::Instant;
     /// let mut budgets = Budgets::new(RunId(1));
     /// let program = ProgramKey(9);
-    /// let Reservation::Write(row, _) = budgets.reserve(Instant(0), program, 1_000, 100, Reach::All) else {
+    /// let Reservation::Write(row, _) = budgets.reserve(Instant(0), program, 1_000, 100) else {
     ///     panic!("nothing is granted yet");
     /// };
     /// budgets.learn(Instant(0), program, row, RowVersion(5));
-    /// assert_eq!(budgets.reserve(Instant(0), program, 1_000, 100, Reach::All), Reservation::Reserved);
+    /// assert_eq!(budgets.reserve(Instant(0), program, 1_000, 100), Reservation::Reserved);
     /// ```
     pub fn new(run: RunId) -> Self {
         Self { run, accounts: Map::default() }
@@ -171,14 +143,10 @@
         program: ProgramKey,
         budget: u64,
         most: u64,
-        reach: Reach,
     ) -> Reservation {
         let run = self.run;
         let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, budget));
         account.used_at = now;
-        if account.version == RowVersion::ABSENT && account.row.granted.is_empty() {
-            account.row.apart = reach == Reach::Some;
-        }
 
         let own = account.row.held_by(run);
         let others = account.row.held() - own;
@@ -189,16 +157,12 @@
             return Reservation::Reserved;
         }
         let needed = committed + most;
-        let limit = reach.limit(&account.row, most);
         if others + needed > account.row.budget {
             return Reservation::Spent { certain: others == 0 };
         }
-        if others + needed > limit {
-            return Reservation::Withheld;
-        }
 
         let mut row = account.row.clone();
-        let spare = spare(limit, others + needed, most);
+        let spare = spare(account.row.budget, others + needed, most);
         *row.granted.entry(run).or_default() += (needed + spare).saturating_sub(own);
 
         Reservation::Write(row, account.version)
@@ -233,18 +197,13 @@
         run: RunId,
         most: u64,
         known: &BudgetRow,
-        reach: Reach,
     ) -> Option<BudgetRow> {
         let account =
             self.accounts.entry(program).or_insert_with(|| Account::new(now, known.budget));
         account.used_at = now;
         account.merge(known);
-        if account.version == RowVersion::ABSENT {
-            account.row.apart |= reach == Reach::Some;
-        }
 
-        let total = account.row.held();
-        if total + most > reach.limit(&account.row, most) {
+        if account.row.held() + most > account.row.budget {
             return None;
         }
 
@@ -299,11 +258,6 @@
         self.accounts.get(&program).is_some_and(|account| !account.row.granted.is_empty())
     }
 
-    /// Returns whether a program's grants were all made without the store.
-    pub fn is_apart(&self, program: ProgramKey) -> bool {
-        self.accounts.get(&program).is_some_and(|a| a.row.apart && a.version == RowVersion::ABSENT)
-    }
-
     /// Returns the row of a program as this host knows it.
     pub fn row(&self, program: ProgramKey) -> Option<&BudgetRow> {
         self.accounts.get(&program).map(|account| &account.row)
