What the store does not have counts only when a host of another zone acknowledged it

A kept turn ended 0.24 s after its zone was cut off; the write got no answer for 0.63 s, and two hosts of the zone held it while all still believed that the other zones are there (news hold for 0.7 s). All were killed before the cut healed.

Ruled out: noticing cuts sooner (news come each 0.1 s and late ones are usual; shorter would take slow hosts for cut off). An acknowledgement is proof, a belief is not.

Change: turns are held at hosts of other zones, and loose grants need a witness there; whoever takes either in writes it at once if the store answers it. A deployment of one host grants nothing without the store.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -29,6 +29,8 @@
     Grant(GrantAsk),
     /// To take in that a program's row stands so.
     Row(ProgramKey, BudgetRow),
+    /// To take in grants that the store does not have, and to write them if it can.
+    Loose(ProgramKey, BudgetRow),
     /// For a program's row as the other host knows it.
     KnownRow(ProgramKey),
     /// To give back what the other host holds of a program's tokens and does not need.
@@ -145,6 +147,7 @@
         Ask::Store(op) => store::run_for_peer(shared, op).await,
         Ask::Grant(ask) => budget::grant_for_peer(shared, &ask).await,
         Ask::Row(program, row) => budget::take_row(shared, program, &row),
+        Ask::Loose(program, row) => budget::take_loose(shared, program, &row),
         Ask::KnownRow(program) => budget::known_row(shared, program),
         Ask::Yield(program) => budget::yield_rest(shared, program),
         Ask::Hold(key, turn) => turns::hold(shared, key, turn),
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -38,6 +38,10 @@
 /// How long a grant by another host may take: the way there and back, and its work.
 const GRANT_DEADLINE: Duration = Duration::from_millis(150);
 
+/// How long a host of another zone may take to take note of a grant: some times the way there
+/// and back, and less than what is left of the time for the grant.
+const WITNESS_DEADLINE: Duration = Duration::from_millis(80);
+
 /// How long after the store's return grants that were made without it may not be written yet.
 const WRITE_LOOSE_TIME: Duration = Duration::from_secs(3);
 
@@ -302,14 +306,29 @@
     let granted =
         shared.budgets.borrow_mut().grant_loose(clock::now(), *program, *run, *most, known);
     match granted {
-        Some(row) => {
-            tell_witness(shared, *program, &row);
-            Reply::Granted(row)
+        Some(row) if has_witness(shared, *program, &row).await => Reply::Granted(row),
+        Some(_) => {
+            info!(program = %program.0, "budget: no host of another zone took note of a grant");
+            Reply::Refused
         }
         None => Reply::Spent,
     }
 }
 
+/// Has hosts of other zones take note of a row with grants that the store does not have. Returns
+/// whether one did.
+///
+/// A zone that is being cut off takes itself for a part of the majority for most of a second. What
+/// it grants in that time would be forgotten if all machines lost power. Nobody elsewhere
+/// acknowledges it then, so it is not spent.
+async fn has_witness(shared: &Shared, program: ProgramKey, row: &BudgetRow) -> bool {
+    let hosts = shared.fleet.witnesses(program.0).into_iter().take(WITNESSES);
+    let ask = Ask::Loose(program, row.clone());
+    let replies = join_all(hosts.map(|host| asks::ask(shared, host, &ask, WITNESS_DEADLINE))).await;
+
+    replies.iter().any(|reply| matches!(reply, Some(Reply::Done)))
+}
+
 /// Takes in how a program's row stands at another host.
 pub(crate) fn take_row(shared: &Shared, program: ProgramKey, row: &BudgetRow) -> Reply {
     let mut budgets = shared.budgets.borrow_mut();
@@ -321,6 +340,18 @@
     Reply::Done
 }
 
+/// Takes in grants that the store does not have.
+pub(crate) fn take_loose(shared: &Rc<Shared>, program: ProgramKey, row: &BudgetRow) -> Reply {
+    shared.budgets.borrow_mut().learn_loose(clock::now(), program, row);
+
+    // The other host may be cut off from now on, and this one not.
+    if shared.store.answers_for(&row_key(program)) {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move { write_loose(&shared).await });
+    }
+    Reply::Done
+}
+
 /// Learns of a program's row from the host that granted in the store's place.
 async fn learn_from_peer(shared: &Shared, program: ProgramKey) {
     let own = shared.fleet.own();
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -168,6 +168,22 @@
         rendezvous_order(item, fresh.chain([self.own.0])).into_iter().map(HostId).collect()
     }
 
+    /// Returns the hosts of other zones that are heard, in the fixed order of an item; with one
+    /// zone only, the other hosts that are heard.
+    ///
+    /// What is told to one of them and acknowledged is known outside of this host's zone, and so
+    /// no cut of the zone had begun. A belief about the cut would come most of a second late.
+    pub(crate) fn witnesses(&self, item: u64) -> Vec<HostId> {
+        let known = self.known.borrow();
+        let has_other_zones = known.values().any(|known| known.zone != self.zone);
+        let is_witness = |host: &HostId| match known.get(host) {
+            Some(known) => !has_other_zones || known.zone != self.zone,
+            None => false,
+        };
+
+        self.order(item).into_iter().filter(|host| is_witness(host)).collect()
+    }
+
     /// Returns the id of this host.
     pub(crate) fn own(&self) -> HostId {
         self.own
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -35,8 +35,8 @@
 /// megabyte that a call of the store may have.
 const WRITE_BATCH: usize = 50;
 
-/// How many other hosts hold a turn that the store does not take. With two the loss of one
-/// host besides the one that wrote it is borne.
+/// How many hosts of other zones hold a turn that the store does not take. With two the loss of
+/// one besides the host that it ran at is borne.
 const COPIES: usize = 2;
 
 /// How long another host may take to say that it holds a turn.
@@ -190,22 +190,24 @@
 }
 
 /// Holds another host's turn until the store has it.
-pub(crate) fn hold(shared: &Shared, key: TurnKey, turn: Turn) -> Reply {
+pub(crate) fn hold(shared: &Rc<Shared>, key: TurnKey, turn: Turn) -> Reply {
     let turn = Rc::new(turn);
     shared.turns.borrow_mut().put(key, Rc::clone(&turn));
-    shared.held.borrow_mut().insert(key, Held { turn, whose: Whose::Peers });
+    let held = Held { turn: Rc::clone(&turn), whose: Whose::Peers };
+    shared.held.borrow_mut().insert(key, held);
+
+    // The other host may be cut off from now on, and this one not.
+    if shared.store.answers_for(&row_key(key)) {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move { write_batch(&shared, &[(key, turn)]).await });
+    }
 
     Reply::Done
 }
 
-/// Has other hosts hold a turn that the store does not take. Returns whether enough do.
+/// Has hosts of other zones hold a turn that the store does not take. Returns whether one does.
 async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) -> bool {
-    if shared.is_isolated() {
-        return false;
-    }
-
-    let own = shared.fleet.own();
-    let hosts = shared.fleet.order(key.0).into_iter().filter(|host| *host != own).take(COPIES);
+    let hosts = shared.fleet.witnesses(key.0).into_iter().take(COPIES);
     let ask = Ask::Hold(key, Turn::clone(turn));
     let replies = join_all(hosts.map(|host| asks::ask(shared, host, &ask, HOLD_DEADLINE))).await;
     let copies = replies.iter().filter(|reply| matches!(reply, Some(Reply::Done))).count();
