Calls of programs under way wait for a token of their tenant's rate

Ruled out: using the overage that the users' bounds leave, which would serve a tenant beyond its rate.

Change: a call of a program under way waits up to 200 ms for its token, a new program up to 50 ms; what comes later is refused at once, with when to come back.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -271,7 +271,7 @@
     let call = read(shared, req, began, open).await?;
     known.route = call.route().name.clone();
     known.tenant = call.tenant.clone().unwrap_or_default();
-    admit(&call)?;
+    admit(&call).await?;
 
     let call = Rc::new(call);
     let left = clock::until(call.deadline);
@@ -396,7 +396,7 @@
 }
 
 /// Refuses what must not run: calls that bring targets down, and those over the tenant's rate.
-fn admit(call: &Call) -> Result<(), Refusal> {
+async fn admit(call: &Call) -> Result<(), Refusal> {
     if call.shared.crashes.borrow().is_barred(call.fingerprint) {
         return Err(Refusal::wrong(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -405,22 +405,34 @@
     }
 
     let Some(tenant) = &call.tenant else { return Ok(()) };
-    let admission = call.shared.rates.borrow_mut().admit(clock::now(), tenant, call.is_new.get());
-    match admission {
-        Admission::Admitted => Ok(()),
-        Admission::Refused(after) => {
-            if let Some(state) = call.shared.rates.borrow().explain(tenant) {
-                info!(
-                    request = %call.head.request_id, tenant = %tenant, is_new = call.is_new.get(),
-                    level = state.level, rate = state.rate, demand = state.demand,
-                    others_demand = state.others_demand, "rate: over"
-                );
+    let asked = clock::now();
+    let is_new = call.is_new.get();
+    loop {
+        let now = clock::now();
+        let waited = now.since(asked);
+        let admission = call.shared.rates.borrow_mut().admit(now, tenant, is_new, waited);
+
+        match admission {
+            Admission::Admitted => return Ok(()),
+            Admission::Wait(after) => tokio::time::sleep(after).await,
+            Admission::Refused(after) => {
+                log_over_rate(call, tenant, waited);
+                return Err(Refusal::over_rate(after));
             }
-            Err(Refusal::over_rate(after))
         }
     }
 }
 
+fn log_over_rate(call: &Call, tenant: &str, waited: Duration) {
+    let Some(state) = call.shared.rates.borrow().explain(tenant) else { return };
+
+    info!(
+        request = %call.head.request_id, tenant = %tenant, is_new = call.is_new.get(),
+        waited_ms = waited.as_millis() as u64, level = state.level, rate = state.rate,
+        demand = state.demand, others_demand = state.others_demand, "rate: over"
+    );
+}
+
 async fn forward(call: Rc<Call>) -> Result<Answer, Refusal> {
     if !call.route().repeat.is_stream() {
         return plain::forward(&call).await;
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -42,11 +42,22 @@
 /// average that follows them gives silent hosts the share of their last clump for a whole cut.
 const SMOOTHING: Duration = Duration::from_secs(3);
 
+/// How long a call of a program under way may wait for tokens: the objective of a turn by the
+/// users' sheets. Its caller would come back after as long with one of two or three tries gone,
+/// and a program of which one call is given up fails as a whole.
+const LONGEST_WAIT: Duration = Duration::from_millis(200);
+
+/// How long a new program may wait for tokens: a quarter of that objective. After it the caller
+/// is better told to come back.
+const LONGEST_WAIT_NEW: Duration = Duration::from_millis(50);
+
 /// What becomes of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Admission {
     /// It is within its tenant's rate.
     Admitted,
+    /// There is a token for it after this time, which is short: it is to ask again then.
+    Wait(Duration),
     /// It is over the rate; there are tokens for it after this time.
     Refused(Duration),
 }
@@ -218,15 +229,27 @@
     }
 
     /// Takes a token for a call of a tenant; tenants without a rate have no limit. `is_new`
-    /// tells that the call begins a program.
-    pub fn admit(&mut self, now: Instant, tenant: &str, is_new: bool) -> Admission {
+    /// tells that the call begins a program, `waited` how long it has waited so far.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        tenant: &str,
+        is_new: bool,
+        waited: Duration,
+    ) -> Admission {
         let Some(account) = self.accounts.get_mut(tenant) else { return Admission::Admitted };
-        account.arrived += 1;
+        account.arrived += u32::from(waited.is_zero());
         account.refill(now);
 
         let needed = 1.0 + account.reserve(is_new);
         if account.level < needed {
-            return Admission::Refused(account.time_to(needed));
+            let after = account.time_to(needed);
+            let longest = if is_new { LONGEST_WAIT_NEW } else { LONGEST_WAIT };
+
+            return match waited + after <= longest {
+                true => Admission::Wait(after),
+                false => Admission::Refused(after),
+            };
         }
 
         account.level -= 1.0;
--- a/crates/policy/tests/entry_rates.rs
+++ b/crates/policy/tests/entry_rates.rs
@@ -42,7 +42,7 @@
         let mut admitted = 0;
         for (host, calls) in calls.iter().enumerate() {
             for _ in 0..*calls {
-                let admission = self.hosts[host].admit(self.now, "easel", is_new);
+                let admission = self.hosts[host].admit(self.now, "easel", is_new, Duration::ZERO);
                 admitted += u32::from(admission == Admission::Admitted);
             }
         }
@@ -143,15 +143,50 @@
     assert!(under_way >= 34, "{under_way} calls under way");
 }
 
+#[test]
+fn a_call_of_a_program_under_way_waits_for_its_token() {
+    // A tenant near its rate sends a clump. The bucket lacks one or two tokens, which come within
+    // some hundredths of a second; a tool call that is refused instead ends its whole program.
+    let mut rates = Rates::default();
+    rates.configure(Instant(0), &[tenant(100.0, 10.0)]);
+    let mut admit = |now, is_new, waited| rates.admit(now, "easel", is_new, waited);
+    while admit(Instant(0), false, Duration::ZERO) == Admission::Admitted {}
+
+    let Admission::Wait(after) = admit(Instant(0), false, Duration::ZERO) else {
+        panic!("a token comes in ten milliseconds");
+    };
+    let now = Instant(0) + after;
+    let new = admit(now, true, Duration::ZERO);
+    let then = admit(now, false, after);
+
+    assert!(after <= Duration::from_millis(10), "{after:?}");
+    assert!(matches!(new, Admission::Wait(_) | Admission::Refused(_)), "{new:?}");
+    assert_eq!(then, Admission::Admitted);
+}
+
+#[test]
+fn a_call_waits_for_its_token_no_longer_than_its_caller_would() {
+    let mut rates = Rates::default();
+    rates.configure(Instant(0), &[tenant(1.0, 10.0)]);
+    while rates.admit(Instant(0), "easel", false, Duration::ZERO) == Admission::Admitted {}
+
+    let slow = rates.admit(Instant(0), "easel", false, Duration::ZERO);
+    let late = rates.admit(Instant::from_millis(990), "easel", false, Duration::from_millis(195));
+
+    assert!(matches!(slow, Admission::Refused(_)), "{slow:?}");
+    assert!(matches!(late, Admission::Refused(_)), "{late:?}");
+}
+
 #[test]
 fn a_call_that_did_not_run_counts_for_nothing() {
     let mut rates = Rates::default();
     rates.configure(Instant(0), &[tenant(1.0, 10.0)]);
-    let first: Vec<_> = (0..3).map(|_| rates.admit(Instant(0), "easel", false)).collect();
+    let first: Vec<_> =
+        (0..3).map(|_| rates.admit(Instant(0), "easel", false, Duration::ZERO)).collect();
 
     rates.give_back("easel");
-    let second = rates.admit(Instant(0), "easel", false);
-    let third = rates.admit(Instant(0), "easel", false);
+    let second = rates.admit(Instant(0), "easel", false, Duration::ZERO);
+    let third = rates.admit(Instant(0), "easel", false, Duration::ZERO);
 
     assert_eq!(first, [Admission::Admitted; 3]);
     assert_eq!(second, Admission::Admitted);
