--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -35,9 +35,12 @@
 /// megabyte that a call of the store may have.
 const WRITE_BATCH: usize = 50;
 
-/// How many hosts of other zones hold a turn that the store does not take. With two the loss of
-/// one besides the host that it ran at is borne.
-const COPIES: usize = 2;
+/// How many hosts of other zones are asked to hold a turn that the store does not take. With five,
+/// besides the one that it ran at, half of a small fleet may be killed before the store is back.
+const COPIES: usize = 5;
+
+/// How many of them must hold it before its end is passed on, or all that answer.
+const LEAST_COPIES: usize = 2;
 
 /// How long another host may take to say that it holds a turn.
 const HOLD_DEADLINE: Duration = Duration::from_millis(100);
@@ -209,8 +212,15 @@
 async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) -> bool {
     let hosts = shared.fleet.witnesses(key.0).into_iter().take(COPIES);
     let ask = Ask::Hold(key, Turn::clone(turn));
-    let replies = join_all(hosts.map(|host| asks::ask(shared, host, &ask, HOLD_DEADLINE))).await;
-    let copies = replies.iter().filter(|reply| matches!(reply, Some(Reply::Done))).count();
+    // All are asked at once; those that answer late hold it too.
+    let mut replies: FuturesUnordered<_> =
+        hosts.map(|host| asks::ask(shared, host, &ask, HOLD_DEADLINE)).collect();
+    let mut copies = 0;
+    while copies < LEAST_COPIES
+        && let Some(reply) = replies.next().await
+    {
+        copies += usize::from(matches!(reply, Some(Reply::Done)));
+    }
 
     if copies == 0 {
         return false;
