A slow store costs calls a sixteenth of a second, not their objective

Cause: while the store takes 300 ms for a transaction (platform_slow, which both sites list), kept turns waited for their row and grants for theirs, the 200 transactions a second of a part became 4, retries and rounds of writing back took most of them, and a granting host that waited itself let the others' questions time out: 178 of 240 calls a second were told that the budget cannot be had.

Change: a write that is not answered after 60 ms goes on, and the call goes on in another way: the turn is held by hosts of other zones, the grant is made in the store's place with the row that is being written. What hosts hold is written one round at a time, every half second, by its owner first and by others after 0.7 s; the owner tells them. Slowness is trouble that the others are told of, so that one host grants. If two grants met nevertheless, neither host spends what is too much.

Tests: rows of others are written late, what was granted twice is spent once.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -37,6 +37,8 @@
     Yield(ProgramKey),
     /// To hold a turn until the store has it.
     Hold(TurnKey, Turn),
+    /// To hold a turn no longer, since the store has it.
+    TurnStored(TurnKey),
     /// For a turn.
     Find(TurnKey),
     /// For the targets that the other host knows.
@@ -153,6 +155,7 @@
         Ask::KnownRow(program) => budget::known_row(shared, program),
         Ask::Yield(program) => budget::yield_rest(shared, program),
         Ask::Hold(key, turn) => turns::hold(shared, key, turn),
+        Ask::TurnStored(key) => turns::stored(shared, key),
         Ask::Targets => Reply::Targets(shared.targets.borrow().entries()),
         Ask::Find(key) => Reply::Turn(turns::at_hand(shared, key)),
     }
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -14,6 +14,7 @@
 use http::StatusCode;
 use std::time::Duration;
 use tokio::sync::Mutex;
+use tokio::time::timeout;
 use tracing::{info, warn};
 
 use crate::answer::Refusal;
@@ -130,10 +131,11 @@
                 return Err(spent());
             }
             Reservation::Write(row, version) if shared.store.was_there_for(SETTLED) => {
-                match write(shared, program, row, version).await? {
-                    Written::Committed => {}
-                    Written::Learned => is_first = false,
-                    Written::Away => shared.store.away_somewhere(clock::now()),
+                match write_hedged(shared, program, row, version).await {
+                    Some(Written::Committed) => {}
+                    Some(Written::Learned) => is_first = false,
+                    // From now on one host grants the program's tokens.
+                    Some(Written::Away) | None => shared.store.note_slow(clock::now()),
                 }
             }
             Reservation::Write(_, version) => {
@@ -342,8 +344,17 @@
 /// forgotten if all machines lost power, and a program that comes back after that would get its
 /// budget again. A process that the store never answered knows nothing of before.
 async fn grant(shared: &Rc<Shared>, ask: &GrantAsk) -> Reply {
-    if let Some(reply) = write_grant(shared, ask).await {
-        return reply;
+    for _ in 0..MOST_WRITES {
+        let GrantAsk { program, run, most, known } = ask;
+        let proposed =
+            shared.budgets.borrow_mut().propose(clock::now(), *program, *run, *most, known);
+        let Some((row, version)) = proposed else { return Reply::Spent };
+
+        match write_hedged(shared, *program, row.clone(), version).await {
+            Some(Written::Committed) => return Reply::Written(row),
+            Some(Written::Learned) => {}
+            Some(Written::Away) | None => break,
+        }
     }
 
     let is_entitled = shared.fleet.is_majority() && !shared.is_isolated();
@@ -365,25 +376,27 @@
     }
 }
 
-/// Writes a grant to the store. Returns `None` if the store, as far as this host reaches it, does
-/// not answer for the program's part.
-async fn write_grant(shared: &Rc<Shared>, ask: &GrantAsk) -> Option<Reply> {
-    let GrantAsk { program, run, most, known } = ask;
-
-    for _ in 0..MOST_WRITES {
-        let proposed =
-            shared.budgets.borrow_mut().propose(clock::now(), *program, *run, *most, known);
-        let Some((row, version)) = proposed else { return Some(Reply::Spent) };
+/// Writes a program's row. Returns `None` if what came of it is not known in time: then the write
+/// goes on. A grant in the store's place makes the same row, so that nothing is granted twice.
+async fn write_hedged(
+    shared: &Rc<Shared>,
+    program: ProgramKey,
+    row: BudgetRow,
+    version: RowVersion,
+) -> Option<Written> {
+    let writing = {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move { write(&shared, program, row, version).await })
+    };
 
-        match write(shared, *program, row.clone(), version).await {
-            Ok(Written::Committed) => return Some(Reply::Written(row)),
-            Ok(Written::Learned) => {}
-            Ok(Written::Away) => return None,
-            Err(_) => return Some(Reply::Refused),
+    match timeout(store::HEDGE_AFTER, writing).await {
+        Ok(Ok(Ok(written))) => Some(written),
+        Ok(_) => None,
+        Err(_) => {
+            shared.store.note_slow(clock::now());
+            None
         }
     }
-
-    Some(Reply::Refused)
 }
 
 /// Has other hosts take note of a row with grants that the store does not have: those that would
@@ -446,15 +459,11 @@
     Reply::Done
 }
 
-/// Takes in grants that the store does not have.
-pub(crate) fn take_loose(shared: &Rc<Shared>, program: ProgramKey, row: &BudgetRow) -> Reply {
+/// Takes in grants that the store does not have. They are written if the host that spends them
+/// does not: it may be cut off from now on, and this one not.
+pub(crate) fn take_loose(shared: &Shared, program: ProgramKey, row: &BudgetRow) -> Reply {
     shared.budgets.borrow_mut().learn_loose(clock::now(), program, row);
 
-    // The other host may be cut off from now on, and this one not.
-    if shared.store.answers_for(&row_key(program)) {
-        let shared = Rc::clone(shared);
-        tokio::task::spawn_local(async move { write_loose(&shared).await });
-    }
     Reply::Done
 }
 
@@ -479,10 +488,10 @@
 }
 
 /// Writes the grants that were made without the store: those of this host at once, and those
-/// that it made or knows of for others in a later round if they have not been written by then.
+/// that it knows of for others if they have not been written after a while.
 pub(crate) async fn write_loose(shared: &Rc<Shared>) {
     for _ in 0..MOST_WRITES {
-        let loose = shared.budgets.borrow().loose();
+        let loose = shared.budgets.borrow().loose(clock::now());
         if loose.is_empty() {
             return;
         }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -422,7 +422,7 @@
         crashes: shared.crashes.borrow_mut().take_news(),
         leaving: shared.is_leaving(),
         store_answers: shared.store.answers(),
-        store_away: shared.store.misses_any(),
+        store_away: shared.store.is_in_trouble(),
         waiting: shared
             .places
             .waiting()
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -4,31 +4,46 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowKey};
+use camphorwalk_core::platform::{PlatformOp, PlatformReply};
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::outage::{Change, StoreHealth};
 use camphorwalk_store::Client;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 use tracing::{info, warn};
 
 use crate::asks::{self, Ask, Reply};
 use crate::budget;
 use crate::clock;
 use crate::host::Shared;
-use crate::turns::{self, Whose};
+use crate::turns;
 
 /// How long a reply through another host may take: that host's own tries, and the way.
 const RELAY_DEADLINE: Duration = Duration::from_millis(600);
 
+/// How often what was made without the store is written, if the store answers. One round at a time
+/// is under way: rounds that overlapped took all writes of a slow store for the same rows.
+const WRITE_BACK_PERIOD: Duration = Duration::from_millis(500);
+
 /// An operation without an answer for this long was tried several times: the store is silent.
 const LONG_SILENCE: Duration = Duration::from_millis(300);
 
+/// After how long without an answer to a write a call goes on in another way, while the write does
+/// too. The store answers a transaction in some 10 ms; when it is slow, in a quarter of a second
+/// and more, of which a program would lose a whole second.
+pub(crate) const HEDGE_AFTER: Duration = Duration::from_millis(60);
+
+/// For how long other hosts are told that the store was slow: some periods of news.
+const SLOW_TOLD: Duration = Duration::from_millis(500);
+
 /// The way to the store.
 pub(crate) struct Store {
     client: Client,
     health: RefCell<StoreHealth>,
-    /// When it was last away, for this host or another.
+    /// When it was last away or slow, for this host or another.
     away_at: Cell<Option<Instant>>,
+    /// When it was last slow for this host.
+    slow_at: Cell<Option<Instant>>,
     /// Told when a part is back.
     write_back: Notify,
 }
@@ -40,6 +55,7 @@
             client,
             health: RefCell::default(),
             away_at: Cell::new(None),
+            slow_at: Cell::new(None),
             write_back: Notify::new(),
         }
     }
@@ -56,16 +72,19 @@
         health.answers() && !health.misses_any()
     }
 
-    /// Returns whether the store or a part of it stopped to answer this host.
-    pub(crate) fn misses_any(&self) -> bool {
-        self.health.borrow().misses_any()
-    }
+    /// Returns whether the other hosts are to be told of trouble: the store or a part of it does
+    /// not answer this host, or was slow since the last news.
+    pub(crate) fn is_in_trouble(&self) -> bool {
+        let now = clock::now();
+        let is_slow = self.slow_at.get().is_some_and(|at| now.since(at) < SLOW_TOLD);
 
-    /// Returns whether the part of a row answers this host.
-    pub(crate) fn answers_for(&self, key: &RowKey) -> bool {
-        let health = self.health.borrow();
+        is_slow || self.health.borrow().misses_any()
+    }
 
-        health.answers() && !health.is_away(part_of(&key.key))
+    /// Takes in that an answer of the store is overdue.
+    pub(crate) fn note_slow(&self, now: Instant) {
+        self.slow_at.set(Some(now));
+        self.away_at.set(Some(now));
     }
 
     /// Returns whether the store has ever answered this process.
@@ -154,14 +173,16 @@
     reply
 }
 
-/// Starts to write what was granted and held without the store, whenever it is back.
+/// Starts to write what was granted and held without the store: at once when a part is back, and
+/// now and then, since other hosts may hold what their owners could not write.
 pub(crate) fn start_write_back(shared: &Rc<Shared>) {
     let shared = Rc::clone(shared);
 
     tokio::task::spawn_local(async move {
         loop {
-            shared.store.write_back.notified().await;
-            tokio::join!(turns::write_held(&shared, Whose::Own), budget::write_loose(&shared));
+            // When nobody calls for a round, the period does.
+            let _ = timeout(WRITE_BACK_PERIOD, shared.store.write_back.notified()).await;
+            tokio::join!(turns::write_held(&shared), budget::write_loose(&shared));
         }
     });
 }
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::HostId;
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, RowKey, RowVersion, Transaction, Write,
 };
@@ -16,6 +17,7 @@
 use futures::future::{join_all, try_join_all};
 use futures::stream::FuturesUnordered;
 use http::StatusCode;
+use tokio::time::timeout;
 use tracing::{info, warn};
 
 use crate::answer::Refusal;
@@ -48,6 +50,9 @@
 /// How many hosts are asked for a turn that the store does not have.
 const MOST_ASKED: usize = 12;
 
+/// After how long a host writes a turn that it holds for another, if that has not written it.
+const OTHERS_WRITE_AFTER: Duration = Duration::from_millis(700);
+
 /// How long another host may take to find a turn: far more than the way, since a host that is
 /// late for an instant may be the only one that has it.
 const FIND_DEADLINE: Duration = Duration::from_millis(150);
@@ -94,6 +99,16 @@
     rows: VecDeque<(Instant, TurnKey)>,
 }
 
+impl Written {
+    /// Returns whether a row was written lately.
+    fn holds(&self, key: TurnKey) -> bool {
+        /// More than a host writes while it asks others to hold a turn.
+        const LATELY: usize = 200;
+
+        self.rows.iter().rev().take(LATELY).any(|(_, written)| *written == key)
+    }
+}
+
 /// Refuses a turn that is to be kept at a host that is cut off.
 ///
 /// Its answer would promise that it can be continued, and if all machines lost power before the
@@ -192,29 +207,29 @@
     shared.turns.borrow().get(key).map(|turn| Turn::clone(&turn))
 }
 
-/// Holds another host's turn until the store has it.
-pub(crate) fn hold(shared: &Rc<Shared>, key: TurnKey, turn: Turn) -> Reply {
+/// Holds another host's turn until the store has it. It is written if the other host does not: that
+/// may be cut off from now on, and this one not.
+pub(crate) fn hold(shared: &Shared, key: TurnKey, turn: Turn) -> Reply {
     let turn = Rc::new(turn);
     shared.turns.borrow_mut().put(key, Rc::clone(&turn));
-    let held = Held { turn: Rc::clone(&turn), whose: Whose::Peers };
+    let held = Held { turn, whose: Whose::Peers, since: clock::now() };
     shared.held.borrow_mut().insert(key, held);
 
-    // The other host may be cut off from now on, and this one not.
-    if shared.store.answers_for(&row_key(key)) {
-        let shared = Rc::clone(shared);
-        tokio::task::spawn_local(async move { write_batch(&shared, &[(key, turn)]).await });
-    }
-
     Reply::Done
 }
 
+/// Returns the hosts that hold a turn which the store does not take.
+fn holders(shared: &Shared, key: TurnKey) -> Vec<HostId> {
+    shared.fleet.witnesses(key.0).into_iter().take(COPIES).collect()
+}
+
 /// Has hosts of other zones hold a turn that the store does not take. Returns whether one does.
 async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) -> bool {
-    let hosts = shared.fleet.witnesses(key.0).into_iter().take(COPIES);
+    let hosts = holders(shared, key);
     let ask = Ask::Hold(key, Turn::clone(turn));
     // All are asked at once; those that answer late hold it too.
     let mut replies: FuturesUnordered<_> =
-        hosts.map(|host| asks::ask(shared, host, &ask, HOLD_DEADLINE)).collect();
+        hosts.iter().map(|host| asks::ask(shared, *host, &ask, HOLD_DEADLINE)).collect();
     let mut copies = 0;
     while copies < LEAST_COPIES
         && let Some(reply) = replies.next().await
@@ -225,7 +240,10 @@
     if copies == 0 {
         return false;
     }
-    shared.held.borrow_mut().insert(key, Held { turn: Rc::clone(turn), whose: Whose::Own });
+    shared
+        .held
+        .borrow_mut()
+        .insert(key, Held { turn: Rc::clone(turn), whose: Whose::Own, since: clock::now() });
     true
 }
 
@@ -233,11 +251,19 @@
 pub(crate) struct Held {
     turn: Rc<Turn>,
     whose: Whose,
+    since: Instant,
+}
+
+impl Held {
+    /// Returns whether this host is to write it now.
+    fn is_due(&self, now: Instant) -> bool {
+        self.whose == Whose::Own || now.since(self.since) >= OTHERS_WRITE_AFTER
+    }
 }
 
 /// Whose turns are written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Whose {
+enum Whose {
     /// Those that ran at this host.
     Own,
     /// Those that are held for other hosts, which write them themselves if they live.
@@ -248,9 +274,10 @@
 ///
 /// All power may be lost a second after the store's return, and with it what was not written:
 /// the turns of a part go in one transaction, and all parts at the same time.
-pub(crate) async fn write_held(shared: &Rc<Shared>, whose: Whose) {
+pub(crate) async fn write_held(shared: &Rc<Shared>) {
+    let now = clock::now();
     let mut parts: Map<u64, Vec<(TurnKey, Rc<Turn>)>> = Map::default();
-    for (key, held) in shared.held.borrow().iter().filter(|(_, held)| held.whose == whose) {
+    for (key, held) in shared.held.borrow().iter().filter(|(_, held)| held.is_due(now)) {
         parts.entry(key.part()).or_default().push((*key, Rc::clone(&held.turn)));
     }
     if parts.is_empty() {
@@ -320,9 +347,27 @@
     }
 }
 
-/// Takes in that the store has a turn that was held.
-fn written(shared: &Shared, key: TurnKey) {
+/// Takes in that another host has written a turn that is held here.
+pub(crate) fn stored(shared: &Shared, key: TurnKey) -> Reply {
     shared.held.borrow_mut().remove(&key);
+
+    Reply::Done
+}
+
+/// Holds a turn no longer, and tells the others that do.
+fn release(shared: &Shared, key: TurnKey) {
+    let held = shared.held.borrow_mut().remove(&key);
+
+    if let Some(Held { whose: Whose::Own, .. }) = held {
+        for host in holders(shared, key) {
+            asks::tell(shared, host, &Ask::TurnStored(key));
+        }
+    }
+}
+
+/// Takes in that the store has a turn.
+fn written(shared: &Shared, key: TurnKey) {
+    release(shared, key);
     shared.written.borrow_mut().rows.push_back((clock::now(), key));
 }
 
@@ -345,20 +390,46 @@
     let value = serde_json::to_string(&turn).map_err(|_| "the turn cannot be written")?;
     let turn = Rc::new(turn);
 
-    match write(shared, key, value.into()).await {
-        Ok(()) => shared.written.borrow_mut().rows.push_back((clock::now(), key)),
-        Err(reason) => {
-            if !hold_at_peers(shared, key, &turn).await {
-                return Err(reason);
-            }
+    // The write goes on when the caller leaves or the turn is held elsewhere meanwhile.
+    let mut writing =
+        tokio::task::spawn_local(write_and_note(Rc::clone(shared), key, value.into()));
+    let outcome = match timeout(store::HEDGE_AFTER, &mut writing).await {
+        Ok(outcome) => outcome.map_err(|_| "the write ended early")?,
+        Err(_) => {
+            shared.store.note_slow(clock::now());
+            Err("the store is slow")
+        }
+    };
+    if let Err(reason) = outcome {
+        if hold_at_peers(shared, key, &turn).await {
             info!(request = %call.head.request_id, reason, "turn: held by other hosts");
+        } else if writing.is_finished() {
+            return Err(reason);
+        } else {
+            writing.await.map_err(|_| "the write ended early")??;
         }
     }
+    // It may have been written while other hosts were asked to hold it.
+    if shared.written.borrow().holds(key) {
+        release(shared, key);
+    }
     shared.turns.borrow_mut().put(key, turn);
 
     Ok(())
 }
 
+/// Writes the row of a turn, and takes note that the store has it.
+async fn write_and_note(
+    shared: Rc<Shared>,
+    key: TurnKey,
+    value: Box<str>,
+) -> Result<(), &'static str> {
+    write(&shared, key, value).await?;
+    written(&shared, key);
+
+    Ok(())
+}
+
 /// Writes the row of a turn.
 async fn write(shared: &Rc<Shared>, key: TurnKey, value: Box<str>) -> Result<(), &'static str> {
     let row = row_key(key);
@@ -400,9 +471,6 @@
         loop {
             tokio::time::sleep(SWEEP_PERIOD).await;
             sweep(&shared).await;
-            crate::budget::write_loose(&shared).await;
-            write_held(&shared, Whose::Own).await;
-            write_held(&shared, Whose::Peers).await;
         }
     });
 }
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -30,6 +30,10 @@
 /// writes; less strands fewer tokens at a host that dies or that the program leaves.
 const SPARE_PART: u64 = 4;
 
+/// After how long a host writes a grant that another host spends, if that has not written it. In
+/// this time the other one mostly has, and says so.
+const OTHERS_WRITE_AFTER: Duration = Duration::from_millis(700);
+
 /// What the store holds of a program.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetRow {
@@ -77,6 +81,8 @@
     version: RowVersion,
     /// Whether the row has grants that the store does not have yet.
     loose: bool,
+    /// Since when.
+    loose_since: Instant,
     spent: u64,
     reserved: u64,
     used_at: Instant,
@@ -88,12 +94,21 @@
             row: BudgetRow { budget, ..BudgetRow::default() },
             version: RowVersion::ABSENT,
             loose: false,
+            loose_since: now,
             spent: 0,
             reserved: 0,
             used_at: now,
         }
     }
 
+    /// Takes note that the row has grants that the store does not have.
+    fn loosen(&mut self, now: Instant) {
+        if !self.loose {
+            self.loose = true;
+            self.loose_since = now;
+        }
+    }
+
     /// Takes over the higher figure of each run.
     fn merge(&mut self, row: &BudgetRow) {
         if self.row.budget == 0 {
@@ -148,8 +163,11 @@
         let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, budget));
         account.used_at = now;
 
-        let own = account.row.held_by(run);
-        let others = account.row.held() - own;
+        let granted = account.row.held_by(run);
+        let others = account.row.held() - granted;
+        // When trouble begins, one host may still write a grant while another is granted the same
+        // tokens in the store's place. Whoever learns of both does not spend what is too much.
+        let own = granted.saturating_sub(account.row.held().saturating_sub(account.row.budget));
         let committed = account.spent + account.reserved;
 
         if own >= committed + most {
@@ -163,7 +181,7 @@
 
         let mut row = account.row.clone();
         let spare = spare(account.row.budget, others + needed, most);
-        *row.granted.entry(run).or_default() += (needed + spare).saturating_sub(own);
+        *row.granted.entry(run).or_default() += (needed + spare).saturating_sub(granted);
 
         Reservation::Write(row, account.version)
     }
@@ -224,7 +242,7 @@
         let account = self.accounts.get_mut(&program)?;
 
         account.row = row;
-        account.loose = true;
+        account.loosen(now);
         Some(account.row.clone())
     }
 
@@ -234,7 +252,9 @@
         account.used_at = now;
         let before = account.row.clone();
         account.merge(row);
-        account.loose |= account.row != before;
+        if account.row != before {
+            account.loosen(now);
+        }
     }
 
     /// Takes in how a program's row stands at another host, which writes it itself.
@@ -286,15 +306,15 @@
 
     /// Returns the programs with grants that the store does not have, with their rows and the
     /// versions that they replace.
-    pub fn loose(&self) -> Vec<(ProgramKey, BudgetRow, RowVersion)> {
-        let loose = self.accounts.iter().filter(|(_, account)| account.loose);
-        // Whoever spends a grant writes it first; several hosts that write one row at the same
-        // time make each other's writes fail.
-        let (own, others): (Vec<_>, Vec<_>) =
-            loose.partition(|(_, account)| account.row.granted.contains_key(&self.run));
-        let first = if own.is_empty() { others } else { own };
-
-        first.into_iter().map(|(program, a)| (*program, a.row.clone(), a.version)).collect()
+    pub fn loose(&self, now: Instant) -> Vec<(ProgramKey, BudgetRow, RowVersion)> {
+        // Whoever spends a grant writes it; several hosts that write one row at the same time
+        // make each other's writes fail. The others do so if it has not.
+        let is_due = |a: &Account| {
+            a.row.granted.contains_key(&self.run) || now.since(a.loose_since) >= OTHERS_WRITE_AFTER
+        };
+        let due = self.accounts.iter().filter(|(_, a)| a.loose && is_due(a));
+
+        due.map(|(program, a)| (*program, a.row.clone(), a.version)).collect()
     }
 
     /// Settles a turn: of the `most` tokens reserved, `used` were generated.
--- a/crates/policy/tests/entry_budgets.rs
+++ b/crates/policy/tests/entry_budgets.rs
@@ -109,7 +109,7 @@
     entry.learn_loose(NOW, PROGRAM, &row);
     assert_eq!(entry.reserve(NOW, PROGRAM, 572, 286), Reservation::Reserved);
 
-    for (_, row, version) in entry.loose() {
+    for (_, row, version) in entry.loose(NOW) {
         assert!(store.write(row, version));
     }
 
@@ -118,6 +118,50 @@
     assert!(!reserve(&mut stranger, &mut store, 572, 286));
 }
 
+#[test]
+fn a_grant_that_another_host_spends_is_written_only_if_that_host_does_not() {
+    // A slow store was asked for the same rows by six hosts at a time, and took few others. The
+    // host that spends a grant writes it; the one that knows of it does so if it is left alone.
+    let mut witness = Budgets::new(RunId(1));
+    let row = BudgetRow {
+        budget: 572,
+        granted: BTreeMap::from([(RunId(2), 286)]),
+        ..BudgetRow::default()
+    };
+
+    witness.learn_loose(NOW, PROGRAM, &row);
+    let at_once = witness.loose(NOW);
+    let later = witness.loose(Instant::from_millis(700));
+    witness.learn(Instant::from_millis(701), PROGRAM, row, RowVersion(1));
+
+    assert!(at_once.is_empty());
+    assert_eq!(later.len(), 1);
+    assert!(!witness.is_loose(PROGRAM));
+}
+
+#[test]
+fn what_was_granted_twice_is_spent_once() {
+    // A host's write is under way when the store turns slow, and another host is granted the same
+    // tokens in the store's place. Both learn of it.
+    let row = BudgetRow {
+        budget: 572,
+        granted: BTreeMap::from([(RunId(1), 429), (RunId(2), 429)]),
+        ..BudgetRow::default()
+    };
+    let mut handed = 0;
+
+    for run in [1, 2] {
+        let mut host = Budgets::new(RunId(run));
+        host.learn(NOW, PROGRAM, row.clone(), RowVersion(1));
+        while host.reserve(NOW, PROGRAM, 572, 100) == Reservation::Reserved {
+            host.settle(PROGRAM, 100, 100);
+            handed += 100;
+        }
+    }
+
+    assert!(handed <= 572, "{handed}");
+}
+
 #[test]
 fn loose_grants_survive_that_the_store_got_others_meanwhile() {
     // The store turned some hosts away and served others, which wrote the same program's row.
@@ -128,7 +172,7 @@
     apart.grant_loose(NOW, PROGRAM, RunId(1), 300, &known).expect("there is enough");
     assert!(reserve(&mut served, &mut store, 1_000, 300));
 
-    while let Some((_, row, version)) = apart.loose().pop() {
+    while let Some((_, row, version)) = apart.loose(NOW).pop() {
         store.write(row, version);
         let (row, version) = store.row.clone().unwrap();
         apart.learn(NOW, PROGRAM, row, version);
