--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -18,7 +18,7 @@
 use tracing::warn;
 
 use crate::host::Shared;
-use crate::{budget, store, turns};
+use crate::{budget, grants, held, store, turns};
 
 /// A question to another host.
 #[derive(Debug, Serialize, Deserialize)]
@@ -149,13 +149,13 @@
 async fn answer(shared: &Rc<Shared>, question: Ask) -> Reply {
     match question {
         Ask::Store(op) => store::run_for_peer(shared, op).await,
-        Ask::Grant(ask) => budget::grant_for_peer(shared, &ask).await,
-        Ask::Stored(program, row, version) => budget::take_stored(shared, program, row, version),
-        Ask::Loose(program, row) => budget::take_loose(shared, program, &row),
+        Ask::Grant(ask) => grants::grant_for_peer(shared, &ask).await,
+        Ask::Stored(program, row, version) => grants::take_stored(shared, program, row, version),
+        Ask::Loose(program, row) => grants::take_loose(shared, program, &row),
         Ask::KnownRow(program) => budget::known_row(shared, program),
         Ask::Yield(program) => budget::yield_rest(shared, program),
-        Ask::Hold(key, turn) => turns::hold(shared, key, turn),
-        Ask::TurnStored(key) => turns::stored(shared, key),
+        Ask::Hold(key, turn) => held::hold(shared, key, turn),
+        Ask::TurnStored(key) => held::stored(shared, key),
         Ask::Targets => Reply::Targets(shared.targets.borrow().entries()),
         Ask::Find(key) => Reply::Turn(turns::at_hand(shared, key)),
     }
--- /dev/null
+++ b/crates/entry/src/grants.rs
@@ -0,0 +1,292 @@
+//! Who grants a program's tokens in times of trouble, and who knows of it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::platform::RowVersion;
+use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey};
+use futures::future::join_all;
+use futures::stream::{self, FuturesUnordered, StreamExt as _};
+use tokio::time::timeout;
+use tracing::info;
+
+use crate::answer::Refusal;
+use crate::asks::{self, Ask, GrantAsk, Reply};
+use crate::budget::{TELL_DEADLINE, Written, lock, unsure, write};
+use crate::call::Call;
+use crate::host::Shared;
+use crate::{clock, store};
+
+/// How many hosts know a program's row besides those that run it. Two survive one loss.
+const WITNESSES: usize = 2;
+
+/// How many hosts of other zones are told of a grant that the store does not have, so that half of
+/// a small fleet may be killed before the store is back.
+const LOOSE_WITNESSES: usize = 4;
+
+/// How long a grant by another host may take: the way there and back, and its tries to write it to
+/// a store that is slow or has just fallen silent.
+const GRANT_DEADLINE: Duration = Duration::from_millis(450);
+
+/// How long a host of another zone may take to take note of a grant: some times the way there
+/// and back, and less than what is left of the time for the grant.
+const WITNESS_DEADLINE: Duration = Duration::from_millis(80);
+
+/// How many rows are written at the same time after the store's return.
+const WRITES_AT_ONCE: usize = 8;
+
+/// The pause between two rounds of writing grants that were made without the store.
+const LOOSE_PAUSE: Duration = Duration::from_millis(50);
+
+/// How often a row is written again when other hosts change it at the same time.
+const MOST_WRITES: u32 = 6;
+
+/// Returns the hosts that are heard, in the order in which they grant a program's tokens while
+/// the store is away.
+fn grant_order(shared: &Shared, program: ProgramKey) -> Vec<HostId> {
+    shared.fleet.order(program.0)
+}
+
+/// Tells the hosts that would grant in the store's place how a program's row stands in it. They
+/// need it the moment that the store is away. Those that took note of a grant made without the
+/// store need not write it any more.
+pub(crate) fn tell_stored(
+    shared: &Shared,
+    program: ProgramKey,
+    row: &BudgetRow,
+    version: RowVersion,
+) {
+    let mut hosts: Vec<_> = next_granters(shared, program).collect();
+    if shared.budgets.borrow().is_loose(program) {
+        hosts.extend(loose_witnesses(shared, program));
+        hosts.sort_unstable();
+        hosts.dedup();
+    }
+
+    for host in hosts {
+        asks::tell(shared, host, &Ask::Stored(program, row.clone(), version));
+    }
+}
+
+/// Returns the hosts of other zones that take note of a program's grants without the store.
+fn loose_witnesses(shared: &Shared, program: ProgramKey) -> Vec<HostId> {
+    shared.fleet.witnesses(program.0).into_iter().take(LOOSE_WITNESSES).collect()
+}
+
+/// What came of asking for a grant.
+pub(crate) enum Granted {
+    /// The row holds the turn's tokens.
+    Tokens,
+    /// The budget does not hold them, as the rows stand.
+    Nothing,
+}
+
+/// Asks for a turn's tokens at the one host that grants a program's tokens in times of trouble.
+///
+/// Beliefs about the store differ: it may be slow, or answer some hosts. If each host then decided
+/// for itself, one would write a grant while another is granted the same tokens without the store.
+pub(crate) async fn ask_for_grant(
+    call: &Call,
+    program: ProgramKey,
+    budget: u64,
+    most: u64,
+) -> Result<Granted, Refusal> {
+    let shared = &call.shared;
+    let empty = BudgetRow { budget, ..BudgetRow::default() };
+    let known = shared.budgets.borrow().row(program).cloned().unwrap_or(empty);
+    let ask = GrantAsk { program, run: shared.run, most, known };
+    let order = grant_order(shared, program);
+    let host = order.first().copied().ok_or_else(|| unsure(shared))?;
+    let reply = match host == shared.fleet.own() {
+        true => Some(grant(shared, &ask).await),
+        false => asks::ask(shared, host, &Ask::Grant(ask), GRANT_DEADLINE).await,
+    };
+
+    match reply {
+        Some(Reply::Written(row)) => {
+            shared.budgets.borrow_mut().note(clock::now(), program, &row);
+            Ok(Granted::Tokens)
+        }
+        Some(Reply::Granted(row)) => {
+            info!(request = %call.head.request_id, program = %program.0, host = host.0, "budget: granted without the store");
+            shared.budgets.borrow_mut().learn_loose(clock::now(), program, &row);
+            Ok(Granted::Tokens)
+        }
+        Some(Reply::Spent) => Ok(Granted::Nothing),
+        _ => Err(unsure(shared)),
+    }
+}
+
+/// Grants a turn's tokens to another host, one at a time for each program.
+pub(crate) async fn grant_for_peer(shared: &Rc<Shared>, ask: &GrantAsk) -> Reply {
+    let lock = lock(shared, ask.program);
+    let _turn = lock.lock().await;
+
+    grant(shared, ask).await
+}
+
+/// Grants a turn's tokens: by the store if it answers for the program's part, or else in its place.
+///
+/// In its place only a host that hears a majority grants, so that of two groups that are cut from
+/// each other at most one does, and the other side need not withhold anything. Hosts that are
+/// cut off with their zone grant nothing even if they are the majority: their grants would be
+/// forgotten if all machines lost power, and a program that comes back after that would get its
+/// budget again. A process that the store never answered knows nothing of before.
+async fn grant(shared: &Rc<Shared>, ask: &GrantAsk) -> Reply {
+    for _ in 0..MOST_WRITES {
+        let GrantAsk { program, run, most, known } = ask;
+        let proposed =
+            shared.budgets.borrow_mut().propose(clock::now(), *program, *run, *most, known);
+        let Some((row, version)) = proposed else { return Reply::Spent };
+
+        match write_hedged(shared, *program, row.clone(), version).await {
+            Some(Written::Committed) => return Reply::Written(row),
+            Some(Written::Learned) => {}
+            Some(Written::Away) | None => break,
+        }
+    }
+
+    let is_entitled = shared.fleet.is_majority() && !shared.is_isolated();
+    if !shared.store.has_answered() || !is_entitled {
+        return Reply::Refused;
+    }
+
+    let GrantAsk { program, run, most, known } = ask;
+    learn_from_next(shared, *program).await;
+    let granted =
+        shared.budgets.borrow_mut().grant_loose(clock::now(), *program, *run, *most, known);
+    match granted {
+        Some(row) if has_witness(shared, *program, &row).await => Reply::Granted(row),
+        Some(_) => {
+            info!(program = %program.0, "budget: no host of another zone took note of a grant");
+            Reply::Refused
+        }
+        None => Reply::Spent,
+    }
+}
+
+/// Writes a program's row. Returns `None` if what came of it is not known in time: then the write
+/// goes on. A grant in the store's place makes the same row, so that nothing is granted twice.
+pub(crate) async fn write_hedged(
+    shared: &Rc<Shared>,
+    program: ProgramKey,
+    row: BudgetRow,
+    version: RowVersion,
+) -> Option<Written> {
+    let writing = {
+        let shared = Rc::clone(shared);
+        tokio::task::spawn_local(async move { write(&shared, program, row, version).await })
+    };
+
+    match timeout(store::HEDGE_AFTER, writing).await {
+        Ok(Ok(Ok(written))) => Some(written),
+        Ok(_) => None,
+        Err(_) => {
+            shared.store.note_slow(clock::now());
+            None
+        }
+    }
+}
+
+/// Has other hosts take note of a row with grants that the store does not have: those that would
+/// grant next, and hosts of other zones. Returns whether one of another zone did.
+///
+/// A zone that is being cut off takes itself for a part of the majority for most of a second. What
+/// it grants in that time would be forgotten if all machines lost power. Nobody elsewhere
+/// acknowledges it then, so it is not spent.
+async fn has_witness(shared: &Shared, program: ProgramKey, row: &BudgetRow) -> bool {
+    let ask = Ask::Loose(program, row.clone());
+    let elsewhere = loose_witnesses(shared, program);
+    for host in next_granters(shared, program).filter(|host| !elsewhere.contains(host)) {
+        asks::tell(shared, host, &ask);
+    }
+
+    let replies = elsewhere.iter().map(|host| asks::ask(shared, *host, &ask, WITNESS_DEADLINE));
+    let mut replies: FuturesUnordered<_> = replies.collect();
+    while let Some(reply) = replies.next().await {
+        if matches!(reply, Some(Reply::Done)) {
+            return true;
+        }
+    }
+
+    false
+}
+
+/// Returns the hosts that grant a program's tokens without the store if this one does not.
+fn next_granters(shared: &Shared, program: ProgramKey) -> impl Iterator<Item = HostId> {
+    let own = shared.fleet.own();
+
+    grant_order(shared, program).into_iter().filter(move |host| *host != own).take(WITNESSES)
+}
+
+/// Learns what the hosts know that would grant next.
+///
+/// A host that was silent for a while, or is new, may become the first in the order although
+/// others granted in its place meanwhile. Whoever did stands next in the order, or has told those
+/// that do.
+async fn learn_from_next(shared: &Shared, program: ProgramKey) {
+    let ask = Ask::KnownRow(program);
+    let hosts = next_granters(shared, program);
+    let replies = join_all(hosts.map(|host| asks::ask(shared, host, &ask, WITNESS_DEADLINE))).await;
+
+    for reply in replies.into_iter().flatten() {
+        if let Reply::Granted(row) = reply {
+            shared.budgets.borrow_mut().note(clock::now(), program, &row);
+        }
+    }
+}
+
+/// Takes in how a program's row stands in the store.
+pub(crate) fn take_stored(
+    shared: &Shared,
+    program: ProgramKey,
+    row: BudgetRow,
+    version: RowVersion,
+) -> Reply {
+    shared.budgets.borrow_mut().learn(clock::now(), program, row, version);
+
+    Reply::Done
+}
+
+/// Takes in grants that the store does not have. They are written if the host that spends them
+/// does not: it may be cut off from now on, and this one not.
+pub(crate) fn take_loose(shared: &Shared, program: ProgramKey, row: &BudgetRow) -> Reply {
+    shared.budgets.borrow_mut().learn_loose(clock::now(), program, row);
+
+    Reply::Done
+}
+
+/// Learns of a program's row from the host that granted in the store's place.
+pub(crate) async fn learn_from_peer(shared: &Shared, program: ProgramKey) {
+    let own = shared.fleet.own();
+    let Some(host) = grant_order(shared, program).into_iter().find(|host| *host != own) else {
+        return;
+    };
+
+    // Without a reply the store's row has to do.
+    if let Some(Reply::Granted(row)) =
+        asks::ask(shared, host, &Ask::KnownRow(program), TELL_DEADLINE).await
+    {
+        shared.budgets.borrow_mut().note(clock::now(), program, &row);
+    }
+}
+
+/// Writes the grants that were made without the store: those of this host at once, and those
+/// that it knows of for others if they have not been written after a while.
+pub(crate) async fn write_loose(shared: &Rc<Shared>) {
+    for _ in 0..MOST_WRITES {
+        let loose = shared.budgets.borrow().loose(clock::now());
+        if loose.is_empty() {
+            return;
+        }
+
+        info!(programs = loose.len(), "budget: grants made without the store are written");
+        // What fails stays loose, and is written in the next round.
+        let writes = loose.into_iter().map(|(program, row, version)| async move {
+            write(shared, program, row, version).await.is_ok()
+        });
+        stream::iter(writes).buffer_unordered(WRITES_AT_ONCE).count().await;
+        tokio::time::sleep(LOOSE_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/held.rs
@@ -0,0 +1,196 @@
+//! Turns that the store does not have yet, held by the host that they ran at and by others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::platform::{
+    Check, PlatformOp, PlatformReply, RowKey, RowVersion, Transaction, Write,
+};
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::turns::{Turn, TurnKey};
+use futures::StreamExt as _;
+use futures::future::join_all;
+use futures::stream::FuturesUnordered;
+use tracing::info;
+
+use crate::asks::{self, Ask, Reply};
+use crate::host::Shared;
+use crate::turns::row_key;
+use crate::{clock, retention, store};
+
+/// The most turns that one transaction writes: so many of the mean size are far under the
+/// megabyte that a call of the store may have.
+const WRITE_BATCH: usize = 50;
+
+/// How many hosts of other zones are asked to hold a turn that the store does not take. With five,
+/// besides the one that it ran at, half of a small fleet may be killed before the store is back.
+const COPIES: usize = 5;
+
+/// How many of them must hold it before its end is passed on, or all that answer.
+const LEAST_COPIES: usize = 2;
+
+/// How long another host may take to say that it holds a turn.
+const HOLD_DEADLINE: Duration = Duration::from_millis(100);
+
+/// After how long a host writes a turn that it holds for another, if that has not written it.
+const OTHERS_WRITE_AFTER: Duration = Duration::from_millis(700);
+
+/// Holds another host's turn until the store has it. It is written if the other host does not: that
+/// may be cut off from now on, and this one not.
+pub(crate) fn hold(shared: &Shared, key: TurnKey, turn: Turn) -> Reply {
+    let turn = Rc::new(turn);
+    shared.turns.borrow_mut().put(key, Rc::clone(&turn));
+    let held = Held { turn, whose: Whose::Peers, since: clock::now() };
+    shared.held.borrow_mut().insert(key, held);
+
+    Reply::Done
+}
+
+/// Returns the hosts that hold a turn which the store does not take.
+fn holders(shared: &Shared, key: TurnKey) -> Vec<HostId> {
+    shared.fleet.witnesses(key.0).into_iter().take(COPIES).collect()
+}
+
+/// Has hosts of other zones hold a turn that the store does not take. Returns whether one does.
+pub(crate) async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) -> bool {
+    let hosts = holders(shared, key);
+    let ask = Ask::Hold(key, Turn::clone(turn));
+    // All are asked at once; those that answer late hold it too.
+    let mut replies: FuturesUnordered<_> =
+        hosts.iter().map(|host| asks::ask(shared, *host, &ask, HOLD_DEADLINE)).collect();
+    let mut copies = 0;
+    while copies < LEAST_COPIES
+        && let Some(reply) = replies.next().await
+    {
+        copies += usize::from(matches!(reply, Some(Reply::Done)));
+    }
+
+    if copies == 0 {
+        return false;
+    }
+    shared
+        .held
+        .borrow_mut()
+        .insert(key, Held { turn: Rc::clone(turn), whose: Whose::Own, since: clock::now() });
+    true
+}
+
+/// A turn that the store does not have yet.
+pub(crate) struct Held {
+    turn: Rc<Turn>,
+    whose: Whose,
+    since: Instant,
+}
+
+impl Held {
+    /// Returns whether this host is to write it now.
+    fn is_due(&self, now: Instant) -> bool {
+        self.whose == Whose::Own || now.since(self.since) >= OTHERS_WRITE_AFTER
+    }
+}
+
+/// Whose turns are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Whose {
+    /// Those that ran at this host.
+    Own,
+    /// Those that are held for other hosts, which write them themselves if they live.
+    Peers,
+}
+
+/// Writes the turns that are held since the store was away; what fails stays held.
+///
+/// All power may be lost a second after the store's return, and with it what was not written:
+/// the turns of a part go in one transaction, and all parts at the same time.
+pub(crate) async fn write_held(shared: &Rc<Shared>) {
+    let now = clock::now();
+    let mut parts: Map<u64, Vec<(TurnKey, Rc<Turn>)>> = Map::default();
+    for (key, held) in shared.held.borrow().iter().filter(|(_, held)| held.is_due(now)) {
+        parts.entry(key.part()).or_default().push((*key, Rc::clone(&held.turn)));
+    }
+    if parts.is_empty() {
+        return;
+    }
+
+    let writes = parts.values().flat_map(|turns| turns.chunks(WRITE_BATCH));
+    let written: usize =
+        join_all(writes.map(|turns| write_batch(shared, turns))).await.into_iter().sum();
+    info!(written, left = shared.held.borrow().len(), "turn: turns held without the store");
+}
+
+/// A turn's row as it is to be written.
+struct TurnRow {
+    turn: TurnKey,
+    key: RowKey,
+    value: Box<str>,
+}
+
+/// Writes turns of one part; returns how many the store then has.
+async fn write_batch(shared: &Rc<Shared>, turns: &[(TurnKey, Rc<Turn>)]) -> usize {
+    let mut rows: Vec<TurnRow> = turns
+        .iter()
+        .filter_map(|(turn, content)| {
+            let value = serde_json::to_string(&**content).ok()?.into();
+            Some(TurnRow { turn: *turn, key: row_key(*turn), value })
+        })
+        .collect();
+    let all = rows.len();
+
+    // Several hosts hold a turn and write it, so a part of the rows may be there already. The
+    // answer says which; the others are written the second time.
+    for _ in 0..2 {
+        match store::ask(shared, PlatformOp::Commit(creation(&rows))).await {
+            PlatformReply::Committed(_) => {
+                rows.iter().for_each(|row| retention::written(shared, row.turn));
+                return all;
+            }
+            PlatformReply::Conflict(there) => rows.retain(|row| {
+                let is_there = there.iter().any(|r| r.key == row.key && r.value == row.value);
+                if is_there {
+                    retention::written(shared, row.turn);
+                }
+                !is_there
+            }),
+            // The second time tells whether the first took effect.
+            PlatformReply::Unknown => {}
+            // What was not written stays held.
+            _ => break,
+        }
+        if rows.is_empty() {
+            break;
+        }
+    }
+
+    all - rows.len()
+}
+
+/// Returns the transaction that writes rows which are not there yet.
+fn creation(rows: &[TurnRow]) -> Transaction {
+    let check = |row: &TurnRow| Check { key: row.key.clone(), version: RowVersion::ABSENT };
+    let write = |row: &TurnRow| Write { key: row.key.clone(), value: Some(row.value.clone()) };
+
+    Transaction {
+        checks: rows.iter().map(check).collect(),
+        writes: rows.iter().map(write).collect(),
+    }
+}
+
+/// Takes in that another host has written a turn that is held here.
+pub(crate) fn stored(shared: &Shared, key: TurnKey) -> Reply {
+    shared.held.borrow_mut().remove(&key);
+
+    Reply::Done
+}
+
+/// Holds a turn no longer, and tells the others that do.
+pub(crate) fn release(shared: &Shared, key: TurnKey) {
+    let held = shared.held.borrow_mut().remove(&key);
+
+    if let Some(Held { whose: Whose::Own, .. }) = held {
+        for host in holders(shared, key) {
+            asks::tell(shared, host, &Ask::TurnStored(key));
+        }
+    }
+}
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -29,7 +29,7 @@
 use crate::places::Places;
 use crate::store::Store;
 use crate::stories::Stories;
-use crate::{callers, clock, fleet, probes, store, turns, watch};
+use crate::{callers, clock, fleet, held, probes, retention, store, watch};
 
 /// The longest that one try of a call to the store may take. Its answers come within some
 /// milliseconds, and within a third of a second when it is slow.
@@ -78,9 +78,9 @@
     /// Taken while a program's budget is asked for.
     pub(crate) budget_locks: RefCell<Map<ProgramKey, Rc<Mutex<()>>>>,
     pub(crate) turns: RefCell<TurnCache>,
-    pub(crate) written: RefCell<turns::Written>,
+    pub(crate) written: RefCell<retention::Written>,
     /// Turns that the store does not have yet.
-    pub(crate) held: RefCell<Map<TurnKey, turns::Held>>,
+    pub(crate) held: RefCell<Map<TurnKey, held::Held>>,
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) fleet: Fleet,
     pub(crate) metrics: Metrics,
@@ -211,7 +211,7 @@
         watch::start(&shared);
         fleet::start(&shared);
         store::start_write_back(&shared);
-        turns::start_sweeper(&shared);
+        retention::start_sweeper(&shared);
 
         Ok(Self { shared, callers, ready })
     }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -13,10 +13,9 @@
 use tracing::{info, warn};
 
 use crate::asks::{self, Ask, Reply};
-use crate::budget;
 use crate::clock;
 use crate::host::Shared;
-use crate::turns;
+use crate::{grants, held};
 
 /// How long a reply through another host may take: that host's own tries, and the way.
 const RELAY_DEADLINE: Duration = Duration::from_millis(600);
@@ -182,7 +181,7 @@
         loop {
             // When nobody calls for a round, the period does.
             let _ = timeout(WRITE_BACK_PERIOD, shared.store.write_back.notified()).await;
-            tokio::join!(turns::write_held(&shared), budget::write_loose(&shared));
+            tokio::join!(held::write_held(&shared), grants::write_loose(&shared));
         }
     });
 }
