--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -15,17 +15,14 @@
     /// Calls under which targets went down.
     #[prost(message, repeated, tag = "4")]
     pub crashes: Vec<CrashNews>,
-    /// Whether the sender is leaving.
-    #[prost(bool, tag = "5")]
-    pub leaving: bool,
     /// The random number of the run of the sender's process.
     #[prost(fixed64, tag = "6")]
     pub run: u64,
     /// Whether the platform's store answers the sender.
     #[prost(bool, tag = "7")]
     pub store_answers: bool,
-    /// Whether the store stopped to answer the sender. A process that has just started says
-    /// neither.
+    /// Whether the store or a part of it does not answer the sender, or is slow. A process that
+    /// has just started says neither.
     #[prost(bool, tag = "8")]
     pub store_away: bool,
     /// The calls of programs under way that wait at the sender for a place.
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -24,9 +24,9 @@
 /// The table of budgets.
 const TABLE: &str = "budgets";
 
-/// How often a grant is asked for again when other hosts change the row at the same time. A
-/// program has a handful of lines of turns.
-const MOST_WRITES: u32 = 6;
+/// How often a row is written again when other hosts change it at the same time. A program has a
+/// handful of lines of turns.
+pub(crate) const MOST_WRITES: u32 = 6;
 
 /// When a caller is told to come back while the count cannot be had.
 const UNSURE_RETRY: Duration = Duration::from_millis(300);
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -420,7 +420,6 @@
             .as_ref()
             .map_or(0, |table| table.routing().version),
         crashes: shared.crashes.borrow_mut().take_news(),
-        leaving: shared.is_leaving(),
         store_answers: shared.store.answers(),
         store_away: shared.store.is_in_trouble(),
         waiting: shared
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -169,6 +169,23 @@
     Sent::Started(Box::new(Started { response, head, connection, place }))
 }
 
+/// Keeps a connection whose answer was taken whole, unless its target closes it.
+pub(crate) fn put_back(
+    shared: &Rc<Shared>,
+    key: TargetKey,
+    connection: Connection,
+    head: &AnswerHead,
+) {
+    if head.closes {
+        return;
+    }
+
+    let (shared, keeps_for) = (Rc::clone(shared), head.keeps_for);
+    tokio::task::spawn_local(async move {
+        shared.connections.put_back(key, connection, keeps_for).await;
+    });
+}
+
 /// Reads a refusal's body, so that its connection can be kept.
 fn drain(
     sending: &Sending<'_>,
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -13,7 +13,7 @@
 
 use crate::answer::Refusal;
 use crate::asks::{self, Ask, GrantAsk, Reply};
-use crate::budget::{TELL_DEADLINE, Written, lock, unsure, write};
+use crate::budget::{MOST_WRITES, TELL_DEADLINE, Written, lock, unsure, write};
 use crate::call::Call;
 use crate::host::Shared;
 use crate::{clock, store};
@@ -39,9 +39,6 @@
 /// The pause between two rounds of writing grants that were made without the store.
 const LOOSE_PAUSE: Duration = Duration::from_millis(50);
 
-/// How often a row is written again when other hosts change it at the same time.
-const MOST_WRITES: u32 = 6;
-
 /// Returns the hosts that are heard, in the order in which they grant a program's tokens while
 /// the store is away.
 fn grant_order(shared: &Shared, program: ProgramKey) -> Vec<HostId> {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -107,12 +107,7 @@
     let status = parts.status;
     call.log_answer(&Answered { target: &target, load, status, offers, events: None });
     place.answered();
-    if !head.closes {
-        let shared = std::rc::Rc::clone(&call.shared);
-        tokio::task::spawn_local(async move {
-            shared.connections.put_back(key, connection, head.keeps_for).await;
-        });
-    }
+    forward::put_back(&call.shared, key, connection, &head);
 
     let mut answer = Response::new(AnswerBody::Whole(Some(body)));
     *answer.status_mut() = parts.status;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -304,10 +304,5 @@
     });
     place.answered();
 
-    if !head.closes {
-        let shared = Rc::clone(&call.shared);
-        tokio::task::spawn_local(async move {
-            shared.connections.put_back(key, connection, head.keeps_for).await;
-        });
-    }
+    forward::put_back(&call.shared, key, connection, &head);
 }
