--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -242,11 +242,11 @@
 
     let status = answer.status();
     shared.metrics.answers.with_label_values(&[&route, status.as_str()]).inc();
-    shared
-        .metrics
-        .latency
-        .with_label_values(&[&route])
-        .observe(clock::now().since(began).as_secs_f64());
+    let took = clock::now().since(began).as_secs_f64();
+    shared.metrics.latency.with_label_values(&[&route]).observe(took);
+    if !tenant.is_empty() {
+        shared.metrics.tenant_latency.with_label_values(&[&tenant]).observe(took);
+    }
 
     // After a chunked body the library may have dropped a second length of the request, and
     // what follows could be a request hidden in the body. Closing leaves it unread.
@@ -413,7 +413,12 @@
         let admission = call.shared.rates.borrow_mut().admit(now, tenant, is_new, waited);
 
         match admission {
-            Admission::Admitted => return Ok(()),
+            Admission::Admitted => {
+                if !waited.is_zero() {
+                    call.shared.metrics.rate_wait.observe(waited.as_secs_f64());
+                }
+                return Ok(());
+            }
             Admission::Wait(after) => tokio::time::sleep(after).await,
             Admission::Refused(after) => {
                 log_over_rate(call, tenant, waited);
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -154,7 +154,10 @@
     let granted =
         shared.budgets.borrow_mut().grant_loose(clock::now(), *program, *run, *most, known);
     match granted {
-        Some(row) if has_witness(shared, *program, &row).await => Reply::Granted(row),
+        Some(row) if has_witness(shared, *program, &row).await => {
+            shared.metrics.loose_grants.inc();
+            Reply::Granted(row)
+        }
         Some(_) => {
             info!(program = %program.0, "budget: no host of another zone took note of a grant");
             Reply::Refused
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -106,6 +106,8 @@
 /// the turns of a part go in one transaction, and all parts at the same time.
 pub(crate) async fn write_held(shared: &Rc<Shared>) {
     let now = clock::now();
+    let held_turns = i64::try_from(shared.held.borrow().len()).unwrap_or(i64::MAX);
+    shared.metrics.held_turns.set(held_turns);
     let mut parts: Map<u64, Vec<(TurnKey, Rc<Turn>)>> = Map::default();
     for (key, held) in shared.held.borrow().iter().filter(|(_, held)| held.is_due(now)) {
         parts.entry(key.part()).or_default().push((*key, Rc::clone(&held.turn)));
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -108,6 +108,7 @@
         let isolated = isolation::is_isolated(around);
 
         if self.was_isolated.replace(isolated) != isolated {
+            self.metrics.isolated.set(i64::from(isolated));
             info!(isolated, ?around, "host: cut off, or no longer");
         }
         isolated
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,14 +1,19 @@
 //! What a host counts.
 
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder, register_histogram_vec_with_registry,
+    register_histogram_with_registry, register_int_counter_vec_with_registry,
+    register_int_counter_with_registry, register_int_gauge_with_registry,
 };
 
 /// Bounds of latencies, in seconds: from a call within a zone to the longest time limit.
 const LATENCY_BOUNDS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0];
 
+/// Bounds of waits, in seconds: from none to the longest that a call waits.
+const WAIT_BOUNDS: [f64; 7] = [0.001, 0.005, 0.02, 0.05, 0.2, 0.8, 4.0];
+
 /// The counters of a host.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -16,18 +21,30 @@
     pub(crate) answers: IntCounterVec,
     /// The time to an answer's head, by route.
     pub(crate) latency: HistogramVec,
+    /// The time to an answer's head, by tenant. There are some hundred tenants at most.
+    pub(crate) tenant_latency: HistogramVec,
     /// Answers of our own by reason.
     pub(crate) refusals: IntCounterVec,
     /// Calls sent again, by reason.
     pub(crate) resends: IntCounterVec,
     /// Calls that waited for a place.
     pub(crate) waited: IntCounter,
+    /// How long those that got one waited.
+    pub(crate) place_wait: Histogram,
+    /// How long calls waited for a token of their tenant's rate.
+    pub(crate) rate_wait: Histogram,
     /// Targets that got no calls for a while after failures.
     pub(crate) ejections: IntCounter,
     /// New connections to targets.
     pub(crate) connects: IntCounter,
     /// The version of the manifest in force.
     pub(crate) manifest_version: IntGauge,
+    /// Whether the host takes itself for cut off.
+    pub(crate) isolated: IntGauge,
+    /// Turns held that the store does not have.
+    pub(crate) held_turns: IntGauge,
+    /// Grants made without the store, by this host.
+    pub(crate) loose_grants: IntCounter,
     /// Operations on the store that another host ran.
     pub(crate) relayed: IntCounter,
     /// Turns read from the store because they were not at hand.
@@ -37,58 +54,80 @@
 impl Metrics {
     /// Makes the counters.
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
-        let registry = Registry::new();
-        let metrics = Self {
-            answers: IntCounterVec::new(
-                Opts::new("camphorwalk_answers_total", "Answers by route and status."),
+        let r = Registry::new();
+        let latency = |name, help, label: &str| {
+            let opts = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+            register_histogram_vec_with_registry!(opts, &[label], r)
+        };
+        let wait = |name, help| {
+            let opts = HistogramOpts::new(name, help).buckets(WAIT_BOUNDS.to_vec());
+            register_histogram_with_registry!(opts, r)
+        };
+        let by = |name, help, labels: &[&str]| {
+            register_int_counter_vec_with_registry!(Opts::new(name, help), labels, r)
+        };
+        let counter = |name, help| register_int_counter_with_registry!(name, help, r);
+        let gauge = |name, help| register_int_gauge_with_registry!(name, help, r);
+
+        Ok(Self {
+            answers: by(
+                "camphorwalk_answers_total",
+                "Answers by route and status.",
                 &["route", "status"],
             )?,
-            latency: HistogramVec::new(
-                HistogramOpts::new(
-                    "camphorwalk_answer_seconds",
-                    "Seconds from a request's head to its answer's head, by route.",
-                )
-                .buckets(LATENCY_BOUNDS.to_vec()),
-                &["route"],
+            latency: latency(
+                "camphorwalk_answer_seconds",
+                "Seconds from a request's head to its answer's head, by route.",
+                "route",
             )?,
-            refusals: IntCounterVec::new(
-                Opts::new("camphorwalk_refusals_total", "Answers of our own by reason."),
-                &["reason"],
+            tenant_latency: latency(
+                "camphorwalk_tenant_answer_seconds",
+                "Seconds from a request's head to its answer's head, by tenant.",
+                "tenant",
             )?,
-            resends: IntCounterVec::new(
-                Opts::new("camphorwalk_resends_total", "Calls sent again, by reason."),
+            refusals: by(
+                "camphorwalk_refusals_total",
+                "Answers of our own by reason.",
                 &["reason"],
             )?,
-            waited: IntCounter::new("camphorwalk_waited_total", "Calls that waited for a place.")?,
-            ejections: IntCounter::new("camphorwalk_ejections_total", "Targets ejected.")?,
-            connects: IntCounter::new("camphorwalk_connects_total", "Connections to targets.")?,
-            manifest_version: IntGauge::new(
+            resends: by("camphorwalk_resends_total", "Calls sent again, by reason.", &["reason"])?,
+            waited: counter("camphorwalk_waited_total", "Calls that waited for a place.")?,
+            place_wait: wait(
+                "camphorwalk_place_wait_seconds",
+                "Seconds that calls waited for a place which they got.",
+            )?,
+            rate_wait: wait(
+                "camphorwalk_rate_wait_seconds",
+                "Seconds that calls waited for a token of their tenant's rate.",
+            )?,
+            ejections: counter("camphorwalk_ejections_total", "Targets ejected.")?,
+            connects: counter("camphorwalk_connects_total", "Connections to targets.")?,
+            manifest_version: gauge(
                 "camphorwalk_manifest_version",
                 "The version of the manifest in force.",
             )?,
-            relayed: IntCounter::new(
+            isolated: gauge(
+                "camphorwalk_isolated",
+                "1 while the host is cut off from the store and other zones.",
+            )?,
+            held_turns: gauge(
+                "camphorwalk_held_turns",
+                "Turns held here that the store does not have.",
+            )?,
+            loose_grants: counter(
+                "camphorwalk_loose_grants_total",
+                "Grants made in the store's place by this host.",
+            )?,
+            relayed: counter(
                 "camphorwalk_store_relayed_total",
                 "Operations on the store that another host ran.",
             )?,
-            turn_reads: IntCounter::new(
+            turn_reads: counter(
                 "camphorwalk_turn_reads_total",
                 "Turns read from the store because they were not at hand.",
             )?,
-            registry,
-        };
-        let registry = &metrics.registry;
-        registry.register(Box::new(metrics.answers.clone()))?;
-        registry.register(Box::new(metrics.latency.clone()))?;
-        registry.register(Box::new(metrics.refusals.clone()))?;
-        registry.register(Box::new(metrics.resends.clone()))?;
-        registry.register(Box::new(metrics.waited.clone()))?;
-        registry.register(Box::new(metrics.ejections.clone()))?;
-        registry.register(Box::new(metrics.connects.clone()))?;
-        registry.register(Box::new(metrics.manifest_version.clone()))?;
-        registry.register(Box::new(metrics.turn_reads.clone()))?;
-        registry.register(Box::new(metrics.relayed.clone()))?;
-
-        Ok(metrics)
+            registry: r,
+        })
     }
 
     /// Returns the registry.
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -248,11 +248,16 @@
 
     let left = clock::until(urgency.deadline);
     let limit = if urgency.is_new { left.min(NEW_WAIT) } else { left };
+    let began = clock::now();
     let granted = timeout(limit, rx).await;
     drop(queued);
 
     match granted {
-        Ok(Ok(key)) => Ok(Place::new(shared, service, key)),
+        Ok(Ok(key)) => {
+            let waited = clock::now().since(began);
+            shared.metrics.place_wait.observe(waited.as_secs_f64());
+            Ok(Place::new(shared, service, key))
+        }
         Ok(Err(_)) => Err(nowhere(shared, service)),
         Err(_) if urgency.is_new => Err(full()),
         Err(_) => Err(Refusal::late(false)),
