Without the store no tokens for a program under way whose budget no host knows

Change: the granting host asks all hosts of a small fleet, and refuses for a turn that does not begin its program if none knows it.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -55,6 +55,8 @@
     pub(crate) most: u64,
     /// The row as the asking host knows it.
     pub(crate) known: BudgetRow,
+    /// Whether the turn may begin its program.
+    pub(crate) begins: bool,
 }
 
 /// The reply to a question.
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -25,6 +25,10 @@
 /// a small fleet may be killed before the store is back.
 const LOOSE_WITNESSES: usize = 4;
 
+/// How many hosts are asked for a program that those next in the order do not know: all of a small
+/// fleet.
+const MOST_ASKED: usize = 12;
+
 /// How long a grant by another host may take: the way there and back, and its tries to write it to
 /// a store that is slow or has just fallen silent.
 const GRANT_DEADLINE: Duration = Duration::from_millis(450);
@@ -92,7 +96,8 @@
     let shared = &call.shared;
     let empty = BudgetRow { budget, ..BudgetRow::default() };
     let known = shared.budgets.borrow().row(program).cloned().unwrap_or(empty);
-    let ask = GrantAsk { program, run: shared.run, most, known };
+    let begins = call.may_be_first();
+    let ask = GrantAsk { program, run: shared.run, most, known, begins };
     let order = grant_order(shared, program);
     let host = order.first().copied().ok_or_else(|| unsure(shared))?;
     let reply = match host == shared.fleet.own() {
@@ -132,7 +137,7 @@
 /// budget again. A process that the store never answered knows nothing of before.
 async fn grant(shared: &Rc<Shared>, ask: &GrantAsk) -> Reply {
     for _ in 0..MOST_WRITES {
-        let GrantAsk { program, run, most, known } = ask;
+        let GrantAsk { program, run, most, known, .. } = ask;
         let proposed =
             shared.budgets.borrow_mut().propose(clock::now(), *program, *run, *most, known);
         let Some((row, version)) = proposed else { return Reply::Spent };
@@ -149,8 +154,16 @@
         return Reply::Refused;
     }
 
-    let GrantAsk { program, run, most, known } = ask;
-    learn_from_next(shared, *program).await;
+    let GrantAsk { program, run, most, known, .. } = ask;
+    learn_from(shared, *program, WITNESSES).await;
+    if !shared.budgets.borrow().knows(*program) && known.granted.is_empty() {
+        // Hosts that were stopped in turn know nothing of before. Whoever ran the program does.
+        learn_from(shared, *program, MOST_ASKED).await;
+        if !shared.budgets.borrow().knows(*program) && !ask.begins {
+            info!(program = %program.0, "budget: the row of a program under way is not known");
+            return Reply::Refused;
+        }
+    }
     let granted =
         shared.budgets.borrow_mut().grant_loose(clock::now(), *program, *run, *most, known);
     match granted {
@@ -220,14 +233,16 @@
     grant_order(shared, program).into_iter().filter(move |host| *host != own).take(WITNESSES)
 }
 
-/// Learns what the hosts know that would grant next.
+/// Learns what the next hosts in the order know, `count` of them.
 ///
 /// A host that was silent for a while, or is new, may become the first in the order although
 /// others granted in its place meanwhile. Whoever did stands next in the order, or has told those
 /// that do.
-async fn learn_from_next(shared: &Shared, program: ProgramKey) {
+async fn learn_from(shared: &Shared, program: ProgramKey, count: usize) {
     let ask = Ask::KnownRow(program);
-    let hosts = next_granters(shared, program);
+    let own = shared.fleet.own();
+    let order = grant_order(shared, program);
+    let hosts = order.into_iter().filter(|host| *host != own).take(count);
     let replies = join_all(hosts.map(|host| asks::ask(shared, host, &ask, WITNESS_DEADLINE))).await;
 
     for reply in replies.into_iter().flatten() {
