News tell of what changed; 64 parts, and write-back loops of their own, for a slow store

Told are those of which the calls or the demand changed, and all of them once a second; a host counts nothing of a run before that has told of all.

Tests: news_tell_of_what_changed_and_lose_nothing.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -3,7 +3,8 @@
 /// What an entry host has under way.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct EntryNews {
-    /// What each tenant asks of the sender.
+    /// What tenants ask of the sender: all that had calls there, or those of which something has
+    /// changed.
     #[prost(message, repeated, tag = "1")]
     pub demand: Vec<Demand>,
     /// The calls that the sender has in flight at each target.
@@ -15,6 +16,9 @@
     /// Calls under which targets went down.
     #[prost(message, repeated, tag = "4")]
     pub crashes: Vec<CrashNews>,
+    /// Whether `demand` tells of all.
+    #[prost(bool, tag = "10")]
+    pub all_demand: bool,
     /// The random number of the run of the sender's process.
     #[prost(fixed64, tag = "6")]
     pub run: u64,
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -36,6 +36,10 @@
 /// fifth of a second; within this time no host can fill a target that others think idle.
 const LEAST_NEWS_PERIOD: Duration = Duration::from_millis(100);
 
+/// How often hosts tell each other of all tenants, not only of those of which something has
+/// changed: a host that was away or has just started knows all after this time.
+const ALL_NEWS_PERIOD: Duration = Duration::from_secs(1);
+
 /// What each further host adds to that period, so that a host's messages stay under a few
 /// hundred a second at any size.
 const NEWS_PERIOD_PER_HOST: Duration = Duration::from_millis(5);
@@ -383,12 +387,18 @@
 
 /// Tells the other hosts what is under way, again and again.
 async fn tell(shared: Rc<Shared>, peers: Peers) {
+    let mut told_all = Instant(0);
+
     loop {
         sleep(shared.fleet.news_period()).await;
         shared.rates.borrow_mut().tick(clock::now());
         forget_silent(&shared);
 
-        let news = news(&shared);
+        let all = clock::now().since(told_all) >= ALL_NEWS_PERIOD;
+        if all {
+            told_all = clock::now();
+        }
+        let news = news(&shared, all);
         let hosts: Vec<_> = shared.fleet.known.borrow().keys().copied().collect();
         for host in hosts {
             // News that do not go out are told again in the next round.
@@ -397,10 +407,10 @@
     }
 }
 
-fn news(shared: &Shared) -> EntryNews {
-    let rates = shared.rates.borrow();
+fn news(shared: &Shared, all_demand: bool) -> EntryNews {
     let targets = shared.targets.borrow();
-    let demand = rates.news().map(|(tenant, news)| Demand {
+    let demand = shared.rates.borrow_mut().take_news(all_demand);
+    let demand = demand.into_iter().map(|(tenant, news)| Demand {
         tenant: tenant.into(),
         per_second: news.demand,
         admitted: news.admitted,
@@ -410,6 +420,7 @@
 
     EntryNews {
         run: shared.run.0,
+        all_demand,
         demand: demand.collect(),
         in_flight: in_flight
             .map(|(target, calls)| InFlight { target: target.into(), calls })
@@ -477,7 +488,7 @@
         let news = TenantNews { admitted: d.admitted, demand: d.per_second, level: d.level };
         (d.tenant.into(), news)
     });
-    shared.rates.borrow_mut().hear(now, from, news.run, tenants);
+    shared.rates.borrow_mut().hear(now, from, news.run, news.all_demand, tenants);
     let in_flight = news.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
     let waiting = news.waiting.into_iter().map(|w| (w.service.into(), w.calls)).collect();
     shared.targets.borrow_mut().hear(from, in_flight, waiting);
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -40,9 +40,6 @@
 /// How many rows are written at the same time after the store's return.
 const WRITES_AT_ONCE: usize = 8;
 
-/// The pause between two rounds of writing grants that were made without the store.
-const LOOSE_PAUSE: Duration = Duration::from_millis(50);
-
 /// Returns the hosts that are heard, in the order in which they grant a program's tokens while
 /// the store is away.
 fn grant_order(shared: &Shared, program: ProgramKey) -> Vec<HostId> {
@@ -288,20 +285,17 @@
 }
 
 /// Writes the grants that were made without the store: those of this host at once, and those
-/// that it knows of for others if they have not been written after a while.
+/// that it knows of for others if they have not been written after a while. What fails, or met
+/// another write of the same row, stays loose until the next round.
 pub(crate) async fn write_loose(shared: &Rc<Shared>) {
-    for _ in 0..MOST_WRITES {
-        let loose = shared.budgets.borrow().loose(clock::now());
-        if loose.is_empty() {
-            return;
-        }
-
-        info!(programs = loose.len(), "budget: grants made without the store are written");
-        // What fails stays loose, and is written in the next round.
-        let writes = loose.into_iter().map(|(program, row, version)| async move {
-            write(shared, program, row, version).await.is_ok()
-        });
-        stream::iter(writes).buffer_unordered(WRITES_AT_ONCE).count().await;
-        tokio::time::sleep(LOOSE_PAUSE).await;
+    let loose = shared.budgets.borrow().loose(clock::now());
+    if loose.is_empty() {
+        return;
     }
+
+    info!(programs = loose.len(), "budget: grants made without the store are written");
+    let writes = loose.into_iter().map(|(program, row, version)| async move {
+        write(shared, program, row, version).await.is_ok()
+    });
+    stream::iter(writes).buffer_unordered(WRITES_AT_ONCE).count().await;
 }
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -13,6 +13,7 @@
 use futures::StreamExt as _;
 use futures::future::join_all;
 use futures::stream::FuturesUnordered;
+use tokio::task::{AbortHandle, JoinHandle};
 use tracing::info;
 
 use crate::asks::{self, Ask, Reply};
@@ -67,14 +68,19 @@
         copies += usize::from(matches!(reply, Some(Reply::Done)));
     }
 
-    if copies == 0 {
-        return false;
-    }
-    shared
-        .held
-        .borrow_mut()
-        .insert(key, Held { turn: Rc::clone(turn), whose: Whose::Own, since: clock::now() });
-    true
+    copies > 0
+}
+
+/// Holds a turn that ran here. `writing` is its own write, which may still be under way.
+pub(crate) fn keep_own(
+    shared: &Shared,
+    key: TurnKey,
+    turn: Rc<Turn>,
+    writing: JoinHandle<Result<(), &'static str>>,
+) {
+    let held = Held { turn, whose: Whose::Own(writing.abort_handle()), since: clock::now() };
+
+    shared.held.borrow_mut().insert(key, held);
 }
 
 /// A turn that the store does not have yet.
@@ -87,15 +93,18 @@
 impl Held {
     /// Returns whether this host is to write it now.
     fn is_due(&self, now: Instant) -> bool {
-        self.whose == Whose::Own || now.since(self.since) >= OTHERS_WRITE_AFTER
+        match &self.whose {
+            // A slow store would be asked for the same row twice.
+            Whose::Own(writing) => writing.is_finished(),
+            Whose::Peers => now.since(self.since) >= OTHERS_WRITE_AFTER,
+        }
     }
 }
 
 /// Whose turns are written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Whose {
-    /// Those that ran at this host.
-    Own,
+    /// Those that ran at this host, each with its own write.
+    Own(AbortHandle),
     /// Those that are held for other hosts, which write them themselves if they live.
     Peers,
 }
@@ -190,7 +199,7 @@
 pub(crate) fn release(shared: &Shared, key: TurnKey) {
     let held = shared.held.borrow_mut().remove(&key);
 
-    if let Some(Held { whose: Whose::Own, .. }) = held {
+    if let Some(Held { whose: Whose::Own(_), .. }) = held {
         for host in holders(shared, key) {
             asks::tell(shared, host, &Ask::TurnStored(key));
         }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -86,6 +86,12 @@
         self.away_at.set(Some(now));
     }
 
+    /// Waits until what is held is to be written: a part is back, or the period is over.
+    async fn write_back_due(&self) {
+        // When nobody calls for a round, the period does.
+        let _ = timeout(WRITE_BACK_PERIOD, self.write_back.notified()).await;
+    }
+
     /// Returns whether the store has ever answered this process.
     pub(crate) fn has_answered(&self) -> bool {
         self.health.borrow().has_answered()
@@ -165,7 +171,7 @@
         Some(Change::Lost) => warn!(part = %part, "store: does not answer"),
         Some(Change::Regained) => {
             info!(part = %part, "store: answers again");
-            shared.store.write_back.notify_one();
+            shared.store.write_back.notify_waiters();
         }
         None => {}
     }
@@ -174,14 +180,22 @@
 
 /// Starts to write what was granted and held without the store: at once when a part is back, and
 /// now and then, since other hosts may hold what their owners could not write.
+///
+/// Each has a loop of its own. Grants are a row each, and a round of them may take seconds when the
+/// store is slow; held turns, which are a few transactions, would be lost with it.
 pub(crate) fn start_write_back(shared: &Rc<Shared>) {
-    let shared = Rc::clone(shared);
+    let (turns, grants) = (Rc::clone(shared), Rc::clone(shared));
 
     tokio::task::spawn_local(async move {
         loop {
-            // When nobody calls for a round, the period does.
-            let _ = timeout(WRITE_BACK_PERIOD, shared.store.write_back.notified()).await;
-            tokio::join!(held::write_held(&shared), grants::write_loose(&shared));
+            held::write_held(&turns).await;
+            turns.store.write_back_due().await;
+        }
+    });
+    tokio::task::spawn_local(async move {
+        loop {
+            grants::write_loose(&grants).await;
+            grants.store.write_back_due().await;
         }
     });
 }
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -188,6 +188,7 @@
     if let Err(reason) = outcome {
         if held::hold_at_peers(shared, key, &turn).await {
             info!(request = %call.head.request_id, reason, "turn: held by other hosts");
+            held::keep_own(shared, key, Rc::clone(&turn), writing);
         } else if writing.is_finished() {
             return Err(reason);
         } else {
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -51,6 +51,12 @@
 /// is better told to come back.
 const LONGEST_WAIT_NEW: Duration = Duration::from_millis(50);
 
+/// By which part of itself a tenant's demand must change to be told again, and by how many calls a
+/// second at least. It decides about the reserve for news that are on their way, which is no more
+/// exact.
+const DEMAND_SLACK: f64 = 0.1;
+const LEAST_DEMAND_SLACK: f64 = 0.3;
+
 /// What becomes of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Admission {
@@ -103,6 +109,18 @@
     demand: f64,
     /// Calls a second that come to the other hosts.
     others_demand: f64,
+    /// What the other hosts were told last.
+    told: Option<TenantNews>,
+}
+
+impl Account {
+    /// Returns whether the other hosts are to be told: what they reckon with has changed.
+    fn has_news(&self) -> bool {
+        let Some(told) = self.told else { return self.admitted > 0 || self.arrived > 0 };
+        let slack = (told.demand * DEMAND_SLACK).max(LEAST_DEMAND_SLACK);
+
+        self.admitted != told.admitted || (self.demand - told.demand).abs() > slack
+    }
 }
 
 /// What another host told.
@@ -111,7 +129,9 @@
     at: Instant,
     /// Until when what it admits was told or estimated.
     counted_until: Instant,
-    run: u64,
+    /// The run of its process that has told of all its tenants. Before it has, it is not known
+    /// which of the calls that it tells of were counted already.
+    base_run: Option<u64>,
     tenants: Map<Box<str>, ToldTenant>,
 }
 
@@ -149,6 +169,7 @@
                 arrived: 0,
                 demand: 0.0,
                 others_demand: 0.0,
+                told: None,
             });
             account.refill(now);
             account.rate = rate;
@@ -166,20 +187,26 @@
         self.others = others;
     }
 
-    /// Takes in what the run `run` of a host tells of its tenants.
+    /// Takes in what the run `run` of a host tells of its tenants: of all of them, or of those of
+    /// which something has changed.
     pub fn hear(
         &mut self,
         now: Instant,
         host: HostId,
         run: u64,
+        all: bool,
         news: impl IntoIterator<Item = (Box<str>, TenantNews)>,
     ) {
-        let is_new = !self.told.contains_key(&host);
         let told = self.told.entry(host).or_default();
-        let same_run = told.run == run;
+        let is_new = told.base_run.is_none();
+        let same_run = told.base_run == Some(run);
         told.at = now;
         told.counted_until = now;
-        told.run = run;
+
+        if !same_run && !all {
+            return;
+        }
+        told.base_run = Some(run);
 
         for (tenant, news) in news {
             let before = told.tenants.insert(tenant.clone(), ToldTenant { news, estimated: 0.0 });
@@ -201,11 +228,21 @@
         }
     }
 
-    /// Returns what the other hosts are to be told.
-    pub fn news(&self) -> impl Iterator<Item = (&str, TenantNews)> {
-        self.accounts.iter().filter(|(_, a)| a.admitted > 0 || a.arrived > 0).map(|(name, a)| {
-            (&**name, TenantNews { admitted: a.admitted, demand: a.demand, level: a.level })
-        })
+    /// Returns what the other hosts are to be told, and takes note that they were. `all` tells of
+    /// all tenants that had calls here, for hosts that missed something; else only of those of
+    /// which something has changed.
+    pub fn take_news(&mut self, all: bool) -> Vec<(Box<str>, TenantNews)> {
+        let mut news = Vec::new();
+
+        for (name, account) in &mut self.accounts {
+            if !(account.has_news() || (all && account.told.is_some())) {
+                continue;
+            }
+            let Account { admitted, demand, level, .. } = *account;
+            account.told = Some(TenantNews { admitted, demand, level });
+            news.push((name.clone(), TenantNews { admitted, demand, level }));
+        }
+        news
     }
 
     /// Counts what came since the last tick, and takes out what silent hosts admit. Called
--- a/crates/policy/src/entry/turns.rs
+++ b/crates/policy/src/entry/turns.rs
@@ -8,9 +8,11 @@
 use serde_with::base64::Base64;
 use serde_with::serde_as;
 
-/// The parts of the store that turns and budgets are spread over. A part takes a bounded number
-/// of transactions one after another; with this many, none takes a tenth of the store's writes.
-pub const PARTS: u64 = 16;
+/// The parts of the store that turns and budgets are spread over. A part takes its transactions one
+/// after another, 200 a second by the users' sheets and a sixtieth of that when the store is slow.
+/// With 64 parts a slow store takes some 200 a second, which is what a fleet of the sheets' size
+/// writes; with 16 it fell behind, and turns of its last seconds were lost with the machines.
+pub const PARTS: u64 = 64;
 
 /// A turn's name within the fleet: a hash of its tenant and the id of its request, so that a
 /// turn of one tenant cannot be found by another.
@@ -27,7 +29,7 @@
     ///
     /// ```
     /// use camphorwalk_policy::entry::turns::TurnKey;
-    /// assert_eq!(&*TurnKey(0x12).row(), "2/0000000000000012");
+    /// assert_eq!(&*TurnKey(0x12).row(), "12/0000000000000012");
     /// ```
     pub fn row(self) -> Box<str> {
         format!("{:x}/{:016x}", self.part(), self.0).into()
--- a/crates/policy/tests/entry_rates.rs
+++ b/crates/policy/tests/entry_rates.rs
@@ -19,6 +19,8 @@
     hosts: Vec<Rates>,
     /// The hosts on the far side of a cut.
     cut: Vec<usize>,
+    /// How often the hosts told each other.
+    rounds: u32,
 }
 
 impl Fleet {
@@ -34,7 +36,7 @@
             })
             .collect();
 
-        Self { now, hosts, cut: Vec::new() }
+        Self { now, hosts, cut: Vec::new(), rounds: 0 }
     }
 
     /// Lets a tick pass in which `calls[i]` calls come to host `i`; returns those admitted.
@@ -57,16 +59,18 @@
 
     fn tell(&mut self) {
         for from in 0..self.hosts.len() {
-            let news: Vec<(Box<str>, TenantNews)> =
-                self.hosts[from].news().map(|(name, news)| (name.into(), news)).collect();
+            // One in ten tells of all, as hosts do.
+            let all = self.rounds.is_multiple_of(10);
+            let news: Vec<(Box<str>, TenantNews)> = self.hosts[from].take_news(all);
 
             for to in 0..self.hosts.len() {
                 let is_cut = self.cut.contains(&from) != self.cut.contains(&to);
                 if from != to && !is_cut {
-                    self.hosts[to].hear(self.now, id(from), 1, news.clone());
+                    self.hosts[to].hear(self.now, id(from), 1, all, news.clone());
                 }
             }
         }
+        self.rounds += 1;
     }
 }
 
@@ -143,6 +147,36 @@
     assert!(under_way >= 34, "{under_way} calls under way");
 }
 
+#[test]
+fn news_tell_of_what_changed_and_lose_nothing() {
+    // Seventy tenants, of which three have calls in a round. Told of in full each time, they were
+    // most of what hosts send each other. A host that is new must not count old calls again.
+    let mut here = Rates::default();
+    let mut there = Rates::default();
+    let specs: Vec<_> = (0..70)
+        .map(|i| TenantSpec { name: format!("t{i}").into(), ..tenant(100.0, 100.0) })
+        .collect();
+    let at = Instant::from_millis;
+    [&mut here, &mut there].into_iter().for_each(|rates| rates.configure(at(0), &specs));
+    for spec in &specs {
+        here.admit(at(10), &spec.name, false, Duration::ZERO);
+    }
+    let whole = here.take_news(true);
+    here.admit(at(20), "t5", false, Duration::ZERO);
+
+    let changed = here.take_news(false);
+    there.hear(at(3_000), HostId(1), 7, false, changed.clone());
+    let before_whole = there.explain("t5").unwrap().level;
+    there.hear(at(3_000), HostId(1), 7, true, whole);
+    there.hear(at(3_000), HostId(1), 7, false, changed.clone());
+    let level = |tenant| there.explain(tenant).unwrap().level;
+
+    assert_eq!((changed.len(), &*changed[0].0), (1, "t5"));
+    assert!(here.take_news(false).is_empty());
+    assert_eq!(level("t4") - level("t5"), 1.0);
+    assert!(level("t4") >= before_whole);
+}
+
 #[test]
 fn a_call_of_a_program_under_way_waits_for_its_token() {
     // A tenant near its rate sends a clump. The bucket lacks one or two tokens, which come within
