A turn is denied only when all known hosts have answered that they do not have it

The store has no row, none of the hosts that answer has the turn, all still count as heard (news hold for 0.7 s): 404, 'certain'.

Change: the answers decide, not the belief who is heard: 404 only if every known host has answered that it does not have the turn. A turn counts as held when two hosts of other zones hold it, if there are so many.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::hash::{Map, Set, rendezvous_order};
+use camphorwalk_core::hash::{Map, rendezvous_order};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::entry::{Demand, EntryNews, InFlight, Manifest, WaitingCalls};
 use camphorwalk_core::messages::{Body, PeerMessage};
@@ -193,11 +193,9 @@
         self.own
     }
 
-    /// Returns whether a known host is not heard.
-    pub(crate) fn misses_someone(&self) -> bool {
-        let fresh: Set<HostId> = self.fresh().into_iter().map(|(host, _)| host).collect();
-
-        !self.known.borrow().keys().all(|host| fresh.contains(host))
+    /// Returns all other hosts that are known, heard or not.
+    pub(crate) fn known_hosts(&self) -> Vec<HostId> {
+        self.known.borrow().keys().copied().collect()
     }
 
     /// Returns whether a host of a zone told its news of late.
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -29,7 +29,8 @@
 /// besides the one that it ran at, half of a small fleet may be killed before the store is back.
 const COPIES: usize = 5;
 
-/// How many of them must hold it before its end is passed on, or all that answer.
+/// How many of them must hold it before its end is passed on, if there are so many. A single one
+/// may be cut off together with the host that the turn ran at.
 const LEAST_COPIES: usize = 2;
 
 /// How long another host may take to say that it holds a turn.
@@ -54,21 +55,22 @@
     shared.fleet.witnesses(key.0).into_iter().take(COPIES).collect()
 }
 
-/// Has hosts of other zones hold a turn that the store does not take. Returns whether one does.
+/// Has hosts of other zones hold a turn that the store does not take. Returns whether enough do.
 pub(crate) async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) -> bool {
     let hosts = holders(shared, key);
     let ask = Ask::Hold(key, Turn::clone(turn));
     // All are asked at once; those that answer late hold it too.
     let mut replies: FuturesUnordered<_> =
         hosts.iter().map(|host| asks::ask(shared, *host, &ask, HOLD_DEADLINE)).collect();
+    let least = hosts.len().clamp(1, LEAST_COPIES);
     let mut copies = 0;
-    while copies < LEAST_COPIES
+    while copies < least
         && let Some(reply) = replies.next().await
     {
         copies += usize::from(matches!(reply, Some(Reply::Done)));
     }
 
-    copies > 0
+    copies >= least
 }
 
 /// Holds a turn that ran here. `writing` is its own write, which may still be under way.
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -28,9 +28,6 @@
 /// When a caller is told to come back while it cannot be told whether a turn exists.
 const UNSURE_RETRY: Duration = Duration::from_millis(300);
 
-/// How many hosts are asked for a turn that the store does not have.
-const MOST_ASKED: usize = 12;
-
 /// How long another host may take to find a turn: far more than the way, since a host that is
 /// late for an instant may be the only one that has it.
 const FIND_DEADLINE: Duration = Duration::from_millis(150);
@@ -83,8 +80,8 @@
     let key = TurnKey::new(call.tenant.as_deref().unwrap_or_default(), previous);
     let retention = call.route().keeps.map_or(Duration::ZERO, |keeps| keeps.retention);
     let last = read(shared, key).await?.ok_or_else(|| {
-        // Turns of the time without the store may be at hosts that are not heard.
-        let certain = shared.knows_all_turns(retention) && !shared.fleet.misses_someone();
+        // A host that was stopped may have had a turn of the time without the store.
+        let certain = shared.knows_all_turns(retention);
         info!(request = %call.head.request_id, previous, certain, "turn: no such turn");
         match certain {
             true => Refusal::wrong(StatusCode::NOT_FOUND, "there is no such turn"),
@@ -104,7 +101,7 @@
     Ok(Continuation { earlier, line })
 }
 
-/// Reads a turn; `None` if neither the store nor a host that is heard has it.
+/// Reads a turn; `None` if neither the store nor any known host has it.
 async fn read(shared: &Rc<Shared>, key: TurnKey) -> Result<Option<Rc<Turn>>, Refusal> {
     if let Some(turn) = shared.turns.borrow().get(key) {
         return Ok(Some(turn));
@@ -123,9 +120,9 @@
         }
         // It may have ended while the store was away.
         _ => match find(shared, key).await {
-            Some(turn) => turn,
-            None if is_absent => return Ok(None),
-            None => return Err(unsure(shared)),
+            Search::Found(turn) => turn,
+            Search::Nowhere if is_absent => return Ok(None),
+            Search::Nowhere | Search::Unsure => return Err(unsure(shared)),
         },
     };
     let turn = Rc::new(turn);
@@ -134,21 +131,38 @@
     Ok(Some(turn))
 }
 
-/// Asks the hosts that may hold a turn.
-async fn find(shared: &Shared, key: TurnKey) -> Option<Turn> {
-    let own = shared.fleet.own();
-    let hosts = shared.fleet.order(key.0).into_iter().filter(|host| *host != own).take(MOST_ASKED);
+/// What came of asking the other hosts for a turn.
+enum Search {
+    /// One has it.
+    Found(Turn),
+    /// All that are known have answered, and none has it.
+    Nowhere,
+    /// Some did not answer.
+    Unsure,
+}
+
+/// Asks all other hosts for a turn that the store does not have.
+///
+/// Whether hosts are heard does not tell whether one of them holds the turn: for most of a second
+/// after a cut all still count as heard, and a caller whose turn is held behind it would be told
+/// that there is none. Only their answers do.
+async fn find(shared: &Shared, key: TurnKey) -> Search {
+    let hosts = shared.fleet.known_hosts();
     let mut replies: FuturesUnordered<_> = hosts
+        .into_iter()
         .map(|host| async move { asks::ask(shared, host, &Ask::Find(key), FIND_DEADLINE).await })
         .collect();
+    let mut search = Search::Nowhere;
 
     while let Some(reply) = replies.next().await {
-        if let Some(Reply::Turn(Some(turn))) = reply {
-            return Some(turn);
+        match reply {
+            Some(Reply::Turn(Some(turn))) => return Search::Found(turn),
+            Some(Reply::Turn(None)) => {}
+            _ => search = Search::Unsure,
         }
     }
 
-    None
+    search
 }
 
 /// Returns a turn if it is at hand.
