A host that is about to end takes no call that it cannot finish

New calls came to it until the end of its grace period, 6.6 s after SIGTERM, and were cut off with it.

Ruled out: ending sooner, which cuts the calls under way.

Change: from 3.5 s after SIGTERM on, at most 0.45 of the grace period, calls are refused at once with when to come back; what is under way ends, and the host with it.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -37,6 +37,10 @@
 /// When a caller is told to come back while no manifest is known yet.
 const NO_MANIFEST_RETRY: Duration = Duration::from_millis(400);
 
+/// When a caller is told to come back who came to a host that is about to end: another host takes
+/// the new connection, if any is left.
+const LEAVING_RETRY: Duration = Duration::from_millis(200);
+
 /// How a call was answered by a target, for the logs.
 #[derive(Clone, Copy)]
 pub(crate) struct Answered<'a> {
@@ -268,6 +272,9 @@
     open: OpenRequest,
     known: &mut Known,
 ) -> Result<Answer, Refusal> {
+    if shared.takes_no_more() {
+        return Err(Refusal::later_spread("the host is leaving", LEAVING_RETRY));
+    }
     let call = read(shared, req, began, open).await?;
     known.route = call.route().name.clone();
     known.tenant = call.tenant.clone().unwrap_or_default();
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -57,6 +57,14 @@
 /// after a cut is noticed at the latest; callers come back two or three times within that.
 const MOVE_RETRY: Duration = Duration::from_millis(800);
 
+/// How long a leaving host takes calls. The balancer has sent its new connections elsewhere by then,
+/// unless less than half of the zone's hosts are left; a call that came later might still be
+/// under way when the host ends.
+const LAST_CALLS: Duration = Duration::from_millis(3_500);
+
+/// The part of the grace period that this time is at most, so that what was taken can end.
+const LAST_CALLS_PART: f64 = 0.45;
+
 /// How long before the end of the grace period a leaving host ends, whatever still runs.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -85,7 +93,8 @@
     pub(crate) fleet: Fleet,
     pub(crate) metrics: Metrics,
     pub(crate) stories: Stories,
-    leaving: Cell<bool>,
+    /// Since when the host leaves.
+    leaving: Cell<Option<Instant>>,
     /// Whether the host was cut off when that was last asked, for the logs.
     was_isolated: Cell<bool>,
     /// Requests that were read and are not answered.
@@ -95,7 +104,7 @@
 impl Shared {
     /// Returns whether the host takes new callers.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.routes.borrow().is_some() && !self.is_isolated()
+        !self.is_leaving() && self.routes.borrow().is_some() && !self.is_isolated()
     }
 
     /// Returns whether the host is cut off from all that could keep what it promises.
@@ -138,7 +147,14 @@
 
     /// Returns whether the host was asked to end.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.get()
+        self.leaving.get().is_some()
+    }
+
+    /// Returns whether a call that comes now might still be under way when the host ends.
+    pub(crate) fn takes_no_more(&self) -> bool {
+        let longest = LAST_CALLS.min(self.settings.grace.mul_f64(LAST_CALLS_PART));
+
+        self.leaving.get().is_some_and(|at| clock::now().since(at) > longest)
     }
 
     /// Counts a request until the guard is dropped.
@@ -201,7 +217,7 @@
             fleet: Fleet::new(&settings.name, &settings.zone),
             metrics,
             stories: Stories::new(),
-            leaving: Cell::new(false),
+            leaving: Cell::new(None),
             was_isolated: Cell::new(false),
             open_requests: Cell::new(0),
             settings,
@@ -238,7 +254,7 @@
     /// returns when nothing is open or the grace period is over.
     pub async fn leave(&self) {
         let shared = &self.shared;
-        shared.leaving.set(true);
+        shared.leaving.set(Some(clock::now()));
         info!(open = shared.open_requests.get(), "host: leaving");
 
         let begun = TokioInstant::now();
