Read again: less work at each answer, one order of granting hosts

Cause: whether the host is cut off is asked at each answer, and gathered all hosts that are heard three times for it even while the store answers; each kept turn looked through the last rows written although only a turn that others hold needs it; who grants next stood twice.

Behaviour is the same.

--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -55,7 +55,7 @@
     row: &BudgetRow,
     version: RowVersion,
 ) {
-    let mut hosts: Vec<_> = next_granters(shared, program).collect();
+    let mut hosts: Vec<_> = next_granters(shared, program).take(WITNESSES).collect();
     if shared.budgets.borrow().is_loose(program) {
         hosts.extend(loose_witnesses(shared, program));
         hosts.sort_unstable();
@@ -211,7 +211,8 @@
 async fn has_witness(shared: &Shared, program: ProgramKey, row: &BudgetRow) -> bool {
     let ask = Ask::Loose(program, row.clone());
     let elsewhere = loose_witnesses(shared, program);
-    for host in next_granters(shared, program).filter(|host| !elsewhere.contains(host)) {
+    let next = next_granters(shared, program).take(WITNESSES);
+    for host in next.filter(|host| !elsewhere.contains(host)) {
         asks::tell(shared, host, &ask);
     }
 
@@ -226,11 +227,11 @@
     false
 }
 
-/// Returns the hosts that grant a program's tokens without the store if this one does not.
+/// Returns the other hosts in the order in which they grant a program's tokens without the store.
 fn next_granters(shared: &Shared, program: ProgramKey) -> impl Iterator<Item = HostId> {
     let own = shared.fleet.own();
 
-    grant_order(shared, program).into_iter().filter(move |host| *host != own).take(WITNESSES)
+    grant_order(shared, program).into_iter().filter(move |host| *host != own)
 }
 
 /// Learns what the next hosts in the order know, `count` of them.
@@ -240,9 +241,7 @@
 /// that do.
 pub(crate) async fn learn_from(shared: &Shared, program: ProgramKey, count: usize) {
     let ask = Ask::KnownRow(program);
-    let own = shared.fleet.own();
-    let order = grant_order(shared, program);
-    let hosts = order.into_iter().filter(|host| *host != own).take(count);
+    let hosts = next_granters(shared, program).take(count);
     let replies = join_all(hosts.map(|host| asks::ask(shared, host, &ask, WITNESS_DEADLINE))).await;
 
     for reply in replies.into_iter().flatten() {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -109,20 +109,24 @@
 
     /// Returns whether the host is cut off from all that could keep what it promises.
     pub(crate) fn is_isolated(&self) -> bool {
-        let around = Surroundings {
-            store_in_reach: self.store.answers_whole() || self.fleet.store_peer().is_some(),
-            other_zones: self.fleet.contact_elsewhere(),
-            others: self.fleet.contact_anywhere(),
-        };
-        let isolated = isolation::is_isolated(around);
+        // Asked at each answer: whom the host hears matters only if the store does not answer.
+        let isolated = !self.store.answers_whole() && isolation::is_isolated(self.surroundings());
 
         if self.was_isolated.replace(isolated) != isolated {
             self.metrics.isolated.set(i64::from(isolated));
-            info!(isolated, ?around, "host: cut off, or no longer");
+            info!(isolated, around = ?self.surroundings(), "host: cut off, or no longer");
         }
         isolated
     }
 
+    fn surroundings(&self) -> Surroundings {
+        Surroundings {
+            store_in_reach: self.store.answers_whole() || self.fleet.store_peer().is_some(),
+            other_zones: self.fleet.contact_elsewhere(),
+            others: self.fleet.contact_anywhere(),
+        }
+    }
+
     /// Returns when a call that cannot be decided now is to come back: after `usual`, or if the
     /// host is cut off when the balancer has moved its caller to another zone.
     pub(crate) fn come_back(&self, usual: Duration) -> Duration {
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -203,16 +203,16 @@
         if held::hold_at_peers(shared, key, &turn).await {
             info!(request = %call.head.request_id, reason, "turn: held by other hosts");
             held::keep_own(shared, key, Rc::clone(&turn), writing);
+            // It may have been written while they were asked.
+            if shared.written.borrow().holds(key) {
+                held::release(shared, key);
+            }
         } else if writing.is_finished() {
             return Err(reason);
         } else {
             writing.await.map_err(|_| "the write ended early")??;
         }
     }
-    // It may have been written while other hosts were asked to hold it.
-    if shared.written.borrow().holds(key) {
-        held::release(shared, key);
-    }
     shared.turns.borrow_mut().put(key, turn);
 
     Ok(())
