--- a/crates/camphorwalk/tests/soak/callers.rs
+++ b/crates/camphorwalk/tests/soak/callers.rs
@@ -75,8 +75,8 @@
         let prompt = format!("{before}{input}");
         self.ledger.borrow_mut().prompts.insert(id.into(), prompt.clone());
         let call = Call::new("/kept/")
-            .header("request-id", id)
-            .header("previous-turn", previous.as_ref().map_or("", |turn| &turn.id))
+            .named(id)
+            .continuing(previous.as_ref().map_or("", |turn| &turn.id))
             .body(input);
 
         let Some(got) = self.send(rng, id, &call).await else { return };
@@ -100,11 +100,7 @@
                     return;
                 }
                 let id = format!("{program}-{turn}");
-                let call = Call::new("/stream/")
-                    .header("request-id", &id)
-                    .header("program-id", &program)
-                    .header("token-budget", &BUDGET.to_string())
-                    .header("token-count", &format!("10,{MOST}"));
+                let call = Call::new("/stream/").named(&id).of_program(&program, BUDGET, MOST);
                 if let Some(got) = self.send(&mut rng, &id, &call).await {
                     let events = got.text().matches("id:").count() as u64;
                     *self.ledger.borrow_mut().events.entry(program.clone()).or_default() += events;
@@ -121,7 +117,7 @@
                 return;
             }
             let id = format!("{name}-{i}");
-            let call = Call::new("/once/").header("request-id", &id).body("deposit");
+            let call = Call::new("/once/").named(&id).body("deposit");
             self.send(&mut rng, &id, &call).await;
             tokio::time::sleep(PAUSE).await;
         }
@@ -154,9 +150,7 @@
 
 /// A success must bear its target's signature, be to this call, and have all of its events.
 fn check_whole(id: &str, got: &Got, ledger: &mut Ledger) {
-    let header = |name: &str| got.headers.get(name).and_then(|value| value.to_str().ok());
-
-    if header("server-signature").is_none() || header("request-id") != Some(id) {
+    if !got.is_signed() || got.request_id() != Some(id) {
         ledger.faults.push(format!("{id} got an answer that is not its own: {:?}", got.headers));
     }
     let events: Vec<_> = got.text().lines().filter_map(|line| line.strip_prefix("id: ")).collect();
--- a/crates/camphorwalk/tests/soak/fleet.rs
+++ b/crates/camphorwalk/tests/soak/fleet.rs
@@ -10,7 +10,9 @@
 use crate::proxy::Proxy;
 use crate::support::store::Store;
 use crate::support::target::Target;
-use crate::support::{PATIENT, caller, default_routes};
+use crate::support::{
+    HostPorts, PATIENT, SETTINGS_VARIABLE, caller, default_routes, settings_text,
+};
 
 /// The zones, with the hosts of each.
 const ZONES: [(&str, usize); 3] = [("a", 2), ("b", 2), ("c", 2)];
@@ -153,18 +155,16 @@
     pub fn start_host(&mut self, i: usize, is_first_start: bool) {
         let host = &mut self.hosts[i];
         let path = self.folder.path().join(&host.name);
-        let settings = serde_json::json!({
-            "node-name": host.name, "zone": host.zone, "ip": host.ip,
-            "internal-ports": [PEERS_PORT, METRICS_PORT], "bootstrap": is_first_start,
-            "listen-addrs": {
-                "frontend": host.callers(), "ready": SocketAddr::new(host.ip, READY_PORT)
-            },
-            "limits": {"memory-mb": 130},
-            "platform": {
-                "address": host.to_store.address, "writes-per-s": 800, "reads-per-s": 2000
-            }
-        });
-        std::fs::write(&path, settings.to_string()).expect("the folder takes files");
+        let ports = HostPorts {
+            ip: host.ip,
+            callers: CALLERS_PORT,
+            ready: READY_PORT,
+            peers: PEERS_PORT,
+            metrics: METRICS_PORT,
+        };
+        let store = host.to_store.address;
+        let settings = settings_text(&host.name, host.zone, ports, store, is_first_start);
+        std::fs::write(&path, settings).expect("the folder takes files");
 
         let log = std::fs::OpenOptions::new()
             .create(true)
@@ -172,7 +172,7 @@
             .open(path.with_extension("log"))
             .expect("the folder takes files");
         let child = Command::new(env!("CARGO_BIN_EXE_camphorwalkd"))
-            .env("CAMPHORWALK_BOOT", &path)
+            .env(SETTINGS_VARIABLE, &path)
             .stdout(Stdio::from(log))
             .stderr(Stdio::inherit())
             .spawn()
--- a/crates/camphorwalk/tests/soak/ledger.rs
+++ b/crates/camphorwalk/tests/soak/ledger.rs
@@ -39,8 +39,7 @@
     pub fn broken_promises(&self, runs: &[Run]) -> Vec<String> {
         let mut by_id: HashMap<&str, Vec<&Run>> = HashMap::new();
         for run in runs {
-            let id = run.headers.get("request-id").and_then(|id| id.to_str().ok());
-            by_id.entry(id.unwrap_or("none")).or_default().push(run);
+            by_id.entry(run.request_id().unwrap_or("none")).or_default().push(run);
         }
 
         let mut broken = self.faults.clone();
--- a/crates/camphorwalk/tests/soak/main.rs
+++ b/crates/camphorwalk/tests/soak/main.rs
@@ -139,10 +139,7 @@
             let input = format!("<{id}>");
             let prompt = format!("{}{input}", turn.said);
             callers.ledger.borrow_mut().prompts.insert(id.clone(), prompt);
-            let call = Call::new("/kept/")
-                .header("request-id", &id)
-                .header("previous-turn", &turn.id)
-                .body(input);
+            let call = Call::new("/kept/").named(&id).continuing(&turn.id).body(input);
             if call.try_send(host).await.is_some_and(|got| got.is_served()) {
                 return;
             }
