Turns go where their prompt is: pace by events, prompts told among hosts; manifests on request

A target's speed was learned from how long calls took, and answers have 2 to 30 events, so that chance decided between targets; what a prompt costs counted for the call alone, not for the ten that stand still while it is read; a host knew only what it had sent itself. Ruled out: balance (loads were within 2), hosts that change (the smaller part), slots. Now a target's pace is learned by each event, without what neighbours add, shared among hosts, and forgotten in seconds; reading a prompt costs all that run; hosts tell where the last part of each prompt went. The users' figures 76.8 tokens/ms, 200 ms, 8 ms a neighbour are learned instead.

Tests: seven in entry_placement; each of three mutations (the neighbours' time, the telling of parts, the evidence of others) fails one of them. The common first choice stays where all are alike.

Cause: each host answered each news of a host with an older manifest by its whole text. Now a host that lags asks one host, of its own zone if it can, after the store had a quarter of a second. What others have in flight is counted by what a message changes, not anew over hosts and targets.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -18,7 +18,7 @@
 use tracing::warn;
 
 use crate::host::Shared;
-use crate::{budget, grants, held, store, turns};
+use crate::{budget, grants, held, store, turns, watch};
 
 /// A question to another host.
 #[derive(Debug, Serialize, Deserialize)]
@@ -43,6 +43,8 @@
     Find(TurnKey),
     /// For the targets that the other host knows.
     Targets,
+    /// For the manifest in force at the other host, which comes as a message of its own.
+    Manifest,
 }
 
 /// A question for a turn's tokens.
@@ -135,7 +137,7 @@
 /// Answers a question of another host.
 pub(crate) async fn serve(shared: Rc<Shared>, from: HostId, message: wire::Ask) {
     let reply = match serde_json::from_slice(&message.question) {
-        Ok(question) => answer(&shared, question).await,
+        Ok(question) => answer(&shared, from, question).await,
         Err(e) => {
             warn!(error = %e, host = from.0, "ask: question of another host not understood");
             Reply::Refused
@@ -148,7 +150,7 @@
     }
 }
 
-async fn answer(shared: &Rc<Shared>, question: Ask) -> Reply {
+async fn answer(shared: &Rc<Shared>, from: HostId, question: Ask) -> Reply {
     match question {
         Ask::Store(op) => store::run_for_peer(shared, op).await,
         Ask::Grant(ask) => grants::grant_for_peer(shared, &ask).await,
@@ -158,6 +160,7 @@
         Ask::Yield(program) => budget::yield_rest(shared, program),
         Ask::Hold(key, turn) => held::hold(shared, key, turn),
         Ask::TurnStored(key) => held::stored(shared, key),
+        Ask::Manifest => watch::tell_manifest(shared, from),
         Ask::Targets => Reply::Targets(shared.targets.borrow().entries()),
         Ask::Find(key) => Reply::Turn(turns::at_hand(shared, key)),
     }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -104,19 +104,12 @@
 
     /// Returns what placement is told of it.
     pub(crate) fn shape(&self) -> Shape {
-        let mut parts: Vec<_> = self.head.prefix.iter().map(|p| (p.id, p.tokens)).collect();
-
-        if parts.is_empty()
-            && let Some(object) = self.head.affinity.as_deref().filter(|_| self.route().sticky)
-        {
-            /// What a target saves that handled the object lately, in prompt tokens of the
-            /// same time: half of the mean work of such calls.
-            const WARM_TOKENS: u32 = 2_000;
-            parts.push((stable_hash(&[object.as_bytes()]), WARM_TOKENS));
-        }
-
+        let parts: Vec<_> = self.head.prefix.iter().map(|p| (p.id, p.tokens)).collect();
+        let named = self.head.affinity.as_deref().filter(|_| self.route().sticky);
+        let object = named.filter(|_| parts.is_empty()).map(|o| stable_hash(&[o.as_bytes()]));
         let begins = self.is_new.get().then_some(self.route().rank);
-        Shape { begins, parts, avoid: Vec::new() }
+
+        Shape { begins, parts, object, avoid: Vec::new() }
     }
 
     /// Returns how urgent it is.
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use camphorwalk_core::hash::{Map, rendezvous_order};
 use camphorwalk_core::ids::HostId;
-use camphorwalk_core::messages::entry::{Demand, EntryNews, InFlight, Manifest, WaitingCalls};
+use camphorwalk_core::messages::entry::{Demand, EntryNews, InFlight, Learned, WaitingCalls};
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
@@ -15,6 +15,8 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::{Inbound, PeerOptions, Peers, Secret};
 use camphorwalk_policy::entry::isolation::Contact;
+use camphorwalk_policy::entry::pace::Evidence;
+use camphorwalk_policy::entry::placement::TargetNews;
 use camphorwalk_policy::entry::rates::TenantNews;
 use rand::RngCore as _;
 use rand::seq::IteratorRandom as _;
@@ -105,6 +107,8 @@
     store_answers: bool,
     /// The run of its process.
     run: u64,
+    /// The version of the manifest in force there; 0 for none.
+    manifest_version: u64,
 }
 
 impl Heard {
@@ -151,6 +155,20 @@
         self.fresh().into_iter().find(|(_, heard)| heard.run == run).map(|(host, _)| host)
     }
 
+    /// Returns a host that is heard and has a newer manifest than `version`, of this host's own
+    /// availability zone if there is one: a manifest may be far longer than all other news.
+    pub(crate) fn manifest_peer(&self, version: u64) -> Option<HostId> {
+        let known = self.known.borrow();
+        let is_near = |host: &HostId| known.get(host).is_some_and(|k| k.zone == self.zone);
+        let fresh = self.fresh().into_iter().filter(|(_, h)| h.manifest_version > version);
+        let (near, far): (Vec<_>, Vec<_>) =
+            fresh.map(|(host, _)| host).partition(|host| is_near(host));
+
+        near.into_iter()
+            .choose(&mut rand::rng())
+            .or_else(|| far.into_iter().choose(&mut rand::rng()))
+    }
+
     /// Returns a host that is heard.
     pub(crate) fn any_peer(&self) -> Option<HostId> {
         self.fresh().into_iter().map(|(host, _)| host).choose(&mut rand::rng())
@@ -268,7 +286,7 @@
 
     *shared.fleet.peers.borrow_mut() = Some(peers.clone());
     tokio::task::spawn_local(beat(Rc::clone(&shared), peers.clone()));
-    tokio::task::spawn_local(hear(Rc::clone(&shared), peers.clone(), rx));
+    tokio::task::spawn_local(hear(Rc::clone(&shared), rx));
     tell(shared, peers).await;
 }
 
@@ -406,7 +424,8 @@
 }
 
 fn news(shared: &Shared, all_demand: bool) -> EntryNews {
-    let targets = shared.targets.borrow();
+    let mut targets = shared.targets.borrow_mut();
+    let learned = targets.take_news().into_iter().map(learned).collect();
     let demand = shared.rates.borrow_mut().take_news(all_demand);
     let demand = demand.into_iter().map(|(tenant, news)| Demand {
         tenant: tenant.into(),
@@ -423,11 +442,7 @@
         in_flight: in_flight
             .map(|(target, calls)| InFlight { target: target.into(), calls })
             .collect(),
-        manifest_version: shared
-            .routes
-            .borrow()
-            .as_ref()
-            .map_or(0, |table| table.routing().version),
+        manifest_version: shared.manifest_version(),
         crashes: shared.crashes.borrow_mut().take_news(),
         store_answers: shared.store.answers(),
         store_away: shared.store.is_in_trouble(),
@@ -437,6 +452,26 @@
             .into_iter()
             .map(|(service, calls)| WaitingCalls { service: service.into(), calls })
             .collect(),
+        learned,
+    }
+}
+
+fn learned((target, news): (Box<str>, TargetNews)) -> Learned {
+    let (parts, part_tokens) = news.parts.into_iter().unzip();
+    let Evidence { units, ms } = news.evidence;
+
+    Learned { target: target.into(), units, unit_ms: ms as f32, parts, part_tokens }
+}
+
+fn take_in_learned(shared: &Shared, learned: Vec<Learned>) {
+    let now = clock::now();
+    let mut targets = shared.targets.borrow_mut();
+
+    for of_target in learned {
+        let Learned { target, units, unit_ms, parts, part_tokens } = of_target;
+        let evidence = Evidence { units, ms: f64::from(unit_ms) };
+        let news = TargetNews { evidence, parts: parts.into_iter().zip(part_tokens).collect() };
+        targets.learn(now, &target, &news);
     }
 }
 
@@ -455,12 +490,12 @@
 }
 
 /// Takes in what other hosts tell.
-async fn hear(shared: Rc<Shared>, peers: Peers, mut rx: mpsc::Receiver<Inbound>) {
+async fn hear(shared: Rc<Shared>, mut rx: mpsc::Receiver<Inbound>) {
     while let Some(inbound) = rx.recv().await {
         let Inbound::Message { from, message } = inbound else { continue };
 
         match message.body {
-            Some(Body::EntryNews(news)) => take_in(&shared, &peers, from, news),
+            Some(Body::EntryNews(news)) => take_in(&shared, from, news),
             Some(Body::Manifest(manifest)) => watch::adopt(&shared, &manifest.text, "peer"),
             Some(Body::Ask(ask)) => {
                 tokio::task::spawn_local(asks::serve(Rc::clone(&shared), from, ask));
@@ -471,9 +506,14 @@
     }
 }
 
-fn take_in(shared: &Rc<Shared>, peers: &Peers, from: HostId, news: EntryNews) {
+fn take_in(shared: &Rc<Shared>, from: HostId, news: EntryNews) {
     let now = clock::now();
-    let heard = Heard { at: now, store_answers: news.store_answers, run: news.run };
+    let heard = Heard {
+        at: now,
+        store_answers: news.store_answers,
+        run: news.run,
+        manifest_version: news.manifest_version,
+    };
     if shared.fleet.heard.borrow_mut().insert(from, heard).is_none() {
         info!(host = from.0, "fleet: host heard");
     }
@@ -490,15 +530,11 @@
     let in_flight = news.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
     let waiting = news.waiting.into_iter().map(|w| (w.service.into(), w.calls)).collect();
     shared.targets.borrow_mut().hear(from, in_flight, waiting);
+    take_in_learned(shared, news.learned);
     for crash in news.crashes {
         shared.crashes.borrow_mut().hear(now, crash);
     }
 
-    // A host that the store turns away learns the manifest from those that reach it.
-    let own = shared.routes.borrow().as_ref().map_or(0, |table| table.routing().version);
-    if news.manifest_version < own {
-        let text = shared.manifest_text.borrow().to_string();
-        peers.send(from, PeerMessage::from(Body::Manifest(Manifest { text })));
-    }
+    watch::heard_version(shared, news.manifest_version);
     places::wake_all(shared);
 }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -78,6 +78,8 @@
     pub(crate) routes: RefCell<Option<RouteTable>>,
     /// The text of the manifest in force, for hosts that cannot reach the store.
     pub(crate) manifest_text: RefCell<Box<str>>,
+    /// Whether another host is being asked for its manifest.
+    pub(crate) asks_for_manifest: Cell<bool>,
     pub(crate) rates: RefCell<Rates>,
     pub(crate) targets: RefCell<Targets>,
     pub(crate) places: Places,
@@ -119,6 +121,11 @@
         isolated
     }
 
+    /// Returns the version of the manifest in force; 0 for none.
+    pub(crate) fn manifest_version(&self) -> u64 {
+        self.routes.borrow().as_ref().map_or(0, |table| table.routing().version)
+    }
+
     fn surroundings(&self) -> Surroundings {
         Surroundings {
             store_in_reach: self.store.answers_whole() || self.fleet.store_peer().is_some(),
@@ -208,6 +215,7 @@
             asks: Asks::default(),
             routes: RefCell::default(),
             manifest_text: RefCell::default(),
+            asks_for_manifest: Cell::new(false),
             rates: RefCell::default(),
             targets: RefCell::new(Targets::new(&settings.zone)),
             places: Places::default(),
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -36,7 +36,7 @@
 
 struct Waiter {
     shape: Shape,
-    tx: oneshot::Sender<TargetKey>,
+    tx: oneshot::Sender<Place>,
 }
 
 /// The calls that wait at this host.
@@ -94,14 +94,42 @@
     pub(crate) key: TargetKey,
     service: Box<str>,
     taken: Instant,
+    /// The prompt tokens that are to be read, as far as is known.
+    missing: u32,
+    /// The events that the target has made, and when the last one came.
+    events: u32,
+    last_event: Option<Instant>,
     ended: bool,
 }
 
 impl Place {
-    fn new(shared: &Rc<Shared>, service: &str, key: TargetKey) -> Self {
-        let taken = clock::now();
+    /// Takes a place for a call that is sent now.
+    fn new(shared: &Rc<Shared>, service: &str, key: TargetKey, shape: &Shape) -> Self {
+        let missing = shared.targets.borrow_mut().sent(key, shape);
+
+        Self {
+            shared: Rc::clone(shared),
+            key,
+            service: service.into(),
+            taken: clock::now(),
+            missing,
+            events: 0,
+            last_event: None,
+            ended: false,
+        }
+    }
 
-        Self { shared: Rc::clone(shared), key, service: service.into(), taken, ended: false }
+    /// Takes in that the target made events of a stream.
+    pub(crate) fn made(&mut self, events: u32) {
+        let now = clock::now();
+        let mut targets = self.shared.targets.borrow_mut();
+
+        match self.last_event {
+            None => targets.began(self.key, self.missing, now.since(self.taken)),
+            Some(at) => targets.progressed(now, self.key, events, now.since(at)),
+        }
+        self.events += events;
+        self.last_event = Some(now);
     }
 
     /// Returns the target's id, and what all hosts have in flight there as this one knows.
@@ -118,7 +146,15 @@
 
     /// Ends the call with a whole answer.
     pub(crate) fn answered(self) {
-        let held = clock::now().since(self.taken);
+        let now = clock::now();
+        let held = now.since(self.taken);
+        {
+            let mut targets = self.shared.targets.borrow_mut();
+            if self.events == 0 {
+                targets.progressed(now, self.key, 1, held);
+            }
+            targets.counted(self.key, self.events.max(1));
+        }
         self.end(Outcome::Answered(held));
     }
 
@@ -174,8 +210,7 @@
 
     match choice {
         Choice::Target(key) if nobody_waits => {
-            shared.targets.borrow_mut().sent(key, shape);
-            return Ok(Place::new(shared, service, key));
+            return Ok(Place::new(shared, service, key, shape));
         }
         Choice::Nowhere => return Err(nowhere(shared, service)),
         Choice::Target(_) | Choice::Full => {}
@@ -224,9 +259,7 @@
 /// Takes a place at a target that a call was at before, whatever waits for it: the call held
 /// its slot until now.
 pub(crate) fn same(shared: &Rc<Shared>, service: &str, key: TargetKey, shape: &Shape) -> Place {
-    shared.targets.borrow_mut().sent(key, shape);
-
-    Place::new(shared, service, key)
+    Place::new(shared, service, key, shape)
 }
 
 async fn wait(
@@ -253,10 +286,10 @@
     drop(queued);
 
     match granted {
-        Ok(Ok(key)) => {
+        Ok(Ok(place)) => {
             let waited = clock::now().since(began);
             shared.metrics.place_wait.observe(waited.as_secs_f64());
-            Ok(Place::new(shared, service, key))
+            Ok(place)
         }
         Ok(Err(_)) => Err(nowhere(shared, service)),
         Err(_) if urgency.is_new => Err(full()),
@@ -284,11 +317,8 @@
 
         // Dropping the sender of a call that has nowhere to go tells it so.
         let Choice::Target(key) = choice else { continue };
-        shared.targets.borrow_mut().sent(key, &waiter.shape);
-
-        if waiter.tx.send(key).is_err() {
-            shared.targets.borrow_mut().ended(clock::now(), key, Outcome::Left);
-        }
+        // If the call has gone meanwhile, its place is dropped and free again.
+        drop(waiter.tx.send(Place::new(shared, service, key, &waiter.shape)));
     }
 }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -222,6 +222,7 @@
         }
 
         let mut bytes = BytesMut::new();
+        let before = progress.events;
         while let Some(event) = cutter.next() {
             // A target that resumes a stream may repeat what is there already.
             if event.id.is_some() && event.id <= progress.last_event {
@@ -234,6 +235,7 @@
             bytes.extend_from_slice(&event.bytes);
         }
         if !bytes.is_empty() {
+            started.place.made(u32::try_from(progress.events - before).unwrap_or(u32::MAX));
             return Next::Events(bytes.freeze());
         }
     }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -6,6 +6,9 @@
 
 use camphorwalk_adapter::{manifest, paths, targets};
 use camphorwalk_core::hash::Set;
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::messages::Body;
+use camphorwalk_core::messages::entry::Manifest;
 use camphorwalk_core::platform::{
     PlatformOp, PlatformReply, Row, RowKey, RowVersion, TableChanges,
 };
@@ -23,6 +26,12 @@
 /// silent shows after this time; the manifest must be in force after two seconds.
 const MANIFEST_WAIT: Duration = Duration::from_millis(1_200);
 
+/// How long the store has to bring a manifest that another host has already.
+const MANIFEST_FROM_STORE: Duration = Duration::from_millis(250);
+
+/// How long another host may take to send its manifest: some hundred kilobytes on a slow link.
+const MANIFEST_DEADLINE: Duration = Duration::from_millis(500);
+
 /// How often the targets' entries are asked for. A leaving target must be left alone two
 /// seconds after its entry says so.
 const TARGETS_PERIOD: Duration = Duration::from_millis(400);
@@ -101,6 +110,50 @@
     }
 }
 
+/// Takes in that another host has a manifest of this version. If it is newer than the one in force
+/// and the store does not bring it, it is asked for.
+///
+/// The store turns some hosts away while it answers others. When all of these sent their manifest
+/// unasked, a host that was turned away got it from each of them, again with each of their news,
+/// until its link was full. So it asks one of them at a time.
+pub(crate) fn heard_version(shared: &Rc<Shared>, version: u64) {
+    if version <= shared.manifest_version() || shared.asks_for_manifest.replace(true) {
+        return;
+    }
+
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        learn_manifest(&shared, version).await;
+        shared.asks_for_manifest.set(false);
+    });
+}
+
+async fn learn_manifest(shared: &Rc<Shared>, version: u64) {
+    // The store tells all hosts within some milliseconds, and mostly needs no help.
+    if shared.store.answers() {
+        sleep(MANIFEST_FROM_STORE).await;
+    }
+    let own = shared.manifest_version();
+    if version <= own {
+        return;
+    }
+    let Some(host) = shared.fleet.manifest_peer(own) else { return };
+
+    // The manifest itself comes before the reply. Without one the next news lead to a new question.
+    let reply = asks::ask(shared, host, &Ask::Manifest, MANIFEST_DEADLINE).await;
+    info!(host = host.0, own, version, answered = reply.is_some(), "manifest: asked for at a peer");
+}
+
+/// Sends the manifest in force to another host that asked for it.
+pub(crate) fn tell_manifest(shared: &Shared, to: HostId) -> Reply {
+    let text = shared.manifest_text.borrow().to_string();
+
+    match shared.fleet.send(to, Body::Manifest(Manifest { text })) {
+        true => Reply::Done,
+        false => Reply::Refused,
+    }
+}
+
 /// Adopts a manifest if it is newer than the one in force.
 pub(crate) fn adopt(shared: &Rc<Shared>, text: &str, source: &str) {
     let routing = match manifest::read(text) {
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -9,32 +9,23 @@
 use std::time::Duration;
 
 use camphorwalk_core::entry::{TargetEntry, TargetState};
-use camphorwalk_core::hash::{Map, Set, rendezvous_weight, stable_hash};
+use camphorwalk_core::hash::{Map, rendezvous_weight, stable_hash};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 use slotmap::SlotMap;
 
+use crate::entry::pace::{Evidence, Pace, Work};
+use crate::entry::prompts::{Part, Prompts};
+
 slotmap::new_key_type! {
     /// A run of a target, as this host knows it.
     pub struct TargetKey;
 }
 
-/// The prompt tokens that an engine reads in a millisecond, by the users' sheets.
-const PROMPT_TOKENS_PER_MS: f64 = 76.8;
-
-/// How long a generation holds its slot before anything was measured: seven events of eleven
-/// tokens at 2.62 ms, by the users' sheets.
-const FIRST_HOLD_MS: f64 = 200.0;
-
 /// What a target in another availability zone costs more, in milliseconds: the way there and
 /// back, and the price of the bytes.
 const FAR_MS: f64 = 4.0;
 
-/// What one call in flight within the slots adds, in milliseconds: while a call runs, about as
-/// many others begin as are in flight, and the reading of each one's prompt, some hundred tokens,
-/// holds up all that generate.
-const SHARED_MS: f64 = 8.0;
-
 /// The place in a prompt of the part that a program's first line owns. Sub-agents' prompts begin
 /// with it too.
 const ROOT_PART: usize = 1;
@@ -52,11 +43,8 @@
 const FIRST_EJECTION: Duration = Duration::from_millis(500);
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 
-/// How many prompt parts are remembered for each target.
-const PARTS_REMEMBERED: usize = 4_096;
-
-/// The weight of a new measurement of a target's speed.
-const SPEED_WEIGHT: f64 = 0.15;
+/// What of its time a call saves at a target that handled its object of late.
+const WARM_PART: f64 = 0.5;
 
 /// A target as this host sees it.
 #[derive(Clone, Debug)]
@@ -74,10 +62,19 @@
     failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
-    /// The mean time that a call holds a slot, in milliseconds.
-    hold_ms: f64,
-    /// Prompt parts that were read here, two generations of them.
-    parts: [Set<u64>; 2],
+    pace: Pace,
+    prompts: Prompts,
+    /// What the other hosts are to be told.
+    news: TargetNews,
+}
+
+/// What a host learned of a target, for the other hosts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TargetNews {
+    /// How fast it works.
+    pub evidence: Evidence,
+    /// The last parts of the prompts that were sent there.
+    pub parts: Vec<Part>,
 }
 
 /// The part of a target's slots up to which calls of new programs go there, by rank: the first
@@ -98,8 +95,10 @@
 pub struct Shape {
     /// The rank of the call if it begins a program.
     pub begins: Option<u32>,
-    /// The prompt parts and their tokens, in order.
-    pub parts: Vec<(u64, u32)>,
+    /// The prompt parts, in order. While they are read, all calls at the target stand still.
+    pub parts: Vec<Part>,
+    /// The object that the call is about, of a call without a prompt.
+    pub object: Option<u64>,
     /// Targets that the call was sent to already.
     pub avoid: Vec<TargetKey>,
 }
@@ -134,6 +133,7 @@
     targets: SlotMap<TargetKey, Target>,
     by_id: Map<Box<str>, TargetKey>,
     by_service: Map<Box<str>, Vec<TargetKey>>,
+    work: Map<Box<str>, Work>,
     zone: Box<str>,
     told: Map<HostId, Map<Box<str>, u32>>,
     /// The calls under way that wait at other hosts, by host and service.
@@ -204,8 +204,9 @@
             failures: 0,
             ejections: 0,
             ejected_until: None,
-            hold_ms: FIRST_HOLD_MS,
-            parts: Default::default(),
+            pace: Pace::default(),
+            prompts: Prompts::default(),
+            news: TargetNews::default(),
         });
 
         self.by_id.insert(id, key);
@@ -258,15 +259,46 @@
         in_flight: Map<Box<str>, u32>,
         waiting: Map<Box<str>, u32>,
     ) {
+        // Only what this host tells is taken out and put in: each message costs as much as it
+        // names targets, however many hosts and targets there are.
+        for (id, calls) in self.told.remove(&host).unwrap_or_default() {
+            self.change_others(&id, |others| others.saturating_sub(calls));
+        }
+        for (id, calls) in &in_flight {
+            self.change_others(id, |others| others + calls);
+        }
         self.told.insert(host, in_flight);
         self.waiting.insert(host, waiting);
+    }
+
+    fn change_others(&mut self, id: &str, change: impl FnOnce(u32) -> u32) {
+        let target = self.by_id.get(id).and_then(|key| self.targets.get_mut(*key));
+
+        if let Some(target) = target {
+            target.others = change(target.others);
+        }
+    }
+
+    /// Takes in what another host learned of a target.
+    pub fn learn(&mut self, now: Instant, id: &str, news: &TargetNews) {
+        let Some(key) = self.by_id.get(id).copied() else { return };
+        self.take_evidence(now, key, news.evidence);
 
-        for target in self.targets.values_mut() {
-            target.others = self.told.values().filter_map(|told| told.get(&target.entry.id)).sum();
+        if let Some(target) = self.targets.get_mut(key) {
+            news.parts.iter().for_each(|part| target.prompts.remember(*part));
         }
     }
 
-    /// Chooses the target of a service that would be done with a call first.
+    /// Returns what this host learned of each target since it was last asked, by target id.
+    pub fn take_news(&mut self) -> Vec<(Box<str>, TargetNews)> {
+        let has_news = |t: &&mut Target| t.news != TargetNews::default();
+        let targets = self.targets.values_mut().filter(has_news);
+
+        targets.map(|t| (t.entry.id.clone(), std::mem::take(&mut t.news))).collect()
+    }
+
+    /// Chooses the target of a service at which a call costs least time, its own and that of the
+    /// calls that run there.
     pub fn choose(&self, now: Instant, service: &str, shape: &Shape) -> Choice {
         let usable = |(key, target): &(TargetKey, &Target)| {
             !shape.avoid.contains(key) && !target.is_ejected(now)
@@ -274,6 +306,7 @@
         let favourite = self.favourite(now, service, shape);
         let is_held_back = shape.begins.is_some_and(|rank| self.is_crowded(now, service, rank))
             || shape.begins.is_some() && self.is_awaited(service);
+        let work = self.work(service);
         let mut any = false;
         let mut best: Option<(f64, TargetKey)> = None;
 
@@ -284,8 +317,14 @@
                 continue;
             }
 
-            let cost = self.cost(target, shape, favourite == Some(key));
-            if best.is_none_or(|(least, _)| cost < least) {
+            let way = if target.entry.zone == self.zone { 0.0 } else { FAR_MS };
+            let cost = target.cost(now, &work, shape) + way;
+            let is_better = match best {
+                None => true,
+                Some((least, _)) if favourite == Some(key) => cost <= least,
+                Some((least, _)) => cost < least,
+            };
+            if is_better {
                 best = Some((cost, key));
             }
         }
@@ -297,6 +336,10 @@
         }
     }
 
+    fn work(&self, service: &str) -> Work {
+        self.work.get(service).copied().unwrap_or_default()
+    }
+
     /// Returns whether a service's targets together have no room for a new program of a rank.
     ///
     /// One of many targets mostly has a free slot, by news that are a tenth of a second old, while
@@ -318,15 +361,12 @@
 
     /// Returns the mean time that a call holds a slot of a service's targets.
     pub fn mean_hold(&self, service: &str) -> Duration {
-        let (sum, count) = self
-            .of_service(service)
-            .fold((0.0, 0u32), |(sum, count), (_, target)| (sum + target.hold_ms, count + 1));
-
-        Duration::from_secs_f64(sum / f64::from(count.max(1)) / 1_000.0)
+        Duration::from_secs_f64(self.work(service).hold_ms() / 1_000.0)
     }
 
-    /// Returns the target that holds a program's prompts if nothing else is known: the same at
-    /// all hosts, so that a line of turns that comes through another host finds its cache.
+    /// Returns the target that gets a program's first turn where all are alike: the same at all
+    /// hosts, so that a line of turns that comes through another one finds its prompt although
+    /// nothing was told yet.
     fn favourite(&self, now: Instant, service: &str, shape: &Shape) -> Option<TargetKey> {
         let root = shape.parts.get(ROOT_PART).or(shape.parts.first())?.0;
         let usable = self.of_service(service).filter(|(_, target)| !target.is_ejected(now));
@@ -334,24 +374,58 @@
         usable.max_by_key(|(_, target)| rendezvous_weight(root, target.name)).map(|(key, _)| key)
     }
 
-    /// Returns the milliseconds that a call would take at a target.
-    fn cost(&self, target: &Target, shape: &Shape, is_favourite: bool) -> f64 {
-        let slots = target.entry.slots.max(1);
-        let load = target.load();
-        let missing = if is_favourite { 0 } else { target.missing(&shape.parts) };
-        let prompt = f64::from(missing) / PROMPT_TOKENS_PER_MS;
-        let waiting = f64::from((load + 1).saturating_sub(slots));
-        let wait = waiting * target.hold_ms / f64::from(slots);
-        let way = if target.entry.zone == self.zone { 0.0 } else { FAR_MS };
+    /// Counts a call that is sent to a target. Returns the prompt tokens that are to be read.
+    pub fn sent(&mut self, key: TargetKey, shape: &Shape) -> u32 {
+        let Some(target) = self.targets.get_mut(key) else { return 0 };
+        target.own += 1;
+        if let Some(object) = shape.object {
+            target.prompts.remember((object, 1));
+        }
+        let Some(last) = shape.parts.last() else { return 0 };
 
-        target.hold_ms + prompt + wait + way + f64::from(load.min(slots)) * SHARED_MS
+        let missing = target.prompts.missing(&shape.parts);
+        shape.parts.iter().for_each(|part| target.prompts.remember(*part));
+        target.news.parts.push(*last);
+        work_of(&mut self.work, &target.entry.service).sent(missing);
+
+        missing
+    }
+
+    /// Takes in that the first event of a stream came `waited` after it was sent, while `missing`
+    /// prompt tokens were read.
+    pub fn began(&mut self, key: TargetKey, missing: u32, waited: Duration) {
+        let Some(target) = self.targets.get(key) else { return };
+
+        // Behind full slots the time is that of others.
+        if target.load() <= target.entry.slots {
+            let work = work_of(&mut self.work, &target.entry.service);
+            work.read(missing, as_ms(waited), work.unit_ms());
+        }
     }
 
-    /// Counts a call that is sent to a target.
-    pub fn sent(&mut self, key: TargetKey, shape: &Shape) {
+    /// Takes in that a target made `units` of work for a call in this time.
+    pub fn progressed(&mut self, now: Instant, key: TargetKey, units: u32, took: Duration) {
         let Some(target) = self.targets.get_mut(key) else { return };
-        target.own += 1;
-        target.remember(&shape.parts);
+        let work = work_of(&mut self.work, &target.entry.service);
+        let evidence = Evidence { units, ms: as_ms(took) / target.slowdown(work, 1) };
+
+        target.news.evidence.add(evidence);
+        self.take_evidence(now, key, evidence);
+    }
+
+    /// Takes in how many units of work a call had.
+    pub fn counted(&mut self, key: TargetKey, units: u32) {
+        if let Some(target) = self.targets.get(key) {
+            work_of(&mut self.work, &target.entry.service).counted(units);
+        }
+    }
+
+    fn take_evidence(&mut self, now: Instant, key: TargetKey, evidence: Evidence) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        let work = work_of(&mut self.work, &target.entry.service);
+
+        work.paced(evidence);
+        target.pace.learn(now, evidence, work.unit_ms());
     }
 
     /// Counts a call out, and learns from how it ended. Returns whether the target was ejected.
@@ -364,7 +438,7 @@
                 target.failures = 0;
                 target.ejections = 0;
                 target.ejected_until = None;
-                target.learn_hold(held);
+                work_of(&mut self.work, &target.entry.service).ended(as_ms(held));
                 false
             }
             Outcome::Left => false,
@@ -416,26 +490,31 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the tokens that must be read: a part counts only with all parts before it.
-    fn missing(&self, parts: &[(u64, u32)]) -> u32 {
-        let is_kept = |id: &u64| self.parts.iter().any(|generation| generation.contains(id));
-        let missing = parts.iter().skip_while(|(id, _)| is_kept(id));
+    /// Returns by which factor the calls that run here slow each other down, without `own` of them.
+    fn slowdown(&self, work: &Work, own: u32) -> f64 {
+        let running = self.load().min(self.entry.slots.max(1));
 
-        missing.map(|(_, tokens)| tokens).sum()
+        1.0 + f64::from(running.saturating_sub(own)) * work.share()
     }
 
-    fn remember(&mut self, parts: &[(u64, u32)]) {
-        self.parts[0].extend(parts.iter().map(|(id, _)| *id));
-
-        if self.parts[0].len() > PARTS_REMEMBERED / 2 {
-            self.parts.swap(0, 1);
-            self.parts[0].clear();
-        }
-    }
+    /// Returns the milliseconds that a call costs here: its own time, and that for which the calls
+    /// that run here stand still while its prompt is read.
+    fn cost(&self, now: Instant, work: &Work, shape: &Shape) -> f64 {
+        let slots = self.entry.slots.max(1);
+        let load = self.load();
+        let running = f64::from(load.min(slots));
+        let usual = work.unit_ms();
+        let unit = self.pace.unit_ms(now, usual);
+        let slowness = unit / usual;
+
+        let reading = work.reading_ms(self.prompts.missing(&shape.parts)) * slowness;
+        let making = work.units() * unit * self.slowdown(work, 0);
+        let waiting = f64::from((load + 1).saturating_sub(slots));
+        let wait = waiting * work.hold_ms() * slowness / f64::from(slots);
+        let is_warm = shape.object.is_some_and(|object| self.prompts.holds(object));
+        let saved = if is_warm { making * WARM_PART } else { 0.0 };
 
-    fn learn_hold(&mut self, held: Duration) {
-        let held = held.as_secs_f64() * 1_000.0;
-        self.hold_ms += (held - self.hold_ms) * SPEED_WEIGHT;
+        reading * (1.0 + running) + making - saved + wait
     }
 
     fn fail(&mut self, now: Instant) -> bool {
@@ -451,3 +530,16 @@
         true
     }
 }
+
+/// Returns what the calls of a service are like.
+fn work_of<'a>(work: &'a mut Map<Box<str>, Work>, service: &str) -> &'a mut Work {
+    if !work.contains_key(service) {
+        work.insert(service.into(), Work::default());
+    }
+
+    work.entry(service.into()).or_default()
+}
+
+fn as_ms(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/policy/src/entry/prompts.rs
@@ -0,0 +1,62 @@
+//! Which parts of prompts a target is believed to keep.
+
+use camphorwalk_core::hash::Map;
+
+/// How many prompt parts are remembered for each target, in each of two generations.
+const PARTS_REMEMBERED: usize = 2_048;
+
+/// A part of a prompt: its id and its tokens. The part of a line of turns keeps its id and grows.
+pub type Part = (u64, u32);
+
+/// The prompt parts that a target read, by what this host sent there and what others told.
+#[derive(Clone, Debug, Default)]
+pub struct Prompts {
+    /// The newer generation first; the older one goes when the newer one is full.
+    generations: [Map<u64, u32>; 2],
+}
+
+impl Prompts {
+    /// Returns the tokens of a prompt that the target would have to read.
+    ///
+    /// A part is read together with all parts before it, and those are used with it. So the last
+    /// part that is known tells that those before it are there too.
+    ///
+    /// ```
+    /// use camphorwalk_policy::entry::prompts::Prompts;
+    /// let mut prompts = Prompts::default();
+    /// prompts.remember((7, 600));
+    /// assert_eq!(prompts.missing(&[(1, 512), (7, 700)]), 100);
+    /// assert_eq!(prompts.missing(&[(1, 512), (8, 700)]), 1_212);
+    /// ```
+    pub fn missing(&self, parts: &[Part]) -> u32 {
+        let mut missing = 0;
+
+        for (id, tokens) in parts.iter().rev() {
+            if let Some(kept) = self.kept(*id) {
+                return missing + tokens.saturating_sub(kept);
+            }
+            missing += tokens;
+        }
+        missing
+    }
+
+    /// Returns whether a part is known.
+    pub fn holds(&self, id: u64) -> bool {
+        self.kept(id).is_some()
+    }
+
+    fn kept(&self, id: u64) -> Option<u32> {
+        self.generations.iter().filter_map(|parts| parts.get(&id)).max().copied()
+    }
+
+    /// Takes in that the target reads a part.
+    pub fn remember(&mut self, (id, tokens): Part) {
+        let kept = self.generations[0].entry(id).or_default();
+        *kept = tokens.max(*kept);
+
+        if self.generations[0].len() >= PARTS_REMEMBERED {
+            self.generations.swap(0, 1);
+            self.generations[0].clear();
+        }
+    }
+}
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -6,7 +6,10 @@
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::placement::{Choice, Outcome, Shape, TargetKey, Targets};
+use camphorwalk_policy::entry::pace::Evidence;
+use camphorwalk_policy::entry::placement::{
+    Choice, Outcome, Shape, TargetKey, TargetNews, Targets,
+};
 use camphorwalk_policy::entry::removals::Removals;
 use camphorwalk_policy::entry::waiting::{Urgency, WaiterId, Waiting};
 
@@ -230,3 +233,170 @@
     assert!(!at_once);
     assert!(much_later);
 }
+
+fn engine(id: &str) -> TargetEntry {
+    TargetEntry { slots: 12, ..entry(id, "a") }
+}
+
+/// Has a target make `events` events, each in `ms` milliseconds.
+fn stream(targets: &mut Targets, now: Instant, key: TargetKey, events: u32, ms: u64) {
+    for _ in 0..events {
+        targets.progressed(now, key, 1, Duration::from_millis(ms));
+    }
+}
+
+#[test]
+fn the_length_of_answers_does_not_move_a_line_away_from_its_prompt() {
+    // Answers have between two and thirty events. When a target's speed was learned from how long
+    // calls took, a line left the target that held its prompt after a long answer, and its whole
+    // prompt was read again: two of three tokens read were read again so.
+    let mut targets = Targets::new("a");
+    ["x", "y", "z"].into_iter().for_each(|id| {
+        targets.put(engine(id));
+    });
+    let mut homes = Vec::new();
+
+    for turn in 1..8 {
+        let shape = Shape { parts: vec![(1, 512), (2, 600 * turn)], ..Shape::default() };
+        let key = send(&mut targets, &shape).unwrap();
+        let events = if turn % 2 == 0 { 29 } else { 2 };
+        stream(&mut targets, NOW, key, events, 26);
+        targets.counted(key, events);
+        targets.ended(NOW, key, Outcome::Answered(Duration::from_millis(26) * events));
+        homes.push(key);
+    }
+
+    assert!(homes.iter().all(|key| *key == homes[0]));
+}
+
+#[test]
+fn a_line_stays_with_its_prompt_while_others_are_a_little_less_busy() {
+    // Reading a line's whole prompt again stops all that run at the new target meanwhile, which
+    // costs more than some neighbours do. Only a target that is far busier is left.
+    let mut targets = Targets::new("a");
+    targets.put(engine("x"));
+    targets.put(engine("y"));
+    let line = |tokens| Shape { parts: vec![(1, 512), (2, tokens)], ..Shape::default() };
+    let told = |x, y| Map::from_iter([("x".into(), x), ("y".into(), y)]);
+    targets.hear(HostId(1), told(0, 12), Map::default());
+    let home = send(&mut targets, &line(2_000)).unwrap();
+    targets.ended(NOW, home, Outcome::Answered(Duration::from_millis(200)));
+
+    targets.hear(HostId(1), told(8, 5), Map::default());
+    let a_little_busier = targets.choose(NOW, "engines", &line(2_600));
+    targets.hear(HostId(1), told(14, 2), Map::default());
+    let full = targets.choose(NOW, "engines", &line(2_600));
+
+    assert_eq!(name(&targets, home), "x");
+    assert_eq!(a_little_busier, Choice::Target(home));
+    assert!(matches!(full, Choice::Target(key) if key != home));
+}
+
+#[test]
+fn a_line_that_comes_through_another_host_finds_its_prompt_by_what_that_host_told() {
+    // The line began where its program's first choice was full. The host that its next turn comes
+    // through never sent it anywhere, and would have it read again at that first choice.
+    let ids = ["u", "v", "w", "x", "y", "z"];
+    let (mut here, mut there) = (Targets::new("a"), Targets::new("a"));
+    ids.iter().for_each(|id| {
+        here.put(engine(id));
+        there.put(engine(id));
+    });
+
+    for line in 0..50 {
+        let shape = Shape { parts: vec![(1, 512), (100 + line, 654)], ..Shape::default() };
+        let favourite = match here.choose(NOW, "engines", &shape) {
+            Choice::Target(key) => Box::from(name(&here, key)),
+            other => panic!("{other:?}"),
+        };
+        let busy = Map::from_iter([(favourite, 14)]);
+        here.hear(HostId(9), busy, Map::default());
+        let first = send(&mut here, &shape).unwrap();
+        here.ended(NOW, first, Outcome::Answered(Duration::from_millis(200)));
+        here.hear(HostId(9), Map::default(), Map::default());
+
+        for (id, news) in here.take_news() {
+            there.learn(NOW, &id, &news);
+        }
+        let second = send(&mut there, &shape).unwrap();
+        there.ended(NOW, second, Outcome::Answered(Duration::from_millis(200)));
+
+        assert_eq!(name(&here, first), name(&there, second));
+    }
+}
+
+#[test]
+fn the_turns_of_sub_agents_go_where_their_parents_prompt_is() {
+    // A turn starts five sub-agents, whose prompts begin with its own.
+    let mut targets = Targets::new("a");
+    ["x", "y", "z"].into_iter().for_each(|id| {
+        targets.put(engine(id));
+    });
+    let parent = Shape { parts: vec![(1, 512), (2, 1_500)], ..Shape::default() };
+    let home = send(&mut targets, &parent).unwrap();
+    targets.ended(NOW, home, Outcome::Answered(Duration::from_millis(200)));
+
+    let sent: Vec<_> = (10..13)
+        .map(|own| Shape { parts: vec![(1, 512), (2, 1_500), (own, 300)], ..Shape::default() })
+        .map(|shape| send(&mut targets, &shape).unwrap())
+        .collect();
+
+    assert_eq!(sent, [home; 3]);
+}
+
+#[test]
+fn a_target_that_turns_slow_is_found_by_the_pace_of_its_events() {
+    // An engine runs four times slower from now on. Its calls end only after a second, and each
+    // host has one or two there. The events that do come tell it within some tenths of a second,
+    // those of the other hosts too.
+    let mut targets = Targets::new("a");
+    ["x", "y"].into_iter().for_each(|id| {
+        targets.put(engine(id));
+    });
+    let told = |x, y| Map::from_iter([("x".into(), x), ("y".into(), y)]);
+    targets.hear(HostId(1), told(0, 4), Map::default());
+    let slow = send(&mut targets, &Shape::default()).unwrap();
+    targets.hear(HostId(1), told(4, 0), Map::default());
+    let usual = send(&mut targets, &Shape::default()).unwrap();
+    stream(&mut targets, NOW, slow, 7, 26);
+    stream(&mut targets, NOW, usual, 7, 26);
+
+    stream(&mut targets, NOW, slow, 2, 104);
+    stream(&mut targets, NOW, usual, 8, 26);
+    let news = TargetNews { evidence: Evidence { units: 4, ms: 400.0 }, parts: Vec::new() };
+    targets.learn(NOW, "x", &news);
+    targets.hear(HostId(1), told(1, 4), Map::default());
+    let chosen = targets.choose(NOW, "engines", &Shape::default());
+    let much_later = NOW + Duration::from_secs(20);
+    let forgiven = targets.choose(much_later, "engines", &Shape::default());
+
+    assert_eq!(chosen, Choice::Target(usual));
+    assert_eq!(forgiven, Choice::Target(slow));
+}
+
+#[test]
+fn all_targets_slow_at_once_still_get_calls() {
+    // No target is worse than the others, so that none is left out.
+    let mut targets = targets(&["x", "y"]);
+    let keys: Vec<_> = (0..2).filter_map(|_| send(&mut targets, &Shape::default())).collect();
+    keys.iter().for_each(|key| stream(&mut targets, NOW, *key, 20, 500));
+
+    let more = (0..2).filter_map(|_| send(&mut targets, &Shape::default())).count();
+
+    assert_eq!((keys.len(), more), (2, 2));
+}
+
+#[test]
+fn what_hosts_have_in_flight_is_counted_out_when_they_tell_anew_or_fall_silent() {
+    let mut targets = targets(&["x", "y"]);
+    let told = |x, y| Map::from_iter([("x".into(), x), ("y".into(), y)]);
+    targets.hear(HostId(1), told(2, 1), Map::default());
+    targets.hear(HostId(2), told(1, 0), Map::default());
+
+    targets.hear(HostId(1), told(0, 3), Map::default());
+    targets.hear(HostId(2), Map::default(), Map::default());
+    targets.put(entry("z", "a"));
+
+    let load = |id| targets.by_id(id).map(|target| target.load());
+    assert_eq!([load("x"), load("y"), load("z")], [Some(0), Some(3), Some(0)]);
+}
