Targets are drawn by free slots; hosts of a zone tell each other more often

Cause: with placement by cost alone all hosts took the same target until the next news. Ruled out: too few engines (60 of 100 slots taken). Now a call chooses between the targets that hold its prompt and two drawn by free slots and pace, and hosts of a zone tell each other each 115 ms, those of others each 345. In a fleet of some ten hosts all are told each 100 ms as before. News and the fleet have a module each.

Tests: two, one of which has 23 calls at one target when the draw ignores chance.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -109,7 +109,9 @@
         let object = named.filter(|_| parts.is_empty()).map(|o| stable_hash(&[o.as_bytes()]));
         let begins = self.is_new.get().then_some(self.route().rank);
 
-        Shape { begins, parts, object, avoid: Vec::new() }
+        let seed = stable_hash(&[self.head.request_id.as_bytes()]);
+
+        Shape { begins, parts, object, avoid: Vec::new(), seed }
     }
 
     /// Returns how urgent it is.
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -7,7 +7,6 @@
 
 use camphorwalk_core::hash::{Map, rendezvous_order};
 use camphorwalk_core::ids::HostId;
-use camphorwalk_core::messages::entry::{Demand, EntryNews, InFlight, Learned, WaitingCalls};
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
@@ -15,9 +14,6 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::{Inbound, PeerOptions, Peers, Secret};
 use camphorwalk_policy::entry::isolation::Contact;
-use camphorwalk_policy::entry::pace::Evidence;
-use camphorwalk_policy::entry::placement::TargetNews;
-use camphorwalk_policy::entry::rates::TenantNews;
 use rand::RngCore as _;
 use rand::seq::IteratorRandom as _;
 use serde::{Deserialize, Serialize};
@@ -26,7 +22,7 @@
 use tracing::{info, warn};
 
 use crate::host::Shared;
-use crate::{asks, clock, places, store, watch};
+use crate::{asks, clock, news, store, watch};
 
 /// The table of hosts, each under its name.
 const HOSTS_TABLE: &str = "hosts";
@@ -34,18 +30,6 @@
 /// The table of what the fleet shares.
 const FLEET_TABLE: &str = "fleet";
 
-/// How often hosts tell each other what they have under way, in a small fleet. Calls take a
-/// fifth of a second; within this time no host can fill a target that others think idle.
-const LEAST_NEWS_PERIOD: Duration = Duration::from_millis(100);
-
-/// How often hosts tell each other of all tenants, not only of those of which something has
-/// changed: a host that was away or has just started knows all after this time.
-const ALL_NEWS_PERIOD: Duration = Duration::from_secs(1);
-
-/// What each further host adds to that period, so that a host's messages stay under a few
-/// hundred a second at any size.
-const NEWS_PERIOD_PER_HOST: Duration = Duration::from_millis(5);
-
 /// How often a host writes its row, and reads those of the others.
 const BEAT_PERIOD: Duration = Duration::from_secs(5);
 
@@ -99,16 +83,16 @@
     peers: RefCell<Option<Peers>>,
 }
 
-/// What another host told last.
+/// What another host told last of itself.
 #[derive(Clone, Copy)]
-struct Heard {
-    at: Instant,
+pub(crate) struct Heard {
+    pub(crate) at: Instant,
     /// Whether the store answers it.
-    store_answers: bool,
+    pub(crate) store_answers: bool,
     /// The run of its process.
-    run: u64,
+    pub(crate) run: u64,
     /// The version of the manifest in force there; 0 for none.
-    manifest_version: u64,
+    pub(crate) manifest_version: u64,
 }
 
 impl Heard {
@@ -253,10 +237,16 @@
         peers.as_ref().is_some_and(|peers| peers.send(host, PeerMessage::from(body)))
     }
 
-    fn news_period(&self) -> Duration {
-        let hosts = u32::try_from(self.size()).unwrap_or(u32::MAX);
+    /// Returns the hosts of this host's own availability zone, without itself, and all others.
+    pub(crate) fn by_distance(&self) -> (Vec<HostId>, Vec<HostId>) {
+        let known = self.known.borrow();
+
+        known.keys().partition(|host| known[*host].zone == self.zone)
+    }
 
-        LEAST_NEWS_PERIOD.max(NEWS_PERIOD_PER_HOST.saturating_mul(hosts))
+    /// Takes in that another host told its news. Returns whether it was silent before.
+    pub(crate) fn heard(&self, host: HostId, heard: Heard) -> bool {
+        self.heard.borrow_mut().insert(host, heard).is_none()
     }
 }
 
@@ -287,7 +277,7 @@
     *shared.fleet.peers.borrow_mut() = Some(peers.clone());
     tokio::task::spawn_local(beat(Rc::clone(&shared), peers.clone()));
     tokio::task::spawn_local(hear(Rc::clone(&shared), rx));
-    tell(shared, peers).await;
+    news::tell(shared, peers).await;
 }
 
 /// Gets the secret by which the hosts know each other. The first host of a fleet writes it.
@@ -401,82 +391,8 @@
     shared.rates.borrow_mut().set_others(known.keys().copied().collect());
 }
 
-/// Tells the other hosts what is under way, again and again.
-async fn tell(shared: Rc<Shared>, peers: Peers) {
-    let mut told_all = Instant(0);
-
-    loop {
-        sleep(shared.fleet.news_period()).await;
-        shared.rates.borrow_mut().tick(clock::now());
-        forget_silent(&shared);
-
-        let all = clock::now().since(told_all) >= ALL_NEWS_PERIOD;
-        if all {
-            told_all = clock::now();
-        }
-        let news = news(&shared, all);
-        let hosts: Vec<_> = shared.fleet.known.borrow().keys().copied().collect();
-        for host in hosts {
-            // News that do not go out are told again in the next round.
-            peers.send(host, PeerMessage::from(Body::EntryNews(news.clone())));
-        }
-    }
-}
-
-fn news(shared: &Shared, all_demand: bool) -> EntryNews {
-    let mut targets = shared.targets.borrow_mut();
-    let learned = targets.take_news().into_iter().map(learned).collect();
-    let demand = shared.rates.borrow_mut().take_news(all_demand);
-    let demand = demand.into_iter().map(|(tenant, news)| Demand {
-        tenant: tenant.into(),
-        per_second: news.demand,
-        admitted: news.admitted,
-        level: news.level,
-    });
-    let in_flight = targets.in_flight();
-
-    EntryNews {
-        run: shared.run.0,
-        all_demand,
-        demand: demand.collect(),
-        in_flight: in_flight
-            .map(|(target, calls)| InFlight { target: target.into(), calls })
-            .collect(),
-        manifest_version: shared.manifest_version(),
-        crashes: shared.crashes.borrow_mut().take_news(),
-        store_answers: shared.store.answers(),
-        store_away: shared.store.is_in_trouble(),
-        waiting: shared
-            .places
-            .waiting()
-            .into_iter()
-            .map(|(service, calls)| WaitingCalls { service: service.into(), calls })
-            .collect(),
-        learned,
-    }
-}
-
-fn learned((target, news): (Box<str>, TargetNews)) -> Learned {
-    let (parts, part_tokens) = news.parts.into_iter().unzip();
-    let Evidence { units, ms } = news.evidence;
-
-    Learned { target: target.into(), units, unit_ms: ms as f32, parts, part_tokens }
-}
-
-fn take_in_learned(shared: &Shared, learned: Vec<Learned>) {
-    let now = clock::now();
-    let mut targets = shared.targets.borrow_mut();
-
-    for of_target in learned {
-        let Learned { target, units, unit_ms, parts, part_tokens } = of_target;
-        let evidence = Evidence { units, ms: f64::from(unit_ms) };
-        let news = TargetNews { evidence, parts: parts.into_iter().zip(part_tokens).collect() };
-        targets.learn(now, &target, &news);
-    }
-}
-
 /// What a silent host had in flight no longer counts.
-fn forget_silent(shared: &Rc<Shared>) {
+pub(crate) fn forget_silent(shared: &Rc<Shared>) {
     let now = clock::now();
     let silent: Vec<_> = {
         let mut heard = shared.fleet.heard.borrow_mut();
@@ -495,7 +411,7 @@
         let Inbound::Message { from, message } = inbound else { continue };
 
         match message.body {
-            Some(Body::EntryNews(news)) => take_in(&shared, from, news),
+            Some(Body::EntryNews(news)) => news::take_in(&shared, from, news),
             Some(Body::Manifest(manifest)) => watch::adopt(&shared, &manifest.text, "peer"),
             Some(Body::Ask(ask)) => {
                 tokio::task::spawn_local(asks::serve(Rc::clone(&shared), from, ask));
@@ -505,36 +421,3 @@
         }
     }
 }
-
-fn take_in(shared: &Rc<Shared>, from: HostId, news: EntryNews) {
-    let now = clock::now();
-    let heard = Heard {
-        at: now,
-        store_answers: news.store_answers,
-        run: news.run,
-        manifest_version: news.manifest_version,
-    };
-    if shared.fleet.heard.borrow_mut().insert(from, heard).is_none() {
-        info!(host = from.0, "fleet: host heard");
-    }
-
-    if news.store_away {
-        shared.store.away_somewhere(now);
-    }
-
-    let tenants = news.demand.into_iter().map(|d| {
-        let news = TenantNews { admitted: d.admitted, demand: d.per_second, level: d.level };
-        (d.tenant.into(), news)
-    });
-    shared.rates.borrow_mut().hear(now, from, news.run, news.all_demand, tenants);
-    let in_flight = news.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
-    let waiting = news.waiting.into_iter().map(|w| (w.service.into(), w.calls)).collect();
-    shared.targets.borrow_mut().hear(from, in_flight, waiting);
-    take_in_learned(shared, news.learned);
-    for crash in news.crashes {
-        shared.crashes.borrow_mut().hear(now, crash);
-    }
-
-    watch::heard_version(shared, news.manifest_version);
-    places::wake_all(shared);
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod held;
 mod host;
 mod metrics;
+mod news;
 mod places;
 mod plain;
 mod probes;
--- /dev/null
+++ b/crates/entry/src/news.rs
@@ -0,0 +1,193 @@
+//! What hosts tell each other several times a second: what they have under way, what came of it,
+//! and what they believe of the store.
+//!
+//! Hosts of an availability zone tell each other more often than those of others. The next call
+//! mostly goes to a target of its own zone, and what is in flight there changes within the time
+//! of a call; news to all hosts as often would take most of a small host's processor.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::messages::entry::{
+    CrashNews, Demand, EntryNews, InFlight, Learned, WaitingCalls,
+};
+use camphorwalk_core::messages::{Body, PeerMessage};
+use camphorwalk_core::time::Instant;
+use camphorwalk_peer::Peers;
+use camphorwalk_policy::entry::pace::Evidence;
+use camphorwalk_policy::entry::placement::TargetNews;
+use camphorwalk_policy::entry::rates::TenantNews;
+use tokio::time::sleep;
+use tracing::info;
+
+use crate::fleet::{Heard, forget_silent};
+use crate::host::Shared;
+use crate::{clock, places, watch};
+
+/// How often a host tells its news to few others. Calls take a fifth of a second; within this time
+/// no host can fill a target that others think idle.
+const LEAST_PERIOD: Duration = Duration::from_millis(100);
+
+/// What each host that is told adds to that period, so that a host's messages stay under a few
+/// hundred a second at any size.
+const PERIOD_PER_HOST: Duration = Duration::from_millis(5);
+
+/// How often hosts tell each other of all tenants, not only of those of which something has
+/// changed: a host that was away or has just started knows all after this time.
+const ALL_DEMAND_PERIOD: Duration = Duration::from_secs(1);
+
+/// Returns how often so many hosts are told.
+fn period(hosts: usize) -> Duration {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+
+    LEAST_PERIOD.max(PERIOD_PER_HOST.saturating_mul(hosts))
+}
+
+/// What came up since hosts were told last. All else in the news is as it stands.
+#[derive(Clone, Default)]
+struct Changes {
+    learned: Map<Box<str>, TargetNews>,
+    demand: Map<Box<str>, TenantNews>,
+    crashes: Vec<CrashNews>,
+}
+
+impl Changes {
+    /// Takes what came up at this host since this was called last.
+    fn take(shared: &Shared, all_demand: bool) -> Self {
+        Self {
+            learned: shared.targets.borrow_mut().take_news().into_iter().collect(),
+            demand: shared.rates.borrow_mut().take_news(all_demand).into_iter().collect(),
+            crashes: shared.crashes.borrow_mut().take_news(),
+        }
+    }
+
+    /// Adds what came up later.
+    fn add(&mut self, later: Changes) {
+        for (target, news) in later.learned {
+            self.learned.entry(target).or_default().add(news);
+        }
+        self.demand.extend(later.demand);
+        self.crashes.extend(later.crashes);
+    }
+}
+
+/// Tells the other hosts what is under way, again and again.
+pub(crate) async fn tell(shared: Rc<Shared>, peers: Peers) {
+    let mut told_all_demand = Instant(0);
+    let mut told_far = Instant(0);
+    let mut for_far = Changes::default();
+
+    loop {
+        let (near, far) = shared.fleet.by_distance();
+        sleep(period(near.len())).await;
+        shared.rates.borrow_mut().tick(clock::now());
+        forget_silent(&shared);
+
+        let now = clock::now();
+        let is_far_due = now.since(told_far) + LEAST_PERIOD / 2 >= period(near.len() + far.len());
+        let all_demand = is_far_due && now.since(told_all_demand) >= ALL_DEMAND_PERIOD;
+        if all_demand {
+            told_all_demand = now;
+        }
+
+        let changes = Changes::take(&shared, all_demand);
+        for_far.add(changes.clone());
+        send(&peers, &near, news(&shared, changes, all_demand));
+        if is_far_due {
+            told_far = now;
+            send(&peers, &far, news(&shared, std::mem::take(&mut for_far), all_demand));
+        }
+    }
+}
+
+fn send(peers: &Peers, hosts: &[HostId], news: EntryNews) {
+    for host in hosts {
+        // What is as it stands is told again in the next round. What came up is lost with news that
+        // do not go out: prompts are read again, and admitted calls are told as a total.
+        peers.send(*host, PeerMessage::from(Body::EntryNews(news.clone())));
+    }
+}
+
+fn news(shared: &Shared, changes: Changes, all_demand: bool) -> EntryNews {
+    let targets = shared.targets.borrow();
+    let waiting = shared.places.waiting().into_iter();
+    let in_flight = targets.in_flight();
+
+    EntryNews {
+        run: shared.run.0,
+        all_demand,
+        demand: changes.demand.into_iter().map(demand).collect(),
+        in_flight: in_flight
+            .map(|(target, calls)| InFlight { target: target.into(), calls })
+            .collect(),
+        manifest_version: shared.manifest_version(),
+        crashes: changes.crashes,
+        store_answers: shared.store.answers(),
+        store_away: shared.store.is_in_trouble(),
+        waiting: waiting
+            .map(|(service, calls)| WaitingCalls { service: service.into(), calls })
+            .collect(),
+        learned: changes.learned.into_iter().map(learned).collect(),
+    }
+}
+
+fn demand((tenant, news): (Box<str>, TenantNews)) -> Demand {
+    let TenantNews { admitted, demand, level } = news;
+
+    Demand { tenant: tenant.into(), per_second: demand, admitted, level }
+}
+
+fn learned((target, news): (Box<str>, TargetNews)) -> Learned {
+    let (parts, part_tokens) = news.parts.into_iter().unzip();
+    let Evidence { units, ms } = news.evidence;
+
+    Learned { target: target.into(), units, unit_ms: ms as f32, parts, part_tokens }
+}
+
+/// Takes in the news of another host.
+pub(crate) fn take_in(shared: &Rc<Shared>, from: HostId, news: EntryNews) {
+    let now = clock::now();
+    let heard = Heard {
+        at: now,
+        store_answers: news.store_answers,
+        run: news.run,
+        manifest_version: news.manifest_version,
+    };
+    if shared.fleet.heard(from, heard) {
+        info!(host = from.0, "fleet: host heard");
+    }
+
+    if news.store_away {
+        shared.store.away_somewhere(now);
+    }
+
+    let tenants = news.demand.into_iter().map(|d| {
+        let news = TenantNews { admitted: d.admitted, demand: d.per_second, level: d.level };
+        (d.tenant.into(), news)
+    });
+    shared.rates.borrow_mut().hear(now, from, news.run, news.all_demand, tenants);
+    let in_flight = news.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
+    let waiting = news.waiting.into_iter().map(|w| (w.service.into(), w.calls)).collect();
+    shared.targets.borrow_mut().hear(from, in_flight, waiting);
+    take_in_learned(shared, news.learned);
+    for crash in news.crashes {
+        shared.crashes.borrow_mut().hear(now, crash);
+    }
+
+    watch::heard_version(shared, news.manifest_version);
+    places::wake_all(shared);
+}
+
+fn take_in_learned(shared: &Shared, learned: Vec<Learned>) {
+    let now = clock::now();
+    let mut targets = shared.targets.borrow_mut();
+
+    for of_target in learned {
+        let Learned { target, units, unit_ms, parts, part_tokens } = of_target;
+        let evidence = Evidence { units, ms: f64::from(unit_ms) };
+        let news = TargetNews { evidence, parts: parts.into_iter().zip(part_tokens).collect() };
+        targets.learn(now, &target, &news);
+    }
+}
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -26,9 +26,8 @@
 /// back, and the price of the bytes.
 const FAR_MS: f64 = 4.0;
 
-/// The place in a prompt of the part that a program's first line owns. Sub-agents' prompts begin
-/// with it too.
-const ROOT_PART: usize = 1;
+/// How likely a target without a free slot is drawn, against one with a single free slot.
+const FULL_WEIGHT: f64 = 0.05;
 
 /// How many calls beyond its slots a target may have before calls wait at the hosts. A few keep
 /// a slot from standing idle between two calls; more would wait in the order of their arrival
@@ -90,6 +89,14 @@
 /// slots taken a turn takes 290 to 400 ms instead of 200, and a third of the programs are late.
 const CROWDED_PART: [f64; 2] = [0.75, 0.65];
 
+impl TargetNews {
+    /// Adds what was learned later.
+    pub fn add(&mut self, later: TargetNews) {
+        self.evidence.add(later.evidence);
+        self.parts.extend(later.parts);
+    }
+}
+
 /// What is asked of a target.
 #[derive(Clone, Debug, Default)]
 pub struct Shape {
@@ -101,6 +108,28 @@
     pub object: Option<u64>,
     /// Targets that the call was sent to already.
     pub avoid: Vec<TargetKey>,
+    /// What is drawn by for a call without a prompt: different for each.
+    pub seed: u64,
+}
+
+impl Shape {
+    /// Returns what targets are drawn by. For a line of turns it is the same at all hosts, so that
+    /// they draw the same target for it if they know the same.
+    fn draw(&self) -> u64 {
+        self.parts.last().map_or(self.seed, |(id, _)| *id)
+    }
+
+    /// Returns the most calls that a target with so many slots may have for this one to go there.
+    fn limit(&self, slots: u32) -> u32 {
+        match self.begins {
+            None => slots + QUEUED_AT_TARGET,
+            Some(rank) => {
+                let part = NEW_PROGRAMS_PART[usize::from(rank > 0)];
+                // Truncated, but a target of few slots takes one call at least.
+                ((f64::from(slots) * part) as u32).max(1)
+            }
+        }
+    }
 }
 
 /// Where a call goes.
@@ -297,18 +326,23 @@
         targets.map(|t| (t.entry.id.clone(), std::mem::take(&mut t.news))).collect()
     }
 
-    /// Chooses the target of a service at which a call costs least time, its own and that of the
-    /// calls that run there.
+    /// Chooses the target of a service for a call: of those that hold its prompt and two others
+    /// the one at which it costs least time, its own and that of the calls that run there.
+    ///
+    /// What others have in flight is known by news that are as old as a call is long. If all hosts
+    /// took the target that seems best, they would all take the same one until the next news. So
+    /// the two others are drawn, each target as likely as it has free slots.
     pub fn choose(&self, now: Instant, service: &str, shape: &Shape) -> Choice {
         let usable = |(key, target): &(TargetKey, &Target)| {
             !shape.avoid.contains(key) && !target.is_ejected(now)
         };
-        let favourite = self.favourite(now, service, shape);
         let is_held_back = shape.begins.is_some_and(|rank| self.is_crowded(now, service, rank))
             || shape.begins.is_some() && self.is_awaited(service);
         let work = self.work(service);
+        let draw = shape.draw();
         let mut any = false;
-        let mut best: Option<(f64, TargetKey)> = None;
+        let mut holder: Option<(f64, TargetKey)> = None;
+        let mut drawn: [Option<(f64, TargetKey)>; 2] = [None; 2];
 
         for (key, target) in self.of_service(service).filter(usable) {
             any = true;
@@ -316,19 +350,21 @@
             if is_held_back || !target.has_room(shape) {
                 continue;
             }
-
-            let way = if target.entry.zone == self.zone { 0.0 } else { FAR_MS };
-            let cost = target.cost(now, &work, shape) + way;
-            let is_better = match best {
-                None => true,
-                Some((least, _)) if favourite == Some(key) => cost <= least,
-                Some((least, _)) => cost < least,
-            };
-            if is_better {
-                best = Some((cost, key));
+            if target.holds_line(shape) {
+                keep_least(&mut holder, (self.cost(now, target, &work, shape), key));
+            }
+            let place = target.draw(now, draw, &work, shape);
+            if drawn[0].is_none_or(|(first, _)| place < first) {
+                drawn = [Some((place, key)), drawn[0]];
+            } else {
+                keep_least(&mut drawn[1], (place, key));
             }
         }
 
+        let mut best = holder;
+        for (_, key) in drawn.into_iter().flatten() {
+            keep_least(&mut best, (self.cost(now, &self.targets[key], &work, shape), key));
+        }
         match best {
             Some((_, key)) => Choice::Target(key),
             None if any => Choice::Full,
@@ -336,6 +372,12 @@
         }
     }
 
+    fn cost(&self, now: Instant, target: &Target, work: &Work, shape: &Shape) -> f64 {
+        let way = if target.entry.zone == self.zone { 0.0 } else { FAR_MS };
+
+        target.cost(now, work, shape) + way
+    }
+
     fn work(&self, service: &str) -> Work {
         self.work.get(service).copied().unwrap_or_default()
     }
@@ -364,16 +406,6 @@
         Duration::from_secs_f64(self.work(service).hold_ms() / 1_000.0)
     }
 
-    /// Returns the target that gets a program's first turn where all are alike: the same at all
-    /// hosts, so that a line of turns that comes through another one finds its prompt although
-    /// nothing was told yet.
-    fn favourite(&self, now: Instant, service: &str, shape: &Shape) -> Option<TargetKey> {
-        let root = shape.parts.get(ROOT_PART).or(shape.parts.first())?.0;
-        let usable = self.of_service(service).filter(|(_, target)| !target.is_ejected(now));
-
-        usable.max_by_key(|(_, target)| rendezvous_weight(root, target.name)).map(|(key, _)| key)
-    }
-
     /// Counts a call that is sent to a target. Returns the prompt tokens that are to be read.
     pub fn sent(&mut self, key: TargetKey, shape: &Shape) -> u32 {
         let Some(target) = self.targets.get_mut(key) else { return 0 };
@@ -474,16 +506,27 @@
     }
 
     fn has_room(&self, shape: &Shape) -> bool {
-        let most = match shape.begins {
-            None => self.entry.slots + QUEUED_AT_TARGET,
-            Some(rank) => {
-                let part = NEW_PROGRAMS_PART[usize::from(rank > 0)];
-                // Truncated, but a target of few slots takes one call at least.
-                ((f64::from(self.entry.slots) * part) as u32).max(1)
-            }
-        };
+        self.load() < shape.limit(self.entry.slots)
+    }
+
+    /// Returns whether the target had the call's object of late, or holds more of its prompt than
+    /// the part that calls of a kind share.
+    fn holds_line(&self, shape: &Shape) -> bool {
+        let own = shape.parts.iter().skip(1).map(|(id, _)| *id);
 
-        self.load() < most
+        own.chain(shape.object).any(|id| self.prompts.holds(id))
+    }
+
+    /// Returns the target's place in a draw, the least being drawn first: a random number by its
+    /// name that is the smaller, the more slots are free and the faster it works.
+    fn draw(&self, now: Instant, draw: u64, work: &Work, shape: &Shape) -> f64 {
+        let free = shape.limit(self.entry.slots).min(self.entry.slots).saturating_sub(self.load());
+        let usual = work.unit_ms();
+        let slowness = self.pace.unit_ms(now, usual) / usual;
+        let weight = f64::from(free).max(FULL_WEIGHT) / slowness;
+        let random = (rendezvous_weight(draw, self.name).0 >> 11) as f64 / (1u64 << 53) as f64;
+
+        -random.max(f64::MIN_POSITIVE).ln() / weight
     }
 
     fn is_ejected(&self, now: Instant) -> bool {
@@ -531,6 +574,13 @@
     }
 }
 
+/// Keeps the candidate that costs least.
+fn keep_least(best: &mut Option<(f64, TargetKey)>, candidate: (f64, TargetKey)) {
+    if best.is_none_or(|(least, _)| candidate.0 < least) {
+        *best = Some(candidate);
+    }
+}
+
 /// Returns what the calls of a service are like.
 fn work_of<'a>(work: &'a mut Map<Box<str>, Work>, service: &str) -> &'a mut Work {
     if !work.contains_key(service) {
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -400,3 +400,48 @@
     let load = |id| targets.by_id(id).map(|target| target.load());
     assert_eq!([load("x"), load("y"), load("z")], [Some(0), Some(3), Some(0)]);
 }
+
+#[test]
+fn hosts_with_the_same_news_do_not_all_take_the_same_target() {
+    // Until the next news 23 hosts of a zone begin three programs each. All know the same of 16
+    // targets of six slots. When each took the best one, 23 calls came to it within a tenth of
+    // a second, it refused some and was late with the others, while its neighbours stood idle.
+    let ids: Vec<_> = (0..16).map(|i| format!("engine-{i}")).collect();
+    let mut sent: Map<Box<str>, u32> = Map::default();
+
+    for host in 0..23 {
+        let mut targets = Targets::new("a");
+        ids.iter().for_each(|id| {
+            targets.put(TargetEntry { slots: 6, ..entry(id, "a") });
+        });
+        for program in 0..3 {
+            let line = 1_000 + host * 10 + program;
+            let shape = Shape { parts: vec![(1, 512), (line, 654)], ..Shape::default() };
+            let key = send(&mut targets, &shape).unwrap();
+            *sent.entry(name(&targets, key).into()).or_default() += 1;
+        }
+    }
+
+    let busiest = sent.values().max().copied().unwrap();
+    let used = sent.len();
+    assert!(busiest <= 2 * 6 && used >= 12, "{busiest} calls at one target, {used} targets used");
+}
+
+#[test]
+fn calls_without_a_prompt_are_spread_by_what_is_free() {
+    // Plain calls of 20 ms come and go between two news. Most go where most slots are free.
+    let mut targets = Targets::new("a");
+    for id in ["x", "y"] {
+        targets.put(TargetEntry { slots: 6, ..entry(id, "a") });
+    }
+    targets.hear(HostId(1), Map::from_iter([("x".into(), 5), ("y".into(), 1)]), Map::default());
+
+    let chosen = (0..200).map(|seed| {
+        let shape = Shape { seed, ..Shape::default() };
+        targets.choose(NOW, "engines", &shape)
+    });
+    let to_y = chosen
+        .filter(|choice| matches!(choice, Choice::Target(key) if name(&targets, *key) == "y"));
+
+    assert!(to_y.count() > 150);
+}
