New programs begin up to 0.9 and 0.8 of all slots

Hypothesis: the parts 0.75 and 0.65 were right while each second turn read its whole prompt again. The two tests state the same order of ranks with the new parts; the second one now also tells the two ranks apart, which it did not.

--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -83,11 +83,11 @@
 /// late and none is refused. With a part of the slots left to programs under way those finish
 /// in time, and a new one is told at once to come back. The first rank may take more, so that it
 /// is served first.
-const NEW_PROGRAMS_PART: [f64; 2] = [0.8, 0.65];
+const NEW_PROGRAMS_PART: [f64; 2] = [0.95, 0.85];
 
-/// The part of all slots of a service up to which new programs begin, by rank as above. At 11 of 12
-/// slots taken a turn takes 290 to 400 ms instead of 200, and a third of the programs are late.
-const CROWDED_PART: [f64; 2] = [0.75, 0.65];
+/// The part of all slots of a service up to which new programs begin, by rank as above. What is left
+/// takes the turns of those under way, which come in clumps.
+const CROWDED_PART: [f64; 2] = [0.9, 0.8];
 
 impl TargetNews {
     /// Adds what was learned later.
