Lines are read from the host before, targets of the own zone are drawn first, a pause between manifests

Hosts tell each other already where a prompt went, so the line is asked for at the host that sent its last turn, and the store only if that does not answer within 20 ms. A far target is now drawn like one with a quarter of its slots. - Manifests 60 ms apart were all read and understood by all hosts (41 reads, test; now one each 150 ms).

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -41,6 +41,8 @@
     TurnStored(TurnKey),
     /// For a turn.
     Find(TurnKey),
+    /// For a turn and those before it in its line, as far as they are at hand.
+    Line(TurnKey),
     /// For the targets that the other host knows.
     Targets,
     /// For the manifest in force at the other host, which comes as a message of its own.
@@ -76,6 +78,8 @@
     Done,
     /// The turn, if it is at hand.
     Turn(Option<Turn>),
+    /// Turns that are at hand.
+    Line(Vec<(TurnKey, Turn)>),
     /// The targets that are known.
     Targets(Vec<TargetEntry>),
     /// This host cannot answer now.
@@ -162,6 +166,7 @@
         Ask::TurnStored(key) => held::stored(shared, key),
         Ask::Manifest => watch::tell_manifest(shared, from),
         Ask::Targets => Reply::Targets(shared.targets.borrow().entries()),
+        Ask::Line(key) => Reply::Line(turns::line_at_hand(shared, key)),
         Ask::Find(key) => Reply::Turn(turns::at_hand(shared, key)),
     }
 }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -7,12 +7,14 @@
 
 use camphorwalk_core::entry::EntrySettings;
 use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
 use camphorwalk_policy::entry::crashes::Crashes;
 use camphorwalk_policy::entry::isolation::{self, Surroundings};
 use camphorwalk_policy::entry::placement::Targets;
 use camphorwalk_policy::entry::rates::Rates;
+use camphorwalk_policy::entry::recent::Recent;
 use camphorwalk_policy::entry::routes::RouteTable;
 use camphorwalk_policy::entry::turns::{TurnCache, TurnKey};
 use camphorwalk_store::{Client, ClientOptions, RetryOptions, ShareOptions};
@@ -48,6 +50,10 @@
 /// The part of the process's memory that turns at hand may take.
 const TURN_CACHE_PART: u64 = 6;
 
+/// Of how many lines of turns a host remembers where the last turn was: those of some seconds, in
+/// which lines go on.
+const LINES_REMEMBERED: usize = 16_384;
+
 /// How long a leaving host stays after the last call, so that the balancer, which asks each
 /// second and believes the second answer, has sent its new connections elsewhere.
 const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
@@ -88,6 +94,8 @@
     /// Taken while a program's budget is asked for.
     pub(crate) budget_locks: RefCell<Map<ProgramKey, Rc<Mutex<()>>>>,
     pub(crate) turns: RefCell<TurnCache>,
+    /// The hosts that had the last turn of a line, by the id of the line's prompt part.
+    pub(crate) line_hosts: RefCell<Recent<u64, HostId>>,
     pub(crate) written: RefCell<retention::Written>,
     /// Turns that the store does not have yet.
     pub(crate) held: RefCell<Map<TurnKey, held::Held>>,
@@ -223,6 +231,7 @@
             budgets: RefCell::new(Budgets::new(run)),
             budget_locks: RefCell::default(),
             turns: RefCell::new(TurnCache::new(turn_bytes)),
+            line_hosts: RefCell::new(Recent::new(LINES_REMEMBERED)),
             written: RefCell::default(),
             held: RefCell::default(),
             crashes: RefCell::default(),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -49,6 +49,8 @@
     pub(crate) relayed: IntCounter,
     /// Turns read from the store because they were not at hand.
     pub(crate) turn_reads: IntCounter,
+    /// Turns that another host sent.
+    pub(crate) turns_fetched: IntCounter,
 }
 
 impl Metrics {
@@ -122,6 +124,10 @@
                 "camphorwalk_store_relayed_total",
                 "Operations on the store that another host ran.",
             )?,
+            turns_fetched: counter(
+                "camphorwalk_turns_fetched_total",
+                "Turns that another host sent.",
+            )?,
             turn_reads: counter(
                 "camphorwalk_turn_reads_total",
                 "Turns read from the store because they were not at hand.",
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -171,7 +171,7 @@
     let in_flight = news.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
     let waiting = news.waiting.into_iter().map(|w| (w.service.into(), w.calls)).collect();
     shared.targets.borrow_mut().hear(from, in_flight, waiting);
-    take_in_learned(shared, news.learned);
+    take_in_learned(shared, from, news.learned);
     for crash in news.crashes {
         shared.crashes.borrow_mut().hear(now, crash);
     }
@@ -180,12 +180,14 @@
     places::wake_all(shared);
 }
 
-fn take_in_learned(shared: &Shared, learned: Vec<Learned>) {
+fn take_in_learned(shared: &Shared, from: HostId, learned: Vec<Learned>) {
     let now = clock::now();
     let mut targets = shared.targets.borrow_mut();
+    let mut line_hosts = shared.line_hosts.borrow_mut();
 
     for of_target in learned {
         let Learned { target, units, unit_ms, parts, part_tokens } = of_target;
+        parts.iter().for_each(|line| line_hosts.put(*line, from));
         let evidence = Evidence { units, ms: f64::from(unit_ms) };
         let news = TargetNews { evidence, parts: parts.into_iter().zip(part_tokens).collect() };
         targets.learn(now, &target, &news);
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::hash::{Map, Set, stable_hash};
+use camphorwalk_core::hash::{Map, stable_hash};
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::placement::{Choice, Outcome, Shape, TargetKey};
+use camphorwalk_policy::entry::recent::Recent;
 use camphorwalk_policy::entry::waiting::{Urgency, WaiterId, Waiting};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -40,29 +41,34 @@
 }
 
 /// The calls that wait at this host.
-#[derive(Default)]
 pub(crate) struct Places {
     waiting: RefCell<Waiting>,
     waiters: RefCell<Map<WaiterId, Waiter>>,
     next: Cell<u64>,
-    /// Programs that have run something at this host, two generations of them.
-    under_way: RefCell<[Set<u64>; 2]>,
+    /// Programs that have run something at this host.
+    under_way: RefCell<Recent<u64, ()>>,
 }
 
-/// How many programs are remembered as under way, in each generation.
+/// How many programs are remembered as under way.
 const PROGRAMS_REMEMBERED: usize = 8_192;
 
+impl Default for Places {
+    fn default() -> Self {
+        Self {
+            waiting: RefCell::default(),
+            waiters: RefCell::default(),
+            next: Cell::default(),
+            under_way: RefCell::new(Recent::new(PROGRAMS_REMEMBERED)),
+        }
+    }
+}
+
 impl Places {
     /// Takes in that a program runs a turn here.
     pub(crate) fn began(&self, program: Option<&str>) {
         let Some(program) = program else { return };
-        let mut under_way = self.under_way.borrow_mut();
-        under_way[0].insert(stable_hash(&[program.as_bytes()]));
 
-        if under_way[0].len() >= PROGRAMS_REMEMBERED {
-            under_way.swap(0, 1);
-            under_way[0].clear();
-        }
+        self.under_way.borrow_mut().put(stable_hash(&[program.as_bytes()]), ());
     }
 
     /// Returns how many calls wait for each service.
@@ -83,7 +89,7 @@
         let Some(program) = program else { return false };
         let program = stable_hash(&[program.as_bytes()]);
 
-        self.under_way.borrow().iter().any(|programs| programs.contains(&program))
+        self.under_way.borrow().get(&program).is_some()
     }
 }
 
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -32,6 +32,10 @@
 /// late for an instant may be the only one that has it.
 const FIND_DEADLINE: Duration = Duration::from_millis(150);
 
+/// How long another host may take to send a line: some times the usual time, and about that which
+/// the store takes for the turns of a line.
+const LINE_DEADLINE: Duration = Duration::from_millis(20);
+
 /// What a turn continues from.
 #[derive(Clone, Default)]
 pub(crate) struct Continuation {
@@ -79,6 +83,7 @@
     let shared = &call.shared;
     let key = TurnKey::new(call.tenant.as_deref().unwrap_or_default(), previous);
     let retention = call.route().keeps.map_or(Duration::ZERO, |keeps| keeps.retention);
+    fetch_line(call, key).await;
     let last = read(shared, key).await?.ok_or_else(|| {
         // A host that was stopped may have had a turn of the time without the store.
         let certain = shared.knows_all_turns(retention);
@@ -101,6 +106,36 @@
     Ok(Continuation { earlier, line })
 }
 
+/// Gets a line of turns from the host that had its last turn, if this one does not have it at hand.
+///
+/// The store has each turn too, but would be asked for each one of the line, and takes some
+/// milliseconds. Where no such host is known or it does not answer, the store is asked.
+async fn fetch_line(call: &Call, last: TurnKey) {
+    let shared = &call.shared;
+    if shared.turns.borrow().get(last).is_some() {
+        return;
+    }
+    // A sub-agent continues the line of its parent, whose part comes before its own.
+    let parts = call.head.prefix.iter().rev().map(|part| part.id);
+    let host = parts.into_iter().find_map(|part| shared.line_hosts.borrow().get(&part));
+    let Some(host) = host.filter(|host| shared.fleet.hears(*host)) else { return };
+
+    let reply = asks::ask(shared, host, &Ask::Line(last), LINE_DEADLINE).await;
+    let Some(Reply::Line(turns)) = reply else { return };
+    shared.metrics.turns_fetched.inc_by(turns.len() as u64);
+    let mut at_hand = shared.turns.borrow_mut();
+    turns.into_iter().for_each(|(key, turn)| at_hand.put(key, Rc::new(turn)));
+}
+
+/// Returns a turn and those before it in its line, as far as they are at hand.
+pub(crate) fn line_at_hand(shared: &Shared, last: TurnKey) -> Vec<(TurnKey, Turn)> {
+    let turns = shared.turns.borrow();
+    let Some(turn) = turns.get(last) else { return Vec::new() };
+    let keys = turn.line.iter().copied().chain([last]);
+
+    keys.filter_map(|key| Some((key, Turn::clone(&*turns.get(key)?)))).collect()
+}
+
 /// Reads a turn; `None` if neither the store nor any known host has it.
 async fn read(shared: &Rc<Shared>, key: TurnKey) -> Result<Option<Rc<Turn>>, Refusal> {
     if let Some(turn) = shared.turns.borrow().get(key) {
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -32,6 +32,11 @@
 /// How long another host may take to send its manifest: some hundred kilobytes on a slow link.
 const MANIFEST_DEADLINE: Duration = Duration::from_millis(500);
 
+/// The pause after a manifest came, before it is asked whether there is a newer one. Operators
+/// publish many in a second at times; each is read and understood whole by each host, and the last
+/// one is what counts.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(150);
+
 /// How often the targets' entries are asked for. A leaving target must be left alone two
 /// seconds after its entry says so.
 const TARGETS_PERIOD: Duration = Duration::from_millis(400);
@@ -99,7 +104,10 @@
 
     match store::probe(shared, op).await {
         PlatformReply::Changes(changes) => {
-            adopt_newest(shared, &changes);
+            if !changes.written.is_empty() {
+                adopt_newest(shared, &changes);
+                sleep(MANIFEST_PAUSE).await;
+            }
             Some(changes.version)
         }
         PlatformReply::HistoryGone => {
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -10,6 +10,7 @@
 pub mod placement;
 pub mod prompts;
 pub mod rates;
+pub mod recent;
 pub mod removals;
 pub mod routes;
 pub mod turns;
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -26,6 +26,11 @@
 /// back, and the price of the bytes.
 const FAR_MS: f64 = 4.0;
 
+/// How likely a target of another availability zone is drawn, against one of the host's own with as
+/// many free slots. A line that begins there sends each prompt across, is known by older news,
+/// and breaks when the zone is cut off; but a zone's callers may need more than its targets have.
+const FAR_WEIGHT: f64 = 0.25;
+
 /// How likely a target without a free slot is drawn, against one with a single free slot.
 const FULL_WEIGHT: f64 = 0.05;
 
@@ -353,7 +358,8 @@
             if target.holds_line(shape) {
                 keep_least(&mut holder, (self.cost(now, target, &work, shape), key));
             }
-            let place = target.draw(now, draw, &work, shape);
+            let nearness = if self.is_near(target) { 1.0 } else { FAR_WEIGHT };
+            let place = target.draw(now, draw, &work, shape) / nearness;
             if drawn[0].is_none_or(|(first, _)| place < first) {
                 drawn = [Some((place, key)), drawn[0]];
             } else {
@@ -373,11 +379,15 @@
     }
 
     fn cost(&self, now: Instant, target: &Target, work: &Work, shape: &Shape) -> f64 {
-        let way = if target.entry.zone == self.zone { 0.0 } else { FAR_MS };
+        let way = if self.is_near(target) { 0.0 } else { FAR_MS };
 
         target.cost(now, work, shape) + way
     }
 
+    fn is_near(&self, target: &Target) -> bool {
+        target.entry.zone == self.zone
+    }
+
     fn work(&self, service: &str) -> Work {
         self.work.get(service).copied().unwrap_or_default()
     }
--- a/crates/policy/src/entry/prompts.rs
+++ b/crates/policy/src/entry/prompts.rs
@@ -1,18 +1,23 @@
 //! Which parts of prompts a target is believed to keep.
 
-use camphorwalk_core::hash::Map;
+use crate::entry::recent::Recent;
 
-/// How many prompt parts are remembered for each target, in each of two generations.
+/// How many prompt parts are remembered for each target.
 const PARTS_REMEMBERED: usize = 2_048;
 
 /// A part of a prompt: its id and its tokens. The part of a line of turns keeps its id and grows.
 pub type Part = (u64, u32);
 
 /// The prompt parts that a target read, by what this host sent there and what others told.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Prompts {
-    /// The newer generation first; the older one goes when the newer one is full.
-    generations: [Map<u64, u32>; 2],
+    parts: Recent<u64, u32>,
+}
+
+impl Default for Prompts {
+    fn default() -> Self {
+        Self { parts: Recent::new(PARTS_REMEMBERED) }
+    }
 }
 
 impl Prompts {
@@ -46,17 +51,13 @@
     }
 
     fn kept(&self, id: u64) -> Option<u32> {
-        self.generations.iter().filter_map(|parts| parts.get(&id)).max().copied()
+        self.parts.get(&id)
     }
 
     /// Takes in that the target reads a part.
     pub fn remember(&mut self, (id, tokens): Part) {
-        let kept = self.generations[0].entry(id).or_default();
-        *kept = tokens.max(*kept);
+        let kept = self.kept(id).unwrap_or_default();
 
-        if self.generations[0].len() >= PARTS_REMEMBERED {
-            self.generations.swap(0, 1);
-            self.generations[0].clear();
-        }
+        self.parts.put(id, tokens.max(kept));
     }
 }
