What is held is written back at the pace that the store takes; 256 parts; tenants told where needed

The turns were still held when the power went. Ruled out: the hedge (calls of turns alone are under the rate), polls. - A round of writing back ends with the first refusal; each host writes fewer after one and more without. - Hosts that hold a turn or a grant for another write it when that one's run is silent, or after five seconds. - 256 parts: a slow store takes 850 a second. Between zones and in news: all tenants were told to all each second (2.7 KB to 68 hosts). A host is now told of all when it is new or was silent, and each ten seconds.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -162,7 +162,7 @@
         Ask::Loose(program, row) => grants::take_loose(shared, program, &row),
         Ask::KnownRow(program) => budget::known_row(shared, program),
         Ask::Yield(program) => budget::yield_rest(shared, program),
-        Ask::Hold(key, turn) => held::hold(shared, key, turn),
+        Ask::Hold(key, turn) => held::hold(shared, from, key, turn),
         Ask::TurnStored(key) => held::stored(shared, key),
         Ask::Manifest => watch::tell_manifest(shared, from),
         Ask::Targets => Reply::Targets(shared.targets.borrow().entries()),
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -195,6 +195,16 @@
         self.heard.borrow().get(&host).is_some_and(|heard| heard.is_fresh(clock::now()))
     }
 
+    /// Returns whether a run of a process told its news of late.
+    pub(crate) fn hears_run(&self, run: u64) -> bool {
+        self.host_of_run(run).is_some()
+    }
+
+    /// Returns the run of a host's process, if it is heard.
+    pub(crate) fn run_of(&self, host: HostId) -> Option<u64> {
+        self.heard.borrow().get(&host).map(|heard| heard.run)
+    }
+
     /// Returns the id of this host.
     pub(crate) fn own(&self) -> HostId {
         self.own
@@ -249,9 +259,12 @@
         known.keys().partition(|host| known[*host].zone == self.zone)
     }
 
-    /// Takes in that another host told its news. Returns whether it was silent before.
+    /// Takes in that another host told its news. Returns whether it was silent before or is another
+    /// run of its process.
     pub(crate) fn heard(&self, host: HostId, heard: Heard) -> bool {
-        self.heard.borrow_mut().insert(host, heard).is_none()
+        let before = self.heard.borrow_mut().insert(host, heard);
+
+        before.is_none_or(|before| before.run != heard.run)
     }
 }
 
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -5,9 +5,10 @@
 
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::platform::RowVersion;
-use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey};
+use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, RunId};
+use camphorwalk_policy::entry::write_back::Round;
 use futures::future::join_all;
-use futures::stream::{self, FuturesUnordered, StreamExt as _};
+use futures::stream::{FuturesUnordered, StreamExt as _};
 use tokio::time::timeout;
 use tracing::info;
 
@@ -271,18 +272,34 @@
     Reply::Done
 }
 
-/// Writes the grants that were made without the store: those of this host at once, and those
+/// Writes a part of the grants that were made without the store: those of this host at once, and those
 /// that it knows of for others if they have not been written after a while. What fails, or met
 /// another write of the same row, stays loose until the next round.
-pub(crate) async fn write_loose(shared: &Rc<Shared>) {
-    let loose = shared.budgets.borrow().loose(clock::now());
+pub(crate) async fn write_loose(shared: &Rc<Shared>, most: usize) -> Round {
+    let is_heard = |run: RunId| run == shared.run || shared.fleet.hears_run(run.0);
+    let mut loose = shared.budgets.borrow().loose(clock::now(), is_heard);
     if loose.is_empty() {
-        return;
+        return Round::Nothing;
     }
 
-    info!(programs = loose.len(), "budget: grants made without the store are written");
-    let writes = loose.into_iter().map(|(program, row, version)| async move {
-        write(shared, program, row, version).await.is_ok()
-    });
-    stream::iter(writes).buffer_unordered(WRITES_AT_ONCE).count().await;
+    let due = loose.len();
+    loose.truncate(most);
+    let mut refused = false;
+    for round in loose.chunks(WRITES_AT_ONCE) {
+        let writes = round.iter().cloned().map(|(program, row, version)| async move {
+            matches!(write(shared, program, row, version).await, Ok(Written::Away))
+        });
+        refused = join_all(writes).await.contains(&true);
+        // The rest would be refused too, and each refusal counts against the store's rate.
+        if refused {
+            break;
+        }
+    }
+    info!(due, most, refused, "budget: grants made without the store are written");
+
+    match refused {
+        true => Round::Refused,
+        false if due > most => Round::Part,
+        false => Round::All,
+    }
 }
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -10,6 +10,7 @@
 };
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
+use camphorwalk_policy::entry::write_back::{Round, writes_for_others};
 use futures::StreamExt as _;
 use futures::future::join_all;
 use futures::stream::FuturesUnordered;
@@ -17,6 +18,7 @@
 use tracing::{info, warn};
 
 use crate::asks::{self, Ask, Reply};
+use crate::fleet::Fleet;
 use crate::host::Shared;
 use crate::turns::row_key;
 use crate::{clock, retention, store};
@@ -36,15 +38,16 @@
 /// How long another host may take to say that it holds a turn.
 const HOLD_DEADLINE: Duration = Duration::from_millis(100);
 
-/// After how long a host writes a turn that it holds for another, if that has not written it.
-const OTHERS_WRITE_AFTER: Duration = Duration::from_millis(700);
+/// How many writes are under way at the same time.
+const WRITES_AT_ONCE: usize = 8;
 
 /// Holds another host's turn until the store has it. It is written if the other host does not: that
 /// may be cut off from now on, and this one not.
-pub(crate) fn hold(shared: &Shared, key: TurnKey, turn: Turn) -> Reply {
+pub(crate) fn hold(shared: &Shared, from: HostId, key: TurnKey, turn: Turn) -> Reply {
     let turn = Rc::new(turn);
     shared.turns.borrow_mut().put(key, Rc::clone(&turn));
-    let held = Held { turn, whose: Whose::Peers, since: clock::now() };
+    let owner = shared.fleet.run_of(from);
+    let held = Held { turn, whose: Whose::Peer(owner), since: clock::now() };
     shared.held.borrow_mut().insert(key, held);
 
     Reply::Done
@@ -94,11 +97,13 @@
 
 impl Held {
     /// Returns whether this host is to write it now.
-    fn is_due(&self, now: Instant) -> bool {
+    fn is_due(&self, now: Instant, fleet: &Fleet) -> bool {
         match &self.whose {
             // A slow store would be asked for the same row twice.
             Whose::Own(writing) => writing.is_finished(),
-            Whose::Peers => now.since(self.since) >= OTHERS_WRITE_AFTER,
+            Whose::Peer(run) => writes_for_others(now.since(self.since), || {
+                run.is_some_and(|run| fleet.hears_run(run))
+            }),
         }
     }
 }
@@ -107,30 +112,62 @@
 enum Whose {
     /// Those that ran at this host, each with its own write.
     Own(AbortHandle),
-    /// Those that are held for other hosts, which write them themselves if they live.
-    Peers,
+    /// Those that are held for a run of another host, which writes them itself if it lives.
+    Peer(Option<u64>),
 }
 
-/// Writes the turns that are held since the store was away; what fails stays held.
+/// Writes a part of the turns that are held since the store was away; what fails stays held.
 ///
 /// All power may be lost a second after the store's return, and with it what was not written:
-/// the turns of a part go in one transaction, and all parts at the same time.
-pub(crate) async fn write_held(shared: &Rc<Shared>) {
+/// the turns of a part go in one transaction, and several parts at the same time.
+pub(crate) async fn write_held(shared: &Rc<Shared>, most: usize) -> Round {
     let now = clock::now();
     let held_turns = i64::try_from(shared.held.borrow().len()).unwrap_or(i64::MAX);
     shared.metrics.held_turns.set(held_turns);
     let mut parts: Map<u64, Vec<(TurnKey, Rc<Turn>)>> = Map::default();
-    for (key, held) in shared.held.borrow().iter().filter(|(_, held)| held.is_due(now)) {
+    let is_due = |held: &Held| held.is_due(now, &shared.fleet);
+    for (key, held) in shared.held.borrow().iter().filter(|(_, held)| is_due(held)) {
         parts.entry(key.part()).or_default().push((*key, Rc::clone(&held.turn)));
     }
     if parts.is_empty() {
-        return;
+        return Round::Nothing;
+    }
+
+    let batches: Vec<_> = parts.values().flat_map(|turns| turns.chunks(WRITE_BATCH)).collect();
+    let mut written = 0;
+    let mut refused = false;
+    for round in batches[..most.min(batches.len())].chunks(WRITES_AT_ONCE) {
+        for batch in join_all(round.iter().map(|turns| write_batch(shared, turns))).await {
+            written += batch.written;
+            refused |= batch.refused;
+        }
+        // The rest would be refused too, and each refusal counts against the store's rate.
+        if refused {
+            break;
+        }
     }
+    info!(
+        written,
+        refused,
+        batches = batches.len(),
+        most,
+        left = shared.held.borrow().len(),
+        "turn: turns held without the store"
+    );
+
+    match refused {
+        true => Round::Refused,
+        false if batches.len() > most => Round::Part,
+        false => Round::All,
+    }
+}
 
-    let writes = parts.values().flat_map(|turns| turns.chunks(WRITE_BATCH));
-    let written: usize =
-        join_all(writes.map(|turns| write_batch(shared, turns))).await.into_iter().sum();
-    info!(written, left = shared.held.borrow().len(), "turn: turns held without the store");
+/// What came of writing turns of one part.
+struct Batch {
+    /// How many turns the store then has.
+    written: usize,
+    /// Whether the store refused the write.
+    refused: bool,
 }
 
 /// A turn's row as it is to be written.
@@ -140,8 +177,8 @@
     value: Box<str>,
 }
 
-/// Writes turns of one part; returns how many the store then has.
-async fn write_batch(shared: &Rc<Shared>, turns: &[(TurnKey, Rc<Turn>)]) -> usize {
+/// Writes turns of one part.
+async fn write_batch(shared: &Rc<Shared>, turns: &[(TurnKey, Rc<Turn>)]) -> Batch {
     let mut rows: Vec<TurnRow> = turns
         .iter()
         .filter_map(|(turn, content)| {
@@ -157,7 +194,7 @@
         match store::ask(shared, PlatformOp::Commit(creation(&rows))).await {
             PlatformReply::Committed(_) => {
                 rows.iter().for_each(|row| retention::written(shared, row.turn));
-                return all;
+                return Batch { written: all, refused: false };
             }
             PlatformReply::Conflict(there) => rows.retain(|row| {
                 let Some(found) = there.iter().find(|r| r.key == row.key) else { return true };
@@ -170,14 +207,14 @@
             // The second time tells whether the first took effect.
             PlatformReply::Unknown => {}
             // What was not written stays held.
-            _ => break,
+            _ => return Batch { written: all - rows.len(), refused: true },
         }
         if rows.is_empty() {
             break;
         }
     }
 
-    all - rows.len()
+    Batch { written: all - rows.len(), refused: false }
 }
 
 /// Returns the transaction that writes rows which are not there yet.
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -31,7 +31,7 @@
 use crate::places::Places;
 use crate::store::Store;
 use crate::stories::Stories;
-use crate::{callers, clock, fleet, held, probes, retention, store, watch};
+use crate::{callers, clock, fleet, held, news, probes, retention, store, watch};
 
 /// The longest that one try of a call to the store may take. Its answers come within some
 /// milliseconds, and within a third of a second when it is slow.
@@ -87,6 +87,7 @@
     /// Whether another host is being asked for its manifest.
     pub(crate) asks_for_manifest: Cell<bool>,
     pub(crate) rates: RefCell<Rates>,
+    pub(crate) told_all: news::ToldAll,
     pub(crate) targets: RefCell<Targets>,
     pub(crate) places: Places,
     pub(crate) connections: Connections,
@@ -225,6 +226,7 @@
             manifest_text: RefCell::default(),
             asks_for_manifest: Cell::new(false),
             rates: RefCell::default(),
+            told_all: news::ToldAll::default(),
             targets: RefCell::new(Targets::new(&settings.zone)),
             places: Places::default(),
             connections: Connections::default(),
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -5,10 +5,11 @@
 //! mostly goes to a target of its own zone, and what is in flight there changes within the time
 //! of a call; news to all hosts as often would take most of a small host's processor.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::hash::Map;
+use camphorwalk_core::hash::{Map, Set};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::entry::{
     CrashNews, Demand, EntryNews, InFlight, Learned, WaitingCalls,
@@ -35,8 +36,9 @@
 const PERIOD_PER_HOST: Duration = Duration::from_millis(5);
 
 /// How often hosts tell each other of all tenants, not only of those of which something has
-/// changed: a host that was away or has just started knows all after this time.
-const ALL_DEMAND_PERIOD: Duration = Duration::from_secs(1);
+/// changed: news that were lost are made up for after this time at the latest. A host that was away
+/// or has just started is told of all at once.
+const ALL_DEMAND_PERIOD: Duration = Duration::from_secs(10);
 
 /// Returns how often so many hosts are told.
 fn period(hosts: usize) -> Duration {
@@ -55,10 +57,10 @@
 
 impl Changes {
     /// Takes what came up at this host since this was called last.
-    fn take(shared: &Shared, all_demand: bool) -> Self {
+    fn take(shared: &Shared) -> Self {
         Self {
             learned: shared.targets.borrow_mut().take_news().into_iter().collect(),
-            demand: shared.rates.borrow_mut().take_news(all_demand).into_iter().collect(),
+            demand: shared.rates.borrow_mut().take_news(false).into_iter().collect(),
             crashes: shared.crashes.borrow_mut().take_news(),
         }
     }
@@ -73,6 +75,24 @@
     }
 }
 
+/// The hosts that were told of all tenants, and have not been silent or started again since.
+#[derive(Default)]
+pub(crate) struct ToldAll(RefCell<Set<HostId>>);
+
+impl ToldAll {
+    /// Takes in that a host may not know what it was told.
+    fn forget(&self, host: HostId) {
+        self.0.borrow_mut().remove(&host);
+    }
+
+    /// Parts hosts into those that were told of all tenants and the others.
+    fn part(&self, hosts: Vec<HostId>) -> (Vec<HostId>, Vec<HostId>) {
+        let told = self.0.borrow();
+
+        hosts.into_iter().partition(|host| told.contains(host))
+    }
+}
+
 /// Tells the other hosts what is under way, again and again.
 pub(crate) async fn tell(shared: Rc<Shared>, peers: Peers) {
     let mut told_all_demand = Instant(0);
@@ -87,26 +107,42 @@
 
         let now = clock::now();
         let is_far_due = now.since(told_far) + LEAST_PERIOD / 2 >= period(near.len() + far.len());
-        let all_demand = is_far_due && now.since(told_all_demand) >= ALL_DEMAND_PERIOD;
-        if all_demand {
+        if is_far_due && now.since(told_all_demand) >= ALL_DEMAND_PERIOD {
             told_all_demand = now;
+            shared.told_all.0.borrow_mut().clear();
         }
 
-        let changes = Changes::take(&shared, all_demand);
+        let changes = Changes::take(&shared);
         for_far.add(changes.clone());
-        send(&peers, &near, news(&shared, changes, all_demand));
+        send(&shared, &peers, near, &changes);
         if is_far_due {
             told_far = now;
-            send(&peers, &far, news(&shared, std::mem::take(&mut for_far), all_demand));
+            send(&shared, &peers, far, &std::mem::take(&mut for_far));
         }
     }
 }
 
-fn send(peers: &Peers, hosts: &[HostId], news: EntryNews) {
-    for host in hosts {
+/// Tells hosts what changed, and those that may not know the rest of all tenants.
+fn send(shared: &Shared, peers: &Peers, hosts: Vec<HostId>, changes: &Changes) {
+    let (told, untold) = shared.told_all.part(hosts);
+    let to_all = |hosts: &[HostId], news: EntryNews| {
         // What is as it stands is told again in the next round. What came up is lost with news that
         // do not go out: prompts are read again, and admitted calls are told as a total.
-        peers.send(*host, PeerMessage::from(Body::EntryNews(news.clone())));
+        hosts
+            .iter()
+            .filter(|h| peers.send(**h, PeerMessage::from(Body::EntryNews(news.clone()))))
+            .copied()
+            .collect::<Vec<_>>()
+    };
+
+    if !told.is_empty() {
+        to_all(&told, news(shared, changes.clone(), false));
+    }
+    if !untold.is_empty() {
+        let mut all = changes.clone();
+        all.demand = shared.rates.borrow_mut().take_news(true).into_iter().collect();
+        let told = to_all(&untold, news(shared, all, true));
+        shared.told_all.0.borrow_mut().extend(told);
     }
 }
 
@@ -156,6 +192,7 @@
         manifest_version: news.manifest_version,
     };
     if shared.fleet.heard(from, heard) {
+        shared.told_all.forget(from);
         info!(host = from.0, "fleet: host heard");
     }
 
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -7,6 +7,7 @@
 use camphorwalk_core::platform::{PlatformOp, PlatformReply};
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::outage::{Change, StoreHealth};
+use camphorwalk_policy::entry::write_back::{Next, WriteBack};
 use camphorwalk_store::Client;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -187,15 +188,21 @@
     let (turns, grants) = (Rc::clone(shared), Rc::clone(shared));
 
     tokio::task::spawn_local(async move {
+        let mut pace = WriteBack::default();
         loop {
-            held::write_held(&turns).await;
-            turns.store.write_back_due().await;
+            let round = held::write_held(&turns, pace.allowed()).await;
+            if pace.ended(round) == Next::Later {
+                turns.store.write_back_due().await;
+            }
         }
     });
     tokio::task::spawn_local(async move {
+        let mut pace = WriteBack::default();
         loop {
-            grants::write_loose(&grants).await;
-            grants.store.write_back_due().await;
+            let round = grants::write_loose(&grants, pace.allowed()).await;
+            if pace.ended(round) == Next::Later {
+                grants.store.write_back_due().await;
+            }
         }
     });
 }
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -15,3 +15,4 @@
 pub mod routes;
 pub mod turns;
 pub mod waiting;
+pub mod write_back;
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -18,6 +18,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::entry::write_back::writes_for_others;
+
 /// A program's name within the fleet: a hash of its tenant and its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ProgramKey(pub u64);
@@ -30,10 +32,6 @@
 /// writes; less strands fewer tokens at a host that dies or that the program leaves.
 const SPARE_PART: u64 = 4;
 
-/// After how long a host writes a grant that another host spends, if that has not written it. In
-/// this time the other one mostly has, and says so.
-const OTHERS_WRITE_AFTER: Duration = Duration::from_millis(700);
-
 /// What the store holds of a program.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetRow {
@@ -306,11 +304,20 @@
 
     /// Returns the programs with grants that the store does not have, with their rows and the
     /// versions that they replace.
-    pub fn loose(&self, now: Instant) -> Vec<(ProgramKey, BudgetRow, RowVersion)> {
-        // Whoever spends a grant writes it; several hosts that write one row at the same time
-        // make each other's writes fail. The others do so if it has not.
+    ///
+    /// Whoever spends a grant writes it; several hosts that write one row at the same time make each
+    /// other's writes fail. The others do so if it has not: soon if one that runs the program is
+    /// not heard by `is_heard`, and after a long time anyway.
+    pub fn loose(
+        &self,
+        now: Instant,
+        is_heard: impl Fn(RunId) -> bool,
+    ) -> Vec<(ProgramKey, BudgetRow, RowVersion)> {
         let is_due = |a: &Account| {
-            a.row.granted.contains_key(&self.run) || now.since(a.loose_since) >= OTHERS_WRITE_AFTER
+            let age = now.since(a.loose_since);
+            let all_heard = || a.row.granted.keys().all(|run| is_heard(*run));
+
+            a.row.granted.contains_key(&self.run) || writes_for_others(age, all_heard)
         };
         let due = self.accounts.iter().filter(|(_, a)| a.loose && is_due(a));
 
--- a/crates/policy/src/entry/turns.rs
+++ b/crates/policy/src/entry/turns.rs
@@ -9,11 +9,11 @@
 use serde_with::serde_as;
 
 /// The parts of the store that turns and budgets are spread over. A part takes its transactions one
-/// after another, 200 a second by the users' sheets and a sixtieth of that when the store is slow.
-/// With 64 parts a slow store takes some 200 a second, more than a fleet of the sheets' size
-/// writes. With 16 it takes 53 and falls behind, and what is held meanwhile is lost if all
-/// machines stop.
-pub const PARTS: u64 = 64;
+/// after another, some 200 a second, and a sixtieth of that when the store is slow. With 256 parts a
+/// slow store still takes some 850 a second, more than a fleet of seventy hosts writes. If it
+/// falls behind, what is held meanwhile is lost if all machines stop. With many more parts each host
+/// would have to find out anew for nearly each call whether its part is away.
+pub const PARTS: u64 = 256;
 
 /// A turn's name within the fleet: a hash of its tenant and the id of its request, so that a
 /// turn of one tenant cannot be found by another.
--- a/crates/policy/tests/entry_budgets.rs
+++ b/crates/policy/tests/entry_budgets.rs
@@ -109,7 +109,7 @@
     entry.learn_loose(NOW, PROGRAM, &row);
     assert_eq!(entry.reserve(NOW, PROGRAM, 572, 286), Reservation::Reserved);
 
-    for (_, row, version) in entry.loose(NOW) {
+    for (_, row, version) in entry.loose(NOW, |_| false) {
         assert!(store.write(row, version));
     }
 
@@ -130,8 +130,8 @@
     };
 
     witness.learn_loose(NOW, PROGRAM, &row);
-    let at_once = witness.loose(NOW);
-    let later = witness.loose(Instant::from_millis(700));
+    let at_once = witness.loose(NOW, |_| false);
+    let later = witness.loose(Instant::from_millis(700), |_| false);
     witness.learn(Instant::from_millis(701), PROGRAM, row, RowVersion(1));
 
     assert!(at_once.is_empty());
@@ -172,7 +172,7 @@
     apart.grant_loose(NOW, PROGRAM, RunId(1), 300, &known).expect("there is enough");
     assert!(reserve(&mut served, &mut store, 1_000, 300));
 
-    while let Some((_, row, version)) = apart.loose(NOW).pop() {
+    while let Some((_, row, version)) = apart.loose(NOW, |_| false).pop() {
         store.write(row, version);
         let (row, version) = store.row.clone().unwrap();
         apart.learn(NOW, PROGRAM, row, version);
