--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -33,6 +33,8 @@
     Loose(ProgramKey, BudgetRow),
     /// For a program's row as the other host knows it.
     KnownRow(ProgramKey),
+    /// For a program's row as the store holds it, if the other host knows that.
+    StoredRow(ProgramKey),
     /// To give back what the other host holds of a program's tokens and does not need.
     Yield(ProgramKey),
     /// To hold a turn until the store has it.
@@ -70,6 +72,8 @@
     Store(PlatformReply),
     /// A program's row, with the tokens granted if they were asked for.
     Granted(BudgetRow),
+    /// A program's row as the store holds it.
+    StoredRow(Option<(BudgetRow, RowVersion)>),
     /// A program's row as the store has it, with the tokens granted.
     Written(BudgetRow),
     /// The budget does not hold them.
@@ -161,6 +165,7 @@
         Ask::Stored(program, row, version) => grants::take_stored(shared, program, row, version),
         Ask::Loose(program, row) => grants::take_loose(shared, program, &row),
         Ask::KnownRow(program) => budget::known_row(shared, program),
+        Ask::StoredRow(program) => Reply::StoredRow(shared.budgets.borrow().stored(program)),
         Ask::Yield(program) => budget::yield_rest(shared, program),
         Ask::Hold(key, turn) => held::hold(shared, from, key, turn),
         Ask::TurnStored(key) => held::stored(shared, key),
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -34,6 +34,10 @@
 /// How long another host may take to say what it knows of a program: the way there and back.
 const TELL_DEADLINE: Duration = Duration::from_millis(150);
 
+/// How long the host that had a program's last turn may take to tell its row: some times the usual
+/// time, and about that of the transaction that it saves.
+const ROW_DEADLINE: Duration = Duration::from_millis(20);
+
 /// How long the store must have answered all hosts before each writes grants by itself again. In
 /// this time the grants that were made without it are written.
 const SETTLED: Duration = Duration::from_secs(3);
@@ -84,6 +88,7 @@
     let lock = lock(shared, program);
     let _turn = lock.lock().await;
 
+    fetch_row(call, program).await;
     let mut recalled = false;
     let mut is_first = !shared.budgets.borrow().knows(program);
     for _ in 0..MOST_WRITES {
@@ -147,6 +152,24 @@
     Err(Refusal::later("the program's budget is contended", UNSURE_RETRY))
 }
 
+/// Gets the row of a program under way from the host that had its last turn, if this one does not know
+/// it.
+///
+/// Without it this host writes a row as if there were none, is told of the one that is there, and
+/// writes again, with the caller waiting for both. If what it gets is out of date, the same happens.
+async fn fetch_row(call: &Call, program: ProgramKey) {
+    let shared = &call.shared;
+    if shared.budgets.borrow().knows(program) {
+        return;
+    }
+    let Some(host) = shared.host_before(&call.head) else { return };
+    let reply = asks::ask(shared, host, &Ask::StoredRow(program), ROW_DEADLINE).await;
+
+    if let Some(Reply::StoredRow(Some((row, version)))) = reply {
+        shared.budgets.borrow_mut().learn(clock::now(), program, row, version);
+    }
+}
+
 /// Returns the lock that is taken while a program's tokens are asked for.
 pub(crate) fn lock(shared: &Shared, program: ProgramKey) -> Rc<Mutex<()>> {
     shared.budget_locks.borrow_mut().entry(program).or_default().clone()
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::entry::EntrySettings;
+use camphorwalk_core::entry::{CallHead, EntrySettings};
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
@@ -130,6 +130,16 @@
         isolated
     }
 
+    /// Returns the host that had the last turn of a call's line, or of its parent's, if that is another
+    /// one and is heard.
+    pub(crate) fn host_before(&self, head: &CallHead) -> Option<HostId> {
+        let line_hosts = self.line_hosts.borrow();
+        // A sub-agent continues the line of its parent, whose part comes before its own.
+        let host = head.prefix.iter().rev().find_map(|part| line_hosts.get(&part.id))?;
+
+        self.fleet.hears(host).then_some(host)
+    }
+
     /// Returns the version of the manifest in force; 0 for none.
     pub(crate) fn manifest_version(&self) -> u64 {
         self.routes.borrow().as_ref().map_or(0, |table| table.routing().version)
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -115,10 +115,7 @@
     if shared.turns.borrow().get(last).is_some() {
         return;
     }
-    // A sub-agent continues the line of its parent, whose part comes before its own.
-    let parts = call.head.prefix.iter().rev().map(|part| part.id);
-    let host = parts.into_iter().find_map(|part| shared.line_hosts.borrow().get(&part));
-    let Some(host) = host.filter(|host| shared.fleet.hears(*host)) else { return };
+    let Some(host) = shared.host_before(&call.head) else { return };
 
     let reply = asks::ask(shared, host, &Ask::Line(last), LINE_DEADLINE).await;
     let Some(Reply::Line(turns)) = reply else { return };
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -302,6 +302,14 @@
         self.accounts.get(&program).map(|account| &account.row)
     }
 
+    /// Returns a program's row and its version as the store holds it, if this host knows that.
+    pub fn stored(&self, program: ProgramKey) -> Option<(BudgetRow, RowVersion)> {
+        let account = self.accounts.get(&program)?;
+        let is_stored = !account.loose && account.version != RowVersion::ABSENT;
+
+        is_stored.then(|| (account.row.clone(), account.version))
+    }
+
     /// Returns the programs with grants that the store does not have, with their rows and the
     /// versions that they replace.
     ///
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -448,3 +448,29 @@
 
     assert!(to_y.count() > 150);
 }
+
+#[test]
+fn lines_begin_in_their_own_zone_and_elsewhere_when_it_is_full() {
+    // A line that begins in another zone breaks with it, and sends each of its prompts across.
+    // A zone that gets more than its share of callers still needs the targets of the others.
+    let mut targets = Targets::new("a");
+    targets.put(engine("near"));
+    targets.put(TargetEntry { zone: "b".into(), ..engine("far") });
+    let begun_near = |targets: &Targets| {
+        let lines = (0..100)
+            .map(|line| Shape { parts: vec![(1, 512), (line + 10, 654)], ..Shape::default() });
+        let chosen = lines.map(|shape| targets.choose(NOW, "engines", &shape));
+        chosen.filter(|c| matches!(c, Choice::Target(key) if name(targets, *key) == "near")).count()
+    };
+
+    let both_free = begun_near(&targets);
+    targets.hear(
+        HostId(1),
+        Map::from_iter([("near".into(), 14), ("far".into(), 3)]),
+        Map::default(),
+    );
+    let near_full = begun_near(&targets);
+
+    assert!(both_free > 75, "{both_free}");
+    assert_eq!(near_full, 0);
+}
