--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -37,7 +37,7 @@
 const FIRST_BEATS: u64 = 4;
 
 /// A host whose row was read unchanged so often is gone for good: it could not write it for
-/// longer than the longest cut that the users' sheets name. Reads that fail do not count.
+/// fifteen seconds, longer than a cut mostly lasts. Reads that fail do not count.
 const READS_TO_GONE: u32 = 4;
 
 /// A host that told nothing for this long has nothing in flight that counts.
--- a/crates/entry/src/retention.rs
+++ b/crates/entry/src/retention.rs
@@ -17,7 +17,7 @@
 /// before is still there when it is used.
 const SWEEP_MARGIN: Duration = Duration::from_secs(30);
 
-/// How long programs may return where no route keeps turns: as long as on the users' sheets.
+/// How long programs may return where no route keeps turns.
 const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
 
 /// How often rows that are past their time are deleted.
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -13,8 +13,8 @@
 use camphorwalk_core::time::Instant;
 
 /// How long a silent host is taken to go on admitting its share. Behind a cut it does; if the
-/// others took its share over at once, both sides together would exceed the rate. It is as long
-/// as the longest cut that the users' sheets name, and a little more.
+/// others took its share over at once, both sides together would exceed the rate. As long as a
+/// host whose row does not change counts as one of the fleet.
 const SILENT_SHARE_KEPT: Duration = Duration::from_secs(15);
 
 /// A host that told nothing for this long is silent. News come every 100 ms in a small fleet.
@@ -42,13 +42,13 @@
 /// average that follows them gives silent hosts the share of their last clump for a whole cut.
 const SMOOTHING: Duration = Duration::from_secs(3);
 
-/// How long a call of a program under way may wait for tokens: the objective of a turn by the
-/// users' sheets. Its caller would come back after as long with one of two or three tries gone,
-/// and a program of which one call is given up fails as a whole.
+/// How long a call of a program under way may wait for tokens. Its caller would come back after as
+/// long with one of two or three tries gone, and a program of which one call is given up fails as
+/// a whole.
 const LONGEST_WAIT: Duration = Duration::from_millis(200);
 
-/// How long a new program may wait for tokens: a quarter of that objective. After it the caller
-/// is better told to come back.
+/// How long a new program may wait for tokens: a quarter of that. After it the caller is better told
+/// to come back.
 const LONGEST_WAIT_NEW: Duration = Duration::from_millis(50);
 
 /// By which part of itself a tenant's demand must change to be told again, and by how many calls a
