Finding turns and keeping them are two modules

crates/entry/src/turns.rs did both: it reads what a call continues from, and writes what was said. Keeping moves to keeping.rs as it was; nothing but the imports changes. The fault of a turn that is cut lies in that part alone.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -18,8 +18,8 @@
 use crate::events::Cutter;
 use crate::forward::{self, Sending, Sent, Started};
 use crate::plain::fault;
-use crate::turns::{self, Continuation};
-use crate::{clock, places};
+use crate::turns::Continuation;
+use crate::{clock, keeping, places};
 
 /// The most targets that a turn is offered to while each says that it has not run it.
 const MOST_OFFERS: u32 = 4;
@@ -195,7 +195,7 @@
             keep_connection(&call, started, &progress);
         }
         drop(hold.take());
-        if let Err(reason) = turns::keep(&call, &continuation, std::mem::take(&mut progress.said)).await {
+        if let Err(reason) = keeping::keep(&call, &continuation, std::mem::take(&mut progress.said)).await {
             info!(request = %call.head.request_id, reason, "call: turn not kept, stream broken off");
             yield Err(Broken(reason));
         }
