--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -14,7 +14,7 @@
 use futures::StreamExt as _;
 use futures::future::join_all;
 use futures::stream::FuturesUnordered;
-use tokio::task::{AbortHandle, JoinHandle};
+use tokio::task::AbortHandle;
 use tracing::{info, warn};
 
 use crate::asks::{self, Ask, Reply};
@@ -77,13 +77,8 @@
 }
 
 /// Holds a turn that ran here. `writing` is its own write, which may still be under way.
-pub(crate) fn keep_own(
-    shared: &Shared,
-    key: TurnKey,
-    turn: Rc<Turn>,
-    writing: JoinHandle<Result<(), &'static str>>,
-) {
-    let held = Held { turn, whose: Whose::Own(writing.abort_handle()), since: clock::now() };
+pub(crate) fn keep_own(shared: &Shared, key: TurnKey, turn: Rc<Turn>, writing: AbortHandle) {
+    let held = Held { turn, whose: Whose::Own(writing), since: clock::now() };
 
     shared.held.borrow_mut().insert(key, held);
 }
@@ -240,8 +235,14 @@
     let held = shared.held.borrow_mut().remove(&key);
 
     if let Some(Held { whose: Whose::Own(_), .. }) = held {
-        for host in holders(shared, key) {
-            asks::tell(shared, host, &Ask::TurnStored(key));
-        }
+        tell_stored(shared, key);
+    }
+}
+
+/// Tells the hosts that were asked to hold a turn that the store has it. One whose reply came too
+/// late holds it too, and would write it once more.
+pub(crate) fn tell_stored(shared: &Shared, key: TurnKey) {
+    for host in holders(shared, key) {
+        asks::tell(shared, host, &Ask::TurnStored(key));
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -43,6 +43,10 @@
     pub(crate) isolated: IntGauge,
     /// Turns held that the store does not have.
     pub(crate) held_turns: IntGauge,
+    /// Tries that did not keep a turn which had ended, by reason.
+    pub(crate) keeps_missed: IntCounterVec,
+    /// How long turns that had ended waited until they were kept.
+    pub(crate) keep_wait: Histogram,
     /// Grants made without the store, by this host.
     pub(crate) loose_grants: IntCounter,
     /// Operations on the store that another host ran.
@@ -116,6 +120,15 @@
                 "camphorwalk_held_turns",
                 "Turns held here that the store does not have.",
             )?,
+            keeps_missed: by(
+                "camphorwalk_keeps_missed_total",
+                "Tries that did not keep a turn which had ended, by reason.",
+                &["reason"],
+            )?,
+            keep_wait: wait(
+                "camphorwalk_keep_wait_seconds",
+                "Seconds that turns which had ended waited until they were kept.",
+            )?,
             loose_grants: counter(
                 "camphorwalk_loose_grants_total",
                 "Grants made in the store's place by this host.",
