A long answer of the store that goes on coming is not given up

What callers saw: after a new manifest the links of hosts were full for seconds, and news, writes and streams waited behind copies of it.

An answer of a megabyte on a slow link takes longer; it was abandoned while it was arriving well, and asked for again from its start.

Now the head must come within the patience (and the wait of a call that waits for changes), and after it each piece of the body, whatever the length of the whole. Patience is learned from the time to the head, and of a body that stops from the wait for the piece that did not come, so long bodies do not make a client patient. An answer that breaks off has a log line.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -101,21 +101,41 @@
         Ok(self.inner.metrics.register(registry)?)
     }
 
-    /// Runs an operation to its reply. It takes at most the tries of the retry options, of
-    /// one deadline each, and the pauses between them.
+    /// Runs an operation to its reply. It takes at most the tries of the retry options and the
+    /// pauses between them. A try ends when the answer's head, or a further piece of the answer,
+    /// is not there within the deadline; an answer that goes on coming may take longer.
     ///
     /// Over the host's share the reply is `Unavailable` at once. Dropping the future of a
     /// write leaves it as unknown as a lost answer does.
     pub async fn run(&self, op: PlatformOp) -> PlatformReply {
+        self.run_watched(op, &|_| ()).await
+    }
+
+    /// Runs an operation as [`run`](Self::run) does, and calls `on_piece` with each piece of an
+    /// answer's body, with the bytes of that body so far. A further try begins again with few.
+    ///
+    /// ```
+    /// use camphorwalk_core::platform::{PlatformOp, PlatformReply};
+    /// use camphorwalk_store::{Client, ClientOptions};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let nobody = "127.0.0.1:1".parse().unwrap();
+    /// let client = Client::new(ClientOptions::new(nobody, "a")).unwrap();
+    /// let bytes = std::sync::atomic::AtomicUsize::new(0);
+    /// let watch = |so_far| bytes.store(so_far, std::sync::atomic::Ordering::Relaxed);
+    /// let reply = client.run_watched(PlatformOp::Read(vec![]), &watch).await;
+    /// assert_eq!((reply, bytes.into_inner()), (PlatformReply::Unavailable, 0));
+    /// # });
+    /// ```
+    pub async fn run_watched(&self, op: PlatformOp, on_piece: &impl Fn(usize)) -> PlatformReply {
         let name = operations::name(&op);
         let started = Instant::now();
         let Some(call) = (self.inner.dialect.call)(&op) else {
             tracing::error!(operation = name, "platform: the dialect has no such operation");
             return PlatformReply::Unavailable;
         };
-        let outcome = self.try_call(name, operations::access(&op), operations::on_loss(&op), &call);
+        let (access, on_loss) = (operations::access(&op), operations::on_loss(&op));
 
-        let reply = match outcome.await {
+        let reply = match self.try_call(name, access, on_loss, &call, on_piece).await {
             Outcome::OverShare => {
                 self.inner.metrics.over_share(name);
                 return PlatformReply::Unavailable;
@@ -138,7 +158,8 @@
         let started = Instant::now();
         let call = operations::hosts_call();
 
-        let hosts = match self.try_call(HOSTS, Access::Read, OnLoss::SendAgain, &call).await {
+        let outcome = self.try_call(HOSTS, Access::Read, OnLoss::SendAgain, &call, &|_| ());
+        let hosts = match outcome.await {
             Outcome::OverShare => {
                 self.inner.metrics.over_share(HOSTS);
                 return Err(Error::OverShare);
@@ -153,7 +174,14 @@
     }
 
     /// Tries a call until it is answered, or may not or need not be tried again.
-    async fn try_call(&self, name: &str, access: Access, on_loss: OnLoss, call: &Call) -> Outcome {
+    async fn try_call(
+        &self,
+        name: &str,
+        access: Access,
+        on_loss: OnLoss,
+        call: &Call,
+        on_piece: &impl Fn(usize),
+    ) -> Outcome {
         if !self.limits().share.take(access, Instant::now()) {
             return Outcome::OverShare;
         }
@@ -166,17 +194,16 @@
 
         loop {
             let patience = self.limits().patience.next(lost_tries);
-            let sent = Instant::now();
-            let attempt = self.inner.transport.send(call, patience + call.wait).await;
-            self.learn_patience(&attempt, call, sent.elapsed());
+            let attempt = self.inner.transport.send(call, patience, on_piece).await;
+            self.learn_patience(&attempt, call);
 
             match attempt {
-                Attempt::Answered(status, body) => {
+                Attempt::Answered { status, body, .. } => {
                     let earlier = self.earlier(lost, started);
                     return Outcome::Answered { status, body, earlier };
                 }
                 Attempt::NotDone => {}
-                Attempt::Lost => {
+                Attempt::Lost { .. } => {
                     lost = true;
                     lost_tries += 1;
                 }
@@ -196,15 +223,16 @@
         }
     }
 
-    /// Takes in how long the answer to a try took. Questions that wait for changes say nothing.
-    fn learn_patience(&self, attempt: &Attempt, call: &Call, took: Duration) {
+    /// Takes in how long the head of an answer took, or its loss. Questions that wait for changes
+    /// say nothing.
+    fn learn_patience(&self, attempt: &Attempt, call: &Call) {
         if !call.wait.is_zero() {
             return;
         }
 
         match attempt {
-            Attempt::Answered(..) => self.limits().patience.answered(took),
-            Attempt::Lost => self.limits().patience.lost(took),
+            Attempt::Answered { head_after, .. } => self.limits().patience.answered(*head_after),
+            Attempt::Lost { waited } => self.limits().patience.lost(*waited),
             Attempt::NotDone => {}
         }
     }
--- a/crates/store/src/dialect.rs
+++ b/crates/store/src/dialect.rs
@@ -17,7 +17,8 @@
     pub path: Box<str>,
     /// The body.
     pub body: Bytes,
-    /// How long the platform was asked to wait for changes; a try takes that much longer.
+    /// How long the platform was asked to wait for changes; the answer's head is waited for that
+    /// much longer.
     pub wait: Duration,
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,6 +1,6 @@
 //! The client of the platform: transactions, rows, objects and the list of hosts.
 //!
-//! Each try has a deadline, each retry comes from a budget, and no more is asked than the
+//! Each try has a deadline for silence, each retry comes from a budget, and no more is asked than the
 //! host's share. A write whose answer is lost is found out where that can be done, and is
 //! told as unknown where it cannot; it is never taken for a failure.
 
--- a/crates/store/src/limits.rs
+++ b/crates/store/src/limits.rs
@@ -114,18 +114,18 @@
     }
 }
 
-/// How many times the usual time of an answer a try waits for it.
+/// How many times the usual time to an answer's head a try waits for it.
 const PATIENCE_FACTOR: f64 = 8.0;
 
 /// The weight of the newest answer in the usual time.
 const NEWEST_WEIGHT: f64 = 0.1;
 
-/// How long a try waits for its answer.
+/// How long a try waits for the head of its answer, and for each further piece.
 #[derive(Debug)]
 pub(crate) struct Patience {
     least: Duration,
     most: Duration,
-    /// The usual time of an answer, in seconds.
+    /// The usual time to an answer's head, in seconds.
     usual: f64,
 }
 
@@ -142,7 +142,7 @@
         usual.max(self.least).saturating_mul(1 << lost.min(8)).min(self.most)
     }
 
-    /// Takes in how long an answer took.
+    /// Takes in how long the head of an answer took.
     pub(crate) fn answered(&mut self, took: Duration) {
         self.usual += (took.as_secs_f64() - self.usual) * NEWEST_WEIGHT;
     }
--- a/crates/store/src/options.rs
+++ b/crates/store/src/options.rs
@@ -12,11 +12,12 @@
     pub address: SocketAddr,
     /// The host's availability zone, which the platform is told.
     pub zone: Box<str>,
-    /// How long one try may take; an operation may take some of these.
+    /// The longest that one try waits for the head of its answer, and then for each further piece;
+    /// an operation may take some of these, and the time of a long answer.
     pub deadline: Duration,
-    /// The least time that a try gets. A try gets a few times what answers took of late, at
-    /// least this and at most `deadline`, and twice as much after each lost answer: one lost
-    /// answer then costs an operation milliseconds instead of the whole deadline.
+    /// The least time that a try waits so. It waits a few times what the heads of answers took of
+    /// late, at least this and at most `deadline`, and twice as long after each lost answer: one
+    /// lost answer then costs an operation milliseconds instead of the whole deadline.
     pub least_deadline: Duration,
     /// When an operation is tried again.
     pub retry: RetryOptions,
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -1,15 +1,16 @@
 //! One try of a request to the platform, and what is known after it.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_TYPE, HeaderName};
 use http::{HeaderValue, Request, StatusCode, Uri};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::timeout;
 
 use crate::dialect::Call;
 use crate::errors::{Error, Result};
@@ -28,11 +29,21 @@
 #[derive(Debug)]
 pub(crate) enum Attempt {
     /// The platform answered.
-    Answered(StatusCode, Bytes),
+    Answered {
+        /// The answer's status.
+        status: StatusCode,
+        /// The answer's body.
+        body: Bytes,
+        /// The time from the request to the answer's head.
+        head_after: Duration,
+    },
     /// The platform did nothing and will not: it refused, or nothing was sent to it.
     NotDone,
     /// The platform may have done it, or may do it later: the answer was lost.
-    Lost,
+    Lost {
+        /// How long the next part of the answer was waited for.
+        waited: Duration,
+    },
 }
 
 /// The connections to the platform.
@@ -66,14 +77,42 @@
         Ok(Self { client, address: options.address, zone })
     }
 
-    /// Makes one try, which may take as long as `deadline`.
-    pub(crate) async fn send(&self, call: &Call, deadline: Duration) -> Attempt {
+    /// Makes one try. The answer's head is waited for as long as `patience` and what the platform
+    /// was asked to wait, and each further piece of it as long as `patience`. `on_piece` is told
+    /// how many bytes of the body have come, with each piece.
+    ///
+    /// A bound on the whole would give up long answers on slow links, which then come again from
+    /// their start.
+    pub(crate) async fn send(
+        &self,
+        call: &Call,
+        patience: Duration,
+        on_piece: &impl Fn(usize),
+    ) -> Attempt {
         let Some(req) = self.request(call) else {
             return Attempt::NotDone;
         };
+        let sent = Instant::now();
 
-        // The request may be under way when the deadline passes, so that nothing is known.
-        tokio::time::timeout(deadline, self.exchange(req)).await.unwrap_or(Attempt::Lost)
+        // The request may be under way when the time is over, so that nothing is known.
+        let response = match timeout(patience + call.wait, self.client.request(req)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) if error.is_connect() => return Attempt::NotDone,
+            Ok(Err(_)) | Err(_) => return Attempt::Lost { waited: sent.elapsed() },
+        };
+        let (status, head_after) = (response.status(), sent.elapsed());
+
+        if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+            return Attempt::NotDone;
+        }
+        if status.is_server_error() {
+            return Attempt::Lost { waited: head_after };
+        }
+
+        match read_body(response.into_body(), patience, on_piece).await {
+            Ok(body) => Attempt::Answered { status, body, head_after },
+            Err(waited) => Attempt::Lost { waited },
+        }
     }
 
     /// Makes the HTTP request of a call.
@@ -93,27 +132,37 @@
             .body(Full::new(call.body.clone()))
             .ok()
     }
+}
 
-    /// Sends a request and reads its answer whole.
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Attempt {
-        let response = match self.client.request(req).await {
-            Ok(response) => response,
-            Err(error) if error.is_connect() => return Attempt::NotDone,
-            Err(_) => return Attempt::Lost,
+/// Reads a body whole; or returns how long its next piece was waited for in vain.
+async fn read_body<B>(
+    body: B,
+    patience: Duration,
+    on_piece: &impl Fn(usize),
+) -> std::result::Result<Bytes, Duration>
+where
+    B: BodyExt<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    let mut buf = BytesMut::new();
+
+    loop {
+        let began = Instant::now();
+        let error = match timeout(patience, body.frame()).await {
+            Ok(None) => return Ok(buf.freeze()),
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    buf.extend_from_slice(&data);
+                    on_piece(buf.len());
+                }
+                continue;
+            }
+            Ok(Some(Err(e))) => e,
+            Err(e) => e.into(),
         };
-        let status = response.status();
-
-        if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
-            return Attempt::NotDone;
-        }
-
-        if status.is_server_error() {
-            return Attempt::Lost;
-        }
-
-        match Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await {
-            Ok(body) => Attempt::Answered(status, body.to_bytes()),
-            Err(_) => Attempt::Lost,
-        }
+        let waited = began.elapsed();
+        tracing::info!(%error, bytes = buf.len(), ?waited, "platform: answer broke off");
+        return Err(waited);
     }
 }
