--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod held;
 mod host;
 mod keeping;
+mod manifests;
 mod metrics;
 mod news;
 mod places;
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -3,9 +3,11 @@
 
 pub mod attempts;
 pub mod budgets;
+pub mod copies;
 pub mod crashes;
 pub mod isolation;
 pub mod keeping;
+pub mod manifests;
 pub mod outage;
 pub mod placement;
 pub mod prompts;
