A host that the store turns away does not read the manifest through others

Cause, found by looking for the class elsewhere: a host that follows the manifest reads the operators' table whole when its question for changes fails, and every operation of its own that the store refuses is run by a peer. So each host that is turned away got the whole manifest from a random other host about once a second, and had it already.

Evidence: a_host_that_the_store_turns_away_does_not_read_the_manifest_through_others, red before with two such questions in two seconds to a peer that does not answer ("left: 2 right: 0").

Now the manifest is read from the store itself only. A host that is turned away hears of newer versions with the news, and asks one host for what is newer, as before.

--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -69,7 +69,7 @@
 async fn read_manifest(shared: &Rc<Shared>) -> Option<RowVersion> {
     let op = whole(paths::OPERATORS_TABLE, "".into());
 
-    match store::probe_watched(shared, op, &|_| shared.manifests.store_goes_on()).await {
+    match ask_for_manifest(shared, op).await {
         PlatformReply::Changes(changes) => {
             adopt_newest(shared, &changes);
             Some(changes.version)
@@ -78,6 +78,12 @@
     }
 }
 
+/// Asks the store itself. A host that it turns away gets the manifest from another one when that has
+/// a newer one; read through another host, the one in force would come again and again.
+async fn ask_for_manifest(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
+    store::ask_straight(shared, op, &|_| shared.manifests.store_goes_on()).await
+}
+
 fn adopt_newest(shared: &Rc<Shared>, changes: &TableChanges) {
     if let Some(row) = changes.written.iter().rfind(|row| row.key == paths::manifest_row()) {
         adopt(shared, &row.value, "store");
@@ -101,7 +107,7 @@
     let table = paths::OPERATORS_TABLE.into();
     let op = PlatformOp::Changes { table, after, wait: MANIFEST_WAIT };
 
-    match store::probe_watched(shared, op, &|_| shared.manifests.store_goes_on()).await {
+    match ask_for_manifest(shared, op).await {
         PlatformReply::Changes(changes) => {
             if !changes.written.is_empty() {
                 adopt_newest(shared, &changes);
