--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -143,16 +143,22 @@
 
 /// Runs an operation of the host's own, which also finds out whether the store is back.
 pub(crate) async fn probe(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
-    match ask_straight(shared, op.clone()).await {
+    match ask_straight(shared, op.clone(), &|_| ()).await {
         PlatformReply::Unavailable => relay(shared, op).await,
         reply => reply,
     }
 }
 
-async fn ask_straight(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
+/// Runs an operation at the store itself, and calls `on_piece` with each piece of its answer, with
+/// the bytes so far.
+pub(crate) async fn ask_straight(
+    shared: &Rc<Shared>,
+    op: PlatformOp,
+    on_piece: &impl Fn(usize),
+) -> PlatformReply {
     let began = clock::now();
     let part: Box<str> = part(&op).into();
-    let reply = shared.store.client.run(op).await;
+    let reply = shared.store.client.run_watched(op, on_piece).await;
     let now = clock::now();
     let change = {
         let mut health = shared.store.health.borrow_mut();
@@ -231,7 +237,7 @@
 /// the other reaches the store would pass it to and fro.
 pub(crate) async fn run_for_peer(shared: &Rc<Shared>, op: PlatformOp) -> Reply {
     match shared.store.answers() {
-        true => Reply::Store(ask_straight(shared, op).await),
+        true => Reply::Store(ask_straight(shared, op, &|_| ()).await),
         false => Reply::Refused,
     }
 }
