What other hosts hold counts whenever they say so, and a belief in a cut must last before an answer is cut

Cause: other hosts had 100 ms to say that they hold a turn. A reply after 101 ms was thrown away although that host held the turn, the turn was sent to it again whole, and nothing was collected while a slow write was under way. And a host whose news from other zones were late for 0.7 s while the store did not answer took itself for cut off and broke off at the first write that failed.

Now the write and the copies at other hosts are waited for side by side, until the caller's time is over. Each host is asked once and its reply counts whenever it comes; after a second without one it is asked again, as the question may have been lost with a connection. An answer is broken off at a failed write only by a host that has been cut off for a second. How many copies are needed follows from the hosts that are known, no more from those that are heard: with one of many heard for an instant, one copy passed as enough. Hosts that were asked are told when the store has the turn, whoever waits for it.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::hash::{Map, rendezvous_order};
+use camphorwalk_core::hash::{Map, Set, rendezvous_order};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::platform::{
@@ -185,14 +185,19 @@
     /// What is told to one of them and acknowledged is known outside of this host's zone, and so
     /// no cut of the zone had begun. A belief about the cut would come most of a second late.
     pub(crate) fn witnesses(&self, item: u64) -> Vec<HostId> {
+        let witnesses = self.known_witnesses();
+
+        self.order(item).into_iter().filter(|host| witnesses.contains(host)).collect()
+    }
+
+    /// Returns the known hosts that may be witnesses, heard or not.
+    pub(crate) fn known_witnesses(&self) -> Set<HostId> {
         let known = self.known.borrow();
         let has_other_zones = known.values().any(|known| known.zone != self.zone);
-        let is_witness = |host: &HostId| match known.get(host) {
-            Some(known) => !has_other_zones || known.zone != self.zone,
-            None => false,
-        };
+        let witnesses =
+            known.iter().filter(|(_, known)| !has_other_zones || known.zone != self.zone);
 
-        self.order(item).into_iter().filter(|host| is_witness(host)).collect()
+        witnesses.map(|(host, _)| *host).collect()
     }
 
     /// Returns when a host told its news last.
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -3,18 +3,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::hash::Map;
+use camphorwalk_core::hash::{Map, Set};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, RowKey, RowVersion, Transaction, Write,
 };
 use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::keeping::least_copies;
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
 use camphorwalk_policy::entry::write_back::{Round, writes_for_others};
 use futures::StreamExt as _;
 use futures::future::join_all;
 use futures::stream::FuturesUnordered;
 use tokio::task::AbortHandle;
+use tokio::time::interval;
 use tracing::{info, warn};
 
 use crate::asks::{self, Ask, Reply};
@@ -31,12 +33,12 @@
 /// besides the one that it ran at, half of a small fleet may be killed before the store is back.
 const COPIES: usize = 5;
 
-/// How many of them must hold it before its end is passed on, if there are so many. A single one
-/// may be cut off together with the host that the turn ran at.
-const LEAST_COPIES: usize = 2;
+/// How often it is looked which other hosts can be asked to hold a turn.
+const HOLD_PERIOD: Duration = Duration::from_millis(100);
 
-/// How long another host may take to say that it holds a turn.
-const HOLD_DEADLINE: Duration = Duration::from_millis(100);
+/// After how long without a reply a host is asked to hold a turn once more: the question or its
+/// reply was lost with a connection.
+const HOLD_DEADLINE: Duration = Duration::from_secs(1);
 
 /// How many writes are under way at the same time.
 const WRITES_AT_ONCE: usize = 8;
@@ -58,26 +60,41 @@
     shared.fleet.witnesses(key.0).into_iter().take(COPIES).collect()
 }
 
-/// Has hosts of other zones hold a turn that the store does not take. Returns whether enough do.
-pub(crate) async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) -> bool {
-    let hosts = holders(shared, key);
-    let ask = Ask::Hold(key, Turn::clone(turn));
-    // All are asked at once; those that answer late hold it too.
-    let mut replies: FuturesUnordered<_> =
-        hosts.iter().map(|host| asks::ask(shared, *host, &ask, HOLD_DEADLINE)).collect();
-    let least = hosts.len().clamp(1, LEAST_COPIES);
+/// Has hosts of other zones hold a turn that the store does not take; returns when enough do.
+///
+/// A reply counts whenever it comes: the host holds the turn. One that is slow is not sent it again
+/// at once, which would make it slower.
+pub(crate) async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) {
+    let question = Ask::Hold(key, Turn::clone(turn));
+    let least = least_copies(shared.fleet.known_witnesses().len());
+    let mut asked: Set<HostId> = Set::default();
+    let mut replies = FuturesUnordered::new();
     let mut copies = 0;
-    while copies < least
-        && let Some(reply) = replies.next().await
-    {
-        copies += usize::from(matches!(reply, Some(Reply::Done)));
+    let mut rounds = interval(HOLD_PERIOD);
+
+    while copies < least {
+        tokio::select! {
+            _ = rounds.tick() => {
+                for host in holders(shared, key).into_iter().filter(|host| asked.insert(*host)) {
+                    let reply = asks::ask(shared, host, &question, HOLD_DEADLINE);
+                    replies.push(async move { (host, reply.await) });
+                }
+            }
+            Some((host, reply)) = replies.next() => match reply {
+                Some(Reply::Done) => copies += 1,
+                _ => drop(asked.remove(&host)),
+            },
+        }
     }
-
-    copies >= least
 }
 
-/// Holds a turn that ran here. `writing` is its own write, which may still be under way.
-pub(crate) fn keep_own(shared: &Shared, key: TurnKey, turn: Rc<Turn>, writing: AbortHandle) {
+/// Holds a turn that ran here. `writing` is its own write, if one is under way.
+pub(crate) fn keep_own(
+    shared: &Shared,
+    key: TurnKey,
+    turn: Rc<Turn>,
+    writing: Option<AbortHandle>,
+) {
     let held = Held { turn, whose: Whose::Own(writing), since: clock::now() };
 
     shared.held.borrow_mut().insert(key, held);
@@ -95,7 +112,7 @@
     fn is_due(&self, now: Instant, fleet: &Fleet) -> bool {
         match &self.whose {
             // A slow store would be asked for the same row twice.
-            Whose::Own(writing) => writing.is_finished(),
+            Whose::Own(writing) => writing.as_ref().is_none_or(AbortHandle::is_finished),
             Whose::Peer(run) => writes_for_others(now.since(self.since), || {
                 run.is_some_and(|run| fleet.hears_run(run))
             }),
@@ -105,8 +122,8 @@
 
 /// Whose turns are written.
 enum Whose {
-    /// Those that ran at this host, each with its own write.
-    Own(AbortHandle),
+    /// Those that ran at this host, each with its own write if one is under way.
+    Own(Option<AbortHandle>),
     /// Those that are held for a run of another host, which writes them itself if it lives.
     Peer(Option<u64>),
 }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -106,8 +106,8 @@
     pub(crate) stories: Stories,
     /// Since when the host leaves.
     leaving: Cell<Option<Instant>>,
-    /// Whether the host was cut off when that was last asked, for the logs.
-    was_isolated: Cell<bool>,
+    /// Since when the host is cut off, as far as that was asked.
+    isolated_since: Cell<Option<Instant>>,
     /// Requests that were read and are not answered.
     open_requests: Cell<usize>,
 }
@@ -123,13 +123,21 @@
         // Asked at each answer: whom the host hears matters only if the store does not answer.
         let isolated = !self.store.answers_whole() && isolation::is_isolated(self.surroundings());
 
-        if self.was_isolated.replace(isolated) != isolated {
+        if self.isolated_since.get().is_some() != isolated {
+            self.isolated_since.set(isolated.then(clock::now));
             self.metrics.isolated.set(i64::from(isolated));
             info!(isolated, around = ?self.surroundings(), "host: cut off, or no longer");
         }
         isolated
     }
 
+    /// Returns for how long the host has been cut off, if it is.
+    pub(crate) fn isolated_for(&self) -> Option<Duration> {
+        let is_isolated = self.is_isolated();
+
+        self.isolated_since.get().filter(|_| is_isolated).map(|since| clock::now().since(since))
+    }
+
     /// Returns the host that had the last turn of a call's line, or of its parent's, if that is another
     /// one and is heard.
     pub(crate) fn host_before(&self, head: &CallHead) -> Option<HostId> {
@@ -251,7 +259,7 @@
             metrics,
             stories: Stories::new(),
             leaving: Cell::new(None),
-            was_isolated: Cell::new(false),
+            isolated_since: Cell::new(None),
             open_requests: Cell::new(0),
             settings,
         });
--- a/crates/entry/src/keeping.rs
+++ b/crates/entry/src/keeping.rs
@@ -1,6 +1,7 @@
 //! Keeping turns: each is written to the store before the end of its answer is passed on, or held
 //! by other hosts until the store takes it.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use camphorwalk_core::platform::{
@@ -9,7 +10,8 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::keeping::{Keeping, Next};
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
-use tokio::task::{JoinError, JoinHandle};
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 use tracing::info;
 
@@ -18,23 +20,39 @@
 use crate::turns::{Continuation, row_key};
 use crate::{clock, held, retention, store};
 
-/// Why a try did not keep a turn.
+/// Why a turn is not in the store.
 #[derive(Clone, Copy, Debug)]
-struct NotKept {
+struct NotStored {
     reason: &'static str,
-    /// Whether no further try can keep it.
+    /// Whether no further write can change that.
     is_final: bool,
 }
 
-/// What came of a try.
-type Result<T> = std::result::Result<T, NotKept>;
+/// What came of a write.
+type Result<T> = std::result::Result<T, NotStored>;
 
-impl NotKept {
-    fn missed(reason: &'static str) -> Self {
+impl NotStored {
+    fn now(reason: &'static str) -> Self {
         Self { reason, is_final: false }
     }
 }
 
+/// A turn that has ended and is to be kept.
+struct Ended<'a> {
+    call: &'a Call,
+    key: TurnKey,
+    turn: Rc<Turn>,
+    /// Its row.
+    value: Box<str>,
+    at: Instant,
+    /// The write that is under way.
+    writing: RefCell<Option<AbortHandle>>,
+    /// Whether other hosts were asked to hold it.
+    at_peers: Rc<Cell<bool>>,
+    /// Told when the first write fails.
+    failed: Notify,
+}
+
 /// Keeps a turn whose stream has ended, if its route keeps turns. Until then its end may not be
 /// passed on: the caller could continue it at another host, or after all hosts lost power.
 ///
@@ -50,97 +68,127 @@
         return Ok(());
     }
 
-    let shared = &call.shared;
-    let key = TurnKey::new(call.tenant.as_deref().unwrap_or_default(), &call.head.request_id);
     let mut text = call.body.to_vec();
     text.extend_from_slice(&said);
     let turn = Turn::new(continuation.line.clone(), text);
-    let value: Box<str> =
-        serde_json::to_string(&turn).map_err(|_| "the turn cannot be written")?.into();
-    let turn = Rc::new(turn);
-    let ended = clock::now();
-    let mut keeping = Keeping::default();
-
-    loop {
-        let tried = timeout(clock::until(call.deadline), try_once(call, key, &turn, &value)).await;
-        let Err(missed) = tried.unwrap_or(Err(NotKept::missed("the time is over"))) else { break };
-
-        match next(call, &mut keeping, ended, missed) {
-            Next::TryAgain(pause) => sleep(pause).await,
-            Next::BreakOff => return Err(missed.reason),
-        }
-    }
-    if keeping.misses() > 0 && !shared.held.borrow().contains_key(&key) {
-        held::tell_stored(shared, key);
-    }
-    shared.metrics.keep_wait.observe(clock::now().since(ended).as_secs_f64());
-    shared.turns.borrow_mut().put(key, turn);
+    let value = serde_json::to_string(&turn).map_err(|_| "the turn cannot be written")?;
+    let ended = Ended {
+        call,
+        key: TurnKey::new(call.tenant.as_deref().unwrap_or_default(), &call.head.request_id),
+        turn: Rc::new(turn),
+        value: value.into(),
+        at: clock::now(),
+        writing: RefCell::default(),
+        at_peers: Rc::default(),
+        failed: Notify::new(),
+    };
+    timeout(clock::until(call.deadline), ended.keep()).await.unwrap_or(Err("the time is over"))?;
+
+    let shared = &call.shared;
+    shared.metrics.keep_wait.observe(clock::now().since(ended.at).as_secs_f64());
+    shared.turns.borrow_mut().put(ended.key, ended.turn);
 
     Ok(())
 }
 
-/// Decides what to do after a try that did not keep a turn which ended at `ended`.
-fn next(call: &Call, keeping: &mut Keeping, ended: Instant, missed: NotKept) -> Next {
-    let left = clock::until(call.deadline);
-    let isolated = call.shared.is_isolated();
-    let next = match missed.is_final {
-        true => Next::BreakOff,
-        false => keeping.missed(left, isolated),
-    };
+impl Ended<'_> {
+    /// Keeps the turn: in the store, or at other hosts if the store does not take it soon.
+    async fn keep(&self) -> std::result::Result<(), &'static str> {
+        tokio::select! {
+            biased;
+            stored = self.store() => stored,
+            () = self.hold() => {
+                self.held();
+                Ok(())
+            }
+        }
+    }
 
-    call.shared.metrics.keeps_missed.with_label_values(&[missed.reason]).inc();
-    info!(
-        request = %call.head.request_id, reason = missed.reason, misses = keeping.misses(),
-        isolated, waited_ms = clock::now().since(ended).as_millis() as u64,
-        left_ms = left.as_millis() as u64, next = ?next, "turn: not kept by a try"
-    );
+    /// Writes the turn until the store has it, or no further write is worth while.
+    async fn store(&self) -> std::result::Result<(), &'static str> {
+        let mut keeping = Keeping::default();
+
+        loop {
+            // The write goes on when the caller leaves or the turn is held elsewhere meanwhile.
+            let writing = tokio::task::spawn_local(write_and_note(
+                Rc::clone(&self.call.shared),
+                self.key,
+                self.value.clone(),
+                Rc::clone(&self.at_peers),
+            ));
+            *self.writing.borrow_mut() = Some(writing.abort_handle());
+            let written = writing.await.unwrap_or(Err(NotStored::now("the write ended early")));
+            let Err(failure) = written else { return Ok(()) };
+
+            self.failed.notify_one();
+            match self.next(&mut keeping, failure) {
+                Next::Retry(pause) => sleep(pause).await,
+                Next::BreakOff => return Err(failure.reason),
+            }
+        }
+    }
 
-    next
-}
+    /// Decides what to do after a write that failed.
+    fn next(&self, keeping: &mut Keeping, failure: NotStored) -> Next {
+        let NotStored { reason, is_final } = failure;
+        let shared = &self.call.shared;
+        let left = clock::until(self.call.deadline);
+        let isolated_for = shared.isolated_for();
+        let next = match is_final {
+            true => Next::BreakOff,
+            false => keeping.write_failed(left, isolated_for),
+        };
+
+        shared.metrics.keep_failures.with_label_values(&[reason]).inc();
+        info!(
+            request = %self.call.head.request_id, reason, failed = keeping.failed(),
+            ?isolated_for, waited = ?clock::now().since(self.at), ?left, ?next,
+            "turn: write failed"
+        );
+
+        next
+    }
 
-/// Tries to keep a turn: writes it, and has other hosts hold it if the store does not take it soon.
-async fn try_once(call: &Call, key: TurnKey, turn: &Rc<Turn>, value: &str) -> Result<()> {
-    let shared = &call.shared;
-    // The write goes on when the caller leaves or the turn is held elsewhere meanwhile.
-    let mut writing: JoinHandle<Result<()>> =
-        tokio::task::spawn_local(write_and_note(Rc::clone(shared), key, value.into()));
-    let soon = timeout(store::HEDGE_AFTER, &mut writing).await.ok().map(joined);
-    let reason = match soon {
-        Some(Ok(())) => return Ok(()),
-        Some(Err(missed)) if missed.is_final => return Err(missed),
-        Some(Err(missed)) => missed.reason,
-        None => {
+    /// Returns when enough other hosts hold the turn. They are asked if the store does not answer soon.
+    async fn hold(&self) {
+        let shared = &self.call.shared;
+        if timeout(store::HEDGE_AFTER, self.failed.notified()).await.is_err() {
             shared.store.note_slow(clock::now());
-            "the store is slow"
         }
-    };
+        self.at_peers.set(true);
 
-    if held::hold_at_peers(shared, key, turn).await {
-        info!(request = %call.head.request_id, reason, "turn: held by other hosts");
-        held::keep_own(shared, key, Rc::clone(turn), writing.abort_handle());
-        // It may have been written while they were asked.
-        if shared.written.borrow().holds(key) {
-            held::release(shared, key);
-        }
-        return Ok(());
-    }
-    if let Some(ended) = soon {
-        return ended;
+        held::hold_at_peers(shared, self.key, &self.turn).await;
     }
 
-    joined(writing.await)?;
-    held::tell_stored(shared, key);
-    Ok(())
-}
+    /// Takes in that other hosts hold the turn.
+    fn held(&self) {
+        let shared = &self.call.shared;
+        let waited = clock::now().since(self.at);
+        info!(request = %self.call.head.request_id, ?waited, "turn: held by other hosts");
 
-fn joined(ended: std::result::Result<Result<()>, JoinError>) -> Result<()> {
-    ended.unwrap_or(Err(NotKept::missed("the write ended early")))
+        held::keep_own(shared, self.key, Rc::clone(&self.turn), self.writing.take());
+        // It may have been written while they were asked.
+        if shared.written.borrow().holds(self.key) {
+            held::release(shared, self.key);
+        }
+    }
 }
 
 /// Writes the row of a turn, and takes note that the store has it.
-async fn write_and_note(shared: Rc<Shared>, key: TurnKey, value: Box<str>) -> Result<()> {
+async fn write_and_note(
+    shared: Rc<Shared>,
+    key: TurnKey,
+    value: Box<str>,
+    at_peers: Rc<Cell<bool>>,
+) -> Result<()> {
     write(&shared, key, value).await?;
+
+    let is_held = shared.held.borrow().contains_key(&key);
     retention::written(&shared, key);
+    // Hosts that were asked to hold it, and whose replies were not waited for, would write it too.
+    if at_peers.get() && !is_held {
+        held::tell_stored(&shared, key);
+    }
 
     Ok(())
 }
@@ -165,10 +213,10 @@
                 return Ok(());
             }
             PlatformReply::Conflict(_) => {
-                return Err(NotKept { reason: "another turn has this id", is_final: true });
+                return Err(NotStored { reason: "another turn has this id", is_final: true });
             }
             PlatformReply::Unknown => {}
-            _ => return Err(NotKept::missed("the store did not take the turn")),
+            _ => return Err(NotStored::now("the store did not take the turn")),
         }
         if let PlatformReply::Rows(rows) = store::ask(shared, read.clone()).await
             && rows.iter().any(|row| row.value == value)
@@ -177,5 +225,5 @@
         }
     }
 
-    Err(NotKept::missed("it cannot be told whether the store took the turn"))
+    Err(NotStored::now("it cannot be told whether the store took the turn"))
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -45,8 +45,8 @@
     pub(crate) isolated: IntGauge,
     /// Turns held that the store does not have.
     pub(crate) held_turns: IntGauge,
-    /// Tries that did not keep a turn which had ended, by reason.
-    pub(crate) keeps_missed: IntCounterVec,
+    /// Writes of turns that failed, by reason.
+    pub(crate) keep_failures: IntCounterVec,
     /// How long turns that had ended waited until they were kept.
     pub(crate) keep_wait: Histogram,
     /// Grants made without the store, by this host.
@@ -127,9 +127,9 @@
                 "camphorwalk_held_turns",
                 "Turns held here that the store does not have.",
             )?,
-            keeps_missed: by(
-                "camphorwalk_keeps_missed_total",
-                "Tries that did not keep a turn which had ended, by reason.",
+            keep_failures: by(
+                "camphorwalk_keep_failures_total",
+                "Writes of turns that failed, by reason.",
                 &["reason"],
             )?,
             keep_wait: wait(
--- a/crates/policy/src/entry/keeping.rs
+++ b/crates/policy/src/entry/keeping.rs
@@ -2,57 +2,76 @@
 //!
 //! The end of its answer is passed on only when the turn is kept. A stream that is closed without
 //! its end costs the caller the whole turn, which has been generated and would be once more. So
-//! keeping is tried again for as long as the caller waits.
+//! it is written again for as long as the caller waits.
 
 use std::time::Duration;
 
-/// The pause after the first try.
+/// The pause after the first write that failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
-/// The longest pause between tries. Pauses double up to it, so that a store in trouble is not
+/// The longest pause between writes. Pauses double up to it, so that a store in trouble is not
 /// asked more often for each turn that waits for it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
-/// What to do after a try that did not keep the turn.
+/// For how long a host must have been cut off before it breaks answers off. News that are late for
+/// an instant look like a cut; after one, nothing that the host holds is worth a promise.
+const CUT_CERTAIN: Duration = Duration::from_secs(1);
+
+/// What to do after a write that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
-    /// Try again after a pause.
-    TryAgain(Duration),
+    /// Write again after a pause.
+    Retry(Duration),
     /// Break the answer off.
     BreakOff,
 }
 
-/// The keeping of one turn.
+/// The writes of one turn.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Keeping {
-    misses: u32,
+    failed: u32,
 }
 
 impl Keeping {
-    /// Returns how many tries did not keep the turn.
-    pub fn misses(&self) -> u32 {
-        self.misses
+    /// Returns how many writes failed.
+    pub fn failed(&self) -> u32 {
+        self.failed
     }
 
-    /// Takes in that a try did not keep the turn. `left` is how much longer the caller waits. A host
-    /// that `is_isolated` does not try again: what it holds would be lost with its zone, and other
-    /// zones serve the caller.
+    /// Takes in that a write failed. `left` is how much longer the caller waits, `isolated_for` how
+    /// long the host has been cut off if it is: its caller is then served by other zones.
     ///
     /// ```
     /// use std::time::Duration;
     /// use camphorwalk_policy::entry::keeping::{Keeping, Next};
     /// let mut keeping = Keeping::default();
     /// let left = Duration::from_secs(2);
-    /// assert!(matches!(keeping.missed(left, false), Next::TryAgain(_)));
-    /// assert_eq!(keeping.missed(left, true), Next::BreakOff);
+    /// assert!(matches!(keeping.write_failed(left, None), Next::Retry(_)));
+    /// assert_eq!(keeping.write_failed(left, Some(left)), Next::BreakOff);
     /// ```
-    pub fn missed(&mut self, left: Duration, is_isolated: bool) -> Next {
-        let pause = FIRST_PAUSE.saturating_mul(1 << self.misses.min(8)).min(LONGEST_PAUSE);
-        self.misses += 1;
+    pub fn write_failed(&mut self, left: Duration, isolated_for: Option<Duration>) -> Next {
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.failed.min(8)).min(LONGEST_PAUSE);
+        self.failed += 1;
 
-        match is_isolated || pause >= left {
+        let is_cut_off = isolated_for.is_some_and(|time| time >= CUT_CERTAIN);
+        match is_cut_off || pause >= left {
             true => Next::BreakOff,
-            false => Next::TryAgain(pause),
+            false => Next::Retry(pause),
         }
     }
 }
+
+/// Returns how many other hosts must hold a turn that the store does not have before its end is
+/// passed on, of so many `known` hosts that could. A single one may be cut off together with the
+/// host that the turn ran at.
+///
+/// ```
+/// use camphorwalk_policy::entry::keeping::least_copies;
+/// assert_eq!(least_copies(6), 2);
+/// assert_eq!(least_copies(1), 1);
+/// ```
+pub fn least_copies(known: usize) -> usize {
+    const LEAST_COPIES: usize = 2;
+
+    known.clamp(1, LEAST_COPIES)
+}
