No copy of a manifest from another host while one is under way

What callers saw: hosts of one zone took in a new manifest three times (up to 8,796 KB in the seconds after two versions of 1.4 MB, 2,887 KB at the median), one host sent 7,462 KB; news, writes and streams waited behind it.

Cause: a host that heard of a newer version gave the store 250 ms and then asked a peer, although its own transfer was under way on a slow link. 500 ms later the question was given up while that copy came too, and the next news led to a third.

Now the decision is a pure function (policy, entry/manifests.rs): a peer is asked only when the store does not answer, or has let the host wait for 250 ms since the news, since the last piece of its answer, or since it was asked for what is newer still. A question is kept up for up to three seconds, and ends early when news of the other host came that it told a second and more after the question: messages of a host come in order, so no long answer is under way.

By the sums a host that the store turns away has the manifest in time, not played on slow links here: it hears of the version with the next news (100 ms in a zone of twenty hosts, 300 ms of 59), asks at once if the store does not answer and else after 250 ms, and gets 1.05 MB (the text without the store's base64) in 0.3 s at 30 Mbit/s, with two other copies on the sender's link in 0.9 s: 1.3 to 1.5 s after the sender adopted it.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -18,7 +18,7 @@
 use tracing::warn;
 
 use crate::host::Shared;
-use crate::{budget, grants, held, store, turns, watch};
+use crate::{budget, grants, held, manifests, store, turns};
 
 /// A question to another host.
 #[derive(Debug, Serialize, Deserialize)]
@@ -117,6 +117,12 @@
     question: &Ask,
     limit: Duration,
 ) -> Option<Reply> {
+    timeout(limit, ask_on(shared, host, question)).await.ok()?
+}
+
+/// Asks another host, and waits for its reply until dropped. Returns `None` if the question cannot
+/// be sent.
+pub(crate) async fn ask_on(shared: &Shared, host: HostId, question: &Ask) -> Option<Reply> {
     let question = encode(question)?;
     let asks = &shared.asks;
     let id = asks.next.get();
@@ -128,7 +134,7 @@
     if !shared.fleet.send(host, Body::Ask(wire::Ask { id, question })) {
         return None;
     }
-    timeout(limit, rx).await.ok()?.ok()
+    rx.await.ok()
 }
 
 /// Tells another host something without waiting for its reply.
@@ -169,7 +175,7 @@
         Ask::Yield(program) => budget::yield_rest(shared, program),
         Ask::Hold(key, turn) => held::hold(shared, from, key, turn),
         Ask::TurnStored(key) => held::stored(shared, key),
-        Ask::Manifest => watch::tell_manifest(shared, from),
+        Ask::Manifest => manifests::tell(shared, from),
         Ask::Targets => Reply::Targets(shared.targets.borrow().entries()),
         Ask::Line(key) => Reply::Line(turns::line_at_hand(shared, key)),
         Ask::Find(key) => Reply::Turn(turns::at_hand(shared, key)),
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -190,6 +190,11 @@
         self.order(item).into_iter().filter(|host| is_witness(host)).collect()
     }
 
+    /// Returns when a host told its news last.
+    pub(crate) fn heard_at(&self, host: HostId) -> Option<Instant> {
+        self.heard.borrow().get(&host).map(|heard| heard.at)
+    }
+
     /// Returns whether a host told its news of late.
     pub(crate) fn hears(&self, host: HostId) -> bool {
         self.heard.borrow().get(&host).is_some_and(|heard| heard.is_fresh(clock::now()))
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -27,6 +27,7 @@
 use crate::connections::Connections;
 use crate::errors::Result;
 use crate::fleet::Fleet;
+use crate::manifests::Manifests;
 use crate::metrics::Metrics;
 use crate::places::Places;
 use crate::store::Store;
@@ -84,8 +85,7 @@
     pub(crate) routes: RefCell<Option<RouteTable>>,
     /// The text of the manifest in force, for hosts that cannot reach the store.
     pub(crate) manifest_text: RefCell<Box<str>>,
-    /// Whether another host is being asked for its manifest.
-    pub(crate) asks_for_manifest: Cell<bool>,
+    pub(crate) manifests: Manifests,
     pub(crate) rates: RefCell<Rates>,
     pub(crate) told_all: news::ToldAll,
     pub(crate) targets: RefCell<Targets>,
@@ -234,7 +234,7 @@
             asks: Asks::default(),
             routes: RefCell::default(),
             manifest_text: RefCell::default(),
-            asks_for_manifest: Cell::new(false),
+            manifests: Manifests::default(),
             rates: RefCell::default(),
             told_all: news::ToldAll::default(),
             targets: RefCell::new(Targets::new(&settings.zone)),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod grants;
 mod held;
 mod host;
+mod manifests;
 mod metrics;
 mod news;
 mod places;
--- /dev/null
+++ b/crates/entry/src/manifests.rs
@@ -0,0 +1,106 @@
+//! Newer manifests that other hosts have.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::messages::Body;
+use camphorwalk_core::messages::entry::Manifest;
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::manifests::{Newer, Next, Question, next, question};
+use tokio::time::sleep;
+use tracing::info;
+
+use crate::asks::{self, Ask, Reply};
+use crate::clock;
+use crate::host::Shared;
+
+/// How often it is looked whether a question is still to be kept up.
+const QUESTION_PERIOD: Duration = Duration::from_millis(100);
+
+/// What is under way of manifests.
+#[derive(Default)]
+pub(crate) struct Manifests {
+    /// Whether a newer one is waited for or asked for.
+    is_sought: Cell<bool>,
+    /// When a part of one came from the store last, or was done with.
+    store_went_on: Cell<Option<Instant>>,
+}
+
+impl Manifests {
+    /// Takes in that the store goes on bringing a manifest.
+    pub(crate) fn store_goes_on(&self) {
+        self.store_went_on.set(Some(clock::now()));
+    }
+}
+
+/// Takes in that another host has a manifest of this version. If it is newer than the one in force
+/// and the store does not bring it, it is asked for.
+///
+/// The store turns some hosts away while it answers others. If all of these sent their manifest
+/// unasked, a host that is turned away would get it from each of them, again with each of their
+/// news, until its link is full. So it asks one of them at a time.
+pub(crate) fn heard_version(shared: &Rc<Shared>, version: u64) {
+    if version <= shared.manifest_version() || shared.manifests.is_sought.replace(true) {
+        return;
+    }
+
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        seek(&shared, version).await;
+        shared.manifests.is_sought.set(false);
+    });
+}
+
+/// Waits for a newer manifest, and asks one host for it if the store does not bring it.
+async fn seek(shared: &Shared, version: u64) {
+    let heard = clock::now();
+
+    loop {
+        let newer = Newer {
+            version,
+            own: shared.manifest_version(),
+            heard,
+            store_answers: shared.store.answers(),
+            store_went_on: shared.manifests.store_went_on.get(),
+        };
+        match next(clock::now(), &newer) {
+            Next::Nothing => return,
+            Next::Wait(pause) => sleep(pause).await,
+            Next::AskPeer => return ask_peer(shared, version).await,
+        }
+    }
+}
+
+/// Asks a host for its manifest. Without one the next news lead to a new question.
+async fn ask_peer(shared: &Shared, version: u64) {
+    let own = shared.manifest_version();
+    let Some(host) = shared.fleet.manifest_peer(own) else { return };
+    let asked = clock::now();
+
+    // The manifest itself comes before the reply.
+    let reply = tokio::select! {
+        reply = asks::ask_on(shared, host, &Ask::Manifest) => reply,
+        () = no_answer(shared, host, asked) => None,
+    };
+    let took = clock::now().since(asked);
+    info!(host = host.0, own, version, ?reply, ?took, "manifest: asked for at another host");
+}
+
+/// Waits until no answer can be expected to a question.
+async fn no_answer(shared: &Shared, host: HostId, asked: Instant) {
+    while question(clock::now(), asked, shared.fleet.heard_at(host)) == Question::Wait {
+        sleep(QUESTION_PERIOD).await;
+    }
+}
+
+/// Sends the manifest in force to another host that asked for it.
+pub(crate) fn tell(shared: &Shared, to: HostId) -> Reply {
+    let text = shared.manifest_text.borrow().to_string();
+
+    match shared.fleet.send(to, Body::Manifest(Manifest { text })) {
+        true => Reply::Done,
+        false => Reply::Refused,
+    }
+}
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -24,7 +24,7 @@
 
 use crate::fleet::{Heard, forget_silent};
 use crate::host::Shared;
-use crate::{clock, places, watch};
+use crate::{clock, manifests, places};
 
 /// How often a host tells its news to few others. Calls take a fifth of a second; within this time
 /// no host can fill a target that others think idle.
@@ -212,7 +212,7 @@
         shared.crashes.borrow_mut().hear(now, crash);
     }
 
-    watch::heard_version(shared, news.manifest_version);
+    manifests::heard_version(shared, news.manifest_version);
     places::wake_all(shared);
 }
 
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -143,16 +143,30 @@
 
 /// Runs an operation of the host's own, which also finds out whether the store is back.
 pub(crate) async fn probe(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
-    match ask_straight(shared, op.clone()).await {
+    probe_watched(shared, op, &|_| ()).await
+}
+
+/// Runs an operation as [`probe`] does, and calls `on_piece` with each piece of the store's answer,
+/// with its bytes so far.
+pub(crate) async fn probe_watched(
+    shared: &Rc<Shared>,
+    op: PlatformOp,
+    on_piece: &impl Fn(usize),
+) -> PlatformReply {
+    match ask_straight(shared, op.clone(), on_piece).await {
         PlatformReply::Unavailable => relay(shared, op).await,
         reply => reply,
     }
 }
 
-async fn ask_straight(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
+async fn ask_straight(
+    shared: &Rc<Shared>,
+    op: PlatformOp,
+    on_piece: &impl Fn(usize),
+) -> PlatformReply {
     let began = clock::now();
     let part: Box<str> = part(&op).into();
-    let reply = shared.store.client.run(op).await;
+    let reply = shared.store.client.run_watched(op, on_piece).await;
     let now = clock::now();
     let change = {
         let mut health = shared.store.health.borrow_mut();
@@ -231,7 +245,7 @@
 /// the other reaches the store would pass it to and fro.
 pub(crate) async fn run_for_peer(shared: &Rc<Shared>, op: PlatformOp) -> Reply {
     match shared.store.answers() {
-        true => Reply::Store(ask_straight(shared, op).await),
+        true => Reply::Store(ask_straight(shared, op, &|_| ()).await),
         false => Reply::Refused,
     }
 }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -6,9 +6,6 @@
 
 use camphorwalk_adapter::{manifest, paths, targets};
 use camphorwalk_core::hash::Set;
-use camphorwalk_core::ids::HostId;
-use camphorwalk_core::messages::Body;
-use camphorwalk_core::messages::entry::Manifest;
 use camphorwalk_core::platform::{
     PlatformOp, PlatformReply, Row, RowKey, RowVersion, TableChanges,
 };
@@ -26,15 +23,9 @@
 /// silent shows after this time; the manifest must be in force after two seconds.
 const MANIFEST_WAIT: Duration = Duration::from_millis(1_200);
 
-/// How long the store has to bring a manifest that another host has already.
-const MANIFEST_FROM_STORE: Duration = Duration::from_millis(250);
-
-/// How long another host may take to send its manifest: some hundred kilobytes on a slow link.
-const MANIFEST_DEADLINE: Duration = Duration::from_millis(500);
-
 /// The pause after a manifest came, before it is asked whether there is a newer one. Operators
 /// publish many in a second at times; each is read and understood whole by each host, and the last
-/// one is what counts.
+/// one is what counts. It is shorter than the silence of the store after which others are asked.
 const MANIFEST_PAUSE: Duration = Duration::from_millis(150);
 
 /// How often the targets' entries are asked for. A leaving target must be left alone two
@@ -76,10 +67,15 @@
 }
 
 async fn read_manifest(shared: &Rc<Shared>) -> Option<RowVersion> {
-    let changes = snapshot(shared, paths::OPERATORS_TABLE, "".into()).await?;
-    adopt_newest(shared, &changes);
+    let op = whole(paths::OPERATORS_TABLE, "".into());
 
-    Some(changes.version)
+    match store::probe_watched(shared, op, &|_| shared.manifests.store_goes_on()).await {
+        PlatformReply::Changes(changes) => {
+            adopt_newest(shared, &changes);
+            Some(changes.version)
+        }
+        _ => None,
+    }
 }
 
 fn adopt_newest(shared: &Rc<Shared>, changes: &TableChanges) {
@@ -88,11 +84,14 @@
     }
 }
 
+/// Returns the operation that reads rows of a table after a key.
+fn whole(table: &str, after: Box<str>) -> PlatformOp {
+    PlatformOp::Snapshot { table: table.into(), after, limit: MOST_ROWS }
+}
+
 /// Reads rows of a table after a key.
 async fn snapshot(shared: &Rc<Shared>, table: &str, after: Box<str>) -> Option<TableChanges> {
-    let op = PlatformOp::Snapshot { table: table.into(), after, limit: MOST_ROWS };
-
-    match store::probe(shared, op).await {
+    match store::probe(shared, whole(table, after)).await {
         PlatformReply::Changes(changes) => Some(changes),
         _ => None,
     }
@@ -102,11 +101,13 @@
     let table = paths::OPERATORS_TABLE.into();
     let op = PlatformOp::Changes { table, after, wait: MANIFEST_WAIT };
 
-    match store::probe(shared, op).await {
+    match store::probe_watched(shared, op, &|_| shared.manifests.store_goes_on()).await {
         PlatformReply::Changes(changes) => {
             if !changes.written.is_empty() {
                 adopt_newest(shared, &changes);
                 sleep(MANIFEST_PAUSE).await;
+                // What is newer still is asked for now.
+                shared.manifests.store_goes_on();
             }
             Some(changes.version)
         }
@@ -118,50 +119,6 @@
     }
 }
 
-/// Takes in that another host has a manifest of this version. If it is newer than the one in force
-/// and the store does not bring it, it is asked for.
-///
-/// The store turns some hosts away while it answers others. When all of these sent their manifest
-/// unasked, a host that was turned away got it from each of them, again with each of their news,
-/// until its link was full. So it asks one of them at a time.
-pub(crate) fn heard_version(shared: &Rc<Shared>, version: u64) {
-    if version <= shared.manifest_version() || shared.asks_for_manifest.replace(true) {
-        return;
-    }
-
-    let shared = Rc::clone(shared);
-    tokio::task::spawn_local(async move {
-        learn_manifest(&shared, version).await;
-        shared.asks_for_manifest.set(false);
-    });
-}
-
-async fn learn_manifest(shared: &Rc<Shared>, version: u64) {
-    // The store tells all hosts within some milliseconds, and mostly needs no help.
-    if shared.store.answers() {
-        sleep(MANIFEST_FROM_STORE).await;
-    }
-    let own = shared.manifest_version();
-    if version <= own {
-        return;
-    }
-    let Some(host) = shared.fleet.manifest_peer(own) else { return };
-
-    // The manifest itself comes before the reply. Without one the next news lead to a new question.
-    let reply = asks::ask(shared, host, &Ask::Manifest, MANIFEST_DEADLINE).await;
-    info!(host = host.0, own, version, answered = reply.is_some(), "manifest: asked for at a peer");
-}
-
-/// Sends the manifest in force to another host that asked for it.
-pub(crate) fn tell_manifest(shared: &Shared, to: HostId) -> Reply {
-    let text = shared.manifest_text.borrow().to_string();
-
-    match shared.fleet.send(to, Body::Manifest(Manifest { text })) {
-        true => Reply::Done,
-        false => Reply::Refused,
-    }
-}
-
 /// Adopts a manifest if it is newer than the one in force.
 pub(crate) fn adopt(shared: &Rc<Shared>, text: &str, source: &str) {
     let routing = match manifest::read(text) {
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -5,6 +5,7 @@
 pub mod budgets;
 pub mod crashes;
 pub mod isolation;
+pub mod manifests;
 pub mod outage;
 pub mod placement;
 pub mod prompts;
