A host sends its manifest to two hosts at a time

Cause: nothing bounded to how many hosts a host sends its manifest at once. When the store turns many away, all of them ask the few that have it at the same moment: a copy in each queue (a host may have 88 MB) and on one link, and none is there before nearly all are.

Now a host sends to two at a time (policy, entry/copies.rs) and refuses the others at once. A copy is over when news of the other host tell of that version or a newer one, or after the three seconds for which a question is kept up. Whoever is refused asks another host with the next news, and the one that refused not for 300 ms; before, it was asked again with each news. As more hosts have it, it spreads as a tree. A counter and a log line tell of sent and refused ones.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -139,14 +139,19 @@
         self.fresh().into_iter().find(|(_, heard)| heard.run == run).map(|(host, _)| host)
     }
 
-    /// Returns a host that is heard and has a newer manifest than `version`, of this host's own
-    /// availability zone if there is one: a manifest may be far longer than all other news.
-    pub(crate) fn manifest_peer(&self, version: u64) -> Option<HostId> {
+    /// Returns a host that is heard, has a newer manifest than `version` and is one that `may_ask`
+    /// picks, of this host's own availability zone if there is one: a manifest may be far longer
+    /// than all other news.
+    pub(crate) fn manifest_peer(
+        &self,
+        version: u64,
+        may_ask: impl Fn(&HostId) -> bool,
+    ) -> Option<HostId> {
         let known = self.known.borrow();
         let is_near = |host: &HostId| known.get(host).is_some_and(|k| k.zone == self.zone);
         let fresh = self.fresh().into_iter().filter(|(_, h)| h.manifest_version > version);
         let (near, far): (Vec<_>, Vec<_>) =
-            fresh.map(|(host, _)| host).partition(|host| is_near(host));
+            fresh.map(|(host, _)| host).filter(may_ask).partition(|host| is_near(host));
 
         near.into_iter()
             .choose(&mut rand::rng())
--- a/crates/entry/src/manifests.rs
+++ b/crates/entry/src/manifests.rs
@@ -1,6 +1,6 @@
 //! Newer manifests that other hosts have.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +8,7 @@
 use camphorwalk_core::messages::Body;
 use camphorwalk_core::messages::entry::Manifest;
 use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::copies::{Copies, Decision, Refusals};
 use camphorwalk_policy::entry::manifests::{Newer, Next, Question, next, question};
 use tokio::time::sleep;
 use tracing::info;
@@ -26,6 +27,10 @@
     is_sought: Cell<bool>,
     /// When a part of one came from the store last, or was done with.
     store_went_on: Cell<Option<Instant>>,
+    /// Copies to other hosts.
+    copies: RefCell<Copies>,
+    /// The hosts that refused to send theirs.
+    refusals: RefCell<Refusals>,
 }
 
 impl Manifests {
@@ -33,6 +38,16 @@
     pub(crate) fn store_goes_on(&self) {
         self.store_went_on.set(Some(clock::now()));
     }
+
+    /// Takes in which version another host told that it has.
+    fn told(&self, host: HostId, version: u64) {
+        self.copies.borrow_mut().told(host, version);
+    }
+
+    /// Returns whether a host may be asked for its manifest.
+    fn may_ask(&self, host: HostId) -> bool {
+        self.refusals.borrow().may_ask(clock::now(), host)
+    }
 }
 
 /// Takes in that another host has a manifest of this version. If it is newer than the one in force
@@ -41,7 +56,8 @@
 /// The store turns some hosts away while it answers others. If all of these sent their manifest
 /// unasked, a host that is turned away would get it from each of them, again with each of their
 /// news, until its link is full. So it asks one of them at a time.
-pub(crate) fn heard_version(shared: &Rc<Shared>, version: u64) {
+pub(crate) fn heard_version(shared: &Rc<Shared>, from: HostId, version: u64) {
+    shared.manifests.told(from, version);
     if version <= shared.manifest_version() || shared.manifests.is_sought.replace(true) {
         return;
     }
@@ -76,7 +92,8 @@
 /// Asks a host for its manifest. Without one the next news lead to a new question.
 async fn ask_peer(shared: &Shared, version: u64) {
     let own = shared.manifest_version();
-    let Some(host) = shared.fleet.manifest_peer(own) else { return };
+    let may_ask = |host: &HostId| shared.manifests.may_ask(*host);
+    let Some(host) = shared.fleet.manifest_peer(own, may_ask) else { return };
     let asked = clock::now();
 
     // The manifest itself comes before the reply.
@@ -84,7 +101,11 @@
         reply = asks::ask_on(shared, host, &Ask::Manifest) => reply,
         () = no_answer(shared, host, asked) => None,
     };
-    let took = clock::now().since(asked);
+    let now = clock::now();
+    let took = now.since(asked);
+    if matches!(reply, Some(Reply::Refused)) {
+        shared.manifests.refusals.borrow_mut().refused(now, host);
+    }
     info!(host = host.0, own, version, ?reply, ?took, "manifest: asked for at another host");
 }
 
@@ -95,12 +116,26 @@
     }
 }
 
-/// Sends the manifest in force to another host that asked for it.
+/// Sends the manifest in force to another host that asked for it, unless enough copies are under
+/// way.
 pub(crate) fn tell(shared: &Shared, to: HostId) -> Reply {
+    let version = shared.manifest_version();
+    let decision = shared.manifests.copies.borrow_mut().asked(clock::now(), to, version);
+    let sent = decision == Decision::Send && send(shared, to);
+
+    let outcome = if sent { "sent" } else { "refused" };
+    shared.metrics.manifest_copies.with_label_values(&[outcome]).inc();
+    let under_way = shared.manifests.copies.borrow().len();
+    info!(host = to.0, version, ?decision, sent, under_way, "manifest: another host asked for it");
+    if sent { Reply::Done } else { Reply::Refused }
+}
+
+fn send(shared: &Shared, to: HostId) -> bool {
     let text = shared.manifest_text.borrow().to_string();
+    let sent = shared.fleet.send(to, Body::Manifest(Manifest { text }));
 
-    match shared.fleet.send(to, Body::Manifest(Manifest { text })) {
-        true => Reply::Done,
-        false => Reply::Refused,
+    if !sent {
+        shared.manifests.copies.borrow_mut().not_sent(to);
     }
+    sent
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -39,6 +39,8 @@
     pub(crate) connects: IntCounter,
     /// The version of the manifest in force.
     pub(crate) manifest_version: IntGauge,
+    /// Other hosts that asked for the manifest, by what came of it.
+    pub(crate) manifest_copies: IntCounterVec,
     /// Whether the host takes itself for cut off.
     pub(crate) isolated: IntGauge,
     /// Turns held that the store does not have.
@@ -108,6 +110,11 @@
                 "camphorwalk_manifest_version",
                 "The version of the manifest in force.",
             )?,
+            manifest_copies: by(
+                "camphorwalk_manifest_copies_total",
+                "Other hosts that asked for the manifest: sent or refused.",
+                &["outcome"],
+            )?,
             isolated: gauge(
                 "camphorwalk_isolated",
                 "1 while the host is cut off from the store and other zones.",
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -212,7 +212,7 @@
         shared.crashes.borrow_mut().hear(now, crash);
     }
 
-    manifests::heard_version(shared, news.manifest_version);
+    manifests::heard_version(shared, from, news.manifest_version);
     places::wake_all(shared);
 }
 
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -3,6 +3,7 @@
 
 pub mod attempts;
 pub mod budgets;
+pub mod copies;
 pub mod crashes;
 pub mod isolation;
 pub mod manifests;
--- a/crates/policy/src/entry/manifests.rs
+++ b/crates/policy/src/entry/manifests.rs
@@ -14,7 +14,7 @@
 
 /// The longest that a question to another host is kept up. That host may send to several, each over
 /// a slow link.
-const LONGEST_QUESTION: Duration = Duration::from_secs(3);
+pub(crate) const LONGEST_QUESTION: Duration = Duration::from_secs(3);
 
 /// How long news may still arrive that another host sent before it took a question.
 const NEWS_UNDER_WAY: Duration = Duration::from_secs(1);
