A manifest is read whole only at the start and when the history is gone

A host that the store turns away filled its link, and that of the host which helped it, although it had the newest manifest.

Cause, found on the way: each question for changes that failed led to a read of the whole table, some megabyte, with the next try. While the store turned the host away, that read was passed on to another host, which read the manifest from the store and sent it as a reply with a deadline of 600 ms, again with each round of the follower.

Now a question that failed is put again from the same version, as the follower of the targets does, and only the store is asked. A host that has a newer manifest tells its version, and sends it once.

--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -143,23 +143,15 @@
 
 /// Runs an operation of the host's own, which also finds out whether the store is back.
 pub(crate) async fn probe(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
-    probe_watched(shared, op, &|_| ()).await
-}
-
-/// Runs an operation as [`probe`] does, and calls `on_piece` with each piece of the store's answer,
-/// with its bytes so far.
-pub(crate) async fn probe_watched(
-    shared: &Rc<Shared>,
-    op: PlatformOp,
-    on_piece: &impl Fn(usize),
-) -> PlatformReply {
-    match ask_straight(shared, op.clone(), on_piece).await {
+    match ask_straight(shared, op.clone(), &|_| ()).await {
         PlatformReply::Unavailable => relay(shared, op).await,
         reply => reply,
     }
 }
 
-async fn ask_straight(
+/// Runs an operation without another host's help. Calls `on_piece` with each piece of the store's
+/// answer, with its bytes so far.
+pub(crate) async fn ask_straight(
     shared: &Rc<Shared>,
     op: PlatformOp,
     on_piece: &impl Fn(usize),
@@ -224,7 +216,7 @@
 /// Has another host run an operation.
 async fn relay(shared: &Shared, op: PlatformOp) -> PlatformReply {
     // A question that waits for changes would hold the other host's reply for longer than a
-    // reply is waited for; the table is read whole instead.
+    // reply is waited for.
     if matches!(op, PlatformOp::Changes { wait, .. } if !wait.is_zero()) {
         return PlatformReply::Unavailable;
     }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -51,33 +51,53 @@
     tokio::task::spawn_local(follow_targets(Rc::clone(shared)));
 }
 
+/// What came of asking the store for the manifest.
+enum Followed {
+    /// What stood at this version is known.
+    UpTo(RowVersion),
+    /// The changes since then cannot be told any more.
+    HistoryGone,
+    /// The store did not answer.
+    Failed,
+}
+
 /// Follows the manifest: reads its row, and again whenever the table changes.
 async fn follow_manifest(shared: Rc<Shared>) {
     let mut after = None;
 
     loop {
-        after = match after {
+        let followed = match after {
             None => read_manifest(&shared).await,
             Some(after) => wait_for_manifest(&shared, after).await,
         };
-        if after.is_none() {
-            sleep(FAILED_PAUSE).await;
+        match followed {
+            Followed::UpTo(version) => after = Some(version),
+            Followed::HistoryGone => {
+                after = None;
+                sleep(FAILED_PAUSE).await;
+            }
+            Followed::Failed => sleep(FAILED_PAUSE).await,
         }
     }
 }
 
-async fn read_manifest(shared: &Rc<Shared>) -> Option<RowVersion> {
-    let op = whole(paths::OPERATORS_TABLE, "".into());
-
-    match store::probe_watched(shared, op, &|_| shared.manifests.store_goes_on()).await {
+async fn read_manifest(shared: &Rc<Shared>) -> Followed {
+    match ask_for_manifest(shared, whole(paths::OPERATORS_TABLE, "".into())).await {
         PlatformReply::Changes(changes) => {
             adopt_newest(shared, &changes);
-            Some(changes.version)
+            Followed::UpTo(changes.version)
         }
-        _ => None,
+        _ => Followed::Failed,
     }
 }
 
+/// Asks the store, and no other host: one that has a newer manifest tells of it, and sends it
+/// once. If other hosts read it for a host that the store turns away, it would come again with
+/// each try.
+async fn ask_for_manifest(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
+    store::ask_straight(shared, op, &|_| shared.manifests.store_goes_on()).await
+}
+
 fn adopt_newest(shared: &Rc<Shared>, changes: &TableChanges) {
     if let Some(row) = changes.written.iter().rfind(|row| row.key == paths::manifest_row()) {
         adopt(shared, &row.value, "store");
@@ -97,11 +117,11 @@
     }
 }
 
-async fn wait_for_manifest(shared: &Rc<Shared>, after: RowVersion) -> Option<RowVersion> {
+async fn wait_for_manifest(shared: &Rc<Shared>, after: RowVersion) -> Followed {
     let table = paths::OPERATORS_TABLE.into();
     let op = PlatformOp::Changes { table, after, wait: MANIFEST_WAIT };
 
-    match store::probe_watched(shared, op, &|_| shared.manifests.store_goes_on()).await {
+    match ask_for_manifest(shared, op).await {
         PlatformReply::Changes(changes) => {
             if !changes.written.is_empty() {
                 adopt_newest(shared, &changes);
@@ -109,13 +129,13 @@
                 // What is newer still is asked for now.
                 shared.manifests.store_goes_on();
             }
-            Some(changes.version)
+            Followed::UpTo(changes.version)
         }
         PlatformReply::HistoryGone => {
             info!("manifest: the store dropped its history, read whole");
-            None
+            Followed::HistoryGone
         }
-        _ => None,
+        _ => Followed::Failed,
     }
 }
 
