A long answer of the store waits for pieces by the deadline, and ends some time

(2) Nothing bounded a whole answer any more: one that trickles would have held the follower of the targets for ever. (3) A transfer that begins again and again kept a host from asking others for the manifest for ever. (4) The time in which a long manifest is read counted as the store's silence.

Now a piece may take the deadline (500 ms), an answer ten of these, the store three seconds for a manifest that others have, and its silence counts from the end of the reading.

Tests: an_answer_that_comes_too_slowly_is_given_up (hangs before), a_host_is_asked_when_the_store_takes_too_long (not asked in ten seconds before). The client of an_answer_that_stops_in_the_middle_is_given_up_within_the_patience has its deadline set to the same 200 ms; its bound is the same.

--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -125,8 +125,9 @@
         PlatformReply::Changes(changes) => {
             if !changes.written.is_empty() {
                 adopt_newest(shared, &changes);
+                // Reading a long manifest takes time, and so does the pause.
+                shared.manifests.store_goes_on();
                 sleep(MANIFEST_PAUSE).await;
-                // What is newer still is asked for now.
                 shared.manifests.store_goes_on();
             }
             Followed::UpTo(changes.version)
--- a/crates/policy/src/entry/manifests.rs
+++ b/crates/policy/src/entry/manifests.rs
@@ -12,6 +12,10 @@
 /// tells all hosts within some milliseconds.
 const STORE_SILENCE: Duration = Duration::from_millis(250);
 
+/// How long the store may take for a manifest that others have, however it goes on: a transfer that
+/// begins again and again never ends.
+const STORE_LONGEST: Duration = Duration::from_secs(3);
+
 /// The longest that a question to another host is kept up. That host may send to several, each over
 /// a slow link.
 pub(crate) const LONGEST_QUESTION: Duration = Duration::from_secs(3);
@@ -65,7 +69,8 @@
     }
     let heard = newer.store_answers.then_some(newer.heard);
     let Some(since) = heard.max(newer.store_went_on) else { return Next::AskPeer };
-    let left = (since + STORE_SILENCE).since(now);
+    let until = (since + STORE_SILENCE).min(newer.heard + STORE_LONGEST);
+    let left = until.since(now);
 
     match left.is_zero() {
         true => Next::AskPeer,
--- a/crates/policy/tests/entry_manifests.rs
+++ b/crates/policy/tests/entry_manifests.rs
@@ -51,6 +51,12 @@
     assert_eq!(asked, Some(last_part + 250));
 }
 
+/// Guards against a host that waits for ever for a transfer which begins again and again.
+#[test]
+fn a_host_is_asked_when_the_store_takes_too_long() {
+    assert_eq!(asks_at(10_000, newer(), Some), Some(3_000));
+}
+
 #[test]
 fn a_host_that_the_store_turns_away_asks_at_once() {
     let newer = Newer { store_answers: false, ..newer() };
--- a/crates/store/src/options.rs
+++ b/crates/store/src/options.rs
@@ -12,10 +12,10 @@
     pub address: SocketAddr,
     /// The host's availability zone, which the platform is told.
     pub zone: Box<str>,
-    /// The longest that one try waits for the head of its answer, and then for each further piece;
-    /// an operation may take some of these, and the time of a long answer.
+    /// The longest that one try waits for the head of its answer, and how long it then waits for
+    /// each further piece; an answer may take ten of these, and an operation some tries.
     pub deadline: Duration,
-    /// The least time that a try waits so. It waits a few times what the heads of answers took of
+    /// The least time that a try waits for the head. It waits a few times what the heads of answers took of
     /// late, at least this and at most `deadline`, and twice as long after each lost answer: one
     /// lost answer then costs an operation milliseconds instead of the whole deadline.
     pub least_deadline: Duration,
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -26,6 +26,9 @@
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How many deadlines a whole answer may take.
+const DEADLINES_PER_ANSWER: u32 = 10;
+
 /// How long is looked for what came while the process was paused.
 const PAUSED_GRACE: Duration = Duration::from_millis(5);
 
@@ -59,6 +62,8 @@
     address: SocketAddr,
     /// The host's availability zone.
     zone: HeaderValue,
+    /// How long a piece of an answer may take after its head.
+    deadline: Duration,
 }
 
 impl Transport {
@@ -78,15 +83,15 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .build(connector);
 
-        Ok(Self { client, address: options.address, zone })
+        Ok(Self { client, address: options.address, zone, deadline: options.deadline })
     }
 
     /// Makes one try. The answer's head is waited for as long as `patience` and what the platform
-    /// was asked to wait, and each further piece of it as long as `patience`. `on_piece` is told
-    /// how many bytes of the body have come, with each piece.
+    /// was asked to wait, and each further piece as long as the deadline. `on_piece` is told how
+    /// many bytes of the body have come, with each piece.
     ///
-    /// A bound on the whole would give up long answers on slow links, which then come again from
-    /// their start.
+    /// A bound on the whole that is made for short answers would give up long ones on slow links,
+    /// which then come again from their start.
     pub(crate) async fn send(
         &self,
         call: &Call,
@@ -113,7 +118,7 @@
             return Attempt::Lost { waited: head_after };
         }
 
-        match read_body(response.into_body(), patience, on_piece).await {
+        match read_body(response.into_body(), self.deadline, on_piece).await {
             Ok(body) => Attempt::Answered { status, body, head_after },
             Err(waited) => Attempt::Lost { waited },
         }
@@ -141,7 +146,7 @@
 /// Reads a body whole; or returns how long its next piece was waited for in vain.
 async fn read_body<B>(
     body: B,
-    patience: Duration,
+    deadline: Duration,
     on_piece: &impl Fn(usize),
 ) -> std::result::Result<Bytes, Duration>
 where
@@ -150,10 +155,12 @@
 {
     let mut body = Limited::new(body, MAX_ANSWER_BYTES);
     let mut buf = BytesMut::new();
+    let end = Instant::now() + deadline * DEADLINES_PER_ANSWER;
 
     loop {
         let began = Instant::now();
-        let error = match within(patience, body.frame()).await {
+        let error = match within(deadline, body.frame()).await {
+            Some(Some(Ok(_))) if began > end => "it comes too slowly".into(),
             Some(None) => return Ok(buf.freeze()),
             Some(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
--- a/crates/store/tests/long_answers.rs
+++ b/crates/store/tests/long_answers.rs
@@ -35,6 +35,9 @@
     Stop,
 }
 
+/// The pieces of an answer that goes on for far longer than any may.
+const ENDLESS: usize = 100_000;
+
 /// A store of one long object, which it sends in pieces.
 struct SlowStore {
     address: SocketAddr,
@@ -82,7 +85,8 @@
         let usual = options(self.address);
         let retry = RetryOptions { most_tries: 1, ..usual.retry };
 
-        Client::new(ClientOptions { least_deadline: PATIENCE, retry, ..usual }).unwrap()
+        Client::new(ClientOptions { deadline: PATIENCE, least_deadline: PATIENCE, retry, ..usual })
+            .unwrap()
     }
 }
 
@@ -103,6 +107,25 @@
     }
 }
 
+/// Starts a store whose answer goes on for far longer than any may.
+async fn start_endless() -> SlowStore {
+    let listener = TcpListener::bind(any_port()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 4_096];
+        let _ = stream.read(&mut buf).await;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", ENDLESS * PIECE.len());
+        let mut next = head.as_bytes();
+        while stream.write_all(next).await.is_ok() {
+            sleep(PAUSE).await;
+            next = PIECE;
+        }
+    });
+
+    SlowStore { address, requests: Arc::default() }
+}
+
 async fn send(stream: &mut TcpStream, pieces: usize) -> std::io::Result<()> {
     let length = PIECES * PIECE.len();
     let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
@@ -185,6 +208,18 @@
     assert_eq!(reply, PlatformReply::Object(Some(object())));
 }
 
+/// Guards against an operation that never ends since its answer never does.
+#[tokio::test]
+async fn an_answer_that_comes_too_slowly_is_given_up() {
+    let store = start_endless().await;
+    let began = Instant::now();
+
+    let reply = timeout(PATIENT, read(&store.client())).await.expect("the client waits on");
+
+    assert_eq!(reply, PlatformReply::Unavailable);
+    assert!(began.elapsed() > 5 * PATIENCE, "{:?}", began.elapsed());
+}
+
 /// Guards against a transfer that goes on without its owner being told.
 #[tokio::test]
 async fn each_piece_of_an_answer_is_told() {
