--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -149,8 +149,8 @@
     }
 }
 
-/// Runs an operation at the store itself, and calls `on_piece` with each piece of its answer, with
-/// the bytes so far.
+/// Runs an operation without another host's help. Calls `on_piece` with each piece of the store's
+/// answer, with its bytes so far.
 pub(crate) async fn ask_straight(
     shared: &Rc<Shared>,
     op: PlatformOp,
@@ -216,7 +216,7 @@
 /// Has another host run an operation.
 async fn relay(shared: &Shared, op: PlatformOp) -> PlatformReply {
     // A question that waits for changes would hold the other host's reply for longer than a
-    // reply is waited for; the table is read whole instead.
+    // reply is waited for.
     if matches!(op, PlatformOp::Changes { wait, .. } if !wait.is_zero()) {
         return PlatformReply::Unavailable;
     }
