Names of the field for transfers of manifests: transfers, back-off, stall and request timeout

copies.rs becomes transfers.rs, Refusals Backoff, STORE_SILENCE STORE_STALL_TIMEOUT, LONGEST_QUESTION REQUEST_TIMEOUT, store_went_on last_progress, is_sought is_fetching. Two comments say plainly what they mean. No behaviour changes.

--- a/crates/entry/src/manifests.rs
+++ b/crates/entry/src/manifests.rs
@@ -8,8 +8,8 @@
 use camphorwalk_core::messages::Body;
 use camphorwalk_core::messages::entry::Manifest;
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::copies::{Copies, Decision, Refusals};
 use camphorwalk_policy::entry::manifests::{Newer, Next, Question, next, question};
+use camphorwalk_policy::entry::transfers::{Backoff, Decision, Transfers};
 use tokio::time::sleep;
 use tracing::info;
 
@@ -23,30 +23,30 @@
 /// What is under way of manifests.
 #[derive(Default)]
 pub(crate) struct Manifests {
-    /// Whether a newer one is waited for or asked for.
-    is_sought: Cell<bool>,
-    /// When a part of one came from the store last, or was done with.
-    store_went_on: Cell<Option<Instant>>,
-    /// Copies to other hosts.
-    copies: RefCell<Copies>,
-    /// The hosts that refused to send theirs.
-    refusals: RefCell<Refusals>,
+    /// Whether a newer one is waited for, or requested from another host.
+    is_fetching: Cell<bool>,
+    /// When a part of one last came from the store, or one was read and the next asked for.
+    last_progress: Cell<Option<Instant>>,
+    /// Transfers to other hosts.
+    transfers: RefCell<Transfers>,
+    /// Hosts that refused to send theirs are not asked for a while.
+    backoff: RefCell<Backoff>,
 }
 
 impl Manifests {
-    /// Takes in that the store goes on bringing a manifest.
-    pub(crate) fn store_goes_on(&self) {
-        self.store_went_on.set(Some(clock::now()));
+    /// Notes that a transfer from the store makes progress.
+    pub(crate) fn note_progress(&self) {
+        self.last_progress.set(Some(clock::now()));
     }
 
     /// Takes in which version another host told that it has.
     fn told(&self, host: HostId, version: u64) {
-        self.copies.borrow_mut().told(host, version);
+        self.transfers.borrow_mut().told(host, version);
     }
 
     /// Returns whether a host may be asked for its manifest.
     fn may_ask(&self, host: HostId) -> bool {
-        self.refusals.borrow().may_ask(clock::now(), host)
+        self.backoff.borrow().may_ask(clock::now(), host)
     }
 }
 
@@ -58,14 +58,14 @@
 /// news, until its link is full. So it asks one of them at a time.
 pub(crate) fn heard_version(shared: &Rc<Shared>, from: HostId, version: u64) {
     shared.manifests.told(from, version);
-    if version <= shared.manifest_version() || shared.manifests.is_sought.replace(true) {
+    if version <= shared.manifest_version() || shared.manifests.is_fetching.replace(true) {
         return;
     }
 
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
         seek(&shared, version).await;
-        shared.manifests.is_sought.set(false);
+        shared.manifests.is_fetching.set(false);
     });
 }
 
@@ -79,7 +79,7 @@
             own: shared.manifest_version(),
             heard,
             store_answers: shared.store.answers(),
-            store_went_on: shared.manifests.store_went_on.get(),
+            last_progress: shared.manifests.last_progress.get(),
         };
         match next(clock::now(), &newer) {
             Next::Nothing => return,
@@ -104,7 +104,7 @@
     let now = clock::now();
     let took = now.since(asked);
     if matches!(reply, Some(Reply::Refused)) {
-        shared.manifests.refusals.borrow_mut().refused(now, host);
+        shared.manifests.backoff.borrow_mut().refused(now, host);
     }
     info!(host = host.0, own, version, ?reply, ?took, "manifest: asked for at another host");
 }
@@ -120,12 +120,12 @@
 /// way.
 pub(crate) fn tell(shared: &Shared, to: HostId) -> Reply {
     let version = shared.manifest_version();
-    let decision = shared.manifests.copies.borrow_mut().asked(clock::now(), to, version);
+    let decision = shared.manifests.transfers.borrow_mut().asked(clock::now(), to, version);
     let sent = decision == Decision::Send && send(shared, to);
 
     let outcome = if sent { "sent" } else { "refused" };
     shared.metrics.manifest_copies.with_label_values(&[outcome]).inc();
-    let under_way = shared.manifests.copies.borrow().len();
+    let under_way = shared.manifests.transfers.borrow().len();
     info!(host = to.0, version, ?decision, sent, under_way, "manifest: another host asked for it");
     if sent { Reply::Done } else { Reply::Refused }
 }
@@ -135,7 +135,7 @@
     let sent = shared.fleet.send(to, Body::Manifest(Manifest { text }));
 
     if !sent {
-        shared.manifests.copies.borrow_mut().not_sent(to);
+        shared.manifests.transfers.borrow_mut().not_sent(to);
     }
     sent
 }
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -95,7 +95,7 @@
 /// once. If other hosts read it for a host that the store turns away, it would come again with
 /// each try.
 async fn ask_for_manifest(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
-    store::ask_straight(shared, op, &|_| shared.manifests.store_goes_on()).await
+    store::ask_straight(shared, op, &|_| shared.manifests.note_progress()).await
 }
 
 fn adopt_newest(shared: &Rc<Shared>, changes: &TableChanges) {
@@ -126,9 +126,9 @@
             if !changes.written.is_empty() {
                 adopt_newest(shared, &changes);
                 // Reading a long manifest takes time, and so does the pause.
-                shared.manifests.store_goes_on();
+                shared.manifests.note_progress();
                 sleep(MANIFEST_PAUSE).await;
-                shared.manifests.store_goes_on();
+                shared.manifests.note_progress();
             }
             Followed::UpTo(changes.version)
         }
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -3,7 +3,6 @@
 
 pub mod attempts;
 pub mod budgets;
-pub mod copies;
 pub mod crashes;
 pub mod isolation;
 pub mod keeping;
@@ -15,6 +14,7 @@
 pub mod recent;
 pub mod removals;
 pub mod routes;
+pub mod transfers;
 pub mod turns;
 pub mod waiting;
 pub mod work;
--- a/crates/policy/src/entry/keeping.rs
+++ b/crates/policy/src/entry/keeping.rs
@@ -15,7 +15,7 @@
 
 /// For how long a host must have been cut off before it breaks answers off. News that are late for
 /// an instant look like a cut; after one, nothing that the host holds is worth a promise.
-const CUT_CERTAIN: Duration = Duration::from_secs(1);
+const ISOLATION_CONFIRMED_AFTER: Duration = Duration::from_secs(1);
 
 /// What to do after a write that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,7 +53,7 @@
         let pause = FIRST_PAUSE.saturating_mul(1 << self.failed.min(8)).min(LONGEST_PAUSE);
         self.failed += 1;
 
-        let is_cut_off = isolated_for.is_some_and(|time| time >= CUT_CERTAIN);
+        let is_cut_off = isolated_for.is_some_and(|time| time >= ISOLATION_CONFIRMED_AFTER);
         match is_cut_off || pause >= left {
             true => Next::BreakOff,
             false => Next::Retry(pause),
--- a/crates/policy/src/entry/manifests.rs
+++ b/crates/policy/src/entry/manifests.rs
@@ -10,15 +10,15 @@
 
 /// How long the store may let a host wait for the next part of a manifest that others have: it
 /// tells all hosts within some milliseconds.
-const STORE_SILENCE: Duration = Duration::from_millis(250);
+const STORE_STALL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How long the store may take for a manifest that others have, however it goes on: a transfer that
 /// begins again and again never ends.
-const STORE_LONGEST: Duration = Duration::from_secs(3);
+const STORE_TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The longest that a question to another host is kept up. That host may send to several, each over
 /// a slow link.
-pub(crate) const LONGEST_QUESTION: Duration = Duration::from_secs(3);
+pub(crate) const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How long news may still arrive that another host sent before it took a question.
 const NEWS_UNDER_WAY: Duration = Duration::from_secs(1);
@@ -36,7 +36,7 @@
     pub store_answers: bool,
     /// When a part of a manifest came from the store last, or was done with, and the next was
     /// asked for.
-    pub store_went_on: Option<Instant>,
+    pub last_progress: Option<Instant>,
 }
 
 /// What to do for a newer manifest.
@@ -58,7 +58,7 @@
 /// use camphorwalk_policy::entry::manifests::{Newer, Next, next};
 /// let at = Instant::from_millis;
 /// let newer =
-///     Newer { version: 2, own: 1, heard: at(0), store_answers: true, store_went_on: None };
+///     Newer { version: 2, own: 1, heard: at(0), store_answers: true, last_progress: None };
 /// assert_eq!(next(at(0), &newer), Next::Wait(Duration::from_millis(250)));
 /// assert_eq!(next(at(250), &newer), Next::AskPeer);
 /// assert_eq!(next(at(250), &Newer { own: 2, ..newer }), Next::Nothing);
@@ -68,8 +68,8 @@
         return Next::Nothing;
     }
     let heard = newer.store_answers.then_some(newer.heard);
-    let Some(since) = heard.max(newer.store_went_on) else { return Next::AskPeer };
-    let until = (since + STORE_SILENCE).min(newer.heard + STORE_LONGEST);
+    let Some(since) = heard.max(newer.last_progress) else { return Next::AskPeer };
+    let until = (since + STORE_STALL_TIMEOUT).min(newer.heard + STORE_TRANSFER_TIMEOUT);
     let left = until.since(now);
 
     match left.is_zero() {
@@ -90,8 +90,8 @@
 /// Returns what to do about a question that was put at `asked` to a host whose last news came at
 /// `heard`, if any did.
 ///
-/// A host's messages arrive in their order: news that it told after the question came before the
-/// answer only if there is none. While a long answer is under way no news come.
+/// Messages of a host arrive in order, so no news come while a long answer is under way. News that
+/// were sent after the question was received show that no answer will come.
 ///
 /// ```
 /// use camphorwalk_core::time::Instant;
@@ -103,7 +103,7 @@
 pub fn question(now: Instant, asked: Instant, heard: Option<Instant>) -> Question {
     let is_overtaken = heard.is_some_and(|at| at.since(asked) >= NEWS_UNDER_WAY);
 
-    match is_overtaken || now.since(asked) >= LONGEST_QUESTION {
+    match is_overtaken || now.since(asked) >= REQUEST_TIMEOUT {
         true => Question::GiveUp,
         false => Question::Wait,
     }
--- a/crates/policy/src/entry/copies.rs
+++ b/crates/policy/src/entry/transfers.rs
@@ -1,7 +1,7 @@
 //! To how many hosts a host sends its manifest at the same time.
 //!
 //! When the store turns many hosts away, all of them may ask the few that have a new manifest at
-//! the same moment. Copies for all of them would fill the link of a host, and its memory, and none
+//! the same moment. Transfers for all of them would fill the link of a host, and its memory, and none
 //! would come before nearly all do. Each host that has got it can send it on, so few at a time
 //! reach all of them sooner.
 
@@ -11,10 +11,10 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 
-use crate::entry::manifests::LONGEST_QUESTION;
+use crate::entry::manifests::REQUEST_TIMEOUT;
 
 /// The most hosts that are sent the manifest at the same time.
-pub const MOST_COPIES: usize = 2;
+pub const MAX_TRANSFERS: usize = 2;
 
 /// How long a host that refused is not asked again. In this time a copy may have come to its end, or
 /// another host may have got one.
@@ -38,11 +38,11 @@
 
 /// The copies of the manifest that are under way to other hosts.
 #[derive(Clone, Debug, Default)]
-pub struct Copies {
+pub struct Transfers {
     under_way: Map<HostId, Sent>,
 }
 
-impl Copies {
+impl Transfers {
     /// Takes in that a host asks for the manifest of this version; returns what to do.
     ///
     /// A host asks for one copy at a time, so one that asks again gets no other any more.
@@ -50,21 +50,21 @@
     /// ```
     /// use camphorwalk_core::ids::HostId;
     /// use camphorwalk_core::time::Instant;
-    /// use camphorwalk_policy::entry::copies::{Copies, Decision, MOST_COPIES};
-    /// let mut copies = Copies::default();
-    /// for host in 0..MOST_COPIES as u64 {
-    ///     assert_eq!(copies.asked(Instant(0), HostId(host), 7), Decision::Send);
+    /// use camphorwalk_policy::entry::transfers::{Transfers, Decision, MAX_TRANSFERS};
+    /// let mut transfers = Transfers::default();
+    /// for host in 0..MAX_TRANSFERS as u64 {
+    ///     assert_eq!(transfers.asked(Instant(0), HostId(host), 7), Decision::Send);
     /// }
-    /// assert_eq!(copies.asked(Instant(0), HostId(99), 7), Decision::Refuse);
-    /// copies.told(HostId(0), 7);
-    /// assert_eq!(copies.asked(Instant(0), HostId(99), 7), Decision::Send);
+    /// assert_eq!(transfers.asked(Instant(0), HostId(99), 7), Decision::Refuse);
+    /// transfers.told(HostId(0), 7);
+    /// assert_eq!(transfers.asked(Instant(0), HostId(99), 7), Decision::Send);
     /// ```
     pub fn asked(&mut self, now: Instant, host: HostId, version: u64) -> Decision {
         self.under_way.remove(&host);
         // Whoever asked has given up by then.
-        self.under_way.retain(|_, sent| now.since(sent.at) < LONGEST_QUESTION);
+        self.under_way.retain(|_, sent| now.since(sent.at) < REQUEST_TIMEOUT);
 
-        if self.under_way.len() >= MOST_COPIES {
+        if self.under_way.len() >= MAX_TRANSFERS {
             return Decision::Refuse;
         }
         self.under_way.insert(host, Sent { version, at: now });
@@ -97,21 +97,21 @@
 
 /// The hosts that refused to send their manifest of late.
 #[derive(Clone, Debug, Default)]
-pub struct Refusals {
+pub struct Backoff {
     at: Map<HostId, Instant>,
 }
 
-impl Refusals {
+impl Backoff {
     /// Takes in that a host refused.
     ///
     /// ```
     /// use camphorwalk_core::ids::HostId;
     /// use camphorwalk_core::time::Instant;
-    /// use camphorwalk_policy::entry::copies::Refusals;
-    /// let mut refusals = Refusals::default();
-    /// refusals.refused(Instant(0), HostId(1));
-    /// assert!(!refusals.may_ask(Instant::from_millis(299), HostId(1)));
-    /// assert!(refusals.may_ask(Instant::from_millis(300), HostId(1)));
+    /// use camphorwalk_policy::entry::transfers::Backoff;
+    /// let mut backoff = Backoff::default();
+    /// backoff.refused(Instant(0), HostId(1));
+    /// assert!(!backoff.may_ask(Instant::from_millis(299), HostId(1)));
+    /// assert!(backoff.may_ask(Instant::from_millis(300), HostId(1)));
     /// ```
     pub fn refused(&mut self, now: Instant, host: HostId) {
         self.at.retain(|_, at| now.since(*at) < REFUSED_PAUSE);
--- a/crates/policy/tests/entry_manifests.rs
+++ b/crates/policy/tests/entry_manifests.rs
@@ -11,7 +11,7 @@
 
 /// A version that another host told of at the clock's start.
 fn newer() -> Newer {
-    Newer { version: 2, own: 1, heard: at(0), store_answers: true, store_went_on: None }
+    Newer { version: 2, own: 1, heard: at(0), store_answers: true, last_progress: None }
 }
 
 /// Plays a host that heard of a newer version at the clock's start. `store` tells when a part came
@@ -20,7 +20,7 @@
     let mut now = 0;
 
     while now < end {
-        let known = Newer { store_went_on: store(now).map(at), ..newer };
+        let known = Newer { last_progress: store(now).map(at), ..newer };
         match next(at(now), &known) {
             Next::Nothing => return None,
             Next::AskPeer => return Some(now),
@@ -70,7 +70,7 @@
     let newer = Newer { store_answers: false, ..newer() };
 
     assert_eq!(next(at(100), &newer), Next::AskPeer);
-    let known = Newer { store_went_on: Some(at(90)), ..newer };
+    let known = Newer { last_progress: Some(at(90)), ..newer };
     assert_eq!(next(at(100), &known), Next::Wait(Duration::from_millis(240)));
 }
 
--- a/crates/policy/tests/entry_copies.rs
+++ b/crates/policy/tests/entry_transfers.rs
@@ -2,7 +2,7 @@
 
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::copies::{Copies, Decision, MOST_COPIES, Refusals};
+use camphorwalk_policy::entry::transfers::{Backoff, Decision, MAX_TRANSFERS, Transfers};
 
 /// The version that spreads.
 const VERSION: u64 = 2;
@@ -31,8 +31,8 @@
     /// When it got the manifest.
     has_since: Option<u64>,
     coming: Option<Coming>,
-    copies: Copies,
-    refusals: Refusals,
+    transfers: Transfers,
+    backoff: Backoff,
 }
 
 impl Host {
@@ -59,8 +59,8 @@
     /// Has a host ask one that has the manifest.
     fn ask(&mut self, now: u64, host: usize) {
         let may_ask = |i: &usize| {
-            let refusals = &self.hosts[host].refusals;
-            self.hosts[*i].is_known_to_have(now) && refusals.may_ask(at(now), HostId(*i as u64))
+            let backoff = &self.hosts[host].backoff;
+            self.hosts[*i].is_known_to_have(now) && backoff.may_ask(at(now), HostId(*i as u64))
         };
         let able: Vec<_> = (0..self.hosts.len()).filter(may_ask).collect();
         // Any choice that differs between hosts and times will do.
@@ -68,11 +68,11 @@
             return;
         };
 
-        match self.hosts[*from].copies.asked(at(now), HostId(host as u64), VERSION) {
+        match self.hosts[*from].transfers.asked(at(now), HostId(host as u64), VERSION) {
             Decision::Send => {
                 self.hosts[host].coming = Some(Coming { from: *from, left: MANIFEST });
             }
-            Decision::Refuse => self.hosts[host].refusals.refused(at(now), HostId(*from as u64)),
+            Decision::Refuse => self.hosts[host].backoff.refused(at(now), HostId(*from as u64)),
         }
     }
 
@@ -98,7 +98,7 @@
             (0..self.hosts.len()).filter(|i| self.hosts[*i].is_known_to_have(now)).collect();
 
         for host in &mut self.hosts {
-            telling.iter().for_each(|i| host.copies.told(HostId(*i as u64), VERSION));
+            telling.iter().for_each(|i| host.transfers.told(HostId(*i as u64), VERSION));
         }
     }
 
@@ -129,53 +129,54 @@
 
     let took = zone.play();
 
-    assert!(zone.most_at_once <= MOST_COPIES, "{} copies at once", zone.most_at_once);
+    assert!(zone.most_at_once <= MAX_TRANSFERS, "{} copies at once", zone.most_at_once);
     assert!(took <= 2_000, "{took} ms; from one host alone {from_one_host} ms");
 }
 
 /// Guards against a host that never tells of its copy holding a place for good.
 #[test]
 fn a_copy_that_never_arrives_lapses() {
-    let mut copies = Copies::default();
-    let asked = |copies: &mut Copies, now, host| copies.asked(at(now), HostId(host), VERSION);
+    let mut transfers = Transfers::default();
+    let asked =
+        |transfers: &mut Transfers, now, host| transfers.asked(at(now), HostId(host), VERSION);
 
-    (0..MOST_COPIES as u64)
-        .for_each(|host| assert_eq!(asked(&mut copies, 0, host), Decision::Send));
+    (0..MAX_TRANSFERS as u64)
+        .for_each(|host| assert_eq!(asked(&mut transfers, 0, host), Decision::Send));
 
-    assert_eq!(asked(&mut copies, 2_999, 9), Decision::Refuse);
-    assert_eq!(asked(&mut copies, 3_000, 9), Decision::Send);
-    assert_eq!(copies.len(), 1);
+    assert_eq!(asked(&mut transfers, 2_999, 9), Decision::Refuse);
+    assert_eq!(asked(&mut transfers, 3_000, 9), Decision::Send);
+    assert_eq!(transfers.len(), 1);
 }
 
 #[test]
 fn news_of_an_older_version_do_not_end_a_copy() {
-    let mut copies = Copies::default();
-    copies.asked(at(0), HostId(1), VERSION);
+    let mut transfers = Transfers::default();
+    transfers.asked(at(0), HostId(1), VERSION);
 
-    copies.told(HostId(1), VERSION - 1);
-    assert_eq!(copies.len(), 1);
-    copies.told(HostId(1), VERSION + 1);
-    assert!(copies.is_empty());
+    transfers.told(HostId(1), VERSION - 1);
+    assert_eq!(transfers.len(), 1);
+    transfers.told(HostId(1), VERSION + 1);
+    assert!(transfers.is_empty());
 }
 
 /// Guards against a host whose copy was lost being refused by the only one that has it.
 #[test]
 fn a_host_that_asks_again_takes_its_own_place() {
-    let mut copies = Copies::default();
-    (0..MOST_COPIES as u64).for_each(|host| {
-        copies.asked(at(0), HostId(host), VERSION);
+    let mut transfers = Transfers::default();
+    (0..MAX_TRANSFERS as u64).for_each(|host| {
+        transfers.asked(at(0), HostId(host), VERSION);
     });
 
-    assert_eq!(copies.asked(at(1_000), HostId(0), VERSION), Decision::Send);
-    assert_eq!(copies.len(), MOST_COPIES);
+    assert_eq!(transfers.asked(at(1_000), HostId(0), VERSION), Decision::Send);
+    assert_eq!(transfers.len(), MAX_TRANSFERS);
 }
 
 #[test]
 fn a_copy_that_could_not_be_sent_takes_no_place() {
-    let mut copies = Copies::default();
-    copies.asked(at(0), HostId(1), VERSION);
+    let mut transfers = Transfers::default();
+    transfers.asked(at(0), HostId(1), VERSION);
 
-    copies.not_sent(HostId(1));
+    transfers.not_sent(HostId(1));
 
-    assert!(copies.is_empty());
+    assert!(transfers.is_empty());
 }
