A grant without the store is spent only once somebody elsewhere has noted it

A host that grants to itself in the store's place entered the tokens before a host of another zone took note. If nobody did, it refused the turn, and the next turn found the tokens in the row and ran: a host or zone that is cut off spent what only it knew of. The same held for a host that was told of a grant to itself as one of the next in the order.

`Account::assured` now says how much of a run's grant the store or a host of another zone has: set by what the store holds, and by the replies "granted" and "written". What was only heard of (`witness`) or proposed is merged as before and not spent.

Evidence: both new tests of `entry_budgets` fail without the change ("Reserved"; assertion on `Reservation::Write`), and pass with it.

--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -105,7 +105,7 @@
 
     match reply {
         Some(Reply::Written(row)) => {
-            shared.budgets.borrow_mut().note(clock::now(), program, &row);
+            shared.budgets.borrow_mut().learn_written(clock::now(), program, &row);
             Ok(Granted::Tokens)
         }
         Some(Reply::Granted(row)) => {
@@ -267,7 +267,7 @@
 /// Takes in grants that the store does not have. They are written if the host that spends them
 /// does not: it may be cut off from now on, and this one not.
 pub(crate) fn take_loose(shared: &Shared, program: ProgramKey, row: &BudgetRow) -> Reply {
-    shared.budgets.borrow_mut().learn_loose(clock::now(), program, row);
+    shared.budgets.borrow_mut().witness(clock::now(), program, row);
 
     Reply::Done
 }
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -81,6 +81,8 @@
     loose: bool,
     /// Since when.
     loose_since: Instant,
+    /// What this run was granted as far as the store or a host of another zone has it.
+    assured: u64,
     spent: u64,
     reserved: u64,
     used_at: Instant,
@@ -93,6 +95,7 @@
             version: RowVersion::ABSENT,
             loose: false,
             loose_since: now,
+            assured: 0,
             spent: 0,
             reserved: 0,
             used_at: now,
@@ -107,6 +110,16 @@
         }
     }
 
+    /// Takes note that what a row grants to a run may be spent by it.
+    fn assure(&mut self, run: RunId, row: &BudgetRow) {
+        self.assured = self.assured.max(row.granted.get(&run).copied().unwrap_or(0));
+    }
+
+    /// Returns what a run was granted and may not spend yet.
+    fn unassured(&self, run: RunId) -> u64 {
+        self.row.granted.get(&run).copied().unwrap_or(0).saturating_sub(self.assured)
+    }
+
     /// Takes over the higher figure of each run.
     fn merge(&mut self, row: &BudgetRow) {
         if self.row.budget == 0 {
@@ -166,6 +179,7 @@
         // When trouble begins, one host may still write a grant while another is granted the same
         // tokens in the store's place. Whoever learns of both does not spend what is too much.
         let own = granted.saturating_sub(account.row.held().saturating_sub(account.row.budget));
+        let own = own.saturating_sub(account.unassured(run));
         let committed = account.spent + account.reserved;
 
         if own >= committed + most {
@@ -199,6 +213,7 @@
         }
         account.version = version;
         account.merge(&row);
+        account.assure(self.run, &row);
         account.loose &= account.row != row;
     }
 
@@ -225,7 +240,8 @@
     }
 
     /// Grants a turn's tokens to the run `run` of a host, in the store's place, and returns the
-    /// row as it then stands. `known` is what the asking host knows of it.
+    /// row as it then stands. `known` is what the asking host knows of it. The run may spend them
+    /// when a host of another zone has taken note of the row.
     ///
     /// Returns `None` if the budget does not hold the turn.
     pub fn grant_loose(
@@ -244,8 +260,16 @@
         Some(account.row.clone())
     }
 
-    /// Takes in a row with loose grants, or what another host knows of one.
+    /// Takes in a row with loose grants to this host, of which a host of another zone has taken note.
     pub fn learn_loose(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
+        self.witness(now, program, row);
+        if let Some(account) = self.accounts.get_mut(&program) {
+            account.assure(self.run, row);
+        }
+    }
+
+    /// Takes note of a row with loose grants, which may come to nothing.
+    pub fn witness(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
         let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, row.budget));
         account.used_at = now;
         let before = account.row.clone();
@@ -255,6 +279,14 @@
         }
     }
 
+    /// Takes in a row with a grant to this host that another one has written.
+    pub fn learn_written(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
+        self.note(now, program, row);
+        if let Some(account) = self.accounts.get_mut(&program) {
+            account.assure(self.run, row);
+        }
+    }
+
     /// Takes in how a program's row stands at another host, which writes it itself.
     pub fn note(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
         let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, row.budget));
--- a/crates/policy/tests/entry_budgets.rs
+++ b/crates/policy/tests/entry_budgets.rs
@@ -316,3 +316,32 @@
     assert!(next.holders(PROGRAM).is_empty());
     assert!(!reserve(&mut first, &mut store, 500, 286));
 }
+
+#[test]
+fn a_grant_to_itself_that_nobody_noted_is_not_spent_by_the_next_turn() {
+    // A host of a zone that was cut off refused the first turn and ran the second one.
+    let mut host = Budgets::new(RunId(1));
+    let known = BudgetRow { budget: 858, ..BudgetRow::default() };
+
+    let row = host.grant_loose(NOW, PROGRAM, RunId(1), 286, &known).expect("there is enough");
+    let unnoted = host.reserve(NOW, PROGRAM, 858, 286);
+    host.learn_loose(NOW, PROGRAM, &row);
+
+    assert!(matches!(unnoted, Reservation::Write(..)), "{unnoted:?}");
+    assert_eq!(host.reserve(NOW, PROGRAM, 858, 286), Reservation::Reserved);
+}
+
+#[test]
+fn a_grant_that_a_witness_only_heard_of_is_not_spent_by_it() {
+    // The host that is granted tokens may be told of them before a host of another zone is.
+    let mut host = Budgets::new(RunId(1));
+    let row = BudgetRow {
+        budget: 858,
+        granted: BTreeMap::from([(RunId(1), 286)]),
+        ..BudgetRow::default()
+    };
+
+    host.witness(NOW, PROGRAM, &row);
+
+    assert!(matches!(host.reserve(NOW, PROGRAM, 858, 286), Reservation::Write(..)));
+}
