A program's row stays, and what was spent of it is remembered, while the program may return

Three faults of programs that run for longer than their retention and its margin (90 s by default):

- A host that was only told of a program's row, as one of those that would grant next, counted from its first news.
After 90 s it deleted the row, with the newest version, under a running program: another host then gave the whole budget again, and the one that ran it was refused as contended, since its version was gone.
A newer version now counts as use.
- A host that spends from an older grant writes nothing, so that the row looked needless to others.
It now writes the row again when its own last write is more than 20 s old, in the write-back.
- A host that forgot an idle program forgot what it had spent.
If the program came back to it, it found its grant in the row and spent it again.
Own spending is now remembered until the row is gone; a delete that fails is tried again after as long.
A host that finds no row, or whose row is deleted while a turn begins, writes what it knows anew.

Evidence: four new tests of `entry_budgets`, red without the change (run with their calls of the new functions replaced by the old ones or taken out).

--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -6,6 +6,7 @@
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
 };
+use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, Reservation};
 use camphorwalk_policy::entry::turns::PARTS;
 use futures::future::join_all;
@@ -241,7 +242,7 @@
     match store::ask(shared, PlatformOp::Commit(tx)).await {
         PlatformReply::Committed(version) => {
             grants::tell_stored(shared, program, &row, version);
-            shared.budgets.borrow_mut().learn(clock::now(), program, row, version);
+            shared.budgets.borrow_mut().wrote(clock::now(), program, row, version);
             Ok(Written::Committed)
         }
         PlatformReply::Conflict(rows) => take_in(shared, program, &rows),
@@ -256,6 +257,38 @@
     }
 }
 
+/// Deletes the row of a program that was needless at `asked`, if it still has this version.
+pub(crate) async fn delete(
+    shared: &Rc<Shared>,
+    program: ProgramKey,
+    version: RowVersion,
+    asked: Instant,
+) {
+    let key = row_key(program);
+    let tx = Transaction {
+        checks: vec![Check { key: key.clone(), version }],
+        writes: vec![Write { key: key.clone(), value: None }],
+    };
+    let reply = store::ask(shared, PlatformOp::Commit(tx)).await;
+
+    let is_gone = match &reply {
+        PlatformReply::Committed(_) => true,
+        PlatformReply::Conflict(rows) => !rows.iter().any(|row| row.key == key),
+        _ => false,
+    };
+    if is_gone {
+        shared.budgets.borrow_mut().deleted(clock::now(), program, asked);
+    } else if let PlatformReply::Conflict(rows) = reply
+        && shared.budgets.borrow().knows(program)
+    {
+        // What does not read is left lying.
+        let _ = take_in(shared, program, &rows);
+    }
+    if !shared.budgets.borrow().knows(program) {
+        shared.budget_locks.borrow_mut().remove(&program);
+    }
+}
+
 /// Returns a program's row as this host knows it.
 pub(crate) fn known_row(shared: &Shared, program: ProgramKey) -> Reply {
     shared.budgets.borrow().row(program).cloned().map_or(Reply::Refused, Reply::Granted)
@@ -264,6 +297,7 @@
 fn take_in(shared: &Shared, program: ProgramKey, rows: &[Row]) -> Result<Written, Refusal> {
     let key = row_key(program);
     let Some(row) = rows.iter().find(|row| row.key == key) else {
+        shared.budgets.borrow_mut().absent(clock::now(), program);
         return Ok(Written::Learned);
     };
 
--- a/crates/entry/src/retention.rs
+++ b/crates/entry/src/retention.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::platform::{Check, PlatformOp, PlatformReply, RowKey, Transaction, Write};
+use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowKey, Transaction, Write};
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::turns::TurnKey;
 use tracing::info;
@@ -65,11 +65,10 @@
 
     // Budgets are needed for as long as a program may return, which is as long as its turns
     // are kept.
-    let old = shared.budgets.borrow_mut().forget(clock::now(), retention + SWEEP_MARGIN);
+    let asked = clock::now();
+    let old = shared.budgets.borrow_mut().forget(asked, retention + SWEEP_MARGIN);
     for (program, version) in old {
-        shared.budget_locks.borrow_mut().remove(&program);
-        let key = budget::row_key(program);
-        delete(shared, vec![Check { key: key.clone(), version }], vec![key]).await;
+        budget::delete(shared, program, version, asked).await;
     }
 
     loop {
@@ -77,7 +76,7 @@
         if batch.is_empty() {
             return;
         }
-        delete(shared, Vec::new(), batch).await;
+        delete(shared, batch).await;
     }
 }
 
@@ -106,8 +105,9 @@
 
 /// Deletes rows. What fails is left lying: it does no harm, and the host that reads it finds a
 /// turn that was true.
-async fn delete(shared: &Rc<Shared>, checks: Vec<Check>, keys: Vec<RowKey>) {
+async fn delete(shared: &Rc<Shared>, keys: Vec<RowKey>) {
     let rows = keys.len();
+    let checks = Vec::new();
     let writes = keys.into_iter().map(|key| Write { key, value: None }).collect();
     let reply = store::ask(shared, PlatformOp::Commit(Transaction { checks, writes })).await;
 
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -32,6 +32,10 @@
 /// writes; less strands fewer tokens at a host that dies or that the program leaves.
 const SPARE_PART: u64 = 4;
 
+/// After how long a host that spends from its grant writes the row again: rows outlive the time in
+/// which a program may return by more than this, counted from their last write.
+const REFRESH_AFTER: Duration = Duration::from_secs(20);
+
 /// What the store holds of a program.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetRow {
@@ -81,6 +85,10 @@
     loose: bool,
     /// Since when.
     loose_since: Instant,
+    /// When this host wrote the row last.
+    written_at: Instant,
+    /// Whether the row is to be written again, so that it is not taken for needless.
+    stale: bool,
     /// What this run was granted as far as the store or a host of another zone has it.
     assured: u64,
     spent: u64,
@@ -95,6 +103,8 @@
             version: RowVersion::ABSENT,
             loose: false,
             loose_since: now,
+            written_at: now,
+            stale: false,
             assured: 0,
             spent: 0,
             reserved: 0,
@@ -184,6 +194,7 @@
 
         if own >= committed + most {
             account.reserved += most;
+            account.stale |= now.since(account.written_at) > REFRESH_AFTER;
             return Reservation::Reserved;
         }
         let needed = committed + most;
@@ -211,12 +222,39 @@
         if version < account.version {
             return;
         }
+        // Somebody was granted tokens just now, and may return later than this host's own turns.
+        if version > account.version {
+            account.used_at = now;
+        }
         account.version = version;
         account.merge(&row);
         account.assure(self.run, &row);
         account.loose &= account.row != row;
     }
 
+    /// Takes in that this host has written a row.
+    pub fn wrote(
+        &mut self,
+        now: Instant,
+        program: ProgramKey,
+        row: BudgetRow,
+        version: RowVersion,
+    ) {
+        self.learn(now, program, row, version);
+        if let Some(account) = self.accounts.get_mut(&program) {
+            account.written_at = now;
+            account.stale = false;
+        }
+    }
+
+    /// Takes in that the store has no row of a program: what this host knows is written anew.
+    pub fn absent(&mut self, now: Instant, program: ProgramKey) {
+        if let Some(account) = self.accounts.get_mut(&program) {
+            account.version = RowVersion::ABSENT;
+            account.loosen(now);
+        }
+    }
+
     /// Returns the row with a turn's tokens granted to the run `run` of a host, to be written if
     /// the row still has this version. `known` is what the asking host knows of it.
     ///
@@ -359,7 +397,7 @@
 
             a.row.granted.contains_key(&self.run) || writes_for_others(age, all_heard)
         };
-        let due = self.accounts.iter().filter(|(_, a)| a.loose && is_due(a));
+        let due = self.accounts.iter().filter(|(_, a)| a.stale || a.loose && is_due(a));
 
         due.map(|(program, a)| (*program, a.row.clone(), a.version)).collect()
     }
@@ -372,15 +410,38 @@
         account.spent += used;
     }
 
-    /// Forgets programs that ran nothing for `idle`, and returns them with the versions of
-    /// their rows, which are then needless.
+    /// Returns the programs that ran nothing for `idle`, with the versions of their rows, which are
+    /// then needless: to be deleted, and then forgotten.
+    ///
+    /// What this host spent of a grant is remembered until the row is gone. If it came back to a row
+    /// with its grant, it would spend that again. Programs of others are forgotten at once.
     pub fn forget(&mut self, now: Instant, idle: Duration) -> Vec<(ProgramKey, RowVersion)> {
-        let is_old = |a: &Account| a.reserved == 0 && !a.loose && now.since(a.used_at) > idle;
-        let old = self.accounts.extract_if(|_, account| is_old(account));
+        let run = self.run;
+        let is_old =
+            |a: &Account| a.reserved == 0 && !a.loose && !a.stale && now.since(a.used_at) > idle;
+        let mut old = Vec::new();
+
+        self.accounts.retain(|program, account| {
+            if !is_old(account) {
+                return true;
+            }
+            let is_own = account.row.granted.contains_key(&run);
+            if is_own || account.version != RowVersion::ABSENT {
+                old.push((*program, account.version));
+            }
+            // It is tried again after as long if the row cannot be deleted.
+            account.used_at = now;
+            is_own
+        });
+        old
+    }
 
-        old.map(|(program, account)| (program, account.version))
-            .filter(|(_, version)| *version != RowVersion::ABSENT)
-            .collect()
+    /// Takes in that the row of a program is deleted that was needless at `asked`.
+    pub fn deleted(&mut self, now: Instant, program: ProgramKey, asked: Instant) {
+        match self.accounts.get(&program) {
+            Some(account) if account.used_at > asked => self.absent(now, program),
+            _ => drop(self.accounts.remove(&program)),
+        }
     }
 }
 
--- a/crates/policy/tests/entry_budgets.rs
+++ b/crates/policy/tests/entry_budgets.rs
@@ -345,3 +345,78 @@
 
     assert!(matches!(host.reserve(NOW, PROGRAM, 858, 286), Reservation::Write(..)));
 }
+
+#[test]
+fn a_host_that_only_hears_of_a_program_does_not_take_it_for_idle() {
+    // It took the first turn for the last one, and deleted the row under a program of two minutes.
+    let mut told = Budgets::new(RunId(2));
+    for (seconds, version) in [(0, 1), (60, 2), (100, 3)] {
+        let row = BudgetRow {
+            budget: 4_000,
+            granted: BTreeMap::from([(RunId(1), 286 * version)]),
+            ..BudgetRow::default()
+        };
+        told.learn(Instant::from_millis(seconds * 1_000), PROGRAM, row, RowVersion(version));
+    }
+
+    let idle = Duration::from_secs(90);
+
+    assert!(told.forget(Instant::from_millis(120_000), idle).is_empty());
+    assert_eq!(told.forget(Instant::from_millis(191_000), idle), [(PROGRAM, RowVersion(3))]);
+}
+
+#[test]
+fn a_host_that_spends_from_an_old_grant_writes_the_row_again() {
+    // Others deleted the row 90 seconds after its last write, with the last turn 50 seconds old.
+    let mut store = Store::default();
+    let mut host = Budgets::new(RunId(1));
+    assert!(reserve(&mut host, &mut store, 4_000, 286));
+    host.settle(PROGRAM, 286, 1);
+    let later = Instant::from_millis(40_000);
+
+    assert_eq!(host.reserve(later, PROGRAM, 4_000, 286), Reservation::Reserved);
+    let due = host.loose(later, |_| true);
+    let (row, version) = store.row.clone().unwrap();
+    host.wrote(later, PROGRAM, row, version);
+
+    assert_eq!(due.len(), 1);
+    assert!(host.loose(later, |_| true).is_empty());
+}
+
+#[test]
+fn a_host_that_returns_to_a_program_does_not_spend_its_grant_again() {
+    // It had forgotten what it spent, and found its grant in the row.
+    let mut store = Store::default();
+    let mut host = Budgets::new(RunId(1));
+    assert!(reserve(&mut host, &mut store, 572, 286));
+    host.settle(PROGRAM, 286, 286);
+    assert!(reserve(&mut host, &mut store, 572, 286));
+    host.settle(PROGRAM, 286, 286);
+    let (row, version) = store.row.clone().unwrap();
+
+    host.forget(Instant::from_millis(100_000), Duration::from_secs(90));
+    host.learn(Instant::from_millis(100_010), PROGRAM, row, version);
+
+    assert!(!reserve(&mut host, &mut store, 572, 286));
+}
+
+#[test]
+fn a_program_whose_row_is_deleted_is_forgotten_unless_it_ran_meanwhile() {
+    let mut store = Store::default();
+    let mut host = Budgets::new(RunId(1));
+    assert!(reserve(&mut host, &mut store, 858, 286));
+    host.settle(PROGRAM, 286, 50);
+    let asked = Instant::from_millis(100_000);
+    let mut busy = host.clone();
+    host.forget(asked, Duration::from_secs(90));
+    busy.forget(asked, Duration::from_secs(90));
+    let later = Instant::from_millis(100_005);
+
+    assert_eq!(busy.reserve(later, PROGRAM, 858, 286), Reservation::Reserved);
+    busy.deleted(later, PROGRAM, asked);
+    host.deleted(later, PROGRAM, asked);
+
+    assert!(!host.knows(PROGRAM));
+    let due = busy.loose(later, |_| true);
+    assert!(matches!(&due[..], [(PROGRAM, _, RowVersion::ABSENT)]), "{due:?}");
+}
