--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -32,6 +32,10 @@
 /// writes; less strands fewer tokens at a host that dies or that the program leaves.
 const SPARE_PART: u64 = 4;
 
+/// After how long a host that spends from its grant writes the row again: rows outlive the time in
+/// which a program may return by more than this, counted from their last write.
+const REFRESH_AFTER: Duration = Duration::from_secs(20);
+
 /// What the store holds of a program.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetRow {
@@ -81,6 +85,12 @@
     loose: bool,
     /// Since when.
     loose_since: Instant,
+    /// When this host wrote the row last.
+    written_at: Instant,
+    /// Whether the row is to be written again, so that it is not taken for needless.
+    stale: bool,
+    /// What this run was granted as far as the store or a host of another zone has it.
+    assured: u64,
     spent: u64,
     reserved: u64,
     used_at: Instant,
@@ -93,6 +103,9 @@
             version: RowVersion::ABSENT,
             loose: false,
             loose_since: now,
+            written_at: now,
+            stale: false,
+            assured: 0,
             spent: 0,
             reserved: 0,
             used_at: now,
@@ -107,6 +120,16 @@
         }
     }
 
+    /// Takes note that what a row grants to a run may be spent by it.
+    fn assure(&mut self, run: RunId, row: &BudgetRow) {
+        self.assured = self.assured.max(row.granted.get(&run).copied().unwrap_or(0));
+    }
+
+    /// Returns what a run was granted and may not spend yet.
+    fn unassured(&self, run: RunId) -> u64 {
+        self.row.granted.get(&run).copied().unwrap_or(0).saturating_sub(self.assured)
+    }
+
     /// Takes over the higher figure of each run.
     fn merge(&mut self, row: &BudgetRow) {
         if self.row.budget == 0 {
@@ -166,10 +189,12 @@
         // When trouble begins, one host may still write a grant while another is granted the same
         // tokens in the store's place. Whoever learns of both does not spend what is too much.
         let own = granted.saturating_sub(account.row.held().saturating_sub(account.row.budget));
+        let own = own.saturating_sub(account.unassured(run));
         let committed = account.spent + account.reserved;
 
         if own >= committed + most {
             account.reserved += most;
+            account.stale |= now.since(account.written_at) > REFRESH_AFTER;
             return Reservation::Reserved;
         }
         let needed = committed + most;
@@ -197,11 +222,39 @@
         if version < account.version {
             return;
         }
+        // Somebody was granted tokens just now, and may return later than this host's own turns.
+        if version > account.version {
+            account.used_at = now;
+        }
         account.version = version;
         account.merge(&row);
+        account.assure(self.run, &row);
         account.loose &= account.row != row;
     }
 
+    /// Takes in that this host has written a row.
+    pub fn wrote(
+        &mut self,
+        now: Instant,
+        program: ProgramKey,
+        row: BudgetRow,
+        version: RowVersion,
+    ) {
+        self.learn(now, program, row, version);
+        if let Some(account) = self.accounts.get_mut(&program) {
+            account.written_at = now;
+            account.stale = false;
+        }
+    }
+
+    /// Takes in that the store has no row of a program: what this host knows is written anew.
+    pub fn absent(&mut self, now: Instant, program: ProgramKey) {
+        if let Some(account) = self.accounts.get_mut(&program) {
+            account.version = RowVersion::ABSENT;
+            account.loosen(now);
+        }
+    }
+
     /// Returns the row with a turn's tokens granted to the run `run` of a host, to be written if
     /// the row still has this version. `known` is what the asking host knows of it.
     ///
@@ -225,7 +278,8 @@
     }
 
     /// Grants a turn's tokens to the run `run` of a host, in the store's place, and returns the
-    /// row as it then stands. `known` is what the asking host knows of it.
+    /// row as it then stands. `known` is what the asking host knows of it. The run may spend them
+    /// when a host of another zone has taken note of the row.
     ///
     /// Returns `None` if the budget does not hold the turn.
     pub fn grant_loose(
@@ -244,8 +298,16 @@
         Some(account.row.clone())
     }
 
-    /// Takes in a row with loose grants, or what another host knows of one.
+    /// Takes in a row with loose grants to this host, of which a host of another zone has taken note.
     pub fn learn_loose(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
+        self.witness(now, program, row);
+        if let Some(account) = self.accounts.get_mut(&program) {
+            account.assure(self.run, row);
+        }
+    }
+
+    /// Takes note of a row with loose grants, which may come to nothing.
+    pub fn witness(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
         let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, row.budget));
         account.used_at = now;
         let before = account.row.clone();
@@ -255,6 +317,14 @@
         }
     }
 
+    /// Takes in a row with a grant to this host that another one has written.
+    pub fn learn_written(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
+        self.note(now, program, row);
+        if let Some(account) = self.accounts.get_mut(&program) {
+            account.assure(self.run, row);
+        }
+    }
+
     /// Takes in how a program's row stands at another host, which writes it itself.
     pub fn note(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
         let account = self.accounts.entry(program).or_insert_with(|| Account::new(now, row.budget));
@@ -327,7 +397,7 @@
 
             a.row.granted.contains_key(&self.run) || writes_for_others(age, all_heard)
         };
-        let due = self.accounts.iter().filter(|(_, a)| a.loose && is_due(a));
+        let due = self.accounts.iter().filter(|(_, a)| a.stale || a.loose && is_due(a));
 
         due.map(|(program, a)| (*program, a.row.clone(), a.version)).collect()
     }
@@ -340,15 +410,38 @@
         account.spent += used;
     }
 
-    /// Forgets programs that ran nothing for `idle`, and returns them with the versions of
-    /// their rows, which are then needless.
+    /// Returns the programs that ran nothing for `idle`, with the versions of their rows, which are
+    /// then needless: to be deleted, and then forgotten.
+    ///
+    /// What this host spent of a grant is remembered until the row is gone. If it came back to a row
+    /// with its grant, it would spend that again. Programs of others are forgotten at once.
     pub fn forget(&mut self, now: Instant, idle: Duration) -> Vec<(ProgramKey, RowVersion)> {
-        let is_old = |a: &Account| a.reserved == 0 && !a.loose && now.since(a.used_at) > idle;
-        let old = self.accounts.extract_if(|_, account| is_old(account));
+        let run = self.run;
+        let is_old =
+            |a: &Account| a.reserved == 0 && !a.loose && !a.stale && now.since(a.used_at) > idle;
+        let mut old = Vec::new();
+
+        self.accounts.retain(|program, account| {
+            if !is_old(account) {
+                return true;
+            }
+            let is_own = account.row.granted.contains_key(&run);
+            if is_own || account.version != RowVersion::ABSENT {
+                old.push((*program, account.version));
+            }
+            // It is tried again after as long if the row cannot be deleted.
+            account.used_at = now;
+            is_own
+        });
+        old
+    }
 
-        old.map(|(program, account)| (program, account.version))
-            .filter(|(_, version)| *version != RowVersion::ABSENT)
-            .collect()
+    /// Takes in that the row of a program is deleted that was needless at `asked`.
+    pub fn deleted(&mut self, now: Instant, program: ProgramKey, asked: Instant) {
+        match self.accounts.get(&program) {
+            Some(account) if account.used_at > asked => self.absent(now, program),
+            _ => drop(self.accounts.remove(&program)),
+        }
     }
 }
 
