--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -298,7 +298,8 @@
         Some(account.row.clone())
     }
 
-    /// Takes in a row with loose grants to this host, of which a host of another zone has taken note.
+    /// Takes in a row with loose grants to this host, of which a host of another zone has taken
+    /// note.
     pub fn learn_loose(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
         self.witness(now, program, row);
         if let Some(account) = self.accounts.get_mut(&program) {
@@ -413,8 +414,8 @@
     /// Returns the programs that ran nothing for `idle`, with the versions of their rows, which are
     /// then needless: to be deleted, and then forgotten.
     ///
-    /// What this host spent of a grant is remembered until the row is gone. If it came back to a row
-    /// with its grant, it would spend that again. Programs of others are forgotten at once.
+    /// What this host spent of a grant is remembered until the row is gone. If it came back to a
+    /// row with its grant, it would spend that again. Programs of others are forgotten at once.
     pub fn forget(&mut self, now: Instant, idle: Duration) -> Vec<(ProgramKey, RowVersion)> {
         let run = self.run;
         let is_old =
--- /dev/null
+++ b/crates/policy/tests/entry_fuzz/budget.rs
@@ -0,0 +1,179 @@
+//! How a turn gets its tokens, as `camphorwalk-entry` does it.
+
+use std::time::Duration;
+
+use camphorwalk_core::platform::RowVersion;
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, Reservation};
+
+use crate::asks::{self, Ask, Reply};
+use crate::grants::{self, Granted};
+use crate::host::Shared;
+use crate::sim::join_all;
+use crate::store::{Op, StoreReply};
+use crate::world::{MOST, Program};
+
+pub const MOST_WRITES: u32 = 6;
+const TELL_DEADLINE: Duration = Duration::from_millis(150);
+const ROW_DEADLINE: Duration = Duration::from_millis(20);
+const SETTLED: Duration = Duration::from_secs(3);
+
+/// What a turn is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Held {
+    Tokens,
+    Spent,
+    Unsure,
+    Contended,
+}
+
+/// What came of writing a row.
+pub enum Written {
+    Committed,
+    Learned,
+    Away,
+    Unsure,
+}
+
+/// Reserves the tokens of a turn.
+pub async fn hold(shared: &Shared, program: &Program) -> Held {
+    let Program { key, budget, .. } = *program;
+    let begins = program.last_turn.is_none();
+    let shows_its_past = program.shows_its_past || begins;
+    let budgets = &shared.host.budgets;
+    let _turn = shared.lock(key).await;
+
+    fetch_row(shared, program).await;
+    let mut recalled = false;
+    for _ in 0..MOST_WRITES {
+        let reservation = budgets.borrow_mut().reserve(shared.now(), key, budget, MOST);
+
+        match reservation {
+            Reservation::Reserved => return Held::Tokens,
+            Reservation::Spent { certain: false } if !recalled => {
+                recalled = true;
+                recall(shared, key).await;
+            }
+            Reservation::Spent { .. } => return Held::Spent,
+            Reservation::Write(row, version) if shared.was_there_for(SETTLED) => {
+                match grants::write_hedged(shared, key, row, version).await {
+                    Some(Written::Committed | Written::Learned) => {}
+                    Some(Written::Away | Written::Unsure) | None => shared.note_slow(),
+                }
+            }
+            Reservation::Write(_, version) => {
+                if !budgets.borrow().knows(key) {
+                    grants::learn_from(shared, key, 1).await;
+                }
+                if version == RowVersion::ABSENT
+                    && !shows_its_past
+                    && !budgets.borrow().knows(key)
+                    && !has_row(shared, key).await
+                {
+                    return Held::Unsure;
+                }
+                match grants::ask_for_grant(shared, key, budget, begins).await {
+                    Granted::Tokens => {}
+                    Granted::Nothing if !recalled => {
+                        recalled = true;
+                        recall(shared, key).await;
+                    }
+                    Granted::Nothing => return Held::Spent,
+                    Granted::Unsure => return Held::Unsure,
+                }
+            }
+        }
+    }
+
+    Held::Contended
+}
+
+async fn fetch_row(shared: &Shared, program: &Program) {
+    if shared.host.budgets.borrow().knows(program.key) {
+        return;
+    }
+    let Some(host) = program.last_host.filter(|host| shared.hears(*host)) else { return };
+    let reply = asks::ask(shared, host, Ask::StoredRow(program.key), ROW_DEADLINE).await;
+
+    if let Some(Reply::StoredRow(Some((row, version)))) = reply {
+        shared.host.budgets.borrow_mut().learn(shared.now(), program.key, row, version);
+    }
+}
+
+/// Has the other hosts give back what they do not need.
+async fn recall(shared: &Shared, program: ProgramKey) {
+    let holders = shared.host.budgets.borrow().holders(program);
+    let hosts = holders.into_iter().filter_map(|run| shared.host_of_run(run));
+    let asked = hosts.map(|host| asks::ask(shared, host, Ask::Yield(program), TELL_DEADLINE));
+
+    for reply in join_all(asked).await.into_iter().flatten() {
+        if let Reply::Granted(row) = reply {
+            shared.host.budgets.borrow_mut().note(shared.now(), program, &row);
+        }
+    }
+}
+
+async fn has_row(shared: &Shared, program: ProgramKey) -> bool {
+    match shared.ask_store(Op::Read(program)).await {
+        StoreReply::Row(Some(there)) => {
+            take_in(shared, program, Some(there));
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Writes a row, and takes in what the store then holds.
+pub async fn write(
+    shared: &Shared,
+    program: ProgramKey,
+    row: BudgetRow,
+    version: RowVersion,
+) -> Written {
+    match shared.ask_store(Op::Commit(program, Some(row.clone()), version)).await {
+        StoreReply::Committed(version) => {
+            grants::tell_stored(shared, program, &row, version);
+            shared.host.budgets.borrow_mut().wrote(shared.now(), program, row, version);
+            Written::Committed
+        }
+        StoreReply::Conflict(there) => take_in(shared, program, there),
+        StoreReply::Unavailable => Written::Away,
+        StoreReply::Row(_) | StoreReply::Unknown => {
+            match shared.ask_store(Op::Read(program)).await {
+                StoreReply::Row(there) => take_in(shared, program, there),
+                StoreReply::Unavailable => Written::Away,
+                _ => Written::Unsure,
+            }
+        }
+    }
+}
+
+/// Deletes the row of a program that was needless at `asked`, if it still has this version.
+pub async fn delete(shared: &Shared, program: ProgramKey, version: RowVersion, asked: Instant) {
+    let reply = shared.ask_store(Op::Commit(program, None, version)).await;
+    let mut budgets = shared.host.budgets.borrow_mut();
+
+    match reply {
+        StoreReply::Committed(_) | StoreReply::Conflict(None) => {
+            budgets.deleted(shared.now(), program, asked);
+        }
+        StoreReply::Conflict(Some((row, version))) if budgets.knows(program) => {
+            budgets.learn(shared.now(), program, row, version);
+        }
+        _ => {}
+    }
+}
+
+fn take_in(
+    shared: &Shared,
+    program: ProgramKey,
+    there: Option<(BudgetRow, RowVersion)>,
+) -> Written {
+    let mut budgets = shared.host.budgets.borrow_mut();
+    match there {
+        Some((row, version)) => budgets.learn(shared.now(), program, row, version),
+        None => budgets.absent(shared.now(), program),
+    }
+
+    Written::Learned
+}
--- /dev/null
+++ b/crates/policy/tests/entry_fuzz/host.rs
@@ -0,0 +1,330 @@
+//! A host: its memory, what it hears, and its way to the store.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::hash::{Map, rendezvous_order};
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
+use camphorwalk_policy::entry::isolation::{self, Contact, Surroundings};
+use camphorwalk_policy::entry::outage::StoreHealth;
+
+use crate::asks::{self, Ask, News, Reply};
+use crate::budget::{self, Held};
+use crate::grants;
+use crate::oracle;
+use crate::sim::{Lock, Locked};
+use crate::store::{self, Op, StoreReply};
+use crate::world::{HOSTS, MOST, Program, RETENTION, World, ZONES};
+
+const NEWS_PERIOD: Duration = Duration::from_millis(100);
+const FRESH: Duration = Duration::from_millis(700);
+const SLOW_TOLD: Duration = Duration::from_millis(500);
+const LONG_SILENCE: Duration = Duration::from_millis(300);
+const RELAY_DEADLINE: Duration = Duration::from_millis(600);
+const PROBE_PERIOD: Duration = Duration::from_millis(500);
+const WRITE_BACK_PERIOD: Duration = Duration::from_millis(500);
+const SWEEP_PERIOD: Duration = Duration::from_secs(5);
+const SWEEP_MARGIN: Duration = Duration::from_secs(30);
+
+/// What another host told last of itself.
+#[derive(Clone, Copy)]
+struct Heard {
+    at: Instant,
+    run: RunId,
+    store_answers: bool,
+}
+
+pub struct Host {
+    pub name: usize,
+    pub run: RunId,
+    pub budgets: RefCell<Budgets>,
+    pub health: RefCell<StoreHealth>,
+    /// Whether it has read who the others are, without which it talks to none.
+    joined: Cell<bool>,
+    heard: RefCell<Map<usize, Heard>>,
+    away_at: Cell<Option<Instant>>,
+    slow_at: Cell<Option<Instant>>,
+    locks: RefCell<Map<ProgramKey, Rc<Lock>>>,
+}
+
+/// A host in its world.
+#[derive(Clone)]
+pub struct Shared {
+    pub world: Rc<World>,
+    pub host: Rc<Host>,
+}
+
+impl Host {
+    pub fn new(name: usize, run: RunId) -> Self {
+        Self {
+            name,
+            run,
+            budgets: RefCell::new(Budgets::new(run)),
+            health: RefCell::default(),
+            joined: Cell::new(false),
+            heard: RefCell::default(),
+            away_at: Cell::new(None),
+            slow_at: Cell::new(None),
+            locks: RefCell::default(),
+        }
+    }
+
+    pub fn has_joined(&self) -> bool {
+        self.joined.get()
+    }
+}
+
+impl Shared {
+    pub fn now(&self) -> Instant {
+        self.world.sim.now()
+    }
+
+    fn fresh(&self) -> Vec<(usize, Heard)> {
+        let now = self.now();
+        let heard = self.host.heard.borrow();
+        let fresh = heard.iter().filter(|(_, heard)| now.since(heard.at) < FRESH);
+
+        let mut fresh: Vec<_> = fresh.map(|(host, heard)| (*host, *heard)).collect();
+        fresh.sort_unstable_by_key(|(host, _)| *host);
+        fresh
+    }
+
+    pub fn hears(&self, host: usize) -> bool {
+        self.fresh().iter().any(|(heard, _)| *heard == host)
+    }
+
+    pub fn host_of_run(&self, run: RunId) -> Option<usize> {
+        self.fresh().into_iter().find(|(_, heard)| heard.run == run).map(|(host, _)| host)
+    }
+
+    pub fn is_majority(&self) -> bool {
+        let known = if self.host.has_joined() { HOSTS } else { 1 };
+
+        (self.fresh().len() + 1) * 2 > known
+    }
+
+    pub fn is_isolated(&self) -> bool {
+        let contact = |which: &dyn Fn(usize) -> bool| match self.host.has_joined() {
+            false => Contact::NoneKnown,
+            true if self.fresh().iter().any(|(host, _)| which(*host)) => Contact::Heard,
+            true => Contact::Silent,
+        };
+        let answers_whole = self.answers_whole();
+        let own = ZONES[self.host.name];
+
+        !answers_whole
+            && isolation::is_isolated(Surroundings {
+                store_in_reach: answers_whole || self.store_peer().is_some(),
+                other_zones: contact(&|host| ZONES[host] != own),
+                others: contact(&|_| true),
+            })
+    }
+
+    /// Returns the hosts that are heard and this one, in the order in which they grant.
+    pub fn order(&self, program: ProgramKey) -> Vec<usize> {
+        let heard = self.fresh().into_iter().map(|(host, _)| host).chain([self.host.name]);
+        let order = rendezvous_order(program.0, heard.map(|host| host as u64));
+
+        order.into_iter().map(|host| host as usize).collect()
+    }
+
+    pub fn next_granters(&self, program: ProgramKey) -> impl Iterator<Item = usize> {
+        let own = self.host.name;
+
+        self.order(program).into_iter().filter(move |host| *host != own)
+    }
+
+    pub fn witnesses(&self, program: ProgramKey) -> Vec<usize> {
+        let own = ZONES[self.host.name];
+
+        self.order(program).into_iter().filter(|host| ZONES[*host] != own).collect()
+    }
+
+    fn answers_whole(&self) -> bool {
+        let health = self.host.health.borrow();
+
+        health.answers() && !health.misses_any()
+    }
+
+    fn store_peer(&self) -> Option<usize> {
+        self.fresh().into_iter().find(|(_, heard)| heard.store_answers).map(|(host, _)| host)
+    }
+
+    pub fn was_there_for(&self, time: Duration) -> bool {
+        self.host.away_at.get().is_none_or(|at| self.now().since(at) > time)
+    }
+
+    pub fn note_slow(&self) {
+        self.host.slow_at.set(Some(self.now()));
+        self.host.away_at.set(Some(self.now()));
+    }
+
+    pub async fn lock(&self, program: ProgramKey) -> Locked {
+        let lock = {
+            let mut locks = self.host.locks.borrow_mut();
+            Rc::clone(locks.entry(program).or_insert_with(|| Rc::new(Lock::new(&self.world.sim))))
+        };
+
+        lock.lock().await
+    }
+
+    pub fn spawn(&self, work: impl Future<Output = ()> + 'static) {
+        self.world.sim.spawn(self.host.run, work);
+    }
+
+    /// Runs an operation for a turn: through another host if the store is believed to be away.
+    pub async fn ask_store(&self, op: Op) -> StoreReply {
+        let is_held_up = {
+            let mut health = self.host.health.borrow_mut();
+            health.is_away(op.part()) && !health.try_again(self.now(), op.part())
+        };
+
+        match is_held_up {
+            true => self.relay(op).await,
+            false => self.probe(op).await,
+        }
+    }
+
+    pub async fn probe(&self, op: Op) -> StoreReply {
+        match self.ask_straight(op.clone()).await {
+            StoreReply::Unavailable => self.relay(op).await,
+            reply => reply,
+        }
+    }
+
+    pub async fn ask_straight(&self, op: Op) -> StoreReply {
+        let began = self.now();
+        let part = op.part();
+        let mode = self.world.modes.get()[self.host.name];
+        let reply = store::run(&self.world, mode, op).await;
+        let now = self.now();
+
+        let mut health = self.host.health.borrow_mut();
+        match reply {
+            StoreReply::Unavailable => drop(health.failed(began, part)),
+            StoreReply::Unknown if now.since(began) < LONG_SILENCE => {}
+            StoreReply::Unknown => drop(health.failed(began, part)),
+            _ => drop(health.answered(now, part)),
+        }
+        if health.misses_any() {
+            self.host.away_at.set(Some(now));
+        }
+        reply
+    }
+
+    async fn relay(&self, op: Op) -> StoreReply {
+        let Some(peer) = self.store_peer() else { return StoreReply::Unavailable };
+
+        match asks::ask(self, peer, Ask::Store(op), RELAY_DEADLINE).await {
+            Some(Reply::Store(reply)) => reply,
+            Some(_) => StoreReply::Unavailable,
+            None => StoreReply::Unknown,
+        }
+    }
+
+    pub fn answers_store(&self) -> bool {
+        self.host.health.borrow().answers()
+    }
+
+    pub fn hear(&self, from: usize, news: News) {
+        let News { run, store_answers, in_trouble } = news;
+        let heard = Heard { at: self.now(), run, store_answers };
+
+        self.host.heard.borrow_mut().insert(from, heard);
+        if in_trouble {
+            self.host.away_at.set(Some(self.now()));
+        }
+    }
+
+    fn news(&self) -> News {
+        let is_slow = self.host.slow_at.get().is_some_and(|at| self.now().since(at) < SLOW_TOLD);
+        let misses_any = self.host.health.borrow().misses_any();
+
+        News {
+            run: self.host.run,
+            store_answers: self.answers_store(),
+            in_trouble: is_slow || misses_any,
+        }
+    }
+}
+
+/// Starts what a host does all the time.
+pub fn start(world: &Rc<World>, host: &Rc<Host>) {
+    let shared = Shared { world: Rc::clone(world), host: Rc::clone(host) };
+
+    shared.spawn(probe_store(shared.clone()));
+    shared.spawn(tell_news(shared.clone()));
+    shared.spawn(write_back(shared.clone()));
+    shared.spawn(sweep(shared.clone()));
+}
+
+/// Runs a turn of a program.
+pub fn turn(world: &Rc<World>, host: &Rc<Host>, program: Program, used: u64, time: Duration) {
+    let shared = Shared { world: Rc::clone(world), host: Rc::clone(host) };
+
+    shared.clone().spawn(async move {
+        let key = program.key;
+        if let Held::Tokens = budget::hold(&shared, &program).await {
+            shared.world.turn_runs(key, &shared.host, used);
+            oracle::check_turn(&shared.world, key, &shared.host);
+            shared.world.sim.sleep(time).await;
+            shared.host.budgets.borrow_mut().settle(key, MOST, used);
+            shared.world.turn_ended(key, &shared.host, used);
+        }
+    });
+}
+
+/// Asks for the tokens of a turn that then generates none; the answer comes later.
+pub fn ask_turn(world: &Rc<World>, host: &Rc<Host>, program: Program) -> Rc<Cell<Option<Held>>> {
+    let shared = Shared { world: Rc::clone(world), host: Rc::clone(host) };
+    let answer = Rc::new(Cell::new(None));
+    let answered = Rc::clone(&answer);
+
+    shared.clone().spawn(async move {
+        let held = budget::hold(&shared, &program).await;
+        if held == Held::Tokens {
+            shared.host.budgets.borrow_mut().settle(program.key, MOST, 0);
+        }
+        answered.set(Some(held));
+    });
+    answer
+}
+
+async fn probe_store(shared: Shared) {
+    loop {
+        if let StoreReply::Row(_) = shared.probe(Op::Probe).await {
+            shared.host.joined.set(true);
+        }
+        shared.world.sim.sleep(PROBE_PERIOD).await;
+    }
+}
+
+async fn tell_news(shared: Shared) {
+    loop {
+        shared.world.sim.sleep(NEWS_PERIOD).await;
+        for other in (0..HOSTS).filter(|other| *other != shared.host.name) {
+            asks::tell_news(&shared, other, shared.news());
+        }
+    }
+}
+
+async fn write_back(shared: Shared) {
+    loop {
+        grants::write_loose(&shared).await;
+        shared.world.sim.sleep(WRITE_BACK_PERIOD).await;
+    }
+}
+
+/// Deletes rows that no program may need any more.
+async fn sweep(shared: Shared) {
+    loop {
+        shared.world.sim.sleep(SWEEP_PERIOD).await;
+        let asked = shared.now();
+        let old = shared.host.budgets.borrow_mut().forget(asked, RETENTION + SWEEP_MARGIN);
+        for (program, version) in old {
+            budget::delete(&shared, program, version, asked).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/entry_fuzz/oracle.rs
@@ -0,0 +1,99 @@
+//! What must hold of budgets, whatever happens.
+
+use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, RunId};
+use std::collections::BTreeMap;
+
+use crate::host::Host;
+use crate::world::{MOST, Program, RETENTION, World};
+
+/// A program never spends more than its budget and the most of one turn. What a host spends is
+/// covered by a row that somebody else knows.
+pub fn check_turn(world: &World, key: ProgramKey, host: &Host) {
+    let Some(program) = world.program_of(key) else { return };
+
+    assert!(
+        program.spent <= program.budget + MOST,
+        "{} of {} tokens are spent; {}",
+        program.spent,
+        program.budget,
+        rows(world, key),
+    );
+    check_covered(world, key, host);
+}
+
+/// A row only grows, and stays for as long as its program may return.
+pub fn check_write(
+    world: &World,
+    key: ProgramKey,
+    before: Option<&BudgetRow>,
+    after: Option<&BudgetRow>,
+) {
+    let Some(before) = before else { return };
+    let Some(after) = after else {
+        let last = world.program_of(key).and_then(|program| program.last_turn);
+        let idle = last.map(|last| world.sim.now().since(last));
+        assert!(
+            idle.is_none_or(|idle| idle >= RETENTION),
+            "the row of a program that ran {idle:?} ago is deleted"
+        );
+        return;
+    };
+
+    assert_eq!(before.budget, after.budget);
+    assert!(grows(&before.granted, &after.granted), "{before:?} became {after:?}");
+    assert!(grows(&before.returned, &after.returned), "{before:?} became {after:?}");
+}
+
+/// What all hosts spend of programs that may return is covered.
+pub fn check(world: &World) {
+    let programs = world.programs.borrow();
+    let now = world.sim.now();
+    let may_return = |p: &&Program| p.last_turn.is_none_or(|last| now.since(last) < RETENTION);
+
+    for program in programs.iter().filter(may_return) {
+        world.alive().iter().for_each(|host| check_covered(world, program.key, host));
+    }
+}
+
+/// Tokens that a live host has spent or reserved are covered by the row that the store or another
+/// host knows, if no host was lost since they were granted without the store.
+fn check_covered(world: &World, key: ProgramKey, host: &Host) {
+    if world.is_weakened() {
+        return;
+    }
+    let committed = world.committed.borrow().get(&(key, host.run)).copied().unwrap_or(0);
+    let stored = world.store.borrow().get(key).map_or(0, |(row, _)| granted(row, host.run));
+    let known = |other: &Host| {
+        let budgets = other.budgets.borrow();
+        budgets.row(key).map_or(0, |row| granted(row, host.run))
+    };
+    let others = world.alive().into_iter().filter(|other| other.run != host.run);
+    let covered = others.map(|other| known(&other)).max().unwrap_or(0).max(stored);
+
+    assert!(
+        committed <= covered,
+        "run {} spends {committed}, others know of {covered}; {}",
+        host.run.0,
+        rows(world, key)
+    );
+}
+
+/// Returns the rows of a program at all that know one, for a message.
+fn rows(world: &World, key: ProgramKey) -> String {
+    let alive = world.alive();
+    let hosts = alive.iter().map(|host| {
+        let row = host.budgets.borrow().row(key).cloned();
+        format!("host {} (run {}): {row:?}", host.name, host.run.0)
+    });
+
+    format!("store: {:?}; {}", world.store.borrow().get(key), hosts.collect::<Vec<_>>().join("; "))
+}
+
+fn granted(row: &BudgetRow, run: RunId) -> u64 {
+    row.granted.get(&run).copied().unwrap_or(0)
+}
+
+/// Returns whether all figures are there, as high or higher.
+pub fn grows(before: &BTreeMap<RunId, u64>, after: &BTreeMap<RunId, u64>) -> bool {
+    before.iter().all(|(run, tokens)| after.get(run).is_some_and(|later| later >= tokens))
+}
--- /dev/null
+++ b/crates/policy/tests/entry_fuzz/store.rs
@@ -0,0 +1,148 @@
+//! The store of budgets' rows, as each host reaches it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::platform::RowVersion;
+use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey};
+
+use crate::oracle;
+use crate::world::World;
+
+/// How long a host waits for an answer of the store.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// How the store answers a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    Up,
+    /// Answers take up to some seconds.
+    Slow,
+    /// Nothing takes effect and nothing is answered.
+    Away,
+    /// It refuses at once.
+    Refuses,
+    /// Writes take effect and are not answered.
+    AnswersLost,
+    /// Writes may take effect seconds after the host has given up.
+    Late,
+}
+
+/// An operation on a program's row.
+#[derive(Clone, Debug)]
+pub enum Op {
+    /// Writes the row, or deletes it, if it has this version.
+    Commit(ProgramKey, Option<BudgetRow>, RowVersion),
+    Read(ProgramKey),
+    /// An operation on the platform's own tables.
+    Probe,
+}
+
+impl Op {
+    /// Returns the name of the part of the store that it is on.
+    pub fn part(&self) -> &'static str {
+        if let Self::Probe = self { "" } else { "budgets" }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum StoreReply {
+    Committed(RowVersion),
+    /// The row that is there instead.
+    Conflict(Option<(BudgetRow, RowVersion)>),
+    Row(Option<(BudgetRow, RowVersion)>),
+    Unavailable,
+    Unknown,
+}
+
+#[derive(Default)]
+pub struct Rows {
+    rows: Map<ProgramKey, (BudgetRow, RowVersion)>,
+    last: u64,
+}
+
+impl Rows {
+    pub fn get(&self, program: ProgramKey) -> Option<&(BudgetRow, RowVersion)> {
+        self.rows.get(&program)
+    }
+
+    fn run(&mut self, world: &World, op: &Op) -> StoreReply {
+        match op {
+            Op::Probe => StoreReply::Row(None),
+            Op::Read(program) => StoreReply::Row(self.rows.get(program).cloned()),
+            Op::Commit(program, row, version) => {
+                let there = self.rows.get(program).cloned();
+                if there.as_ref().map_or(RowVersion::ABSENT, |(_, version)| *version) != *version {
+                    return StoreReply::Conflict(there);
+                }
+                let before = there.map(|(row, _)| row);
+                oracle::check_write(world, *program, before.as_ref(), row.as_ref());
+                self.last += 1;
+                match row {
+                    Some(row) => {
+                        self.rows.insert(*program, (row.clone(), RowVersion(self.last)));
+                    }
+                    None => drop(self.rows.remove(program)),
+                }
+                StoreReply::Committed(RowVersion(self.last))
+            }
+        }
+    }
+}
+
+/// Runs an operation for a host, in the mode of that host.
+pub async fn run(world: &Rc<World>, mode: Mode, op: Op) -> StoreReply {
+    let sim = &world.sim;
+    let effect = || world.store.borrow_mut().run(world, &op);
+    let no_answer = match op {
+        Op::Commit(..) => StoreReply::Unknown,
+        Op::Read(_) | Op::Probe => StoreReply::Unavailable,
+    };
+
+    match mode {
+        Mode::Up | Mode::Slow => {
+            let most = if mode == Mode::Slow { 900 } else { 10 };
+            let overdue = mode == Mode::Up && sim.chance(0.02);
+            let most = if overdue { 200 } else { most };
+            sim.sleep(sim.millis(1..most)).await;
+            let reply = effect();
+            sim.sleep(sim.millis(1..most)).await;
+            reply
+        }
+        Mode::Refuses => {
+            sim.sleep(sim.millis(1..10)).await;
+            StoreReply::Unavailable
+        }
+        Mode::Away => {
+            sim.sleep(PATIENCE).await;
+            StoreReply::Unavailable
+        }
+        Mode::AnswersLost => {
+            sim.sleep(sim.millis(1..100)).await;
+            if let Op::Commit(..) = op {
+                effect();
+                sim.sleep(sim.millis(50..500)).await;
+                return no_answer;
+            }
+            effect()
+        }
+        Mode::Late => {
+            if let Op::Commit(..) = op {
+                land_late(world, op);
+            }
+            sim.sleep(PATIENCE).await;
+            no_answer
+        }
+    }
+}
+
+/// Lets a write take effect after a while, whether its host lives or not.
+fn land_late(world: &Rc<World>, op: Op) {
+    let world = Rc::clone(world);
+
+    world.clone().sim.spawn(World::OUTSIDE, async move {
+        world.sim.sleep(world.sim.millis(100..4_000)).await;
+        world.store.borrow_mut().run(&world, &op);
+    });
+}
