--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -281,7 +281,7 @@
     } else if let PlatformReply::Conflict(rows) = reply
         && shared.budgets.borrow().knows(program)
     {
-        // What does not read is left lying.
+        // A row that cannot be read is logged there, and stays.
         let _ = take_in(shared, program, &rows);
     }
     if !shared.budgets.borrow().knows(program) {
--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -33,7 +33,7 @@
 /// besides the one that it ran at, half of a small fleet may be killed before the store is back.
 const COPIES: usize = 5;
 
-/// How often it is looked which other hosts can be asked to hold a turn.
+/// How often further hosts are looked for to hold a turn.
 const HOLD_PERIOD: Duration = Duration::from_millis(100);
 
 /// After how long without a reply a host is asked to hold a turn once more: the question or its
@@ -62,8 +62,8 @@
 
 /// Has hosts of other zones hold a turn that the store does not take; returns when enough do.
 ///
-/// A reply counts whenever it comes: the host holds the turn. One that is slow is not sent it again
-/// at once, which would make it slower.
+/// A reply counts however late it is, since the host holds the turn. A slow host is not sent the turn
+/// again soon, which would slow it further.
 pub(crate) async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) {
     let question = Ask::Hold(key, Turn::clone(turn));
     let least = least_copies(shared.fleet.known_witnesses().len());
@@ -256,8 +256,8 @@
     }
 }
 
-/// Tells the hosts that were asked to hold a turn that the store has it. One whose reply came too
-/// late holds it too, and would write it once more.
+/// Tells the hosts that were asked to hold a turn that the store has it. Those whose replies were not
+/// waited for would write it too.
 pub(crate) fn tell_stored(shared: &Shared, key: TurnKey) {
     for host in holders(shared, key) {
         asks::tell(shared, host, &Ask::TurnStored(key));
--- a/crates/entry/src/keeping.rs
+++ b/crates/entry/src/keeping.rs
@@ -185,7 +185,6 @@
 
     let is_held = shared.held.borrow().contains_key(&key);
     retention::written(&shared, key);
-    // Hosts that were asked to hold it, and whose replies were not waited for, would write it too.
     if at_peers.get() && !is_held {
         held::tell_stored(&shared, key);
     }
--- a/crates/entry/src/manifests.rs
+++ b/crates/entry/src/manifests.rs
@@ -17,10 +17,10 @@
 use crate::clock;
 use crate::host::Shared;
 
-/// How often it is looked whether a question is still to be kept up.
+/// How often a pending request is checked.
 const QUESTION_PERIOD: Duration = Duration::from_millis(100);
 
-/// What is under way of manifests.
+/// The state of manifest transfers to and from this host.
 #[derive(Default)]
 pub(crate) struct Manifests {
     /// Whether a newer one is waited for, or requested from another host.
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -430,14 +430,14 @@
             if is_own || account.version != RowVersion::ABSENT {
                 old.push((*program, account.version));
             }
-            // It is tried again after as long if the row cannot be deleted.
+            // If the row cannot be deleted, this is tried again after `idle`.
             account.used_at = now;
             is_own
         });
         old
     }
 
-    /// Takes in that the row of a program is deleted that was needless at `asked`.
+    /// Takes in that a row is deleted which was needless at `asked`.
     pub fn deleted(&mut self, now: Instant, program: ProgramKey, asked: Instant) {
         match self.accounts.get(&program) {
             Some(account) if account.used_at > asked => self.absent(now, program),
--- a/crates/policy/src/entry/keeping.rs
+++ b/crates/policy/src/entry/keeping.rs
@@ -13,8 +13,8 @@
 /// asked more often for each turn that waits for it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
-/// For how long a host must have been cut off before it breaks answers off. News that are late for
-/// an instant look like a cut; after one, nothing that the host holds is worth a promise.
+/// How long a host must have been isolated before it breaks answers off. News that are late for an
+/// instant look like isolation.
 const ISOLATION_CONFIRMED_AFTER: Duration = Duration::from_secs(1);
 
 /// What to do after a write that failed.
