--- a/crates/entry/src/keeping.rs
+++ b/crates/entry/src/keeping.rs
@@ -32,13 +32,13 @@
 type Result<T> = std::result::Result<T, NotStored>;
 
 impl NotStored {
-    fn now(reason: &'static str) -> Self {
+    fn transient(reason: &'static str) -> Self {
         Self { reason, is_final: false }
     }
 }
 
 /// A turn that has ended and is to be kept.
-struct Ended<'a> {
+struct EndedTurn<'a> {
     call: &'a Call,
     key: TurnKey,
     turn: Rc<Turn>,
@@ -48,8 +48,8 @@
     /// The write that is under way.
     writing: RefCell<Option<AbortHandle>>,
     /// Whether other hosts were asked to hold it.
-    at_peers: Rc<Cell<bool>>,
-    /// Told when the first write fails.
+    asked_peers: Rc<Cell<bool>>,
+    /// Notified when a write fails.
     failed: Notify,
 }
 
@@ -72,14 +72,14 @@
     text.extend_from_slice(&said);
     let turn = Turn::new(continuation.line.clone(), text);
     let value = serde_json::to_string(&turn).map_err(|_| "the turn cannot be written")?;
-    let ended = Ended {
+    let ended = EndedTurn {
         call,
         key: TurnKey::new(call.tenant.as_deref().unwrap_or_default(), &call.head.request_id),
         turn: Rc::new(turn),
         value: value.into(),
         at: clock::now(),
         writing: RefCell::default(),
-        at_peers: Rc::default(),
+        asked_peers: Rc::default(),
         failed: Notify::new(),
     };
     timeout(clock::until(call.deadline), ended.keep()).await.unwrap_or(Err("the time is over"))?;
@@ -91,7 +91,7 @@
     Ok(())
 }
 
-impl Ended<'_> {
+impl EndedTurn<'_> {
     /// Keeps the turn: in the store, or at other hosts if the store does not take it soon.
     async fn keep(&self) -> std::result::Result<(), &'static str> {
         tokio::select! {
@@ -114,10 +114,11 @@
                 Rc::clone(&self.call.shared),
                 self.key,
                 self.value.clone(),
-                Rc::clone(&self.at_peers),
+                Rc::clone(&self.asked_peers),
             ));
             *self.writing.borrow_mut() = Some(writing.abort_handle());
-            let written = writing.await.unwrap_or(Err(NotStored::now("the write ended early")));
+            let written =
+                writing.await.unwrap_or(Err(NotStored::transient("the write ended early")));
             let Err(failure) = written else { return Ok(()) };
 
             self.failed.notify_one();
@@ -155,7 +156,7 @@
         if timeout(store::HEDGE_AFTER, self.failed.notified()).await.is_err() {
             shared.store.note_slow(clock::now());
         }
-        self.at_peers.set(true);
+        self.asked_peers.set(true);
 
         held::hold_at_peers(shared, self.key, &self.turn).await;
     }
@@ -179,13 +180,13 @@
     shared: Rc<Shared>,
     key: TurnKey,
     value: Box<str>,
-    at_peers: Rc<Cell<bool>>,
+    asked_peers: Rc<Cell<bool>>,
 ) -> Result<()> {
     write(&shared, key, value).await?;
 
     let is_held = shared.held.borrow().contains_key(&key);
     retention::written(&shared, key);
-    if at_peers.get() && !is_held {
+    if asked_peers.get() && !is_held {
         held::tell_stored(&shared, key);
     }
 
@@ -215,7 +216,7 @@
                 return Err(NotStored { reason: "another turn has this id", is_final: true });
             }
             PlatformReply::Unknown => {}
-            _ => return Err(NotStored::now("the store did not take the turn")),
+            _ => return Err(NotStored::transient("the store did not take the turn")),
         }
         if let PlatformReply::Rows(rows) = store::ask(shared, read.clone()).await
             && rows.iter().any(|row| row.value == value)
@@ -224,5 +225,5 @@
         }
     }
 
-    Err(NotStored::now("it cannot be told whether the store took the turn"))
+    Err(NotStored::transient("it cannot be told whether the store took the turn"))
 }
