--- a/crates/policy/src/entry/work.rs
+++ b/crates/policy/src/entry/work.rs
@@ -56,9 +56,9 @@
 
 /// What the calls of a service are like.
 ///
-/// There is no pace of each target. Learned from events it followed chance and the hosts that
-/// measured it, and moved lines away from their prompts; a target that turns slow keeps its slots
-/// taken, and is drawn less for that.
+/// There is no pace for each target: an estimate from a few events follows chance, and moves lines
+/// away from their prompts. A target that turns slow keeps its slots taken, and is drawn less for
+/// that.
 #[derive(Clone, Copy, Debug)]
 pub struct Work {
     /// The milliseconds of an event.
