A budget's row that cannot be deleted has a log line again

The deletion of needless rows had moved from retention::delete, which logs a failure, to budget::delete, which did not. It logs program and version now. retention::delete needs no variable for the checks that it no longer has.

--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -278,7 +278,11 @@
     };
     if is_gone {
         shared.budgets.borrow_mut().deleted(clock::now(), program, asked);
-    } else if let PlatformReply::Conflict(rows) = reply
+    } else {
+        info!(program = %program.0, version = version.0, "budget: needless row not deleted");
+    }
+    if let PlatformReply::Conflict(rows) = reply
+        && !is_gone
         && shared.budgets.borrow().knows(program)
     {
         // A row that cannot be read is logged there, and stays.
--- a/crates/entry/src/retention.rs
+++ b/crates/entry/src/retention.rs
@@ -107,9 +107,9 @@
 /// turn that was true.
 async fn delete(shared: &Rc<Shared>, keys: Vec<RowKey>) {
     let rows = keys.len();
-    let checks = Vec::new();
     let writes = keys.into_iter().map(|key| Write { key, value: None }).collect();
-    let reply = store::ask(shared, PlatformOp::Commit(Transaction { checks, writes })).await;
+    let reply =
+        store::ask(shared, PlatformOp::Commit(Transaction { checks: Vec::new(), writes })).await;
 
     if !matches!(reply, PlatformReply::Committed(_)) {
         info!(rows, "turn: old rows not deleted");
