The row of a kept turn is shared by its writes, not copied for each

Each write of a turn, the first one too, copied the turn's text (some kilobytes, up to 40) once more than before it was written again after failures. The text is shared now and copied into the transaction as before.

--- a/crates/entry/src/keeping.rs
+++ b/crates/entry/src/keeping.rs
@@ -43,7 +43,7 @@
     key: TurnKey,
     turn: Rc<Turn>,
     /// Its row.
-    value: Box<str>,
+    value: Rc<str>,
     at: Instant,
     /// The write that is under way.
     writing: RefCell<Option<AbortHandle>>,
@@ -113,7 +113,7 @@
             let writing = tokio::task::spawn_local(write_and_note(
                 Rc::clone(&self.call.shared),
                 self.key,
-                self.value.clone(),
+                Rc::clone(&self.value),
                 Rc::clone(&self.asked_peers),
             ));
             *self.writing.borrow_mut() = Some(writing.abort_handle());
@@ -179,10 +179,10 @@
 async fn write_and_note(
     shared: Rc<Shared>,
     key: TurnKey,
-    value: Box<str>,
+    value: Rc<str>,
     asked_peers: Rc<Cell<bool>>,
 ) -> Result<()> {
-    write(&shared, key, value).await?;
+    write(&shared, key, &value).await?;
 
     let is_held = shared.held.borrow().contains_key(&key);
     retention::written(&shared, key);
@@ -194,11 +194,11 @@
 }
 
 /// Writes the row of a turn.
-async fn write(shared: &Rc<Shared>, key: TurnKey, value: Box<str>) -> Result<()> {
+async fn write(shared: &Rc<Shared>, key: TurnKey, value: &str) -> Result<()> {
     let row = row_key(key);
     let tx = Transaction {
         checks: vec![Check { key: row.clone(), version: RowVersion::ABSENT }],
-        writes: vec![Write { key: row, value: Some(value.clone()) }],
+        writes: vec![Write { key: row, value: Some(value.into()) }],
     };
 
     let read = PlatformOp::Read(vec![row_key(key)]);
@@ -209,7 +209,7 @@
     for _ in 0..2 {
         match store::ask(shared, PlatformOp::Commit(tx.clone())).await {
             PlatformReply::Committed(_) => return Ok(()),
-            PlatformReply::Conflict(rows) if rows.iter().any(|row| row.value == value) => {
+            PlatformReply::Conflict(rows) if rows.iter().any(|row| *row.value == *value) => {
                 return Ok(());
             }
             PlatformReply::Conflict(_) => {
@@ -219,7 +219,7 @@
             _ => return Err(NotStored::transient("the store did not take the turn")),
         }
         if let PlatformReply::Rows(rows) = store::ask(shared, read.clone()).await
-            && rows.iter().any(|row| row.value == value)
+            && rows.iter().any(|row| *row.value == *value)
         {
             return Ok(());
         }
