Tokens that went from host to host are found again

Cause, from the log: "budget: spent" with `certain` at the host whose grant it was. It had given its tokens to a second host, whose try was refused too. No row tells of tokens that were given away, so that the first asked nobody for them, and took its own grant for all that there is.

Change: a host that looks for tokens also asks those that it gave some to, and is told by each whom that one gave some to. A budget is not certainly spent at a host that gave tokens away. They are looked for this way first, also when the store answers, which saves its write; only what is still missing is given back by way of the row.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -78,8 +78,8 @@
     StoredRow(Option<(BudgetRow, RowVersion)>),
     /// A program's row as the store has it, with the tokens granted.
     Written(BudgetRow),
-    /// How many tokens the host has been given by this one in all.
-    Given(u64),
+    /// How many tokens the host has been given by this one in all, and the runs that it gave others to.
+    Given(u64, Vec<RunId>),
     /// The rest of the budget may be granted without the store.
     Withheld(Doubt),
     /// The budget does not hold them.
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use camphorwalk_core::hash::stable_hash;
+use camphorwalk_core::hash::{Set, stable_hash};
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
 };
@@ -185,39 +185,48 @@
     Refusal::wrong(StatusCode::PAYMENT_REQUIRED, "the program's budget is spent")
 }
 
-/// Gets tokens of a program from the other hosts that do not need them: by way of the store, or
-/// straight if that may not take the row.
+/// Gets tokens of a program from the other hosts that do not need them: straight, or by way of the
+/// store if that takes the row.
 async fn collect(shared: &Shared, program: ProgramKey, most: u64, is_settled: bool) {
-    match is_settled {
-        true => recall(shared, program).await,
-        false => {
-            grants::learn_from(shared, program, WITNESSES).await;
-            gather(shared, program, most).await;
-        }
+    if !is_settled {
+        grants::learn_from(shared, program, WITNESSES).await;
+    }
+    gather(shared, program, most).await;
+
+    if is_settled && shared.budgets.borrow().claim(program, most).missing > 0 {
+        recall(shared, program).await;
     }
 }
 
-/// Has other hosts give this one what it lacks of a turn's tokens.
+/// Has other hosts give this one what it lacks of a turn's tokens: those that were granted some, and
+/// those that these gave theirs to.
 async fn gather(shared: &Shared, program: ProgramKey, most: u64) {
-    let holders = shared.budgets.borrow().holders(program);
+    let mut runs = shared.budgets.borrow().holders(program);
+    runs.extend(shared.budgets.borrow().given_to(program));
+    let mut asked = Set::from_iter([shared.run]);
 
-    for run in holders {
+    while let Some(run) = runs.pop() {
         let missing = shared.budgets.borrow().claim(program, most).missing;
         if missing == 0 {
             return;
         }
-        let Some(host) = shared.fleet.host_of_run(run.0) else { continue };
+        let Some(host) = shared.fleet.host_of_run(run.0).filter(|_| asked.insert(run)) else {
+            continue;
+        };
         let total = shared.budgets.borrow().received(program, run) + missing;
         let ask = Ask::Give(program, shared.run, total);
-        if let Some(Reply::Given(total)) = asks::ask(shared, host, &ask, TELL_DEADLINE).await {
+        if let Some(Reply::Given(total, to)) = asks::ask(shared, host, &ask, TELL_DEADLINE).await {
             shared.budgets.borrow_mut().receive(program, run, total);
+            runs.extend(to);
         }
     }
 }
 
 /// Gives another host tokens of a program that this one does not need.
 pub(crate) fn give(shared: &Shared, program: ProgramKey, to: RunId, total: u64) -> Reply {
-    Reply::Given(shared.budgets.borrow_mut().give(program, to, total))
+    let mut budgets = shared.budgets.borrow_mut();
+
+    Reply::Given(budgets.give(program, to, total), budgets.given_to(program))
 }
 
 /// Has the other hosts give back what they hold of a program's tokens and do not need.
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -279,7 +279,7 @@
         let total = account.row.held() + missing;
         if total > account.row.budget {
             let others = account.row.held() - account.row.held_by(run);
-            return Reservation::Spent { certain: others == 0 };
+            return Reservation::Spent { certain: others == 0 && account.given.is_empty() };
         }
         let limited = limit.tokens(account.row.budget, most);
         if let Limit::Share(doubt) = limit
@@ -516,10 +516,13 @@
     pub fn give(&mut self, program: ProgramKey, to: RunId, total: u64) -> u64 {
         let Some(account) = self.accounts.get_mut(&program) else { return 0 };
         let free = account.may_spend(self.run).saturating_sub(account.spent + account.reserved);
-        let given = account.given.entry(to).or_default();
-        *given += free.min(total.saturating_sub(*given));
+        let before = account.given.get(&to).copied().unwrap_or(0);
+        let given = before + free.min(total.saturating_sub(before));
+        if given > before {
+            account.given.insert(to, given);
+        }
 
-        *given
+        given
     }
 
     /// Takes in how many tokens this host has been given by the run `from` of another one in all.
@@ -546,6 +549,13 @@
         account.and_then(|account| account.given.get(&to)).copied().unwrap_or(0)
     }
 
+    /// Returns the runs of other hosts that this one has given tokens of a program.
+    pub fn given_to(&self, program: ProgramKey) -> Vec<RunId> {
+        let account = self.accounts.get(&program);
+
+        account.into_iter().flat_map(|a| a.given.keys().copied()).collect()
+    }
+
     /// Returns the other runs that hold tokens of a program.
     pub fn holders(&self, program: ProgramKey) -> Vec<RunId> {
         let row = self.accounts.get(&program).map(|account| &account.row);
--- a/crates/policy/tests/entry_budgets.rs
+++ b/crates/policy/tests/entry_budgets.rs
@@ -420,3 +420,25 @@
     let due = busy.loose(later, |_| true);
     assert!(matches!(&due[..], [(PROGRAM, _, RowVersion::ABSENT)]), "{due:?}");
 }
+
+#[test]
+fn tokens_that_a_host_gave_away_are_asked_for_again() {
+    // A program whose tries were refused at two hosts was told by the first that its budget is spent.
+    let mut store = Store::default();
+    let (mut first, mut next) = (Budgets::new(RunId(1)), Budgets::new(RunId(2)));
+    assert!(reserve(&mut first, &mut store, 500, 286));
+    first.settle(PROGRAM, 286, 0);
+    next.note(NOW, PROGRAM, &store.row.as_ref().unwrap().0);
+    let total = first.give(PROGRAM, RunId(2), 286);
+    next.receive(PROGRAM, RunId(1), total);
+
+    let without = first.reserve(NOW, PROGRAM, 500, 286);
+    let given_to = first.given_to(PROGRAM);
+    let total = next.give(PROGRAM, RunId(1), first.claim(PROGRAM, 286).missing);
+    first.receive(PROGRAM, RunId(2), total);
+
+    assert_eq!(without, Reservation::Spent { certain: false });
+    assert_eq!(given_to, [RunId(2)]);
+    assert_eq!(first.reserve(NOW, PROGRAM, 500, 286), Reservation::Reserved);
+    assert!(!reserve(&mut next, &mut store, 500, 286));
+}
--- a/crates/policy/tests/entry_fuzz/asks.rs
+++ b/crates/policy/tests/entry_fuzz/asks.rs
@@ -57,7 +57,7 @@
     Known(KnownRow),
     StoredRow(Option<(BudgetRow, RowVersion)>),
     Written(BudgetRow),
-    Given(u64),
+    Given(u64, Vec<RunId>),
     Withheld(Doubt),
     Spent,
     Done,
@@ -154,7 +154,8 @@
         }
         Ask::StoredRow(program) => Reply::StoredRow(budgets.borrow().stored(program)),
         Ask::Give(program, to, total) => {
-            Reply::Given(budgets.borrow_mut().give(program, to, total))
+            let mut budgets = budgets.borrow_mut();
+            Reply::Given(budgets.give(program, to, total), budgets.given_to(program))
         }
         Ask::Yield(program) => {
             budgets.borrow_mut().yield_rest(program).map_or(Reply::Refused, Reply::Granted)
--- a/crates/policy/tests/entry_fuzz/budget.rs
+++ b/crates/policy/tests/entry_fuzz/budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use camphorwalk_core::hash::Set;
 use camphorwalk_core::platform::RowVersion;
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, Reservation};
@@ -105,30 +106,34 @@
 }
 
 async fn collect(shared: &Shared, program: ProgramKey, is_settled: bool) {
-    match is_settled {
-        true => recall(shared, program).await,
-        false => {
-            grants::learn_from(shared, program, WITNESSES).await;
-            gather(shared, program).await;
-        }
+    if !is_settled {
+        grants::learn_from(shared, program, WITNESSES).await;
+    }
+    gather(shared, program).await;
+
+    if is_settled && shared.host.budgets.borrow().claim(program, MOST).missing > 0 {
+        recall(shared, program).await;
     }
 }
 
 /// Has other hosts give this one what it lacks.
 async fn gather(shared: &Shared, program: ProgramKey) {
     let budgets = &shared.host.budgets;
-    let holders = budgets.borrow().holders(program);
+    let mut runs = budgets.borrow().holders(program);
+    runs.extend(budgets.borrow().given_to(program));
+    let mut asked = Set::from_iter([shared.host.run]);
 
-    for run in holders {
+    while let Some(run) = runs.pop() {
         let missing = budgets.borrow().claim(program, MOST).missing;
         if missing == 0 {
             return;
         }
-        let Some(host) = shared.host_of_run(run) else { continue };
+        let Some(host) = shared.host_of_run(run).filter(|_| asked.insert(run)) else { continue };
         let total = budgets.borrow().received(program, run) + missing;
         let ask = Ask::Give(program, shared.host.run, total);
-        if let Some(Reply::Given(total)) = asks::ask(shared, host, ask, TELL_DEADLINE).await {
+        if let Some(Reply::Given(total, to)) = asks::ask(shared, host, ask, TELL_DEADLINE).await {
             budgets.borrow_mut().receive(program, run, total);
+            runs.extend(to);
         }
     }
 }
