A turn that the store does not take is held by all of a small fleet

Cause, from the log: it ran at a host of zone b and was held 4 ms after its end by five hosts of the zones a and c. 0.43 s later eight of eleven hosts lost power. a-1, b-1 and b-3 lived, heard each other, and wrote all that they held within 0.43 s of the store's return (`left` 0); it was not among it. Five copies of the seven hosts elsewhere miss the one of them that lives in two of seven cases, and no host of its own zone was asked. Ruled out: a copy that was not made (all five are asked at once), one dropped as written (no write of it), survivors that do not write (their rounds stand in the log).

Change: ten hosts are asked, those of other zones first and then those of its own. What counts for the answer is the same: two of other zones. In fleets of up to eleven hosts whoever lives writes it.

Test: a_turn_that_the_store_does_not_take_is_held_in_its_own_zone_too, red before.

--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -29,9 +29,9 @@
 /// megabyte that a call of the store may have.
 const WRITE_BATCH: usize = 50;
 
-/// How many hosts of other zones are asked to hold a turn that the store does not take. With five,
-/// besides the one that it ran at, half of a small fleet may be killed before the store is back.
-const COPIES: usize = 5;
+/// How many hosts are asked to hold a turn that the store does not take: all of a small fleet, so that
+/// whichever of them outlives an outage writes it.
+const COPIES: usize = 10;
 
 /// How often further hosts are looked for to hold a turn.
 const HOLD_PERIOD: Duration = Duration::from_millis(100);
@@ -55,18 +55,23 @@
     Reply::Done
 }
 
-/// Returns the hosts that hold a turn which the store does not take.
+/// Returns the hosts that hold a turn which the store does not take, those of other zones first.
 fn holders(shared: &Shared, key: TurnKey) -> Vec<HostId> {
-    shared.fleet.witnesses(key.0).into_iter().take(COPIES).collect()
+    let elsewhere = shared.fleet.witnesses(key.0);
+    let others = shared.fleet.order(key.0).into_iter();
+    let near = others.filter(|host| *host != shared.fleet.own() && !elsewhere.contains(host));
+
+    elsewhere.iter().copied().chain(near).take(COPIES).collect()
 }
 
-/// Has hosts of other zones hold a turn that the store does not take; returns when enough do.
+/// Has other hosts hold a turn that the store does not take; returns when enough of other zones do.
 ///
 /// A reply counts however late it is, since the host holds the turn. A slow host is not sent the turn
 /// again soon, which would slow it further.
 pub(crate) async fn hold_at_peers(shared: &Shared, key: TurnKey, turn: &Rc<Turn>) {
     let question = Ask::Hold(key, Turn::clone(turn));
-    let least = least_copies(shared.fleet.known_witnesses().len());
+    let witnesses = shared.fleet.known_witnesses();
+    let least = least_copies(witnesses.len());
     let mut asked: Set<HostId> = Set::default();
     let mut replies = FuturesUnordered::new();
     let mut copies = 0;
@@ -81,7 +86,7 @@
                 }
             }
             Some((host, reply)) = replies.next() => match reply {
-                Some(Reply::Done) => copies += 1,
+                Some(Reply::Done) => copies += usize::from(witnesses.contains(&host)),
                 _ => drop(asked.remove(&host)),
             },
         }
