Budgets: rows and accounts are modules of their own

What the store holds and hosts tell each other (`row`) and a program at one host (`account`) are moved as they were. Behaviour is unchanged.

--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -243,14 +243,9 @@
 
     /// Returns what this host knows of the fleet that decides how much of budgets may be granted.
     pub(crate) fn budget_surroundings(&self) -> shares::Surroundings {
-        let remembers = usize::from(self.remembers());
         let others = self.surroundings_without_itself();
 
-        shares::Surroundings {
-            remembering: others.remembering + remembers,
-            free_of_loose: others.free_of_loose + usize::from(!self.knows_of_loose()) * remembers,
-            ..others
-        }
+        others.with_itself(self.remembers(), self.knows_of_loose())
     }
 
     fn surroundings_without_itself(&self) -> shares::Surroundings {
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -14,23 +14,20 @@
 //! Tokens that a host was granted and does not need may go to another host without a row that tells
 //! of it: what one receives the other no longer has.
 
+mod account;
+mod row;
+
+use std::time::Duration;
+
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::platform::RowVersion;
 use camphorwalk_core::time::Instant;
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-use std::time::Duration;
 
 use crate::entry::shares::{Doubt, Limit, share_without_store};
 use crate::entry::write_back::writes_for_others;
 
-/// A program's name within the fleet: a hash of its tenant and its id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct ProgramKey(pub u64);
-
-/// The random number of a run of a host's process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct RunId(pub u64);
+use account::Account;
+pub use row::{BudgetRow, Claim, KnownRow, ProgramKey, RunId};
 
 /// The part of the free budget that a grant may take beyond what a turn needs. More saves
 /// writes; less strands fewer tokens at a host that dies or that the program leaves.
@@ -40,37 +37,6 @@
 /// which a program may return by more than this, counted from their last write.
 const REFRESH_AFTER: Duration = Duration::from_secs(20);
 
-/// What the store holds of a program.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BudgetRow {
-    /// The tokens that all turns together may generate.
-    pub budget: u64,
-    /// The tokens granted to each run of a host.
-    pub granted: BTreeMap<RunId, u64>,
-    /// The tokens that each run has given back unspent.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub returned: BTreeMap<RunId, u64>,
-}
-
-impl BudgetRow {
-    /// Returns what a run may spend in all.
-    fn held_by(&self, run: RunId) -> u64 {
-        let granted = self.granted.get(&run).copied().unwrap_or(0);
-
-        granted.saturating_sub(self.returned.get(&run).copied().unwrap_or(0))
-    }
-
-    /// Returns what all runs may spend in all.
-    fn held(&self) -> u64 {
-        self.granted.keys().map(|run| self.held_by(*run)).sum()
-    }
-
-    /// Returns what all runs were granted, with what they have given back.
-    fn granted(&self) -> u64 {
-        self.granted.values().sum()
-    }
-}
-
 /// What comes of asking for a turn's tokens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reservation {
@@ -98,127 +64,6 @@
     Spent,
 }
 
-/// What a host asks for: the tokens of a turn that it does not have yet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
-    /// The run of the host.
-    pub run: RunId,
-    /// The tokens that it lacks.
-    pub missing: u64,
-    /// The most tokens of the turn.
-    pub most: u64,
-}
-
-/// A program's row as a host knows it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KnownRow {
-    /// The row, with what was granted without the store.
-    pub row: BudgetRow,
-    /// How many tokens the store has granted at least.
-    pub stored: u64,
-}
-
-/// A program at this host.
-#[derive(Clone, Debug)]
-struct Account {
-    row: BudgetRow,
-    version: RowVersion,
-    /// How many tokens the store has granted at least.
-    stored: u64,
-    /// Whether the row has grants that the store does not have yet.
-    loose: bool,
-    /// Since when.
-    loose_since: Instant,
-    /// When this host wrote the row last.
-    written_at: Instant,
-    /// Whether the row is to be written again, so that it is not taken for needless.
-    stale: bool,
-    /// What this run was granted as far as the store or a host of another zone has it.
-    assured: u64,
-    /// The tokens that this run has given to each other one in all.
-    given: Map<RunId, u64>,
-    /// The tokens that this run has received from each other one in all.
-    received: Map<RunId, u64>,
-    spent: u64,
-    reserved: u64,
-    used_at: Instant,
-}
-
-impl Account {
-    fn new(now: Instant, budget: u64) -> Self {
-        Self {
-            row: BudgetRow { budget, ..BudgetRow::default() },
-            version: RowVersion::ABSENT,
-            stored: 0,
-            loose: false,
-            loose_since: now,
-            written_at: now,
-            stale: false,
-            assured: 0,
-            given: Map::default(),
-            received: Map::default(),
-            spent: 0,
-            reserved: 0,
-            used_at: now,
-        }
-    }
-
-    /// Takes note that the row has grants that the store does not have.
-    fn loosen(&mut self, now: Instant) {
-        if !self.loose {
-            self.loose = true;
-            self.loose_since = now;
-        }
-    }
-
-    /// Takes note that what a row grants to a run may be spent by it.
-    fn assure(&mut self, run: RunId, row: &BudgetRow) {
-        self.assured = self.assured.max(row.granted.get(&run).copied().unwrap_or(0));
-    }
-
-    /// Returns what this run, which is `run`, has of its own grants and those of others.
-    fn has(&self, run: RunId) -> u64 {
-        let received: u64 = self.received.values().sum();
-        let given: u64 = self.given.values().sum();
-
-        (self.row.held_by(run) + received).saturating_sub(given)
-    }
-
-    /// Returns what this run may spend. When trouble begins, one host may still write a grant while
-    /// another is granted the same tokens in the store's place. Whoever learns of both does not spend
-    /// what is too much.
-    fn may_spend(&self, run: RunId) -> u64 {
-        let excess = self.row.held().saturating_sub(self.row.budget);
-
-        self.has(run).saturating_sub(excess).saturating_sub(self.unassured(run))
-    }
-
-    /// Returns what a run was granted and may not spend yet.
-    fn unassured(&self, run: RunId) -> u64 {
-        self.row.granted.get(&run).copied().unwrap_or(0).saturating_sub(self.assured)
-    }
-
-    /// Returns how many tokens were granted without the store and may not be in it.
-    fn granted_loose(&self) -> u64 {
-        self.row.granted().saturating_sub(self.stored)
-    }
-
-    /// Takes over the higher figure of each run.
-    fn merge(&mut self, row: &BudgetRow) {
-        if self.row.budget == 0 {
-            self.row.budget = row.budget;
-        }
-        for (run, tokens) in &row.granted {
-            let own = self.row.granted.entry(*run).or_default();
-            *own = (*own).max(*tokens);
-        }
-        for (run, tokens) in &row.returned {
-            let own = self.row.returned.entry(*run).or_default();
-            *own = (*own).max(*tokens);
-        }
-    }
-}
-
 /// The programs that run turns at this host.
 #[derive(Clone, Debug)]
 pub struct Budgets {
--- a/crates/policy/src/entry/shares.rs
+++ b/crates/policy/src/entry/shares.rs
@@ -88,6 +88,15 @@
 }
 
 impl Surroundings {
+    /// Adds the host itself, by whether it remembers and whether it knows of grants without the store.
+    pub fn with_itself(self, remembers: bool, knows_of_loose: bool) -> Self {
+        Self {
+            remembering: self.remembering + usize::from(remembers),
+            free_of_loose: self.free_of_loose + usize::from(remembers && !knows_of_loose),
+            ..self
+        }
+    }
+
     /// Returns whether a majority of the hosts is heard and remembers.
     fn majority_remembers(&self) -> bool {
         self.remembering * 2 > self.known
