--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -32,7 +32,7 @@
     /// Whether the sender knows of all that hosts granted to programs without the store.
     #[prost(bool, tag = "12")]
     pub remembers: bool,
-    /// Whether the sender knows of such grants for as long as programs may return.
+    /// Whether the sender knows that there were such grants to programs that may still return.
     #[prost(bool, tag = "14")]
     pub knows_of_loose: bool,
     /// Whether the sender grants tokens to programs without the store, or did and the store does
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -87,7 +87,7 @@
     let _turn = lock.lock().await;
 
     fetch_row(call, program).await;
-    let mut recalled = false;
+    let mut collected = false;
     let mut is_first = !shared.budgets.borrow().knows(program);
     for _ in 0..MOST_WRITES {
         let is_settled = shared.is_settled();
@@ -102,17 +102,11 @@
                 return Ok(Some(Hold { shared, program, most, used: 0, is_first }));
             }
             // Other hosts may hold tokens that they do not need.
-            Reservation::Spent { certain: false } | Reservation::Withheld(_) if !recalled => {
-                recalled = true;
+            Reservation::Spent { certain: false } | Reservation::Withheld(_) if !collected => {
+                collected = true;
                 collect(shared, program, most, is_settled).await;
             }
-            Reservation::Withheld(doubt) => {
-                info!(
-                    request = %call.head.request_id, program = %program.0, budget, most, ?doubt,
-                    "budget: the rest is withheld"
-                );
-                return Err(withheld(shared, doubt));
-            }
+            Reservation::Withheld(doubt) => return Err(withheld(call, program, most, doubt)),
             Reservation::Spent { certain } => {
                 info!(
                     request = %call.head.request_id, program = %program.0, budget, most, certain,
@@ -135,11 +129,13 @@
                 match grants::ask_for_grant(call, program, budget, most).await? {
                     Granted::Tokens => {}
                     // Other hosts may hold tokens that they do not need.
-                    Granted::Nothing | Granted::Withheld(_) if !recalled => {
-                        recalled = true;
+                    Granted::Nothing | Granted::Withheld(_) if !collected => {
+                        collected = true;
                         collect(shared, program, most, is_settled).await;
                     }
-                    Granted::Withheld(doubt) => return Err(withheld(shared, doubt)),
+                    Granted::Withheld(doubt) => {
+                        return Err(withheld(call, program, most, doubt));
+                    }
                     Granted::Nothing => return Err(spent()),
                 }
             }
@@ -173,9 +169,14 @@
 }
 
 /// Refuses a turn whose tokens may have been granted without the store.
-fn withheld(shared: &Shared, doubt: Doubt) -> Refusal {
+fn withheld(call: &Call, program: ProgramKey, most: u64, doubt: Doubt) -> Refusal {
+    info!(
+        request = %call.head.request_id, program = %program.0, most, ?doubt,
+        "budget: the rest is withheld"
+    );
+
     match doubt {
-        Doubt::Unsettled => unsure(shared),
+        Doubt::Unsettled => unsure(&call.shared),
         // Nobody is left who could tell, for longer than the program runs.
         Doubt::Forgotten => spent(),
     }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -95,7 +95,7 @@
     pub(crate) manifest_version: u64,
     /// Whether it knows of all that was granted to programs without the store.
     pub(crate) remembers: bool,
-    /// Whether it knows of such grants.
+    /// Whether it knows that there were such grants to programs that may still return.
     pub(crate) knows_of_loose: bool,
 }
 
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -198,10 +198,11 @@
     /// Returns whether the store has answered all hosts for a while, as far as they told this one. A
     /// process that has just started was told nothing.
     pub(crate) fn is_settled(&self) -> bool {
-        self.is_told() && self.store.was_there_for(SETTLED)
+        self.has_heard_of_trouble() && self.store.was_there_for(SETTLED)
     }
 
-    fn is_told(&self) -> bool {
+    /// Returns whether the process has run for long enough to have heard of trouble from the others.
+    fn has_heard_of_trouble(&self) -> bool {
         self.settings.is_first_start || clock::now().since(self.began) > SETTLED
     }
 
@@ -221,7 +222,7 @@
             self.loose_at.set(Some(now));
         }
 
-        self.is_told() && self.loose_at.get().is_none_or(|at| now.since(at) > ALL_TOLD)
+        self.has_heard_of_trouble() && self.loose_at.get().is_none_or(|at| now.since(at) > ALL_TOLD)
     }
 
     /// Returns whether a run of a process is this one or is heard.
--- a/crates/policy/src/entry/shares.rs
+++ b/crates/policy/src/entry/shares.rs
@@ -13,8 +13,8 @@
 /// The part of a budget that is kept for hosts without the store.
 const KEPT_PART: u64 = 4;
 
-/// How long a process runs before it has seen all that may still count: grants that were made without
-/// the store before it began are written by then, or the programs do not return any more.
+/// How long a process runs before it knows of all grants that matter. Those that were made without the
+/// store before it began are written by then, or their programs do not return any more.
 pub const KNOWS_ALL_AFTER: Duration = Duration::from_secs(90);
 
 /// Returns how many tokens of a budget the store grants to turns of `most` tokens while it cannot be
@@ -66,7 +66,7 @@
 /// Why it cannot be told what is granted without the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Doubt {
-    /// Some host granted tokens without the store of late, or most hosts are not heard.
+    /// Some host may hold grants that the store does not have, or most hosts are not heard.
     Unsettled,
     /// Most hosts began too late to know. What was granted before counts as spent.
     Forgotten,
@@ -83,7 +83,7 @@
     pub heard: usize,
     /// How many of those that are heard know of all grants that were made without the store.
     pub remembering: usize,
-    /// How many of these know of no such grant, of whatever program.
+    /// How many of these know of no such grant to any program.
     pub free_of_loose: usize,
 }
 
@@ -114,8 +114,8 @@
 
 /// Returns how much of budgets a host may have granted by the store.
 ///
-/// A grant without the store needs a majority and is known to most of a small fleet. A majority that
-/// remembers, and of which none has granted any for a while, knows that there is none.
+/// A grant without the store needs a majority and is known to most hosts of a small fleet. If a majority
+/// remembers and none of it has granted any for a while, the store has all grants that there are.
 ///
 /// ```
 /// use camphorwalk_policy::entry::shares::{Doubt, Limit, Surroundings, limit};
--- a/crates/policy/tests/entry_fuzz/host.rs
+++ b/crates/policy/tests/entry_fuzz/host.rs
@@ -173,10 +173,10 @@
     pub fn is_settled(&self) -> bool {
         let away_at = self.host.away_at.get();
 
-        self.is_told() && away_at.is_none_or(|at| self.now().since(at) > SETTLED)
+        self.has_heard_of_trouble() && away_at.is_none_or(|at| self.now().since(at) > SETTLED)
     }
 
-    fn is_told(&self) -> bool {
+    fn has_heard_of_trouble(&self) -> bool {
         self.host.is_first_start || self.now().since(self.host.began) > SETTLED
     }
 
@@ -192,7 +192,7 @@
         }
         let loose_at = self.host.loose_at.get();
 
-        self.is_told() && loose_at.is_none_or(|at| self.now().since(at) > ALL_TOLD)
+        self.has_heard_of_trouble() && loose_at.is_none_or(|at| self.now().since(at) > ALL_TOLD)
     }
 
     fn remembers(&self) -> bool {
