Targets' entries are compared by the store's version, not by order of arrival

The class: a host's copy of a table is put together from changes, whole reads, peers and timers in order of arrival. Now one type, without I/O, takes in every source: each is complete as of a version of the store, and the higher version holds, for rows and absences. Changes keep their order in the adapter. A whole read each 10 s and peers' copies use the same comparison; a copy says as of which version it is and how old. An absence is a departure unless the store was silent for 1.25 of the targets' heartbeats; a lapsed entry has one deadline, passed on with what is left of it. After a dropped history the table is read in the same round. A page of a whole read ends by `has-more`.

--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -33,6 +33,8 @@
     pub store: SocketAddr,
     /// What the store takes from all hosts together.
     pub store_limits: StoreLimits,
+    /// How often targets write their entries.
+    pub target_heartbeat: Duration,
     /// How long a process may go on after it was asked to end.
     pub grace: Duration,
     /// The most memory of the process, in bytes.
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -129,17 +129,47 @@
     GetObject(ObjectName),
 }
 
+/// A change of a row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RowChange {
+    /// The row was written and stands so.
+    Written(Row),
+    /// The row was removed.
+    Removed(RowKey),
+}
+
 /// What changed in a table.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableChanges {
-    /// The rows written, with their newest content.
-    pub written: Vec<Row>,
-    /// The rows deleted.
-    pub deleted: Vec<RowKey>,
+    /// The changes in the order in which they took effect. A row may be written and removed, or
+    /// removed and written, within one answer: the last change of a key is the one that holds.
+    pub changes: Vec<RowChange>,
+    /// Whether a read of rows was cut short and further rows come after the last one.
+    #[serde(default)]
+    pub has_more: bool,
     /// The newest version of the platform: the next question goes on from here.
     pub version: RowVersion,
 }
 
+impl TableChanges {
+    /// Returns the rows written, in order.
+    ///
+    /// ```
+    /// use camphorwalk_core::platform::{Row, RowChange, RowKey, RowVersion, TableChanges};
+    /// let key = RowKey::new("targets", "i-1");
+    /// let row = Row { key: key.clone(), version: RowVersion(3), value: "{}".into() };
+    /// let changes = vec![RowChange::Written(row.clone()), RowChange::Removed(key)];
+    /// let changes = TableChanges { changes, version: RowVersion(4), has_more: false };
+    /// assert_eq!(changes.written().collect::<Vec<_>>(), [&row]);
+    /// ```
+    pub fn written(&self) -> impl DoubleEndedIterator<Item = &Row> {
+        self.changes.iter().filter_map(|change| match change {
+            RowChange::Written(row) => Some(row),
+            RowChange::Removed(_) => None,
+        })
+    }
+}
+
 /// The answer to a [`PlatformOp`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlatformReply {
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -42,3 +42,12 @@
         self.since(rhs)
     }
 }
+
+impl Sub<Duration> for Instant {
+    type Output = Self;
+
+    /// Returns the instant that lies `rhs` before this one, or the clock's start.
+    fn sub(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_sub(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::entry::TargetEntry;
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::Body;
@@ -12,6 +11,7 @@
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowVersion};
 use camphorwalk_policy::entry::budgets::{BudgetRow, Claim, KnownRow, ProgramKey, RunId};
 use camphorwalk_policy::entry::shares::Doubt;
+use camphorwalk_policy::entry::target_table;
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -19,7 +19,7 @@
 use tracing::warn;
 
 use crate::host::Shared;
-use crate::{budget, grants, held, manifests, store, turns};
+use crate::{budget, clock, grants, held, manifests, store, turns};
 
 /// A question to another host.
 #[derive(Debug, Serialize, Deserialize)]
@@ -48,8 +48,8 @@
     Find(TurnKey),
     /// For a turn and those before it in its line, as far as they are at hand.
     Line(TurnKey),
-    /// For the targets that the other host knows.
-    Targets,
+    /// For what the other host knows of targets' entries, if it changed since a version of the store.
+    Targets(RowVersion),
     /// For the manifest in force at the other host, which comes as a message of its own.
     Manifest,
 }
@@ -90,8 +90,8 @@
     Turn(Option<Turn>),
     /// Turns that are at hand.
     Line(Vec<(TurnKey, Turn)>),
-    /// The targets that are known.
-    Targets(Vec<TargetEntry>),
+    /// What is known of targets' entries, once anything is.
+    Targets(Option<target_table::TableCopy>),
     /// This host cannot answer now.
     Refused,
 }
@@ -183,7 +183,9 @@
         Ask::Hold(key, turn) => held::hold(shared, from, key, turn),
         Ask::TurnStored(key) => held::stored(shared, key),
         Ask::Manifest => manifests::tell(shared, from),
-        Ask::Targets => Reply::Targets(shared.targets.borrow().entries()),
+        Ask::Targets(has) => {
+            Reply::Targets(shared.target_table.borrow().copy_for(clock::now(), has))
+        }
         Ask::Line(key) => Reply::Line(turns::line_at_hand(shared, key)),
         Ask::Find(key) => Reply::Turn(turns::at_hand(shared, key)),
     }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -17,6 +17,7 @@
 use camphorwalk_policy::entry::recent::Recent;
 use camphorwalk_policy::entry::routes::RouteTable;
 use camphorwalk_policy::entry::shares::{self, KNOWS_ALL_AFTER, Memory};
+use camphorwalk_policy::entry::target_table::TargetTable;
 use camphorwalk_policy::entry::turns::{TurnCache, TurnKey};
 use camphorwalk_store::{Client, ClientOptions, RetryOptions, ShareOptions};
 use rand::RngCore as _;
@@ -33,7 +34,7 @@
 use crate::places::Places;
 use crate::store::Store;
 use crate::stories::Stories;
-use crate::{callers, clock, fleet, held, news, probes, retention, store, watch};
+use crate::{callers, clock, fleet, held, news, probes, registry, retention, store, watch};
 
 /// The longest that one try of a call to the store may take. Its answers come within some
 /// milliseconds, and within a third of a second when it is slow.
@@ -97,6 +98,8 @@
     pub(crate) manifests: Manifests,
     pub(crate) rates: RefCell<Rates>,
     pub(crate) told_all: news::ToldAll,
+    /// What is known of the entries under which targets register themselves.
+    pub(crate) target_table: RefCell<TargetTable>,
     pub(crate) targets: RefCell<Targets>,
     pub(crate) places: Places,
     pub(crate) connections: Connections,
@@ -325,6 +328,7 @@
             manifests: Manifests::default(),
             rates: RefCell::default(),
             told_all: news::ToldAll::default(),
+            target_table: RefCell::new(TargetTable::new(settings.target_heartbeat)),
             targets: RefCell::new(Targets::new(&settings.zone)),
             places: Places::default(),
             connections: Connections::default(),
@@ -349,6 +353,7 @@
         let ready = probes::start(&shared).await?;
         let callers = callers::start(&shared).await?;
         watch::start(&shared);
+        registry::start(&shared);
         fleet::start(&shared);
         store::start_write_back(&shared);
         retention::start_sweeper(&shared);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod places;
 mod plain;
 mod probes;
+mod registry;
 mod retention;
 mod store;
 mod stories;
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -251,16 +251,6 @@
         }
     }
 
-    /// Returns what all targets say of themselves.
-    pub fn entries(&self) -> Vec<TargetEntry> {
-        self.targets.values().map(|target| target.entry.clone()).collect()
-    }
-
-    /// Returns the ids of all targets.
-    pub fn ids(&self) -> Vec<Box<str>> {
-        self.by_id.keys().cloned().collect()
-    }
-
     /// Returns what this host has in flight at each target, to be told to the others.
     pub fn in_flight(&self) -> impl Iterator<Item = (&str, u32)> {
         self.targets.values().filter(|t| t.own > 0).map(|t| (&*t.entry.id, t.own))
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -7,7 +7,6 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::placement::{Choice, Outcome, Shape, TargetKey, Targets};
-use camphorwalk_policy::entry::removals::Removals;
 use camphorwalk_policy::entry::waiting::{Urgency, WaiterId, Waiting};
 
 const NOW: Instant = Instant(1_000_000);
@@ -219,21 +218,6 @@
     assert_eq!(order, [4, 3, 2, 1, 5]);
 }
 
-#[test]
-fn a_target_that_the_store_removed_is_not_learned_back_from_another_host() {
-    // A target leaves without saying so: its entry is removed. Some store trouble is just over,
-    // so that hosts ask each other for targets, and one that has not seen the removal yet
-    // still tells of it. The target got a call 2.2 s after it was gone.
-    let mut removals = Removals::default();
-    removals.saw(NOW, "x");
-
-    let at_once = removals.may_learn(NOW + Duration::from_millis(2), "x");
-    let much_later = removals.may_learn(NOW + Duration::from_secs(20), "x");
-
-    assert!(!at_once);
-    assert!(much_later);
-}
-
 fn engine(id: &str) -> TargetEntry {
     TargetEntry { slots: 12, ..entry(id, "a") }
 }
