A host that was replaced for good is not known again with each read

The row of a host that is gone is never removed. After four reads without a change the host was forgotten, and the next read found its row unknown and took it for a new host: it counted in four of five reads, in majorities for grants without the store, among those that may have a turn (503 in place of 404), and as a silent host that takes a share of each tenant's rate.

The version at which a host was given up is remembered now, in a module without I/O; a host that writes its row again is back. A host that is heard is not given up, although the store may keep it from writing.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -13,6 +13,7 @@
 };
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::{Inbound, PeerOptions, Peers, Secret};
+use camphorwalk_policy::entry::host_rows::{HostRows, Presence};
 use camphorwalk_policy::entry::isolation::Contact;
 use rand::RngCore as _;
 use rand::seq::IteratorRandom as _;
@@ -36,10 +37,6 @@
 /// So many rounds after the start are short.
 const FIRST_BEATS: u64 = 4;
 
-/// A host whose row was read unchanged so often is gone for good: it could not write it for
-/// fifteen seconds, longer than a cut mostly lasts. Reads that fail do not count.
-const READS_TO_GONE: u32 = 4;
-
 /// A host that told nothing for this long has nothing in flight that counts.
 const SILENT: Duration = Duration::from_secs(2);
 
@@ -66,9 +63,6 @@
 
 /// Another host, as its row shows it.
 struct Known {
-    version: RowVersion,
-    /// How often the row was read since it changed.
-    unchanged: u32,
     address: SocketAddr,
     zone: Box<str>,
 }
@@ -78,6 +72,7 @@
     name: Box<str>,
     zone: Box<str>,
     own: HostId,
+    rows: RefCell<HostRows>,
     known: RefCell<Map<HostId, Known>>,
     heard: RefCell<Map<HostId, Heard>>,
     peers: RefCell<Option<Peers>>,
@@ -112,6 +107,7 @@
             name: name.into(),
             zone: zone.into(),
             own: HostId::from_name(name),
+            rows: RefCell::default(),
             known: RefCell::default(),
             heard: RefCell::default(),
             peers: RefCell::default(),
@@ -123,6 +119,11 @@
         self.known.borrow().len() + 1
     }
 
+    /// Returns whether a host told its news of late.
+    fn is_heard(&self, host: HostId) -> bool {
+        self.heard.borrow().get(&host).is_some_and(|heard| heard.is_fresh(clock::now()))
+    }
+
     /// Returns the hosts that told their news of late, and what they told.
     fn fresh(&self) -> Vec<(HostId, Heard)> {
         let now = clock::now();
@@ -410,29 +411,27 @@
                 continue;
             }
         };
-        let changed = known.get(&host).is_none_or(|known| known.version != row.version);
-
-        if changed {
-            if known.get(&host).is_none_or(|known| known.address != content.peers) {
-                info!(host = %row.key.key, address = %content.peers, "fleet: host known");
+        let is_due = is_period_over && !fleet.is_heard(host);
+        let presence = fleet.rows.borrow_mut().read(host, row.version, is_due);
+
+        match presence {
+            Presence::Wrote => {
+                if known.get(&host).is_none_or(|known| known.address != content.peers) {
+                    info!(host = %row.key.key, address = %content.peers, "fleet: host known");
+                }
+                known.insert(host, Known { address: content.peers, zone: content.zone });
+                peers.set_address(host, content.peers);
+            }
+            Presence::Silent => {}
+            Presence::Gone => {
+                if let Some(known) = known.remove(&host) {
+                    info!(host = %row.key.key, address = %known.address, "fleet: host gone");
+                    peers.forget(host);
+                }
             }
-            let address = content.peers;
-            let new = Known { version: row.version, unchanged: 0, address, zone: content.zone };
-            known.insert(host, new);
-            peers.set_address(host, address);
-        } else if let Some(known) = known.get_mut(&host) {
-            known.unchanged += u32::from(is_period_over);
         }
     }
 
-    known.retain(|host, known| {
-        let keep = known.unchanged < READS_TO_GONE;
-        if !keep {
-            info!(address = %known.address, "fleet: host gone");
-            peers.forget(*host);
-        }
-        keep
-    });
     shared.rates.borrow_mut().set_others(known.keys().copied().collect());
 }
 
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -4,6 +4,7 @@
 pub mod attempts;
 pub mod budgets;
 pub mod crashes;
+pub mod host_rows;
 pub mod isolation;
 pub mod keeping;
 pub mod manifests;
