--- a/crates/policy/tests/entry_rates_cut.rs
+++ b/crates/policy/tests/entry_rates_cut.rs
@@ -82,6 +82,8 @@
     runs: u64,
     /// The hosts on the far side of a cut.
     cut: Vec<usize>,
+    /// Hosts that both sides still reach.
+    between: Vec<usize>,
     near_callers: Callers,
     far_callers: Callers,
     /// The calls admitted in each tick.
@@ -97,6 +99,7 @@
             hosts: (0..HOSTS).map(|_| None).collect(),
             runs: 0,
             cut: Vec::new(),
+            between: Vec::new(),
             near_callers: callers(),
             far_callers: callers(),
             admitted: Vec::new(),
@@ -170,7 +173,8 @@
         let changes = teller.rates.take_news(false);
 
         for to in 0..HOSTS {
-            let is_cut = self.cut.contains(&from) != self.cut.contains(&to);
+            let is_between = self.between.contains(&from) || self.between.contains(&to);
+            let is_cut = !is_between && self.cut.contains(&from) != self.cut.contains(&to);
             let Some(hearer) = self.hosts[to].as_mut().filter(|_| !is_cut) else { continue };
             let all = !teller.told_all.contains(&hearer.run);
             let news = match all {
@@ -212,6 +216,20 @@
     assert_within_rate(&fleet);
 }
 
+#[test]
+fn hosts_that_hear_both_sides_of_a_cut_let_neither_take_their_share() {
+    // They see what both sides admit, and refuse. If each side then admits their part of the rate
+    // besides its own, it is admitted twice.
+    let mut fleet = Fleet::in_calm();
+    fleet.run(1.5, HOT);
+
+    fleet.cut = ZONE.to_vec();
+    fleet.between = vec![8, 9, 10];
+    fleet.run(12.0, HOT);
+
+    assert_within_rate(&fleet);
+}
+
 #[test]
 fn a_full_bucket_is_not_spent_once_on_each_side_of_a_cut() {
     // All hosts know a full bucket. Before either side counts the other as silent, each may
