Rates over a cut: shares that both sides know, and levels of who hears all

Four hosts were cut from four, three heard all. Each side took its share by its own demand, which grew, and the other's, which stood still at the moment of the cut: the shares came to more than one. Neither counted the part of the three between, which saw both and refused: their buckets fell from 27 to -320 tokens in three seconds while both sides held theirs at about 80.

What changed. The share of a silent host is fixed by the demand known when it was heard last, which both sides knew. It is passed on with what is left of its time, so that a host that starts beside a cut leaves it too. Since it was heard a silent host is taken to have used its share no less than the hosts that are heard. A host that hears all tells its level to one that does not, which takes it if it is lower. Beliefs belong to a run of a process; what a run admitted in silence is not given back.

Evidence. entry_rates_cut, in five seconds where 1,802 are allowed, before: 2,321 (full bucket), 2,129 (hosts between), 1,844 (demand grows), and 195 tokens given back; all green now.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -73,6 +73,15 @@
     /// The level of its token bucket.
     #[prost(double, tag = "4")]
     pub level: f64,
+    /// The part of the rate that it leaves to hosts that it does not hear, from 0 to 1.
+    #[prost(double, tag = "5")]
+    pub withheld: f64,
+    /// For how many milliseconds more.
+    #[prost(uint32, tag = "6")]
+    pub withheld_ms: u32,
+    /// Whether it hears all hosts.
+    #[prost(bool, tag = "7")]
+    pub hears_all: bool,
 }
 
 /// One host's calls in flight at a target.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -430,7 +430,8 @@
     info!(
         request = %call.head.request_id, tenant = %tenant, is_new = call.is_new.get(),
         waited_ms = waited.as_millis() as u64, level = state.level, rate = state.rate,
-        demand = state.demand, others_demand = state.others_demand, "rate: over"
+        demand = state.demand, others_demand = state.others_demand,
+        withheld = state.withheld, "rate: over"
     );
 }
 
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -18,7 +18,7 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::Peers;
 use camphorwalk_policy::entry::prompts::Part;
-use camphorwalk_policy::entry::rates::TenantNews;
+use camphorwalk_policy::entry::rates::{TenantNews, Withheld};
 use tokio::time::sleep;
 use tracing::info;
 
@@ -173,9 +173,17 @@
 }
 
 fn demand((tenant, news): (Box<str>, TenantNews)) -> Demand {
-    let TenantNews { admitted, demand, level } = news;
-
-    Demand { tenant: tenant.into(), per_second: demand, admitted, level }
+    let TenantNews { admitted, demand, level, withheld, hears_all } = news;
+
+    Demand {
+        tenant: tenant.into(),
+        per_second: demand,
+        admitted,
+        level,
+        withheld: withheld.share,
+        withheld_ms: u32::try_from(withheld.left.as_millis()).unwrap_or(u32::MAX),
+        hears_all,
+    }
 }
 
 fn prompts((target, parts): (Box<str>, Vec<Part>)) -> Prompts {
@@ -209,8 +217,11 @@
     }
 
     let tenants = news.demand.into_iter().map(|d| {
-        let news = TenantNews { admitted: d.admitted, demand: d.per_second, level: d.level };
-        (d.tenant.into(), news)
+        let withheld =
+            Withheld { share: d.withheld, left: Duration::from_millis(u64::from(d.withheld_ms)) };
+        let (admitted, demand, level) = (d.admitted, d.per_second, d.level);
+        let hears_all = d.hears_all;
+        (d.tenant.into(), TenantNews { admitted, demand, level, withheld, hears_all })
     });
     shared.rates.borrow_mut().hear(now, from, news.run, news.all_demand, tenants);
     let in_flight = news.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -3,8 +3,13 @@
 //! Each host tells the others several times a second how many calls of each tenant it has
 //! admitted, and takes the others' calls out of its own bucket. So all hosts know one level but
 //! for the time that news take, and a call waits for nobody, whichever host the balancer sends
-//! it to. What a silent host admits is estimated: it keeps its share by the last known demand.
+//! it to. What a silent host admits is estimated: it keeps the share of the rate that it had when
+//! it was heard last. Both sides of a cut reckon with the demand of that moment, which both knew,
+//! so that their shares come to the whole rate and no more.
 
+mod unheard;
+
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use camphorwalk_core::entry::TenantSpec;
@@ -12,6 +17,8 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 
+use self::unheard::Others;
+
 /// How long a silent host is taken to go on admitting its share. Behind a cut it does; if the
 /// others took its share over at once, both sides together would exceed the rate. As long as a
 /// host whose row does not change counts as one of the fleet.
@@ -20,12 +27,13 @@
 /// A host that told nothing for this long is silent. News come every 100 ms in a small fleet.
 const SILENT: Duration = Duration::from_millis(700);
 
+/// How long it is kept what was known of the demand: until a host that was heard then is silent,
+/// and a tick longer.
+const MARKS_KEPT: Duration = Duration::from_secs(1);
+
 /// The time that news take: their period, and the way between two zones.
 const NEWS_LAG: Duration = Duration::from_millis(130);
 
-/// The part of an even share that a host has by its mere being there, when shares are estimated.
-const FLOOR: f64 = 0.25;
-
 /// The part of the burst that a process begins with, until it hears the level of another. A
 /// whole one would let a fleet that restarts admit the burst twice in a window.
 const FIRST_LEVEL: f64 = 0.3;
@@ -57,6 +65,9 @@
 const DEMAND_SLACK: f64 = 0.1;
 const LEAST_DEMAND_SLACK: f64 = 0.3;
 
+/// By which part of the rate what a host leaves to silent ones must change to be told again.
+const WITHHELD_SLACK: f64 = 0.01;
+
 /// What becomes of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Admission {
@@ -79,6 +90,17 @@
     pub demand: f64,
     /// The calls a second that come to the others, as they told or as estimated.
     pub others_demand: f64,
+    /// The part of the rate that is left to silent hosts.
+    pub withheld: f64,
+}
+
+/// The part of a tenant's rate that a host leaves to others that fell silent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Withheld {
+    /// From 0 to 1.
+    pub share: f64,
+    /// How long it is still left to them, from when the last of them was heard.
+    pub left: Duration,
 }
 
 /// What a host tells of a tenant.
@@ -90,6 +112,20 @@
     pub demand: f64,
     /// The level of its bucket.
     pub level: f64,
+    /// What it leaves to hosts that it does not hear. One that has just started never heard them.
+    pub withheld: Withheld,
+    /// Whether it hears all hosts, so that its level rests on no estimate.
+    pub hears_all: bool,
+}
+
+/// What was known of a tenant at a moment.
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    at: Instant,
+    /// The calls a second that came to all hosts.
+    demand: f64,
+    /// The calls that were known to be admitted, here or elsewhere.
+    spent: f64,
 }
 
 /// One tenant at this host.
@@ -109,6 +145,16 @@
     demand: f64,
     /// Calls a second that come to the other hosts.
     others_demand: f64,
+    /// The calls admitted here, and elsewhere as other hosts told.
+    spent: f64,
+    /// What was known while a host that is not heard now may still have been.
+    marks: VecDeque<Mark>,
+    /// What is left to silent hosts, as others are told of it.
+    withheld: Withheld,
+    /// The part of the rate that is taken out for hosts that are not heard.
+    unheard_share: f64,
+    /// Whether a host that is heard takes out such a part, and wants to know the level.
+    level_wanted: bool,
     /// What the other hosts were told last.
     told: Option<TenantNews>,
 }
@@ -118,8 +164,12 @@
     fn has_news(&self) -> bool {
         let Some(told) = self.told else { return self.admitted > 0 || self.arrived > 0 };
         let slack = (told.demand * DEMAND_SLACK).max(LEAST_DEMAND_SLACK);
+        let withheld_changed = (self.withheld.share - told.withheld.share).abs();
 
-        self.admitted != told.admitted || (self.demand - told.demand).abs() > slack
+        (self.level_wanted && self.hears_all())
+            || self.admitted != told.admitted
+            || (self.demand - told.demand).abs() > slack
+            || withheld_changed > WITHHELD_SLACK
     }
 }
 
@@ -135,11 +185,47 @@
     tenants: Map<Box<str>, ToldTenant>,
 }
 
+impl Told {
+    fn is_silent(&self, now: Instant) -> bool {
+        now.since(self.at) > SILENT
+    }
+
+    /// Returns the part of a tenant's rate that it is taken to use while it is silent.
+    fn share(&self, tenant: &str) -> f64 {
+        self.tenants.get(tenant).and_then(|t| t.share).unwrap_or_default()
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct ToldTenant {
     news: TenantNews,
+    /// Until when what it leaves to silent hosts is left to them.
+    withheld_until: Instant,
     /// What was taken out of the bucket for it since it fell silent.
     estimated: f64,
+    /// The part of the rate that it is taken to use while it is silent, as of when it was heard
+    /// last.
+    share: Option<f64>,
+}
+
+/// What is known of another host by what it told.
+enum Contact {
+    /// It never told anything to this process.
+    Unknown,
+    Heard,
+    /// It is taken to go on admitting its share.
+    Silent,
+    /// It is taken to admit nothing any more.
+    Gone,
+}
+
+fn contact(now: Instant, told: Option<&Told>) -> Contact {
+    match told {
+        None => Contact::Unknown,
+        Some(told) if !told.is_silent(now) => Contact::Heard,
+        Some(told) if now.since(told.at) <= SILENT_SHARE_KEPT => Contact::Silent,
+        Some(_) => Contact::Gone,
+    }
 }
 
 /// The rates of all tenants at this host.
@@ -169,6 +255,11 @@
                 arrived: 0,
                 demand: 0.0,
                 others_demand: 0.0,
+                spent: 0.0,
+                marks: VecDeque::new(),
+                withheld: Withheld::default(),
+                unheard_share: 0.0,
+                level_wanted: false,
                 told: None,
             });
             account.refill(now);
@@ -200,6 +291,9 @@
         let told = self.told.entry(host).or_default();
         let is_new = told.base_run.is_none();
         let same_run = told.base_run == Some(run);
+        if told.is_silent(now) {
+            told.tenants.values_mut().for_each(|tenant| tenant.share = None);
+        }
         told.at = now;
         told.counted_until = now;
 
@@ -207,23 +301,57 @@
             return;
         }
         told.base_run = Some(run);
+        // A new run counts from zero, and has no demand where it tells of none.
+        let mut corrections = Vec::new();
+        let mut run_before = match same_run {
+            true => Map::default(),
+            false => std::mem::take(&mut told.tenants),
+        };
 
         for (tenant, news) in news {
-            let before = told.tenants.insert(tenant.clone(), ToldTenant { news, estimated: 0.0 });
+            let withheld_until = now + news.withheld.left;
+            let new = ToldTenant { news, withheld_until, estimated: 0.0, share: None };
+            let before = told.tenants.insert(tenant.clone(), new).unwrap_or_default();
             let Some(account) = self.accounts.get_mut(&tenant) else { continue };
             account.refill(now);
-            let counted = match before {
-                Some(before) if same_run => before.news.admitted,
+            let admitted = news.admitted as f64 - before.news.admitted as f64;
+            let taken = match (is_new, same_run) {
                 // What a host admitted before this one first heard of it is in its level.
-                _ if is_new => news.admitted,
-                _ => 0,
+                (true, _) => 0.0,
+                (false, true) => admitted - before.estimated,
+                // What the run before admitted in silence nobody can tell any more.
+                (false, false) => {
+                    let estimated = run_before.remove(&tenant).map_or(0.0, |b| b.estimated);
+                    (admitted - estimated).max(0.0)
+                }
             };
-            let estimated = before.map_or(0.0, |before| before.estimated);
-            account.level -= news.admitted as f64 - counted as f64 - estimated;
+            account.level -= taken;
+            account.spent += if is_new { 0.0 } else { admitted };
 
+            let lower = (account.level - news.level).max(0.0);
             // A new process believes what the others know.
             if now < account.fresh_until {
-                account.level = account.level.min(news.level);
+                account.level -= lower;
+            } else if news.hears_all && !account.hears_all() {
+                // So does one that reckons with estimates, of one that does not.
+                account.level -= lower;
+                corrections.push((tenant, lower));
+            }
+        }
+        for (tenant, lower) in corrections {
+            self.note_unheard(now, &tenant, lower);
+        }
+    }
+
+    /// Notes calls that silent hosts admitted beyond what they were taken to, by their shares.
+    fn note_unheard(&mut self, now: Instant, tenant: &str, calls: f64) {
+        let silent = |told: &Told| matches!(contact(now, Some(told)), Contact::Silent);
+        let all: f64 = self.told.values().filter(|t| silent(t)).map(|t| t.share(tenant)).sum();
+
+        for told in self.told.values_mut().filter(|told| silent(told)) {
+            let part = told.share(tenant) / all.max(f64::MIN_POSITIVE);
+            if let Some(tenant) = told.tenants.get_mut(tenant) {
+                tenant.estimated += calls * part;
             }
         }
     }
@@ -238,9 +366,11 @@
             if !(account.has_news() || (all && account.told.is_some())) {
                 continue;
             }
-            let Account { admitted, demand, level, .. } = *account;
-            account.told = Some(TenantNews { admitted, demand, level });
-            news.push((name.clone(), TenantNews { admitted, demand, level }));
+            let Account { admitted, demand, level, withheld, .. } = *account;
+            let hears_all = account.hears_all();
+            let tells = TenantNews { admitted, demand, level, withheld, hears_all };
+            account.told = Some(tells);
+            news.push((name.clone(), tells));
         }
         news
     }
@@ -255,12 +385,13 @@
             return;
         }
 
+        let others = Others::new(now, passed, &self.others, &self.told);
         for (name, account) in &mut self.accounts {
             account.refill(now);
             account.smooth(passed);
-            take_out_silent(now, passed, name, account, &self.others, &mut self.told);
+            others.take_out_unheard(name, account, &mut self.told);
         }
-        for told in self.told.values_mut().filter(|told| now.since(told.at) > SILENT) {
+        for told in self.told.values_mut().filter(|told| told.is_silent(now)) {
             told.counted_until = now;
         }
     }
@@ -291,6 +422,7 @@
 
         account.level -= 1.0;
         account.admitted += 1;
+        account.spent += 1.0;
         Admission::Admitted
     }
 
@@ -303,6 +435,7 @@
             rate: account.rate,
             demand: account.demand,
             others_demand: account.others_demand,
+            withheld: account.unheard_share,
         })
     }
 
@@ -311,52 +444,34 @@
         if let Some(account) = self.accounts.get_mut(tenant) {
             account.level = (account.level + 1.0).min(account.most());
             account.admitted = account.admitted.saturating_sub(1);
+            account.spent -= 1.0;
         }
     }
 }
 
-/// Takes out of a bucket what silent hosts admit by their share of the demand.
-fn take_out_silent(
-    now: Instant,
-    passed: Duration,
-    tenant: &str,
-    account: &mut Account,
-    others: &[HostId],
-    told: &mut Map<HostId, Told>,
-) {
-    let floor = FLOOR * account.rate / (others.len() + 1) as f64;
-    let mut silent = Vec::new();
-    account.others_demand = 0.0;
-
-    for host in others {
-        let demand = match told.get(host) {
-            // A host that was never heard counts as one with the demand of this one: then hosts
-            // that cannot hear each other share evenly.
-            None => account.demand,
-            Some(told) if now.since(told.at) > SILENT_SHARE_KEPT => continue,
-            Some(told) => told.tenants.get(tenant).map_or(0.0, |t| t.news.demand),
-        };
-        account.others_demand += demand;
+impl Account {
+    /// Marks what is known now, for hosts that turn out to be silent later.
+    fn mark(&mut self, now: Instant) {
+        let demand = self.demand + self.others_demand;
+        self.marks.push_back(Mark { at: now, demand, spent: self.spent });
 
-        if told.get(host).is_none_or(|told| now.since(told.at) > SILENT) {
-            silent.push((*host, demand));
+        while self.marks.get(1).is_some_and(|second| now.since(second.at) > MARKS_KEPT) {
+            self.marks.pop_front();
         }
     }
 
-    let all = account.demand + account.others_demand + floor * (others.len() + 1) as f64;
-    for (host, demand) in silent {
-        // The time before a host counts as silent is made up for when it does.
-        let time = told.get(&host).map_or(passed, |told| now.since(told.counted_until));
-        let taken = account.rate * (demand + floor) / all * time.as_secs_f64();
-        account.level = (account.level - taken).max(-account.most());
+    /// Returns what was known at a moment, or at the first after it that is marked.
+    fn known_at(&self, at: Instant) -> Mark {
+        let now = Mark { at: self.at, demand: self.demand + self.others_demand, spent: self.spent };
 
-        if let Some(told) = told.get_mut(&host) {
-            told.tenants.entry(tenant.into()).or_default().estimated += taken;
-        }
+        self.marks.iter().find(|mark| mark.at >= at).copied().unwrap_or(now)
+    }
+
+    /// Returns whether the level rests on what hosts told alone, and on no estimate.
+    fn hears_all(&self) -> bool {
+        self.unheard_share <= 0.0
     }
-}
 
-impl Account {
     /// Returns the most tokens that the bucket holds.
     fn most(&self) -> f64 {
         self.burst.max(1.0)
