--- a/crates/policy/tests/entry_rates_cut.rs
+++ b/crates/policy/tests/entry_rates_cut.rs
@@ -230,6 +230,20 @@
     assert_within_rate(&fleet);
 }
 
+#[test]
+fn a_side_of_a_cut_believes_the_level_of_hosts_that_hear_both() {
+    // Most hosts hear both sides. Shares alone leave their part to each side, and only their level
+    // shows that it was admitted twice.
+    let mut fleet = Fleet::in_calm();
+    fleet.run(1.5, HOT);
+
+    fleet.cut = ZONE.to_vec();
+    fleet.between = (5..HOSTS).collect();
+    fleet.run(12.0, HOT);
+
+    assert_within_rate(&fleet);
+}
+
 #[test]
 fn a_full_bucket_is_not_spent_once_on_each_side_of_a_cut() {
     // All hosts know a full bucket. Before either side counts the other as silent, each may
