Logs of kept turns: whether the write was under way and the store believed to answer

Traces of turns that were lost with all hosts could not tell a write that was under way from one that had failed, nor when the store took a turn that copies had answered for. `turn: held by other hosts` now has the row, whether its write is under way and whether the store is believed to answer; a write that ends after that is logged with its time and outcome. No decision changes.

--- a/crates/entry/src/keeping.rs
+++ b/crates/entry/src/keeping.rs
@@ -165,9 +165,14 @@
     fn held(&self) {
         let shared = &self.call.shared;
         let waited = clock::now().since(self.at);
-        info!(request = %self.call.head.request_id, ?waited, "turn: held by other hosts");
+        let writing = self.writing.take();
+        let is_writing = writing.as_ref().is_some_and(|writing| !writing.is_finished());
+        info!(
+            request = %self.call.head.request_id, turn = %self.key.row(), ?waited, is_writing,
+            store_answers = shared.store.answers_whole(), "turn: held by other hosts"
+        );
 
-        held::keep_own(shared, self.key, Rc::clone(&self.turn), self.writing.take());
+        held::keep_own(shared, self.key, Rc::clone(&self.turn), writing);
         // It may have been written while they were asked.
         if shared.written.borrow().holds(self.key) {
             held::release(shared, self.key);
@@ -182,9 +187,15 @@
     value: Rc<str>,
     asked_peers: Rc<Cell<bool>>,
 ) -> Result<()> {
-    write(&shared, key, &value).await?;
+    let began = clock::now();
+    let written = write(&shared, key, &value).await;
 
     let is_held = shared.held.borrow().contains_key(&key);
+    if is_held {
+        let took = clock::now().since(began);
+        info!(turn = %key.row(), ?took, ?written, "turn: its write ended after others held it");
+    }
+    written?;
     retention::written(&shared, key);
     if asked_peers.get() && !is_held {
         held::tell_stored(&shared, key);
