--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::hash::Set;
+use camphorwalk_core::hash::{Map, Set};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::platform::{
     Check, PlatformOp, PlatformReply, RowKey, RowVersion, Transaction, Write,
@@ -11,7 +11,7 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::keeping::least_copies;
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
-use camphorwalk_policy::entry::write_back::{self, Due, Round, WriteBack, writes_for_others};
+use camphorwalk_policy::entry::write_back::{Round, writes_for_others};
 use futures::StreamExt as _;
 use futures::future::join_all;
 use futures::stream::FuturesUnordered;
@@ -25,6 +25,10 @@
 use crate::turns::row_key;
 use crate::{clock, retention, store};
 
+/// The most turns that one transaction writes: so many of the mean size are far under the
+/// megabyte that a call of the store may have.
+const WRITE_BATCH: usize = 50;
+
 /// How many hosts are asked to hold a turn that the store does not take: all of a small fleet, so that
 /// whichever of them outlives an outage writes it.
 const COPIES: usize = 10;
@@ -131,24 +135,22 @@
 
 /// Writes a part of the turns that are held since the store was away; what fails stays held.
 ///
-/// All power may be lost a second after the store's return, and with it what was not written: many
-/// turns go in one transaction, and several transactions at the same time.
-pub(crate) async fn write_held(shared: &Rc<Shared>, pace: &WriteBack) -> Round {
-    let most = pace.allowed();
+/// All power may be lost a second after the store's return, and with it what was not written:
+/// the turns of a part go in one transaction, and several parts at the same time.
+pub(crate) async fn write_held(shared: &Rc<Shared>, most: usize) -> Round {
     let now = clock::now();
     let held_turns = i64::try_from(shared.held.borrow().len()).unwrap_or(i64::MAX);
     shared.metrics.held_turns.set(held_turns);
+    let mut parts: Map<u64, Vec<(TurnKey, Rc<Turn>)>> = Map::default();
     let is_due = |held: &Held| held.is_due(now, &shared.fleet);
-    let due: Vec<_> = {
-        let held = shared.held.borrow();
-        let due = held.iter().filter(|(_, held)| is_due(held));
-        due.map(|(key, held)| due_row(*key, &held.turn)).collect()
-    };
-    if due.is_empty() {
+    for (key, held) in shared.held.borrow().iter().filter(|(_, held)| is_due(held)) {
+        parts.entry(key.part()).or_default().push((*key, Rc::clone(&held.turn)));
+    }
+    if parts.is_empty() {
         return Round::Nothing;
     }
 
-    let batches = write_back::batches(due, pace.may_span_parts());
+    let batches: Vec<_> = parts.values().flat_map(|turns| turns.chunks(WRITE_BATCH)).collect();
     let mut written = 0;
     let mut refused = false;
     for round in batches[..most.min(batches.len())].chunks(WRITES_AT_ONCE) {
@@ -177,11 +179,7 @@
     }
 }
 
-fn due_row(key: TurnKey, turn: &Rc<Turn>) -> Due<(TurnKey, Rc<Turn>)> {
-    Due { part: key.part(), bytes: turn.size(), row: (key, Rc::clone(turn)) }
-}
-
-/// What came of writing turns.
+/// What came of writing turns of one part.
 struct Batch {
     /// How many turns the store then has.
     written: usize,
@@ -196,7 +194,7 @@
     value: Box<str>,
 }
 
-/// Writes turns in one transaction, or in two if some of them are there already.
+/// Writes turns of one part.
 async fn write_batch(shared: &Rc<Shared>, turns: &[(TurnKey, Rc<Turn>)]) -> Batch {
     let mut rows: Vec<TurnRow> = turns
         .iter()
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -92,10 +92,10 @@
         self.away_at.set(Some(now));
     }
 
-    /// Waits until what is held is to be written: a part is back, or the period is over. Returns
-    /// whether a part is back.
-    async fn write_back_due(&self) -> bool {
-        timeout(WRITE_BACK_PERIOD, self.write_back.notified()).await.is_ok()
+    /// Waits until what is held is to be written: a part is back, or the period is over.
+    async fn write_back_due(&self) {
+        // When nobody calls for a round, the period does.
+        let _ = timeout(WRITE_BACK_PERIOD, self.write_back.notified()).await;
     }
 
     /// Returns whether the store has ever answered this process.
@@ -201,9 +201,9 @@
     tokio::task::spawn_local(async move {
         let mut pace = WriteBack::default();
         loop {
-            let round = held::write_held(&turns, &pace).await;
-            if pace.ended(round) == Next::Later && turns.store.write_back_due().await {
-                pace.part_is_back();
+            let round = held::write_held(&turns, pace.allowed()).await;
+            if pace.ended(round) == Next::Later {
+                turns.store.write_back_due().await;
             }
         }
     });
@@ -211,8 +211,8 @@
         let mut pace = WriteBack::default();
         loop {
             let round = grants::write_loose(&grants, pace.allowed()).await;
-            if pace.ended(round) == Next::Later && grants.store.write_back_due().await {
-                pace.part_is_back();
+            if pace.ended(round) == Next::Later {
+                grants.store.write_back_due().await;
             }
         }
     });
--- a/crates/policy/src/entry/turns.rs
+++ b/crates/policy/src/entry/turns.rs
@@ -78,20 +78,6 @@
         if self.raw.is_empty() { self.text.as_bytes() } else { &self.raw }
     }
 
-    /// Returns the bytes that it takes in memory, with what holds it.
-    ///
-    /// ```
-    /// use camphorwalk_policy::entry::turns::Turn;
-    /// let size = |said: &[u8]| Turn::new(Vec::new(), said.to_vec()).size();
-    /// assert_eq!(size(b"hello") - size(b""), 5);
-    /// ```
-    pub fn size(&self) -> usize {
-        /// The share of the map, the queue and the counter that hold it.
-        const HOLDING: usize = 96;
-
-        self.said().len() + self.line.len() * size_of::<TurnKey>() + HOLDING
-    }
-
     /// Returns the line of a turn that continues from this one.
     pub fn line_with(&self, own: TurnKey) -> Vec<TurnKey> {
         let mut line = Vec::with_capacity(self.line.len() + 1);
@@ -128,15 +114,23 @@
             return;
         }
 
-        self.bytes += turn.size();
+        self.bytes += size(&turn);
         self.turns.insert(key, turn);
         self.order.push_back(key);
 
         while self.bytes > self.most_bytes {
             let Some(oldest) = self.order.pop_front() else { return };
             if let Some(turn) = self.turns.remove(&oldest) {
-                self.bytes -= turn.size();
+                self.bytes -= size(&turn);
             }
         }
     }
 }
+
+/// Returns the bytes that a turn takes in memory, with what holds it.
+fn size(turn: &Turn) -> usize {
+    /// The map's, the queue's and the counter's share.
+    const HOLDING: usize = 96;
+
+    turn.said().len() + turn.line.len() * size_of::<TurnKey>() + HOLDING
+}
--- a/crates/policy/src/entry/write_back.rs
+++ b/crates/policy/src/entry/write_back.rs
@@ -29,56 +29,6 @@
     held >= OWNER_TRUSTED || held >= OTHERS_WRITE_AFTER && !owner_is_heard()
 }
 
-/// The most rows of one transaction: each is checked and written, and a call may have a hundred of both.
-const MOST_ROWS: usize = 50;
-
-/// The most bytes of the rows of one transaction, before they are encoded for a call of a megabyte.
-const MOST_ROW_BYTES: usize = 500_000;
-
-/// A row that is to be written back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Due<T> {
-    /// The part of the store in which it lies.
-    pub part: u64,
-    /// Its size, in bytes.
-    pub bytes: usize,
-    /// The row.
-    pub row: T,
-}
-
-/// Returns the rows of each transaction. Rows of several parts go together, since the store counts
-/// transactions. With a part away each part has to have its own, or none would be written.
-///
-/// ```
-/// use camphorwalk_policy::entry::write_back::{Due, batches};
-/// let due = |part| Due { part, bytes: 100, row: part };
-/// assert_eq!(batches(vec![due(2), due(1), due(2)], true), [[1, 2, 2]]);
-/// assert_eq!(batches(vec![due(2), due(1), due(2)], false), [vec![1], vec![2, 2]]);
-/// ```
-pub fn batches<T>(mut due: Vec<Due<T>>, may_span_parts: bool) -> Vec<Vec<T>> {
-    due.sort_by_key(|row| row.part);
-    let mut batches: Vec<Vec<T>> = Vec::new();
-    let (mut part, mut bytes) = (None, 0);
-
-    for Due { part: own, bytes: size, row } in due {
-        let is_other_part = part != Some(own) && !may_span_parts;
-        match batches.last_mut() {
-            Some(batch)
-                if !is_other_part && batch.len() < MOST_ROWS && bytes + size <= MOST_ROW_BYTES =>
-            {
-                bytes += size;
-                batch.push(row);
-            }
-            _ => {
-                bytes = size;
-                batches.push(vec![row]);
-            }
-        }
-        part = Some(own);
-    }
-    batches
-}
-
 /// The writes of the first round.
 const FIRST: usize = 32;
 
@@ -116,12 +66,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WriteBack {
     allowed: usize,
-    may_span_parts: bool,
 }
 
 impl Default for WriteBack {
     fn default() -> Self {
-        Self { allowed: FIRST, may_span_parts: true }
+        Self { allowed: FIRST }
     }
 }
 
@@ -131,27 +80,6 @@
         self.allowed
     }
 
-    /// Returns whether a write of the next round may have rows of several parts.
-    ///
-    /// A refusal may mean that the store is above its rate, or that one of the parts is away. So the
-    /// round after it goes part by part, and the one after that does not, as long as rounds are refused.
-    pub fn may_span_parts(&self) -> bool {
-        self.may_span_parts
-    }
-
-    /// Takes in that a part of the store answers again.
-    ///
-    /// ```
-    /// use camphorwalk_policy::entry::write_back::{Round, WriteBack};
-    /// let mut pace = WriteBack::default();
-    /// pace.ended(Round::Refused);
-    /// pace.part_is_back();
-    /// assert!(pace.may_span_parts());
-    /// ```
-    pub fn part_is_back(&mut self) {
-        self.may_span_parts = true;
-    }
-
     /// Takes in what came of a round; returns when the next one is.
     ///
     /// ```
@@ -164,7 +92,6 @@
     /// assert!(pace.allowed() < before);
     /// ```
     pub fn ended(&mut self, round: Round) -> Next {
-        self.may_span_parts = round != Round::Refused || !self.may_span_parts;
         self.allowed = match round {
             Round::Nothing => self.allowed,
             Round::All | Round::Part => (self.allowed + MORE).min(MOST),
--- a/crates/policy/tests/entry_write_back.rs
+++ b/crates/policy/tests/entry_write_back.rs
@@ -1,6 +1,6 @@
 //! Writing back what was promised while the store did not take it, by many hosts at once.
 
-use camphorwalk_policy::entry::write_back::{Due, Next, Round, WriteBack, batches};
+use camphorwalk_policy::entry::write_back::{Next, Round, WriteBack};
 
 /// A store that takes so many writes in a tenth of a second, and refuses those beyond.
 struct Store {
@@ -94,58 +94,3 @@
 
     assert_eq!((host.due, store.asked), (0, 500));
 }
-
-fn due(part: u64, bytes: usize) -> Due<u64> {
-    Due { part, bytes, row: part }
-}
-
-/// Guards against a store that is above its rate for many seconds after an outage, since each row of
-/// each part is a transaction of its own: new turns are refused meanwhile.
-#[test]
-fn rows_of_many_parts_take_few_transactions() {
-    let rows = (0..250).map(|i| due(i % 78, 4_000)).collect();
-
-    let batches = batches(rows, true);
-
-    assert_eq!(batches.len(), 5);
-    assert_eq!(batches.iter().map(Vec::len).sum::<usize>(), 250);
-}
-
-/// Guards against a transaction that the store refuses since it is longer than a call may be.
-#[test]
-fn long_rows_do_not_go_together() {
-    let rows = (0..20).map(|i| due(i, 200_000)).collect();
-
-    let batches = batches(rows, true);
-
-    assert!(batches.iter().all(|batch| batch.len() <= 2), "{batches:?}");
-}
-
-/// Guards against rows that are not written since a part in which none of them lies is away.
-#[test]
-fn rows_of_different_parts_do_not_go_together_while_a_part_is_away() {
-    let rows = vec![due(3, 10), due(1, 10), due(3, 10)];
-
-    let batches = batches(rows, false);
-
-    assert_eq!(batches, [vec![1], vec![3, 3]]);
-}
-
-/// Guards against rows that are not written as long as the store is above its rate, since each part's
-/// has a transaction of its own after a refusal.
-#[test]
-fn every_other_refused_round_goes_over_all_parts() {
-    let mut pace = WriteBack::default();
-
-    let rounds: Vec<_> = (0..4)
-        .map(|_| {
-            let may_span = pace.may_span_parts();
-            pace.ended(Round::Refused);
-            may_span
-        })
-        .collect();
-    pace.ended(Round::All);
-
-    assert_eq!(rounds, [true, false, true, false]);
-    assert!(pace.may_span_parts());
-}
