A turn that the store does not take is held by all of a small fleet, and by five hosts of a large one

After an outage the fleet's own write-back keeps the store above its rate. All of a small fleet still hold a turn, five hosts of a large one.

What it costs: five copies in a fleet of 60 are lost together more often than ten when six of ten hosts are killed in an outage (8 in 100 turns of that moment, by reckoning, against 1).

--- a/crates/entry/src/held.rs
+++ b/crates/entry/src/held.rs
@@ -9,7 +9,7 @@
     Check, PlatformOp, PlatformReply, RowKey, RowVersion, Transaction, Write,
 };
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::keeping::least_copies;
+use camphorwalk_policy::entry::keeping::{least_copies, most_copies};
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
 use camphorwalk_policy::entry::write_back::{Round, writes_for_others};
 use futures::StreamExt as _;
@@ -29,10 +29,6 @@
 /// megabyte that a call of the store may have.
 const WRITE_BATCH: usize = 50;
 
-/// How many hosts are asked to hold a turn that the store does not take: all of a small fleet, so that
-/// whichever of them outlives an outage writes it.
-const COPIES: usize = 10;
-
 /// How often further hosts are looked for to hold a turn.
 const HOLD_PERIOD: Duration = Duration::from_millis(100);
 
@@ -61,7 +57,9 @@
     let others = shared.fleet.order(key.0).into_iter();
     let near = others.filter(|host| *host != shared.fleet.own() && !elsewhere.contains(host));
 
-    elsewhere.iter().copied().chain(near).take(COPIES).collect()
+    let copies = most_copies(shared.fleet.known_hosts().len());
+
+    elsewhere.iter().copied().chain(near).take(copies).collect()
 }
 
 /// Has other hosts hold a turn that the store does not take; returns when enough of other zones do.
--- a/crates/policy/src/entry/keeping.rs
+++ b/crates/policy/src/entry/keeping.rs
@@ -75,3 +75,22 @@
 
     known.clamp(1, LEAST_COPIES)
 }
+
+/// Returns how many of so many other hosts are asked to hold a turn that the store does not take.
+///
+/// All of a small fleet are, so that whichever of them outlives an outage writes it. In a large one few
+/// do: each holder writes the turn after a while, and ten times as many writes as there are turns keep
+/// the store above its rate long after an outage.
+///
+/// ```
+/// use camphorwalk_policy::entry::keeping::most_copies;
+/// assert_eq!(most_copies(8), 8);
+/// assert_eq!(most_copies(60), 5);
+/// ```
+pub fn most_copies(others: usize) -> usize {
+    /// The most other hosts of a small fleet.
+    const SMALL_FLEET: usize = 10;
+    const COPIES_IN_LARGE_FLEET: usize = 5;
+
+    if others <= SMALL_FLEET { others } else { COPIES_IN_LARGE_FLEET }
+}
--- a/crates/policy/tests/entry_keeping.rs
+++ b/crates/policy/tests/entry_keeping.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use camphorwalk_policy::entry::keeping::{Keeping, Next};
+use camphorwalk_policy::entry::keeping::{Keeping, Next, most_copies};
 
 /// How much longer a caller waits, from the end of its turn on.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -77,3 +77,15 @@
 
     assert_eq!(Keeping::default().write_failed(PATIENCE, isolated_for), Next::BreakOff);
 }
+
+/// Guards against a small fleet in which a turn is lost although a host outlived the outage.
+#[test]
+fn every_other_host_of_a_small_fleet_holds_a_turn() {
+    assert!((1..=10).all(|others| most_copies(others) == others));
+}
+
+/// Guards against a large fleet whose copies of turns keep the store above its rate after an outage.
+#[test]
+fn few_hosts_of_a_large_fleet_hold_a_turn() {
+    assert!((11..400).all(|others| most_copies(others) == 5));
+}
