A turn's answer ends only when the store has the turn

What callers saw: a kept turn was answered whole while the store was away, above its rate or slow.

Cause: two hosts' word that they hold a turn counted as much as the store's. Nothing that hosts hold outlives all of them.

Why it works: the only way to the end of a kept turn's answer is a transaction that the store has acknowledged, straight or through a peer that it answers, or a row read back with the same content. Copies at other hosts are gone, and with them their number, the write-back of turns, who writes for whom and the questions between hosts about it: a caller without the end was promised nothing.

When a turn begins: for two seconds of an outage, as long as callers bear a gap, turns are sent, since the store may be back when they end; after that they are refused at once with a time to come back, so that no target runs them for callers who leave. Ends that wait write at once when the store is back for this host or one that it hears.

The two tests of how many hosts hold a turn go with the functions.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -19,7 +19,7 @@
 use tracing::warn;
 
 use crate::host::Shared;
-use crate::{budget, clock, grants, held, manifests, store, turns};
+use crate::{budget, clock, grants, manifests, store, turns};
 
 /// A question to another host.
 #[derive(Debug, Serialize, Deserialize)]
@@ -40,10 +40,6 @@
     Yield(ProgramKey),
     /// For tokens of a program that the other host does not need, until the run has so many from it.
     Give(ProgramKey, RunId, u64),
-    /// To hold a turn until the store has it.
-    Hold(TurnKey, Turn),
-    /// To hold a turn no longer, since the store has it.
-    TurnStored(TurnKey),
     /// For a turn.
     Find(TurnKey),
     /// For a turn and those before it in its line, as far as they are at hand.
@@ -180,8 +176,6 @@
         Ask::StoredRow(program) => Reply::StoredRow(shared.budgets.borrow().stored(program)),
         Ask::Yield(program) => budget::yield_rest(shared, program),
         Ask::Give(program, to, total) => budget::give(shared, program, to, total),
-        Ask::Hold(key, turn) => held::hold(shared, from, key, turn),
-        Ask::TurnStored(key) => held::stored(shared, key),
         Ask::Manifest => manifests::tell(shared, from),
         Ask::Targets(has) => {
             Reply::Targets(shared.target_table.borrow().copy_for(clock::now(), has))
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -228,9 +228,9 @@
         self.host_of_run(run).is_some()
     }
 
-    /// Returns the run of a host's process, if it is heard.
-    pub(crate) fn run_of(&self, host: HostId) -> Option<u64> {
-        self.heard.borrow().get(&host).map(|heard| heard.run)
+    /// Returns whether the store answers another host, by its last news.
+    pub(crate) fn store_answers(&self, host: HostId) -> bool {
+        self.heard.borrow().get(&host).is_some_and(|heard| heard.store_answers)
     }
 
     /// Returns the id of this host.
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -18,7 +18,7 @@
 use camphorwalk_policy::entry::routes::RouteTable;
 use camphorwalk_policy::entry::shares::{self, KNOWS_ALL_AFTER, Memory};
 use camphorwalk_policy::entry::target_table::TargetTable;
-use camphorwalk_policy::entry::turns::{TurnCache, TurnKey};
+use camphorwalk_policy::entry::turns::TurnCache;
 use camphorwalk_store::{Client, ClientOptions, RetryOptions, ShareOptions};
 use rand::RngCore as _;
 use tokio::sync::Mutex;
@@ -34,7 +34,7 @@
 use crate::places::Places;
 use crate::store::Store;
 use crate::stories::Stories;
-use crate::{callers, clock, fleet, held, news, probes, registry, retention, store, watch};
+use crate::{callers, clock, fleet, news, probes, registry, retention, store, watch};
 
 /// The longest that one try of a call to the store may take. Its answers come within some
 /// milliseconds, and within a third of a second when it is slow.
@@ -113,8 +113,6 @@
     /// The hosts that had the last turn of a line, by the id of the line's prompt part.
     pub(crate) line_hosts: RefCell<Recent<u64, HostId>>,
     pub(crate) written: RefCell<retention::Written>,
-    /// Turns that the store does not have yet.
-    pub(crate) held: RefCell<Map<TurnKey, held::Held>>,
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) fleet: Fleet,
     pub(crate) metrics: Metrics,
@@ -168,6 +166,11 @@
         self.routes.borrow().as_ref().map_or(0, |table| table.routing().version)
     }
 
+    /// Returns whether the store answers this host or one that it hears.
+    pub(crate) fn reaches_store(&self) -> bool {
+        self.store.answers() || self.fleet.store_peer().is_some()
+    }
+
     fn surroundings(&self) -> Surroundings {
         Surroundings {
             store_in_reach: self.store.answers_whole() || self.fleet.store_peer().is_some(),
@@ -339,7 +342,6 @@
             turns: RefCell::new(TurnCache::new(turn_bytes)),
             line_hosts: RefCell::new(Recent::new(LINES_REMEMBERED)),
             written: RefCell::default(),
-            held: RefCell::default(),
             crashes: RefCell::default(),
             fleet: Fleet::new(&settings.name, &settings.zone),
             metrics,
--- a/crates/entry/src/keeping.rs
+++ b/crates/entry/src/keeping.rs
@@ -1,7 +1,5 @@
-//! Keeping turns: each is written to the store before the end of its answer is passed on, or held
-//! by other hosts until the store takes it.
+//! Keeping turns: the store has each before the end of its answer is passed on.
 
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use camphorwalk_core::platform::{
@@ -10,15 +8,13 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::keeping::{Keeping, Next};
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
-use tokio::sync::Notify;
-use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use tracing::info;
 
 use crate::call::Call;
 use crate::host::Shared;
 use crate::turns::{Continuation, row_key};
-use crate::{clock, held, retention, store};
+use crate::{clock, retention, store};
 
 /// Why a turn is not in the store.
 #[derive(Clone, Copy, Debug)]
@@ -45,16 +41,11 @@
     /// Its row.
     value: Rc<str>,
     at: Instant,
-    /// The write that is under way.
-    writing: RefCell<Option<AbortHandle>>,
-    /// Whether other hosts were asked to hold it.
-    asked_peers: Rc<Cell<bool>>,
-    /// Notified when a write fails.
-    failed: Notify,
 }
 
 /// Keeps a turn whose stream has ended, if its route keeps turns. Until then its end may not be
-/// passed on: the caller could continue it at another host, or after all hosts lost power.
+/// passed on: the caller could continue it at another host, or after all hosts lost power. So only
+/// the store counts, however many hosts have the turn in memory.
 ///
 /// # Errors
 ///
@@ -78,11 +69,8 @@
         turn: Rc::new(turn),
         value: value.into(),
         at: clock::now(),
-        writing: RefCell::default(),
-        asked_peers: Rc::default(),
-        failed: Notify::new(),
     };
-    timeout(clock::until(call.deadline), ended.keep()).await.unwrap_or(Err("the time is over"))?;
+    timeout(clock::until(call.deadline), ended.store()).await.unwrap_or(Err("the time is over"))?;
 
     let shared = &call.shared;
     shared.metrics.keep_wait.observe(clock::now().since(ended.at).as_secs_f64());
@@ -92,38 +80,23 @@
 }
 
 impl EndedTurn<'_> {
-    /// Keeps the turn: in the store, or at other hosts if the store does not take it soon.
-    async fn keep(&self) -> std::result::Result<(), &'static str> {
-        tokio::select! {
-            biased;
-            stored = self.store() => stored,
-            () = self.hold() => {
-                self.held();
-                Ok(())
-            }
-        }
-    }
-
     /// Writes the turn until the store has it, or no further write is worth while.
     async fn store(&self) -> std::result::Result<(), &'static str> {
         let mut keeping = Keeping::default();
 
         loop {
-            // The write goes on when the caller leaves or the turn is held elsewhere meanwhile.
+            // The write goes on when the caller leaves, so that the row is deleted in time.
             let writing = tokio::task::spawn_local(write_and_note(
                 Rc::clone(&self.call.shared),
                 self.key,
                 Rc::clone(&self.value),
-                Rc::clone(&self.asked_peers),
             ));
-            *self.writing.borrow_mut() = Some(writing.abort_handle());
             let written =
                 writing.await.unwrap_or(Err(NotStored::transient("the write ended early")));
             let Err(failure) = written else { return Ok(()) };
 
-            self.failed.notify_one();
             match self.next(&mut keeping, failure) {
-                Next::Retry(pause) => sleep(pause).await,
+                Next::Retry(pause) => self.call.shared.store.wait_for_return(pause).await,
                 Next::BreakOff => return Err(failure.reason),
             }
         }
@@ -149,57 +122,12 @@
 
         next
     }
-
-    /// Returns when enough other hosts hold the turn. They are asked if the store does not answer soon.
-    async fn hold(&self) {
-        let shared = &self.call.shared;
-        if timeout(store::HEDGE_AFTER, self.failed.notified()).await.is_err() {
-            shared.store.note_slow(clock::now());
-        }
-        self.asked_peers.set(true);
-
-        held::hold_at_peers(shared, self.key, &self.turn).await;
-    }
-
-    /// Takes in that other hosts hold the turn.
-    fn held(&self) {
-        let shared = &self.call.shared;
-        let waited = clock::now().since(self.at);
-        let writing = self.writing.take();
-        let is_writing = writing.as_ref().is_some_and(|writing| !writing.is_finished());
-        info!(
-            request = %self.call.head.request_id, turn = %self.key.row(), ?waited, is_writing,
-            store_answers = shared.store.answers_whole(), "turn: held by other hosts"
-        );
-
-        held::keep_own(shared, self.key, Rc::clone(&self.turn), writing);
-        // It may have been written while they were asked.
-        if shared.written.borrow().holds(self.key) {
-            held::release(shared, self.key);
-        }
-    }
 }
 
 /// Writes the row of a turn, and takes note that the store has it.
-async fn write_and_note(
-    shared: Rc<Shared>,
-    key: TurnKey,
-    value: Rc<str>,
-    asked_peers: Rc<Cell<bool>>,
-) -> Result<()> {
-    let began = clock::now();
-    let written = write(&shared, key, &value).await;
-
-    let is_held = shared.held.borrow().contains_key(&key);
-    if is_held {
-        let took = clock::now().since(began);
-        info!(turn = %key.row(), ?took, ?written, "turn: its write ended after others held it");
-    }
-    written?;
+async fn write_and_note(shared: Rc<Shared>, key: TurnKey, value: Rc<str>) -> Result<()> {
+    write(&shared, key, &value).await?;
     retention::written(&shared, key);
-    if asked_peers.get() && !is_held {
-        held::tell_stored(&shared, key);
-    }
 
     Ok(())
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,7 +20,6 @@
 mod fleet;
 mod forward;
 mod grants;
-mod held;
 mod host;
 mod keeping;
 mod manifests;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -43,8 +43,6 @@
     pub(crate) manifest_copies: IntCounterVec,
     /// Whether the host takes itself for cut off.
     pub(crate) isolated: IntGauge,
-    /// Turns held that the store does not have.
-    pub(crate) held_turns: IntGauge,
     /// Writes of turns that failed, by reason.
     pub(crate) keep_failures: IntCounterVec,
     /// How long turns that had ended waited until they were kept.
@@ -123,10 +121,6 @@
                 "camphorwalk_isolated",
                 "1 while the host is cut off from the store and other zones.",
             )?,
-            held_turns: gauge(
-                "camphorwalk_held_turns",
-                "Turns held here that the store does not have.",
-            )?,
             keep_failures: by(
                 "camphorwalk_keep_failures_total",
                 "Writes of turns that failed, by reason.",
--- a/crates/entry/src/news.rs
+++ b/crates/entry/src/news.rs
@@ -203,6 +203,7 @@
         remembers: news.remembers,
         knows_of_loose: news.knows_of_loose,
     };
+    let has_returned = news.store_answers && !shared.fleet.store_answers(from);
     if shared.fleet.heard(from, heard) {
         shared.told_all.forget(from);
         info!(host = from.0, "fleet: host heard");
@@ -211,6 +212,9 @@
     if news.store_away {
         shared.store.away_somewhere(now);
     }
+    if has_returned {
+        shared.store.returned_elsewhere();
+    }
 
     if news.grants_loose {
         shared.loose_at.set(Some(now));
--- a/crates/entry/src/retention.rs
+++ b/crates/entry/src/retention.rs
@@ -11,7 +11,7 @@
 
 use crate::host::Shared;
 use crate::turns::row_key;
-use crate::{budget, clock, held, store};
+use crate::{budget, clock, store};
 
 /// How much longer than its retention a turn's row stays, so that a turn that was read just
 /// before is still there when it is used.
@@ -32,19 +32,8 @@
     rows: VecDeque<(Instant, TurnKey)>,
 }
 
-impl Written {
-    /// Returns whether a row was written lately.
-    pub(crate) fn holds(&self, key: TurnKey) -> bool {
-        /// More than a host writes while it asks others to hold a turn.
-        const LATELY: usize = 200;
-
-        self.rows.iter().rev().take(LATELY).any(|(_, written)| *written == key)
-    }
-}
-
 /// Takes in that the store has a turn.
 pub(crate) fn written(shared: &Shared, key: TurnKey) {
-    held::release(shared, key);
     shared.written.borrow_mut().rows.push_back((clock::now(), key));
 }
 
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -14,9 +14,8 @@
 use tracing::{info, warn};
 
 use crate::asks::{self, Ask, Reply};
-use crate::clock;
 use crate::host::Shared;
-use crate::{grants, held};
+use crate::{clock, grants};
 
 /// How long a reply through another host may take: that host's own tries, and the way.
 const RELAY_DEADLINE: Duration = Duration::from_millis(600);
@@ -44,8 +43,8 @@
     away_at: Cell<Option<Instant>>,
     /// When it was last slow for this host.
     slow_at: Cell<Option<Instant>>,
-    /// Told when a part is back.
-    write_back: Notify,
+    /// Told when a part is back, or answers another host again.
+    returned: Notify,
 }
 
 impl Store {
@@ -56,7 +55,7 @@
             health: RefCell::default(),
             away_at: Cell::new(None),
             slow_at: Cell::new(None),
-            write_back: Notify::new(),
+            returned: Notify::new(),
         }
     }
 
@@ -92,10 +91,24 @@
         self.away_at.set(Some(now));
     }
 
-    /// Waits until what is held is to be written: a part is back, or the period is over.
-    async fn write_back_due(&self) {
-        // When nobody calls for a round, the period does.
-        let _ = timeout(WRITE_BACK_PERIOD, self.write_back.notified()).await;
+    /// Waits until a part of the store is back, for this host or for one that it hears, for
+    /// `longest` at most.
+    pub(crate) async fn wait_for_return(&self, longest: Duration) {
+        // That the time is over is as good a reason to look again.
+        let _ = timeout(longest, self.returned.notified()).await;
+    }
+
+    /// Takes in that the store answers another host again.
+    pub(crate) fn returned_elsewhere(&self) {
+        if !self.answers() {
+            self.returned.notify_waiters();
+        }
+    }
+
+    /// Returns for how long the store has not answered this host, if it does not; `None` also if
+    /// it never has.
+    pub(crate) fn silent_for(&self) -> Option<Duration> {
+        self.health.borrow().silent_for(clock::now())
     }
 
     /// Returns whether the store has ever answered this process.
@@ -183,36 +196,24 @@
         Some(Change::Lost) => warn!(part = %part, "store: does not answer"),
         Some(Change::Regained) => {
             info!(part = %part, "store: answers again");
-            shared.store.write_back.notify_waiters();
+            shared.store.returned.notify_waiters();
         }
         None => {}
     }
     reply
 }
 
-/// Starts to write what was granted and held without the store: at once when a part is back, and
-/// now and then, since other hosts may hold what their owners could not write.
-///
-/// Each has a loop of its own. Grants are a row each, and a round of them may take seconds when the
-/// store is slow; held turns, which are a few transactions, would be lost with it.
+/// Starts to write what was granted without the store: at once when a part is back, and now and then,
+/// since other hosts may know of grants that their owners could not write.
 pub(crate) fn start_write_back(shared: &Rc<Shared>) {
-    let (turns, grants) = (Rc::clone(shared), Rc::clone(shared));
+    let shared = Rc::clone(shared);
 
     tokio::task::spawn_local(async move {
         let mut pace = WriteBack::default();
         loop {
-            let round = held::write_held(&turns, pace.allowed()).await;
-            if pace.ended(round) == Next::Later {
-                turns.store.write_back_due().await;
-            }
-        }
-    });
-    tokio::task::spawn_local(async move {
-        let mut pace = WriteBack::default();
-        loop {
-            let round = grants::write_loose(&grants, pace.allowed()).await;
+            let round = grants::write_loose(&shared, pace.allowed()).await;
             if pace.ended(round) == Next::Later {
-                grants.store.write_back_due().await;
+                shared.store.wait_for_return(WRITE_BACK_PERIOD).await;
             }
         }
     });
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowKey};
+use camphorwalk_policy::entry::keeping::{self, Begin, Outage};
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
 use futures::StreamExt as _;
 use futures::future::try_join_all;
@@ -16,7 +17,7 @@
 use crate::asks::{self, Ask, Reply};
 use crate::call::Call;
 use crate::host::Shared;
-use crate::store;
+use crate::{clock, store};
 
 /// The table of turns.
 const TABLE: &str = "turns";
@@ -55,19 +56,33 @@
     }
 }
 
-/// Refuses a turn that is to be kept at a host that is cut off.
+/// Refuses a turn that is to be kept and most likely cannot be within its caller's time.
 ///
-/// Its answer would promise that it can be continued, and if all machines lost power before the
-/// cut heals it could not. Other zones can keep it, and the balancer moves callers there.
+/// Its answer promises that it can be continued, for which the store must have it. Other zones can keep
+/// what a host that is cut off cannot, and the balancer moves callers there. While the store is away for
+/// all, a target would run the turn for a caller that leaves before its end.
 pub(crate) fn may_be_kept(call: &Call) -> Result<(), Refusal> {
-    if call.route().keeps.is_none() || !call.shared.is_isolated() {
+    let shared = &call.shared;
+    if call.route().keeps.is_none() {
+        return Ok(());
+    }
+    if shared.is_isolated() {
+        let reason = "turns cannot be kept here while the zone is cut off";
+        return Err(Refusal::later_spread(reason, shared.come_back(UNSURE_RETRY)));
+    }
+    if shared.reaches_store() {
         return Ok(());
     }
 
-    Err(Refusal::later_spread(
-        "turns cannot be kept here while the zone is cut off",
-        call.shared.come_back(UNSURE_RETRY),
-    ))
+    let outage =
+        Outage { silent_for: shared.store.silent_for(), left: clock::until(call.deadline) };
+    match keeping::begin(outage) {
+        Begin::Now => Ok(()),
+        Begin::Later(after) => {
+            info!(request = %call.head.request_id, ?outage, ?after, "turn: not begun");
+            Err(Refusal::later_spread("turns cannot be kept while the store is away", after))
+        }
+    }
 }
 
 /// Finds the turns that a call continues from.
--- a/crates/policy/src/entry/keeping.rs
+++ b/crates/policy/src/entry/keeping.rs
@@ -61,36 +61,52 @@
     }
 }
 
-/// Returns how many other hosts must hold a turn that the store does not have before its end is
-/// passed on, of so many `known` hosts that could. A single one may be cut off together with the
-/// host that the turn ran at.
-///
-/// ```
-/// use camphorwalk_policy::entry::keeping::least_copies;
-/// assert_eq!(least_copies(6), 2);
-/// assert_eq!(least_copies(1), 1);
-/// ```
-pub fn least_copies(known: usize) -> usize {
-    const LEAST_COPIES: usize = 2;
+/// The longest gap in a stream that callers bear, the one before its end included.
+pub const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// When a caller is told to come back while the store is away.
+const AWAY_RETRY: Duration = Duration::from_secs(1);
+
+/// The part of the time that a caller has left which it waits at most before it comes back.
+const RETRY_PART: u32 = 3;
 
-    known.clamp(1, LEAST_COPIES)
+/// An outage of the store, as a call that is to be kept meets it.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    /// For how long the store has not answered the host; `None` if it never has.
+    pub silent_for: Option<Duration>,
+    /// How much longer the caller waits.
+    pub left: Duration,
 }
 
-/// Returns how many of so many other hosts are asked to hold a turn that the store does not take.
+/// What to do with a turn that is to be kept, and was not sent yet, while the store is away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Begin {
+    /// Send it: the store may be back when it ends.
+    Now,
+    /// Refuse it, and tell its caller to come back after this time.
+    Later(Duration),
+}
+
+/// Decides whether a turn that is to be kept begins while the store is away.
 ///
-/// All of a small fleet are, so that whichever of them outlives an outage writes it. In a large one few
-/// do: each holder writes the turn after a while, and ten times as many writes as there are turns keep
-/// the store above its rate long after an outage.
+/// An outage of which nothing else is known lasts about as long again as it has lasted. Its end is worth
+/// waiting for while that is less than a caller waits for the end of a stream. Later the target would
+/// run the turn for a caller that leaves, who is better told at once when to come back.
 ///
 /// ```
-/// use camphorwalk_policy::entry::keeping::most_copies;
-/// assert_eq!(most_copies(8), 8);
-/// assert_eq!(most_copies(60), 5);
+/// use std::time::Duration;
+/// use camphorwalk_policy::entry::keeping::{Begin, Outage, begin};
+/// let left = Duration::from_millis(2_400);
+/// let after = |silent_for| begin(Outage { silent_for, left });
+/// assert_eq!(after(Some(Duration::from_millis(300))), Begin::Now);
+/// assert_eq!(after(Some(Duration::from_secs(3))), Begin::Later(Duration::from_millis(800)));
+/// // A process that the store has never answered knows nothing of the outage.
+/// assert_eq!(after(None), Begin::Later(Duration::from_millis(800)));
 /// ```
-pub fn most_copies(others: usize) -> usize {
-    /// The most other hosts of a small fleet.
-    const SMALL_FLEET: usize = 10;
-    const COPIES_IN_LARGE_FLEET: usize = 5;
-
-    if others <= SMALL_FLEET { others } else { COPIES_IN_LARGE_FLEET }
+pub fn begin(outage: Outage) -> Begin {
+    match outage.silent_for {
+        Some(time) if time < CALLER_PATIENCE => Begin::Now,
+        _ => Begin::Later(AWAY_RETRY.min(outage.left / RETRY_PART)),
+    }
 }
--- a/crates/policy/src/entry/outage.rs
+++ b/crates/policy/src/entry/outage.rs
@@ -54,6 +54,25 @@
         self.parts.get(OWN_TABLES).is_some_and(|part| part.away.is_none())
     }
 
+    /// Returns for how long the store as a whole has not answered this host, if it does not; `None`
+    /// also if it never has.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphorwalk_core::time::Instant;
+    /// use camphorwalk_policy::entry::outage::StoreHealth;
+    /// let mut health = StoreHealth::default();
+    /// health.answered(Instant::from_millis(100), "");
+    /// assert_eq!(health.silent_for(Instant::from_millis(900)), None);
+    /// health.failed(Instant::from_millis(500), "");
+    /// assert_eq!(health.silent_for(Instant::from_millis(900)), Some(Duration::from_millis(800)));
+    /// ```
+    pub fn silent_for(&self, now: Instant) -> Option<Duration> {
+        let own = self.parts.get(OWN_TABLES).filter(|part| part.away.is_some())?;
+
+        own.last_answer.map(|at| now.since(at))
+    }
+
     /// Returns whether the store has ever answered this process.
     pub fn has_answered(&self) -> bool {
         self.parts.values().any(|part| part.last_answer.is_some())
