A grant that comes late is the asker's when it asks again

Cause: a host that asks another one for tokens gives up after 450 ms; the row with its grant was written in 452 to 507 ms. Its next claim counted what the row grants it a second time (286 + 286 of 500), and a host that is asked for tokens that the row says it holds gave none, as it had never heard of the row. Of 23 programs traced, 22 failed by the second and one by the first; all runs named in the rows were alive.

Now a claim is a total, as passing tokens on is: asking again is answered with the same grant. The question for tokens brings the row along, and a row of which the store has all assures its run of what it grants. The fuzz's hosts do the same.

--- a/crates/entry/src/asks.rs
+++ b/crates/entry/src/asks.rs
@@ -38,8 +38,9 @@
     StoredRow(ProgramKey),
     /// To give back what the other host holds of a program's tokens and does not need.
     Yield(ProgramKey),
-    /// For tokens of a program that the other host does not need, until the run has so many from it.
-    Give(ProgramKey, RunId, u64),
+    /// For tokens of a program that the other host does not need, until the run has so many from it. The
+    /// row tells that host of grants to it that it did not hear of.
+    Give(ProgramKey, KnownRow, RunId, u64),
     /// For a turn.
     Find(TurnKey),
     /// For a turn and those before it in its line, as far as they are at hand.
@@ -175,7 +176,7 @@
         Ask::KnownRow(program) => budget::known_row(shared, program),
         Ask::StoredRow(program) => Reply::StoredRow(shared.budgets.borrow().stored(program)),
         Ask::Yield(program) => budget::yield_rest(shared, program),
-        Ask::Give(program, to, total) => budget::give(shared, program, to, total),
+        Ask::Give(program, known, to, total) => budget::give(shared, program, &known, to, total),
         Ask::Manifest => manifests::tell(shared, from),
         Ask::Targets(has) => {
             Reply::Targets(shared.target_table.borrow().copy_for(clock::now(), has))
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -7,7 +7,7 @@
     Check, PlatformOp, PlatformReply, Row, RowKey, RowVersion, Transaction, Write,
 };
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey, Reservation, RunId};
+use camphorwalk_policy::entry::budgets::{BudgetRow, KnownRow, ProgramKey, Reservation, RunId};
 use camphorwalk_policy::entry::shares::{Doubt, Limit};
 use camphorwalk_policy::entry::turns::PARTS;
 use futures::future::join_all;
@@ -215,7 +215,8 @@
             continue;
         };
         let total = shared.budgets.borrow().received(program, run) + missing;
-        let ask = Ask::Give(program, shared.run, total);
+        let Some(known) = shared.budgets.borrow().known(program) else { return };
+        let ask = Ask::Give(program, known, shared.run, total);
         if let Some(Reply::Given(total, to)) = asks::ask(shared, host, &ask, TELL_DEADLINE).await {
             shared.budgets.borrow_mut().receive(program, run, total);
             runs.extend(to);
@@ -224,8 +225,15 @@
 }
 
 /// Gives another host tokens of a program that this one does not need.
-pub(crate) fn give(shared: &Shared, program: ProgramKey, to: RunId, total: u64) -> Reply {
+pub(crate) fn give(
+    shared: &Shared,
+    program: ProgramKey,
+    known: &KnownRow,
+    to: RunId,
+    total: u64,
+) -> Reply {
     let mut budgets = shared.budgets.borrow_mut();
+    budgets.note_known(clock::now(), program, known);
 
     Reply::Given(budgets.give(program, to, total), budgets.given_to(program))
 }
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -199,7 +199,7 @@
         most: u64,
         known: &BudgetRow,
     ) -> Option<(BudgetRow, RowVersion)> {
-        let claim = Claim { run, missing: most, most };
+        let claim = self.further(program, run, most, known);
 
         match self.propose_within(now, program, claim, known, Limit::Whole) {
             Proposal::Write(row, version) => Some((row, version)),
@@ -223,7 +223,8 @@
         account.merge(known);
 
         let mut row = account.row.clone();
-        *row.granted.entry(claim.run).or_default() += claim.missing;
+        let granted = row.granted.entry(claim.run).or_default();
+        *granted = claim.total().max(*granted);
         match limit {
             _ if row.held() > row.budget => Proposal::Spent,
             Limit::Share(doubt) if row.held() > limit.tokens(row.budget, claim.most) => {
@@ -247,7 +248,9 @@
         most: u64,
         known: &BudgetRow,
     ) -> Option<BudgetRow> {
-        self.grant_claim(now, program, Claim { run, missing: most, most }, known)
+        let claim = self.further(program, run, most, known);
+
+        self.grant_claim(now, program, claim, known)
     }
 
     /// Grants what a host lacks of a turn's tokens, as `grant_loose`.
@@ -258,10 +261,11 @@
         claim: Claim,
         known: &BudgetRow,
     ) -> Option<BudgetRow> {
-        let Claim { run, missing, most } = claim;
-        let (row, _) = self.propose(now, program, run, missing, known)?;
+        let proposal = self.propose_within(now, program, claim, known, Limit::Whole);
+        let Proposal::Write(row, _) = proposal else { return None };
         let account = self.accounts.get_mut(&program)?;
-        if account.granted_loose() + missing > share_without_store(row.budget, most) {
+        let loose = row.granted().saturating_sub(account.stored);
+        if loose > share_without_store(row.budget, claim.most) {
             return None;
         }
 
@@ -310,6 +314,10 @@
         self.note(now, program, &known.row);
         if let Some(account) = self.accounts.get_mut(&program) {
             account.stored = account.stored.max(known.stored);
+            // A grant that the store has may be spent, also if it came after its host gave up.
+            if account.granted_loose() == 0 {
+                account.assured = account.assured.max(account.granted_to(self.run));
+            }
         }
     }
 
@@ -336,7 +344,20 @@
         let lacks =
             |a: &Account| (a.spent + a.reserved + most).saturating_sub(a.may_spend(self.run));
 
-        Claim { run: self.run, missing: account.map_or(most, lacks), most }
+        Claim {
+            run: self.run,
+            assured: account.map_or(0, |account| account.assured),
+            missing: account.map_or(most, lacks),
+            most,
+        }
+    }
+
+    /// Returns the claim of a run to so many tokens more than it is known to be granted.
+    fn further(&self, program: ProgramKey, run: RunId, most: u64, known: &BudgetRow) -> Claim {
+        let granted = |row: &BudgetRow| row.granted.get(&run).copied().unwrap_or(0);
+        let here = self.row(program).map_or(0, granted);
+
+        Claim { run, assured: here.max(granted(known)), missing: most, most }
     }
 
     /// Gives tokens that this host does not need to the run `to` of another one, until that has
--- a/crates/policy/src/entry/budgets/account.rs
+++ b/crates/policy/src/entry/budgets/account.rs
@@ -81,9 +81,14 @@
         self.has(run).saturating_sub(excess).saturating_sub(self.unassured(run))
     }
 
+    /// Returns what a run was granted in all.
+    pub(super) fn granted_to(&self, run: RunId) -> u64 {
+        self.row.granted.get(&run).copied().unwrap_or(0)
+    }
+
     /// Returns what a run was granted and may not spend yet.
     pub(super) fn unassured(&self, run: RunId) -> u64 {
-        self.row.granted.get(&run).copied().unwrap_or(0).saturating_sub(self.assured)
+        self.granted_to(run).saturating_sub(self.assured)
     }
 
     /// Returns how many tokens were granted without the store and may not be in it.
--- a/crates/policy/src/entry/budgets/row.rs
+++ b/crates/policy/src/entry/budgets/row.rs
@@ -44,16 +44,28 @@
 }
 
 /// What a host asks for: the tokens of a turn that it does not have yet.
+///
+/// It is a total, so that a host which gave up waiting may ask again: what was granted to it meanwhile,
+/// and it never heard of, is not granted a second time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
     /// The run of the host.
     pub run: RunId,
+    /// What it was granted in all, as far as it knows that it may spend it.
+    pub assured: u64,
     /// The tokens that it lacks.
     pub missing: u64,
     /// The most tokens of the turn.
     pub most: u64,
 }
 
+impl Claim {
+    /// Returns how many tokens the run is to be granted in all.
+    pub(super) fn total(&self) -> u64 {
+        self.assured + self.missing
+    }
+}
+
 /// A program's row as a host knows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownRow {
--- a/crates/policy/tests/entry_fuzz/asks.rs
+++ b/crates/policy/tests/entry_fuzz/asks.rs
@@ -38,7 +38,7 @@
     KnownRow(ProgramKey),
     StoredRow(ProgramKey),
     Yield(ProgramKey),
-    Give(ProgramKey, RunId, u64),
+    Give(ProgramKey, KnownRow, RunId, u64),
 }
 
 #[derive(Clone, Debug)]
@@ -153,8 +153,9 @@
             budgets.borrow().known(program).map_or(Reply::Refused, Reply::Known)
         }
         Ask::StoredRow(program) => Reply::StoredRow(budgets.borrow().stored(program)),
-        Ask::Give(program, to, total) => {
+        Ask::Give(program, known, to, total) => {
             let mut budgets = budgets.borrow_mut();
+            budgets.note_known(shared.now(), program, &known);
             Reply::Given(budgets.give(program, to, total), budgets.given_to(program))
         }
         Ask::Yield(program) => {
--- a/crates/policy/tests/entry_fuzz/budget.rs
+++ b/crates/policy/tests/entry_fuzz/budget.rs
@@ -130,7 +130,8 @@
         }
         let Some(host) = shared.host_of_run(run).filter(|_| asked.insert(run)) else { continue };
         let total = budgets.borrow().received(program, run) + missing;
-        let ask = Ask::Give(program, shared.host.run, total);
+        let Some(known) = budgets.borrow().known(program) else { return };
+        let ask = Ask::Give(program, known, shared.host.run, total);
         if let Some(Reply::Given(total, to)) = asks::ask(shared, host, ask, TELL_DEADLINE).await {
             budgets.borrow_mut().receive(program, run, total);
             runs.extend(to);
