Hosts that know nothing of before grant no tokens without the store

Cause: the store grants the whole of a budget while a majority remembers that nothing is granted without it. The two outages of what_was_lost_with_all_hosts... are the same: what the first one's hosts granted nobody knows in the second.

Now only a host that remembers grants without the store: its process is old enough, was the first of its deployment, or was told by a majority that remembers. Of the hosts that are heard the first such one is asked, so that hosts that are restarted in turn do not stop the grants. A caller that cannot be granted tokens while the store is away is told to come back after a second, not 0.3 s: its tries then last for an outage of four seconds.

--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -8,6 +8,7 @@
 };
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{BudgetRow, KnownRow, ProgramKey, Reservation, RunId};
+use camphorwalk_policy::entry::keeping;
 use camphorwalk_policy::entry::shares::{Doubt, Limit};
 use camphorwalk_policy::entry::turns::PARTS;
 use futures::future::join_all;
@@ -368,5 +369,10 @@
 }
 
 pub(crate) fn unsure(shared: &Shared) -> Refusal {
-    Refusal::later("the program's budget cannot be told", shared.come_back(UNSURE_RETRY))
+    let reason = "the program's budget cannot be told";
+
+    match shared.reaches_store() {
+        true => Refusal::later(reason, shared.come_back(UNSURE_RETRY)),
+        false => Refusal::later_spread(reason, shared.come_back(keeping::AWAY_RETRY)),
+    }
 }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -228,6 +228,12 @@
         self.host_of_run(run).is_some()
     }
 
+    /// Returns whether another host knows of all that was granted to programs without the store, by
+    /// its last news.
+    pub(crate) fn remembers(&self, host: HostId) -> bool {
+        self.heard.borrow().get(&host).is_some_and(|heard| heard.remembers)
+    }
+
     /// Returns whether the store answers another host, by its last news.
     pub(crate) fn store_answers(&self, host: HostId) -> bool {
         self.heard.borrow().get(&host).is_some_and(|heard| heard.store_answers)
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -47,9 +47,18 @@
 const WRITES_AT_ONCE: usize = 8;
 
 /// Returns the hosts that are heard, in the order in which they grant a program's tokens while
-/// the store is away.
+/// the store is away. Those that may not, since they began too late to know, come last.
 fn grant_order(shared: &Shared, program: ProgramKey) -> Vec<HostId> {
-    shared.fleet.order(program.0)
+    let own = shared.fleet.own();
+    let remembers = |host: &HostId| match *host == own {
+        true => shared.remembers(),
+        false => shared.fleet.remembers(*host),
+    };
+    let (mut order, late): (Vec<_>, Vec<_>) =
+        shared.fleet.order(program.0).into_iter().partition(remembers);
+    order.extend(late);
+
+    order
 }
 
 /// Tells the hosts that would grant in the store's place how a program's row stands in it. They
@@ -215,13 +224,18 @@
 /// Only a host that hears a majority does, so that of two groups that are cut from each other at
 /// most one grants. Hosts that are cut off with their zone grant nothing even if they are the
 /// majority: their grants would be forgotten if all machines lost power. A process that the store
-/// never answered knows nothing of before.
+/// never answered knows nothing of before, and one whose fleet was lost with its memory does not
+/// know what was granted to programs that return: by the store, perhaps all, or in its place.
 async fn grant_without_store(shared: &Rc<Shared>, ask: &GrantAsk) -> Option<Reply> {
     let GrantAsk { program, claim, known, .. } = ask;
     let is_entitled = shared.fleet.is_majority() && !shared.is_isolated();
     if !shared.store.has_answered() || !is_entitled {
         return None;
     }
+    if !shared.remembers() {
+        info!(program = %program.0, "budget: what was granted before all hosts started is not known");
+        return None;
+    }
 
     learn_from(shared, *program, WITNESSES).await;
     if !shared.budgets.borrow().knows(*program) {
--- a/crates/policy/src/entry/keeping.rs
+++ b/crates/policy/src/entry/keeping.rs
@@ -65,7 +65,7 @@
 pub const CALLER_PATIENCE: Duration = Duration::from_secs(2);
 
 /// When a caller is told to come back while the store is away.
-const AWAY_RETRY: Duration = Duration::from_secs(1);
+pub const AWAY_RETRY: Duration = Duration::from_secs(1);
 
 /// The part of the time that a caller has left which it waits at most before it comes back.
 const RETRY_PART: u32 = 3;
--- a/crates/policy/tests/entry_fuzz/faults.rs
+++ b/crates/policy/tests/entry_fuzz/faults.rs
@@ -157,3 +157,22 @@
     let program = fleet.world.program(FIVE_TURNS);
     assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
 }
+
+#[test]
+fn what_the_store_granted_is_not_granted_again_by_hosts_that_have_just_started() {
+    // Guards against a share that is granted in an outage on top of the whole that the store granted.
+    let mut fleet = Fleet::new(SEED);
+    turns(&mut fleet, 0, FIVE_TURNS, 5);
+    fleet.kill_all();
+    fleet.run(Duration::from_secs(1));
+    fleet.store(None, Mode::Away);
+    fleet.run(Duration::from_secs(2));
+
+    for _ in 0..2 {
+        fleet.first_turn(2, FIVE_TURNS, MOST, Duration::from_millis(1));
+        fleet.run(Duration::from_millis(1_200));
+    }
+
+    let program = fleet.world.program(FIVE_TURNS);
+    assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
+}
--- a/crates/policy/tests/entry_fuzz/grants.rs
+++ b/crates/policy/tests/entry_fuzz/grants.rs
@@ -139,7 +139,7 @@
     let GrantAsk { program, claim, known, begins } = ask;
     let budgets = &shared.host.budgets;
     let is_entitled = shared.is_majority() && !shared.is_isolated();
-    if !shared.host.health.borrow().has_answered() || !is_entitled {
+    if !shared.host.health.borrow().has_answered() || !is_entitled || !shared.remembers() {
         return None;
     }
 
--- a/crates/policy/tests/entry_fuzz/host.rs
+++ b/crates/policy/tests/entry_fuzz/host.rs
@@ -144,8 +144,19 @@
     pub fn order(&self, program: ProgramKey) -> Vec<usize> {
         let heard = self.fresh().into_iter().map(|(host, _)| host).chain([self.host.name]);
         let order = rendezvous_order(program.0, heard.map(|host| host as u64));
+        let remembers = |host: &usize| match *host == self.host.name {
+            true => self.remembers(),
+            false => self.hears_that_it_remembers(*host),
+        };
+        let (mut order, late): (Vec<_>, Vec<_>) =
+            order.into_iter().map(|host| host as usize).partition(remembers);
+        order.extend(late);
+
+        order
+    }
 
-        order.into_iter().map(|host| host as usize).collect()
+    fn hears_that_it_remembers(&self, host: usize) -> bool {
+        self.fresh().iter().any(|(heard, news)| *heard == host && news.remembers)
     }
 
     pub fn next_granters(&self, program: ProgramKey) -> impl Iterator<Item = usize> {
@@ -195,7 +206,7 @@
         self.has_heard_of_trouble() && loose_at.is_none_or(|at| self.now().since(at) > ALL_TOLD)
     }
 
-    fn remembers(&self) -> bool {
+    pub fn remembers(&self) -> bool {
         let others = self.surroundings_without_itself();
 
         self.host.memory.borrow_mut().is_complete(self.now(), others)
--- a/crates/policy/tests/entry_fuzz/world.rs
+++ b/crates/policy/tests/entry_fuzz/world.rs
@@ -80,8 +80,6 @@
     pub committed: RefCell<Map<(ProgramKey, RunId), u64>>,
     /// Whether what is known of some grant without the store may be at one host only.
     weakened: Cell<bool>,
-    /// Whether grants that the store did not have were lost with all hosts.
-    forgot: Cell<bool>,
     next_run: Cell<u64>,
     next_program: Cell<u64>,
 }
@@ -195,7 +193,6 @@
             past: RefCell::default(),
             committed: RefCell::default(),
             weakened: Cell::new(false),
-            forgot: Cell::new(false),
             next_run: Cell::new(1),
             next_program: Cell::new(0),
         });
@@ -240,7 +237,6 @@
 
     /// Kills all hosts at once, whatever they hold, and starts them again.
     pub fn kill_all(&mut self) {
-        self.world.forgot.set(self.world.forgot.get() || self.world.any_loose());
         self.world.weakened.set(true);
         self.world.alive().iter().for_each(|host| self.end(host));
         (0..HOSTS).for_each(|name| self.start(name));
@@ -263,12 +259,8 @@
         }
     }
 
-    /// Lets the store answer one host or all in another way, unless grants were lost with all hosts:
-    /// a second outage would grant them again. A test in `faults` that is known to fail shows that.
+    /// Lets the store answer one host or all in another way.
     pub fn store(&mut self, host: Option<usize>, mode: Mode) {
-        if self.world.forgot.get() && mode != Mode::Up {
-            return;
-        }
         let mut modes = self.world.modes.get();
         match host {
             Some(host) => modes[host] = mode,
@@ -298,6 +290,14 @@
         host::turn(&self.world, &host, program, used, time);
     }
 
+    /// Runs a turn that continues none, as of a program that begins or begins a line again.
+    pub fn first_turn(&mut self, host: usize, place: usize, used: u64, time: Duration) {
+        let Some(host) = self.world.host(host) else { return };
+        let program = Program { last_turn: None, last_host: None, ..self.world.program(place) };
+
+        host::turn(&self.world, &host, program, used, time);
+    }
+
     /// Checks that a turn of each program gets a certain answer at each host.
     pub fn assert_all_answered(&mut self) {
         for place in 0..BUDGETS.len() {
