--- a/crates/policy/tests/entry_fuzz/faults.rs
+++ b/crates/policy/tests/entry_fuzz/faults.rs
@@ -176,3 +176,67 @@
     let program = fleet.world.program(FIVE_TURNS);
     assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
 }
+
+#[test]
+fn what_the_store_granted_is_not_granted_again_by_hosts_that_were_stopped_in_turn() {
+    // Guards against hosts that remember all grants without the store and none of the store's.
+    let mut fleet = Fleet::new(SEED);
+    turns(&mut fleet, 0, FIVE_TURNS, 5);
+    for host in 0..HOSTS {
+        fleet.kill(host);
+        fleet.run(Duration::from_secs(1));
+        fleet.start(host);
+        fleet.run(Duration::from_secs(6));
+    }
+    fleet.store(None, Mode::Away);
+    fleet.run(Duration::from_secs(2));
+
+    for _ in 0..2 {
+        fleet.first_turn(2, FIVE_TURNS, MOST, Duration::from_millis(1));
+        fleet.run(Duration::from_millis(1_200));
+    }
+
+    let program = fleet.world.program(FIVE_TURNS);
+    assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
+}
+
+#[test]
+fn a_zone_that_was_cut_off_does_not_vouch_for_grants_that_were_lost_with_all_others() {
+    // Guards against newcomers that are told of no grants by hosts which could not hear of any.
+    let mut fleet = Fleet::new(SEED);
+    turns(&mut fleet, 0, FIVE_TURNS, 1);
+    fleet.world.modes.set([Mode::Up, Mode::Up, Mode::Away, Mode::Away, Mode::Away]);
+    fleet.cut(Cut::Zone(0));
+    fleet.run(Duration::from_secs(2));
+    turns(&mut fleet, 2, FIVE_TURNS, 3);
+    fleet.kill_at_once(&[2, 3, 4]);
+    fleet.store(None, Mode::Up);
+    fleet.run(Duration::from_millis(50));
+    fleet.cut(Cut::Nothing);
+    fleet.run(Duration::from_secs(8));
+
+    turns(&mut fleet, 0, FIVE_TURNS, 6);
+
+    let program = fleet.world.program(FIVE_TURNS);
+    assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
+}
+
+#[test]
+fn what_was_lost_with_all_hosts_is_not_granted_again_to_a_program_that_runs_on() {
+    // Guards against hosts that take all programs of before for ended after a while.
+    let mut fleet = Fleet::new(SEED);
+    fleet.store(None, Mode::Away);
+    fleet.run(Duration::from_secs(2));
+    turns(&mut fleet, 2, FIVE_TURNS, 2);
+    fleet.kill_all();
+    fleet.store(None, Mode::Up);
+    for _ in 0..4 {
+        fleet.turn(0, FIVE_TURNS, 1, Duration::from_millis(1));
+        fleet.run(Duration::from_secs(25));
+    }
+
+    turns(&mut fleet, 0, FIVE_TURNS, 5);
+
+    let program = fleet.world.program(FIVE_TURNS);
+    assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
+}
--- a/crates/policy/tests/entry_fuzz/fuzz.rs
+++ b/crates/policy/tests/entry_fuzz/fuzz.rs
@@ -1,5 +1,6 @@
 //! The faults. `CAMPHORWALK_FUZZ_CASES` sets the number of cases; the seed is fixed.
 
+use std::marker::PhantomData;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -36,6 +37,11 @@
         place: usize,
         used: u64,
     },
+    /// A turn that continues none.
+    FirstTurn {
+        host: usize,
+        place: usize,
+    },
     Run {
         millis: u64,
     },
@@ -111,11 +117,36 @@
     }
 }
 
-struct BudgetsUnderFaults;
+/// The faults, with programs that have run and send turns that continue none.
+struct FaultsAndFirstTurns;
+
+impl ReferenceStateMachine for FaultsAndFirstTurns {
+    type State = u64;
+    type Transition = Fault;
+
+    fn init_state() -> BoxedStrategy<u64> {
+        Faults::init_state()
+    }
+
+    fn transitions(state: &u64) -> BoxedStrategy<Fault> {
+        let first_turn =
+            (0..HOSTS, 0..BUDGETS.len()).prop_map(|(host, place)| Fault::FirstTurn { host, place });
 
-impl StateMachineTest for BudgetsUnderFaults {
+        prop_oneof![9 => Faults::transitions(state), 1 => first_turn].boxed()
+    }
+
+    fn apply(state: u64, fault: &Fault) -> u64 {
+        Faults::apply(state, fault)
+    }
+}
+
+struct BudgetsUnder<R>(PhantomData<R>);
+
+impl<R: ReferenceStateMachine<State = u64, Transition = Fault>> StateMachineTest
+    for BudgetsUnder<R>
+{
     type SystemUnderTest = Fleet;
-    type Reference = Faults;
+    type Reference = R;
 
     fn init_test(seed: &u64) -> Fleet {
         Fleet::new(*seed)
@@ -137,6 +168,9 @@
                     fleet.turn(host, place, used, Duration::from_millis(200));
                 }
             }
+            Fault::FirstTurn { host, place } => {
+                fleet.first_turn(host, place, MOST, Duration::from_millis(1));
+            }
             Fault::Run { millis } => fleet.run(Duration::from_millis(millis)),
             Fault::Store(mode) => fleet.store(None, mode),
             Fault::StoreOf(host, mode) => fleet.store(Some(host), mode),
@@ -174,5 +208,10 @@
     #![proptest_config(config())]
 
     #[test]
-    fn no_program_spends_more_than_its_budget(sequential 1..80 => BudgetsUnderFaults);
+    fn no_program_spends_more_than_its_budget(sequential 1..80 => BudgetsUnder<Faults>);
+
+    #[test]
+    fn no_program_whose_turns_begin_anew_spends_more_than_its_budget(
+        sequential 1..80 => BudgetsUnder<FaultsAndFirstTurns>
+    );
 }
--- a/crates/policy/tests/entry_fuzz/world.rs
+++ b/crates/policy/tests/entry_fuzz/world.rs
@@ -237,9 +237,15 @@
 
     /// Kills all hosts at once, whatever they hold, and starts them again.
     pub fn kill_all(&mut self) {
+        self.kill_at_once(&Vec::from_iter(0..HOSTS));
+    }
+
+    /// Kills hosts at once, whatever they hold, and starts them again.
+    pub fn kill_at_once(&mut self, names: &[usize]) {
         self.world.weakened.set(true);
-        self.world.alive().iter().for_each(|host| self.end(host));
-        (0..HOSTS).for_each(|name| self.start(name));
+        let hosts: Vec<_> = names.iter().filter_map(|name| self.world.host(*name)).collect();
+        hosts.iter().for_each(|host| self.end(host));
+        names.iter().for_each(|name| self.start(*name));
     }
 
     fn end(&mut self, host: &Host) {
