--- a/crates/policy/tests/entry_fuzz/faults.rs
+++ b/crates/policy/tests/entry_fuzz/faults.rs
@@ -240,3 +240,19 @@
     let program = fleet.world.program(FIVE_TURNS);
     assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
 }
+
+#[test]
+fn a_zone_that_alone_reaches_the_store_does_not_take_all_others_for_gone() {
+    // Guards against a fleet that shrinks to a part which hears itself alone, while the rest grants.
+    let mut fleet = Fleet::new(SEED);
+    fleet.world.modes.set([Mode::Up, Mode::Up, Mode::Away, Mode::Away, Mode::Away]);
+    fleet.cut(Cut::Zone(0));
+    fleet.run(Duration::from_secs(2));
+    turns(&mut fleet, 2, FIVE_TURNS, 3);
+    fleet.run(Duration::from_secs(30));
+
+    turns(&mut fleet, 0, FIVE_TURNS, 5);
+
+    let program = fleet.world.program(FIVE_TURNS);
+    assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
+}
--- a/crates/policy/tests/entry_fuzz/host.rs
+++ b/crates/policy/tests/entry_fuzz/host.rs
@@ -4,9 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use camphorwalk_core::hash::{Map, rendezvous_order};
+use camphorwalk_core::hash::{Map, Set, rendezvous_order};
+use camphorwalk_core::ids::HostId;
+use camphorwalk_core::platform::RowVersion;
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
+use camphorwalk_policy::entry::host_rows::{HostRows, Presence};
 use camphorwalk_policy::entry::isolation::{self, Contact, Surroundings};
 use camphorwalk_policy::entry::outage::StoreHealth;
 use camphorwalk_policy::entry::shares::{self, KNOWS_ALL_AFTER, Limit, Memory};
@@ -27,6 +30,7 @@
 const LONG_SILENCE: Duration = Duration::from_millis(300);
 const RELAY_DEADLINE: Duration = Duration::from_millis(600);
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
+const BEAT_PERIOD: Duration = Duration::from_secs(5);
 const WRITE_BACK_PERIOD: Duration = Duration::from_millis(500);
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 const SWEEP_MARGIN: Duration = Duration::from_secs(30);
@@ -52,6 +56,10 @@
     pub health: RefCell<StoreHealth>,
     /// Whether it has read who the others are, without which it talks to none.
     joined: Cell<bool>,
+    /// The rows of the others as it read them last, and which of these are there.
+    rows: RefCell<HostRows>,
+    known: RefCell<Set<usize>>,
+    beat_at: Cell<Option<Instant>>,
     heard: RefCell<Map<usize, Heard>>,
     away_at: Cell<Option<Instant>>,
     slow_at: Cell<Option<Instant>>,
@@ -77,6 +85,9 @@
             budgets: RefCell::new(Budgets::new(run)),
             health: RefCell::default(),
             joined: Cell::new(false),
+            rows: RefCell::default(),
+            known: RefCell::new((0..HOSTS).filter(|other| *other != name).collect()),
+            beat_at: Cell::new(None),
             heard: RefCell::default(),
             away_at: Cell::new(None),
             slow_at: Cell::new(None),
@@ -117,10 +128,42 @@
         run == self.host.run || self.host_of_run(run).is_some()
     }
 
-    pub fn is_majority(&self) -> bool {
-        let known = if self.host.has_joined() { HOSTS } else { 1 };
+    /// Returns how many hosts there are, as far as this one knows.
+    fn known(&self) -> usize {
+        if self.host.has_joined() { self.host.known.borrow().len() + 1 } else { 1 }
+    }
+
+    fn fresh_known(&self) -> Vec<(usize, Heard)> {
+        let known = self.host.known.borrow();
 
-        (self.fresh().len() + 1) * 2 > known
+        self.fresh().into_iter().filter(|(host, _)| known.contains(host)).collect()
+    }
+
+    /// Writes this host's row and reads those of the others, if that is due.
+    fn beat(&self) {
+        let now = self.now();
+        let last = self.host.beat_at.get();
+        if last.is_some_and(|at| now.since(at) < BEAT_PERIOD) {
+            return;
+        }
+        self.host.beat_at.set(Some(now));
+        self.world.write_host_row(self.host.name);
+
+        let mut known = self.host.known.borrow_mut();
+        for other in (0..HOSTS).filter(|other| *other != self.host.name) {
+            let version = RowVersion(self.world.host_rows.get()[other]);
+            let is_due = last.is_some() && !self.hears(other);
+            let host = HostId(other as u64);
+            match self.host.rows.borrow_mut().read(host, version, is_due) {
+                Presence::Wrote => drop(known.insert(other)),
+                Presence::Silent => {}
+                Presence::Gone => drop(known.remove(&other)),
+            }
+        }
+    }
+
+    pub fn is_majority(&self) -> bool {
+        (self.fresh_known().len() + 1) * 2 > self.known()
     }
 
     pub fn is_isolated(&self) -> bool {
@@ -230,13 +273,13 @@
     }
 
     fn surroundings_without_itself(&self) -> shares::Surroundings {
-        let fresh = self.fresh();
+        let fresh = self.fresh_known();
         let remembering = fresh.iter().filter(|(_, heard)| heard.remembers);
         let free_of_loose = remembering.clone().filter(|(_, heard)| !heard.knows_of_loose);
 
         shares::Surroundings {
             is_all_stored: self.is_all_stored(),
-            known: if self.host.has_joined() { HOSTS } else { 1 },
+            known: self.known(),
             heard: fresh.len() + 1,
             remembering: remembering.count(),
             free_of_loose: free_of_loose.count(),
@@ -389,6 +432,7 @@
     loop {
         if let StoreReply::Row(_) = shared.probe(Op::Probe).await {
             shared.host.joined.set(true);
+            shared.beat();
         }
         shared.world.sim.sleep(PROBE_PERIOD).await;
     }
--- a/crates/policy/tests/entry_fuzz/world.rs
+++ b/crates/policy/tests/entry_fuzz/world.rs
@@ -70,6 +70,8 @@
     pub sim: Rc<Sim>,
     pub store: RefCell<Rows>,
     pub hosts: RefCell<Vec<Option<Rc<Host>>>>,
+    /// The versions of the rows in which hosts tell that they are there.
+    pub host_rows: Cell<[u64; HOSTS]>,
     pub modes: Cell<[Mode; HOSTS]>,
     pub net: Cell<Net>,
     pub cut: Cell<Cut>,
@@ -92,6 +94,13 @@
         self.hosts.borrow()[name].clone()
     }
 
+    /// Writes the row of a host anew.
+    pub fn write_host_row(&self, name: usize) {
+        let mut rows = self.host_rows.get();
+        rows[name] += 1;
+        self.host_rows.set(rows);
+    }
+
     pub fn alive(&self) -> Vec<Rc<Host>> {
         self.hosts.borrow().iter().flatten().cloned().collect()
     }
@@ -186,6 +195,7 @@
             sim: Rc::new(Sim::new(seed)),
             store: RefCell::default(),
             hosts: RefCell::new(vec![None; HOSTS]),
+            host_rows: Cell::new([0; HOSTS]),
             modes: Cell::new([Mode::Up; HOSTS]),
             net: Cell::new(Net::Good),
             cut: Cell::new(Cut::Nothing),
