--- a/crates/policy/tests/budget_late_grants.rs
+++ b/crates/policy/tests/budget_late_grants.rs
@@ -74,3 +74,22 @@
 
     assert_eq!(spend(&mut asker, again), MOST);
 }
+
+#[test]
+fn a_grant_of_which_a_host_was_only_told_is_not_passed_on_as_one_that_the_store_has() {
+    // Guards against a row with grants without the store that the next host spends as stored ones.
+    let stored =
+        BudgetRow { budget: BUDGET, granted: [(STEWARD, 1)].into(), ..BudgetRow::default() };
+    let mut loose = stored.clone();
+    loose.granted.insert(ASKER, MOST);
+    let mut between = Budgets::new(RunId(3));
+    between.learn(NOW, PROGRAM, stored, RowVersion(1));
+    between.note_known(NOW, PROGRAM, &KnownRow { row: loose, stored: 1 });
+    let mut asker = Budgets::new(ASKER);
+
+    if let Some((row, version)) = between.stored(PROGRAM) {
+        asker.learn(NOW, PROGRAM, row, version);
+    }
+
+    assert_ne!(asker.reserve(NOW, PROGRAM, BUDGET, MOST), Reservation::Reserved);
+}
--- a/crates/policy/tests/entry_fuzz/faults.rs
+++ b/crates/policy/tests/entry_fuzz/faults.rs
@@ -256,3 +256,22 @@
     let program = fleet.world.program(FIVE_TURNS);
     assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
 }
+
+#[test]
+fn a_zone_that_is_being_cut_off_has_no_more_granted_than_its_share() {
+    // Guards against the whole of a budget for as long as the news of others that now grant seem fresh.
+    let mut fleet = Fleet::new(SEED);
+    turns(&mut fleet, 2, FIVE_TURNS, 1);
+    fleet.world.modes.set([Mode::Up, Mode::Up, Mode::Away, Mode::Away, Mode::Away]);
+    fleet.cut(Cut::Zone(0));
+
+    for _ in 0..8 {
+        fleet.turn(0, FIVE_TURNS, MOST, Duration::from_millis(1));
+        fleet.turn(2, FIVE_TURNS, MOST, Duration::from_millis(1));
+        fleet.run(Duration::from_millis(80));
+    }
+    turns(&mut fleet, 2, FIVE_TURNS, 3);
+
+    let program = fleet.world.program(FIVE_TURNS);
+    assert!(program.spent <= program.budget + MOST, "{} are spent", program.spent);
+}
