A row that a host was only told of is not passed on as the store's

A host that was told of a grant without the store kept the version that it knew and gave the row with that grant for the store's. Who got it counted the grant as stored, and so as its own to spend.

--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -471,7 +471,8 @@
     /// Returns a program's row and its version as the store holds it, if this host knows that.
     pub fn stored(&self, program: ProgramKey) -> Option<(BudgetRow, RowVersion)> {
         let account = self.accounts.get(&program)?;
-        let is_stored = !account.loose && account.version != RowVersion::ABSENT;
+        let is_whole = !account.loose && account.granted_loose() == 0;
+        let is_stored = is_whole && account.version != RowVersion::ABSENT;
 
         is_stored.then(|| (account.row.clone(), account.version))
     }
