--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -193,8 +193,8 @@
         self.is_leaving() || self.is_isolated()
     }
 
-    /// Returns whether all turns of the last `retention` are certainly in the store or at a host:
-    /// not if the store was away, or if a former run of this process may have known more.
+    /// Returns whether an empty read of the store proves that there was no such turn within the last
+    /// `retention`: not if the store was away, or if a former run of this process may have known more.
     pub(crate) fn knows_all_turns(&self, retention: Duration) -> bool {
         let is_old = clock::now().since(self.began) > retention;
 
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -26,7 +26,7 @@
 const UNSURE_RETRY: Duration = Duration::from_millis(300);
 
 /// How long another host may take to find a turn: far more than the way, since a host that is
-/// late for an instant may be the only one that has it.
+/// late for an instant may be the only one that has it at hand.
 const FIND_DEADLINE: Duration = Duration::from_millis(150);
 
 /// How long another host may take to send a line: some times the usual time, and about that which
@@ -96,7 +96,7 @@
     let retention = call.route().keeps.map_or(Duration::ZERO, |keeps| keeps.retention);
     fetch_line(call, key).await;
     let last = read(shared, key).await?.ok_or_else(|| {
-        // A host that was stopped may have had a turn of the time without the store.
+        // A caller that is denied a turn gives up; only a host without any doubt does so.
         let certain = shared.knows_all_turns(retention);
         info!(request = %call.head.request_id, previous, certain, "turn: no such turn");
         match certain {
@@ -106,8 +106,7 @@
     })?;
 
     let earlier = last.line.iter().map(|key| async move {
-        // A turn's row is written after those of the turns before it, and deleted after them
-        // at the earliest when none may be continued any more.
+        // A turn's row is written after those of the turns before it.
         read(shared, *key).await?.ok_or_else(|| unsure(shared))
     });
     let mut earlier = try_join_all(earlier).await?;
@@ -161,7 +160,7 @@
                 unsure(shared)
             })?
         }
-        // It may have ended while the store was away.
+        // While the store does not answer, hosts that ran or read the turn have it.
         _ => match find(shared, key).await {
             Search::Found(turn) => turn,
             Search::Nowhere if is_absent => return Ok(None),
@@ -184,11 +183,10 @@
     Unsure,
 }
 
-/// Asks all other hosts for a turn that the store does not have.
+/// Asks all other hosts for a turn that the store did not give.
 ///
 /// Whether hosts are heard does not tell whether one of them holds the turn: for most of a second
-/// after a cut all still count as heard, and a caller whose turn is held behind it would be told
-/// that there is none. Only their answers do.
+/// after a cut all still count as heard. Only their answers do.
 async fn find(shared: &Shared, key: TurnKey) -> Search {
     let hosts = shared.fleet.known_hosts();
     let mut replies: FuturesUnordered<_> = hosts
--- a/crates/policy/src/entry/shares.rs
+++ b/crates/policy/src/entry/shares.rs
@@ -13,8 +13,8 @@
 /// The part of a budget that is kept for hosts without the store.
 const KEPT_PART: u64 = 4;
 
-/// How long a process runs before it knows of all grants that matter. Those that were made without the
-/// store before it began are written by then, or their programs do not return any more.
+/// How long a process runs before it is taken to know of all grants that matter. Those that were made
+/// without the store before it began are written by then, or their programs have mostly ended.
 pub const KNOWS_ALL_AFTER: Duration = Duration::from_secs(90);
 
 /// Returns how many tokens of a budget the store grants to turns of `most` tokens while it cannot be
