--- a/crates/policy/src/entry/isolation.rs
+++ b/crates/policy/src/entry/isolation.rs
@@ -28,7 +28,7 @@
 /// machines lose power before the cut heals, though callers were told that it is kept. Its callers
 /// are served in full by other zones, to which the balancer moves them when the host says that
 /// it is not ready. A host that hears other zones while the store is away for all is not cut off:
-/// no zone can do more, and copies in two zones bear the loss of one.
+/// no zone can do more.
 ///
 /// ```
 /// use camphorwalk_policy::entry::isolation::{Contact, Surroundings, is_isolated};
