What a run was granted is read from the row in one place

The change of claims looked a run's grants up in the row by hand in four places (a claim's further tokens, assuring, held_by, unassured); they call BudgetRow::granted_to now. Fleet::known_witnesses has no caller outside its module since copies of turns are gone and is private again. Behaviour is as it was: the tests of budgets, late grants and shares pass unchanged, clippy and fmt are clean.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -204,7 +204,7 @@
     }
 
     /// Returns the known hosts that may be witnesses, heard or not.
-    pub(crate) fn known_witnesses(&self) -> Set<HostId> {
+    fn known_witnesses(&self) -> Set<HostId> {
         let known = self.known.borrow();
         let has_other_zones = known.values().any(|known| known.zone != self.zone);
         let witnesses =
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -316,7 +316,7 @@
             account.stored = account.stored.max(known.stored);
             // A grant that the store has may be spent, also if it came after its host gave up.
             if account.granted_loose() == 0 {
-                account.assured = account.assured.max(account.granted_to(self.run));
+                account.assured = account.assured.max(account.row.granted_to(self.run));
             }
         }
     }
@@ -354,10 +354,9 @@
 
     /// Returns the claim of a run to so many tokens more than it is known to be granted.
     fn further(&self, program: ProgramKey, run: RunId, most: u64, known: &BudgetRow) -> Claim {
-        let granted = |row: &BudgetRow| row.granted.get(&run).copied().unwrap_or(0);
-        let here = self.row(program).map_or(0, granted);
+        let here = self.row(program).map_or(0, |row| row.granted_to(run));
 
-        Claim { run, assured: here.max(granted(known)), missing: most, most }
+        Claim { run, assured: here.max(known.granted_to(run)), missing: most, most }
     }
 
     /// Gives tokens that this host does not need to the run `to` of another one, until that has
--- a/crates/policy/src/entry/budgets/account.rs
+++ b/crates/policy/src/entry/budgets/account.rs
@@ -61,7 +61,7 @@
 
     /// Takes note that what a row grants to a run may be spent by it.
     pub(super) fn assure(&mut self, run: RunId, row: &BudgetRow) {
-        self.assured = self.assured.max(row.granted.get(&run).copied().unwrap_or(0));
+        self.assured = self.assured.max(row.granted_to(run));
     }
 
     /// Returns what this run, which is `run`, has of its own grants and those of others.
@@ -81,14 +81,9 @@
         self.has(run).saturating_sub(excess).saturating_sub(self.unassured(run))
     }
 
-    /// Returns what a run was granted in all.
-    pub(super) fn granted_to(&self, run: RunId) -> u64 {
-        self.row.granted.get(&run).copied().unwrap_or(0)
-    }
-
     /// Returns what a run was granted and may not spend yet.
     pub(super) fn unassured(&self, run: RunId) -> u64 {
-        self.granted_to(run).saturating_sub(self.assured)
+        self.row.granted_to(run).saturating_sub(self.assured)
     }
 
     /// Returns how many tokens were granted without the store and may not be in it.
--- a/crates/policy/src/entry/budgets/row.rs
+++ b/crates/policy/src/entry/budgets/row.rs
@@ -25,11 +25,14 @@
 }
 
 impl BudgetRow {
+    /// Returns what a run was granted in all.
+    pub(super) fn granted_to(&self, run: RunId) -> u64 {
+        self.granted.get(&run).copied().unwrap_or(0)
+    }
+
     /// Returns what a run may spend in all.
     pub(super) fn held_by(&self, run: RunId) -> u64 {
-        let granted = self.granted.get(&run).copied().unwrap_or(0);
-
-        granted.saturating_sub(self.returned.get(&run).copied().unwrap_or(0))
+        self.granted_to(run).saturating_sub(self.returned.get(&run).copied().unwrap_or(0))
     }
 
     /// Returns what all runs may spend in all.
