--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -30,17 +30,10 @@
     /// that has just started sets neither this flag nor `store_answers`.
     #[prost(bool, tag = "8")]
     pub store_away: bool,
-    /// Whether the sender's history of the budget grants that hosts made without the store is
-    /// complete.
-    #[prost(bool, tag = "12")]
-    pub remembers: bool,
-    /// Whether the sender knows of grants without the store to programs that may still send calls.
-    #[prost(bool, tag = "14")]
-    pub knows_of_loose: bool,
-    /// Whether the sender may be granting tokens to programs without the store, or knows of such
-    /// grants to itself or to a silent host that are not written to the store yet.
-    #[prost(bool, tag = "13")]
-    pub grants_loose: bool,
+    /// The partitions of programs whose grant lease the sender holds, as a bit set: the bit `n % 64`
+    /// of the word `n / 64` stands for partition `n`.
+    #[prost(fixed64, repeated, tag = "15")]
+    pub grant_leases: Vec<u64>,
     /// The number of calls queued at the sender for a place at a target, for each service that has
     /// any.
     #[prost(message, repeated, tag = "9")]
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -21,13 +21,13 @@
 
 use crate::answer::Refusal;
 use crate::call::Call;
-use crate::grants::{self, GrantOutcome, HedgedWrite, ROW_REPLICAS};
+use crate::grants::{self, GrantOutcome, HedgedOperation, ROW_REPLICAS};
 use crate::host::Shared;
 use crate::queries::{self, Query, QueryReply};
-use crate::{clock, store};
+use crate::{clock, grant_leases, store};
 
 /// The table of budgets.
-const TABLE: &str = "budgets";
+pub(crate) const TABLE: &str = "budgets";
 
 /// How many times a host tries to write a grant if its writes conflict with those of other hosts. A
 /// program usually has a handful of concurrent conversations, so a few attempts suffice.
@@ -95,12 +95,14 @@
 
     fetch_row_from_last_host(call, program).await;
     let mut has_collected = false;
+    let mut consent = None;
     let mut is_first = !shared.budgets.borrow().has_grants(program);
     for _ in 0..MAX_WRITE_ATTEMPTS {
         let is_settled = shared.is_settled();
         // While the store is unsettled, one host grants all tokens of the program (see
         // `grants::request_grant`). It knows more than this host, so it applies the limit.
-        let limit = if is_settled { grants::limit(shared) } else { Limit::Whole };
+        let is_limited = is_settled && !matches!(consent, Some(Ok(_)));
+        let limit = if is_limited { Limit::Share(Doubt::Unsettled) } else { Limit::Whole };
         let reservation = shared.budgets.borrow_mut().reserve_within(
             clock::now(),
             program,
@@ -120,6 +122,9 @@
                     is_first,
                 }));
             }
+            ReserveOutcome::Withheld(_) if is_limited && consent.is_none() => {
+                consent = Some(grants::request_consent(shared, program, budget).await);
+            }
             // Other hosts may hold tokens that they do not need.
             ReserveOutcome::Spent { certain: false } | ReserveOutcome::Withheld(_)
                 if !has_collected =>
@@ -128,6 +133,7 @@
                 collect_unused(shared, program, max_tokens, is_settled).await;
             }
             ReserveOutcome::Withheld(doubt) => {
+                let doubt = consent.and_then(Result::err).unwrap_or(doubt);
                 return Err(refuse_withheld(call, program, max_tokens, doubt));
             }
             ReserveOutcome::Spent { certain } => {
@@ -139,12 +145,14 @@
                 return Err(budget_spent());
             }
             ReserveOutcome::Write(row, version) if is_settled => {
-                match grants::write_hedged(shared, program, row, version).await {
-                    HedgedWrite::Done(Ok(WriteOutcome::Committed)) => {}
-                    HedgedWrite::Done(Ok(WriteOutcome::Superseded)) => is_first = false,
+                let lease = consent.and_then(Result::ok);
+                match grants::write_hedged(shared, program, row, version, lease).await {
+                    HedgedOperation::Done(Ok(WriteOutcome::Committed)) => {}
+                    HedgedOperation::Done(Ok(WriteOutcome::Superseded)) => is_first = false,
+                    HedgedOperation::Done(Ok(WriteOutcome::LeaseChanged)) => consent = None,
                     // The store now counts as unsettled, so the next iteration requests the grant
                     // from the host that grants the program's tokens.
-                    HedgedWrite::Done(_) | HedgedWrite::Overdue(_) => {
+                    HedgedOperation::Done(_) | HedgedOperation::Overdue(_) => {
                         shared.store.record_slow(clock::now())
                     }
                 }
@@ -299,16 +307,20 @@
     /// The store holds another row or none, or the answer to the write was lost. This host has
     /// merged what the store holds, and must decide again whether to write.
     Superseded,
+    /// The lease has changed hands, so the consent of its holder no longer holds.
+    LeaseChanged,
     /// The store can be reached neither directly nor through another host.
     StoreUnavailable,
 }
 
-/// Writes a program's row and merges what the store then holds.
+/// Writes a program's row and merges what the store then holds. A row that exceeds the store's share
+/// requires that the lease row still has the version `lease`.
 pub(crate) async fn write_row(
     shared: &Rc<Shared>,
     program: ProgramKey,
     row: BudgetRow,
     version: RowVersion,
+    lease: Option<RowVersion>,
 ) -> Result<WriteOutcome, Refusal> {
     let key = row_key(program);
     let text: Box<str> = match serde_json::to_string(&row) {
@@ -318,8 +330,10 @@
             return Err(unknown_budget(shared));
         }
     };
+    let lease_key = grant_leases::row_key(grant_leases::partition_of(program));
+    let lease = lease.map(|version| Check { key: lease_key, version });
     let tx = Transaction {
-        checks: vec![Check { key: key.clone(), version }],
+        checks: [Check { key: key.clone(), version }].into_iter().chain(lease.clone()).collect(),
         writes: vec![Write { key: key.clone(), value: Some(text) }],
     };
 
@@ -329,19 +343,37 @@
             shared.budgets.borrow_mut().record_write(clock::now(), program, row, version);
             Ok(WriteOutcome::Committed)
         }
+        PlatformReply::Conflict(rows) if lease.is_some_and(|lease| !holds(&lease, &rows)) => {
+            Ok(WriteOutcome::LeaseChanged)
+        }
         PlatformReply::Conflict(rows) => apply_rows(shared, program, &rows),
         PlatformReply::Unavailable => Ok(WriteOutcome::StoreUnavailable),
         // The write may have been applied, or may still be. Reading the row shows whether it has
         // been. If it reaches the store after the next write of the row, it fails its check,
         // because that write has changed the version.
-        _ => match store::run(shared, PlatformOp::Read(vec![key])).await {
-            PlatformReply::Rows(rows) => apply_rows(shared, program, &rows),
-            PlatformReply::Unavailable => Ok(WriteOutcome::StoreUnavailable),
-            _ => Err(unknown_budget(shared)),
-        },
+        _ => read_row(shared, program).await,
+    }
+}
+
+/// Reads a program's row and merges what the store holds.
+pub(crate) async fn read_row(
+    shared: &Rc<Shared>,
+    program: ProgramKey,
+) -> Result<WriteOutcome, Refusal> {
+    match store::run(shared, PlatformOp::Read(vec![row_key(program)])).await {
+        PlatformReply::Rows(rows) => apply_rows(shared, program, &rows),
+        PlatformReply::Unavailable => Ok(WriteOutcome::StoreUnavailable),
+        _ => Err(unknown_budget(shared)),
     }
 }
 
+/// Returns whether a check holds according to the rows that a conflict has shown.
+fn holds(check: &Check, rows: &[Row]) -> bool {
+    let row = rows.iter().find(|row| row.key == check.key);
+
+    row.map_or(RowVersion::ABSENT, |row| row.version) == check.version
+}
+
 /// Deletes the row of a program that was idle at `checked_at`, unless the row's version has
 /// changed.
 pub(crate) async fn delete_row(
@@ -409,6 +441,17 @@
     }
 }
 
+/// Returns the program and content of a row of the table of budgets; `None` if it cannot be parsed.
+pub(crate) fn parse_row(row: &Row) -> Option<(ProgramKey, BudgetRow, RowVersion)> {
+    let (_, name) = row.key.key.split_once('/')?;
+    let program = u64::from_str_radix(name, 16).ok().map(ProgramKey)?;
+    let content = serde_json::from_str(&row.value)
+        .inspect_err(|e| warn!(program = %program.0, error = %e, "budget: row cannot be parsed"))
+        .ok()?;
+
+    Some((program, content, row.version))
+}
+
 /// Returns the refusal of a turn whose budget cannot be determined at the moment.
 pub(crate) fn unknown_budget(shared: &Shared) -> Refusal {
     let reason = "the program's budget cannot be told";
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -14,6 +14,8 @@
 };
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::{Inbound, PeerOptions, Peers, Secret};
+use camphorwalk_policy::entry::budgets::RunId;
+use camphorwalk_policy::entry::grant_leases::{HostSeen, Partition, PartitionSet};
 use camphorwalk_policy::entry::host_rows::{HostRows, Presence};
 use camphorwalk_policy::entry::isolation::Contact;
 use rand::RngCore as _;
@@ -77,6 +79,7 @@
     own_id: HostId,
     rows: RefCell<HostRows>,
     known: RefCell<Map<HostId, KnownHost>>,
+    seen: RefCell<Map<HostId, HostSeen>>,
     statuses: RefCell<Map<HostId, HostStatus>>,
     peers: RefCell<Option<Peers>>,
 }
@@ -91,10 +94,8 @@
     pub(crate) run: u64,
     /// The version of the manifest in force at the sender; 0 for none.
     pub(crate) manifest_version: u64,
-    /// Whether the sender knows of all grants that any host made without the store.
-    pub(crate) has_complete_history: bool,
-    /// Whether the sender knows of grants without the store to programs that may still be running.
-    pub(crate) knows_of_unstored_grants: bool,
+    /// The partitions whose grant lease the sender holds.
+    pub(crate) grant_leases: PartitionSet,
 }
 
 impl HostStatus {
@@ -112,6 +113,7 @@
             own_id: HostId::from_name(name),
             rows: RefCell::default(),
             known: RefCell::default(),
+            seen: RefCell::default(),
             statuses: RefCell::default(),
             peers: RefCell::default(),
         }
@@ -171,21 +173,17 @@
         self.live_hosts().into_iter().map(|(host, _)| host).choose(&mut rand::rng())
     }
 
-    /// Returns whether more than half of all known hosts are live, including this one. Of two
-    /// groups of hosts that are partitioned from each other, this holds in one at most.
-    pub(crate) fn reaches_majority(&self) -> bool {
-        let known = self.known.borrow();
-        let live = self.live_hosts().into_iter().filter(|(host, _)| known.contains_key(host));
+    /// Returns another live host that holds the grant lease of a partition.
+    pub(crate) fn live_lease_holder(&self, partition: Partition) -> Option<HostId> {
+        let live = self.live_hosts().into_iter();
+        let mut holders = live.filter(|(_, status)| status.grant_leases.contains(partition));
 
-        (live.count() + 1) * 2 > known.len() + 1
+        holders.next().map(|(host, _)| host)
     }
 
-    /// Returns the latest status of each other live host whose row in the store is known.
-    pub(crate) fn live_statuses(&self) -> Vec<HostStatus> {
-        let known = self.known.borrow();
-        let live = self.live_hosts().into_iter().filter(|(host, _)| known.contains_key(host));
-
-        live.map(|(_, status)| status).collect()
+    /// Returns what the last read of a host's row says about it.
+    pub(crate) fn host_seen(&self, name: &str) -> Option<HostSeen> {
+        self.seen.borrow().get(&HostId::from_name(name)).copied()
     }
 
     /// Returns the live hosts, including this one, in an order that is fixed for each item, such as
@@ -237,11 +235,6 @@
         self.live_host_of_run(run).is_some()
     }
 
-    /// Returns whether another host has a complete grant history, according to its latest status.
-    pub(crate) fn has_complete_history(&self, host: HostId) -> bool {
-        self.statuses.borrow().get(&host).is_some_and(|status| status.has_complete_history)
-    }
-
     /// Returns whether the store answers another host, according to its latest status.
     pub(crate) fn store_answers(&self, host: HostId) -> bool {
         self.statuses.borrow().get(&host).is_some_and(|status| status.store_answers)
@@ -392,21 +385,13 @@
         let key = RowKey::new(HOSTS_TABLE, shared.settings.name.clone());
         let value = serde_json::to_string(&row).ok().map(Into::into);
         let write = Transaction { checks: Vec::new(), writes: vec![Write { key, value }] };
-        store::run_direct_or_relayed(&shared, PlatformOp::Commit(write)).await;
+        let began = clock::now();
+        let reply = store::run_direct_or_relayed(&shared, PlatformOp::Commit(write)).await;
+        if let PlatformReply::Committed(_) = reply {
+            shared.grant_leases.borrow_mut().record_heartbeat(began, clock::now());
+        }
 
-        let op = PlatformOp::Scan {
-            table: HOSTS_TABLE.into(),
-            prefix: "".into(),
-            after: "".into(),
-            limit: 500,
-        };
-        let answered = match store::run_direct_or_relayed(&shared, op).await {
-            PlatformReply::Rows(rows) => {
-                apply_host_rows(&shared, &peers, &rows, beat > FAST_HEARTBEATS);
-                true
-            }
-            _ => false,
-        };
+        let answered = read_host_rows(&shared, &peers, beat > FAST_HEARTBEATS).await;
 
         // The first rounds are short, because hosts of a fleet start at the same time and each must
         // know the others to determine its share of the rates.
@@ -418,9 +403,42 @@
     }
 }
 
-/// Applies the rows of all hosts. `is_period_over` tells whether each host has had time to write
+/// Reads the rows of all hosts outside of the heartbeat, so that the state of the holder of a lease
+/// is known as of now.
+pub(crate) async fn refresh_host_rows(shared: &Rc<Shared>) {
+    let peers = shared.fleet.peers.borrow().clone();
+
+    if let Some(peers) = peers {
+        read_host_rows(shared, &peers, false).await;
+    }
+}
+
+/// Reads the rows of all hosts. Returns whether the store answered.
+async fn read_host_rows(shared: &Rc<Shared>, peers: &Peers, is_period_over: bool) -> bool {
+    let began = clock::now();
+    let op = PlatformOp::Scan {
+        table: HOSTS_TABLE.into(),
+        prefix: "".into(),
+        after: "".into(),
+        limit: 500,
+    };
+    let PlatformReply::Rows(rows) = store::run_direct_or_relayed(shared, op).await else {
+        return false;
+    };
+
+    apply_host_rows(shared, peers, &rows, began, is_period_over);
+    true
+}
+
+/// Applies the rows of all hosts, whose read began at `began`. `is_period_over` tells whether each host has had time to write
 /// its row again since the last read.
-fn apply_host_rows(shared: &Rc<Shared>, peers: &Peers, rows: &[Row], is_period_over: bool) {
+fn apply_host_rows(
+    shared: &Rc<Shared>,
+    peers: &Peers,
+    rows: &[Row],
+    began: Instant,
+    is_period_over: bool,
+) {
     let fleet = &shared.fleet;
     let mut known = fleet.known.borrow_mut();
 
@@ -435,6 +453,9 @@
         };
         let is_due = is_period_over && !fleet.has_recent_status(host);
         let presence = fleet.rows.borrow_mut().record_read(host, row.version, is_due);
+        let is_gone = presence == Presence::Gone;
+        let seen = HostSeen { run: RunId(content.run), is_gone, at: began };
+        fleet.seen.borrow_mut().insert(host, seen);
 
         match presence {
             Presence::Updated => {
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -12,7 +12,8 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::platform::RowVersion;
 use camphorwalk_policy::entry::budgets::{BudgetRow, KnownRow, ProgramKey, Proposal};
-use camphorwalk_policy::entry::shares::{self, Doubt, Limit};
+use camphorwalk_policy::entry::grant_leases::Consent;
+use camphorwalk_policy::entry::shares::{Doubt, Limit};
 use camphorwalk_policy::entry::write_back::RoundOutcome;
 use futures::future::join_all;
 use futures::stream::{FuturesUnordered, StreamExt as _};
@@ -21,8 +22,11 @@
 use tracing::info;
 
 use crate::answer::Refusal;
-use crate::budget::{MAX_WRITE_ATTEMPTS, WriteOutcome, program_lock, unknown_budget, write_row};
+use crate::budget::{
+    MAX_WRITE_ATTEMPTS, WriteOutcome, program_lock, read_row, unknown_budget, write_row,
+};
 use crate::call::Call;
+use crate::grant_leases::partition_of;
 use crate::host::Shared;
 use crate::queries::{self, GrantQuery, Query, QueryReply};
 use crate::{clock, store};
@@ -36,41 +40,44 @@
 /// many, the grant survives if half of a small fleet is killed before the store recovers.
 const MAX_REPLICAS_ELSEWHERE: usize = 4;
 
-/// How many hosts are queried about a program that the next granters do not know: all of a small
-/// fleet.
-const MAX_HOSTS_QUERIED: usize = 12;
-
 /// How long a grant by another host may take: a round trip, and that host's attempts to write to a
 /// store that is slow or has just stopped answering. The granting host also waits for at most this
 /// long for an overdue write.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// How many overdue writes a host awaits, one after the other, while it handles one grant query. A
-/// write is overdue if the store has not answered it within the hedging delay.
-const MAX_OVERDUE_WRITES: u32 = 2;
+/// How many overdue operations a host awaits, one after the other, while it handles one grant query.
+/// An operation is overdue if the store has not answered it within the hedging delay.
+const MAX_OVERDUE_OPERATIONS: u32 = 2;
 
 /// How long another host may take to send or record a row: several round trips. A grant without the
 /// store needs up to three such exchanges, one after the other. After the hedging delay they all
 /// fit into [`GRANT_TIMEOUT`].
 const ROW_EXCHANGE_TIMEOUT: Duration = Duration::from_millis(80);
 
+/// How long the holder of a lease may take to consent: one round trip with a large margin.
+const CONSENT_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// How many rows are written concurrently after the store has recovered.
 const CONCURRENT_WRITES: usize = 8;
 
 /// Returns the live hosts, including this one, in the order in which they grant a program's tokens
-/// while the store is unsettled. Hosts without a complete grant history come last, since they may
-/// not grant.
+/// while the store is unsettled. The first is the holder of the program's lease, which alone grants
+/// without the store.
 fn grant_order(shared: &Shared, program: ProgramKey) -> Vec<HostId> {
-    let own = shared.fleet.own_id();
-    let has_history = |host: &HostId| match *host == own {
-        true => shared.has_complete_history(),
-        false => shared.fleet.has_complete_history(*host),
-    };
-    let (mut order, others): (Vec<_>, Vec<_>) =
-        shared.fleet.live_hosts_in_order(program.0).into_iter().partition(has_history);
-    order.extend(others);
+    let holder = lease_holder(shared, program);
+    let others = shared.fleet.live_hosts_in_order(program.0).into_iter();
 
-    order
+    holder.into_iter().chain(others.filter(|host| Some(*host) != holder)).collect()
+}
+
+/// Returns the host that holds the lease of a program, if it is live.
+fn lease_holder(shared: &Shared, program: ProgramKey) -> Option<HostId> {
+    let partition = partition_of(program);
+
+    match shared.grant_leases.borrow().reported().contains(partition) {
+        true => Some(shared.fleet.own_id()),
+        false => shared.fleet.live_lease_holder(partition),
+    }
 }
 
 /// Sends a row that the store has accepted to the next granters: the hosts that would grant the
@@ -123,12 +130,9 @@
     max_tokens: u64,
 ) -> Result<GrantOutcome, Refusal> {
     let shared = &call.shared;
-    let empty = BudgetRow { budget, ..BudgetRow::default() };
-    let known = shared.budgets.borrow().known_row(program);
-    let known = known.unwrap_or(KnownRow { row: empty, stored: 0 });
-    let begins = call.may_begin_program();
+    let known = known_or_empty(shared, program, budget);
     let claim = shared.budgets.borrow().claim(program, max_tokens);
-    let query = GrantQuery { program, claim, known, begins };
+    let query = GrantQuery { program, claim, known };
     let order = grant_order(shared, program);
     let host = order.first().copied().ok_or_else(|| unknown_budget(shared))?;
     let reply = match host == shared.fleet.own_id() {
@@ -168,7 +172,7 @@
 async fn grant(shared: &Rc<Shared>, query: &GrantQuery) -> QueryReply {
     shared.budgets.borrow_mut().merge_known_row(clock::now(), query.program, &query.known);
 
-    for _ in 0..MAX_OVERDUE_WRITES {
+    for _ in 0..MAX_OVERDUE_OPERATIONS {
         let overdue = match grant_by_store(shared, query).await {
             StoreGrant::Decided(reply) => return reply,
             StoreGrant::Overdue(overdue) => overdue,
@@ -178,10 +182,10 @@
         };
         match grant_without_store(shared, query).await {
             Some(reply) => return reply,
-            // The write may still succeed, or may have conflicted with another one.
-            None => match timeout(GRANT_TIMEOUT, overdue.writing).await {
+            // A write may still succeed, or may have conflicted with another one.
+            None => match timeout(GRANT_TIMEOUT, overdue.operation).await {
                 Ok(Ok(Ok(WriteOutcome::Committed))) => return QueryReply::Written(overdue.row),
-                Ok(Ok(Ok(WriteOutcome::Superseded))) => {}
+                Ok(Ok(Ok(WriteOutcome::Superseded | WriteOutcome::LeaseChanged))) => {}
                 _ => return QueryReply::Refused,
             },
         }
@@ -194,47 +198,70 @@
 enum StoreGrant {
     /// The final reply to the querying host.
     Decided(QueryReply),
-    /// The store has not answered the write within the hedging delay.
-    Overdue(OverdueWrite),
+    /// The store has not answered the operation within the hedging delay.
+    Overdue(OverdueOperation),
     /// The store is unavailable. The reply applies if nothing is granted without the store either.
     Unavailable(QueryReply),
 }
 
-/// A row whose write the store has not answered yet.
-struct OverdueWrite {
+/// An operation that the store has not answered yet.
+struct OverdueOperation {
+    /// The row as it is if the operation is a write and succeeds.
     row: BudgetRow,
-    writing: WriteTask,
+    operation: RowTask,
 }
 
 async fn grant_by_store(shared: &Rc<Shared>, query: &GrantQuery) -> StoreGrant {
     let GrantQuery { program, claim, known, .. } = query;
 
     for _ in 0..MAX_WRITE_ATTEMPTS {
-        let (now, limit) = (clock::now(), limit(shared));
-        let proposal =
-            shared.budgets.borrow_mut().propose_within(now, *program, *claim, &known.row, limit);
-        let (row, version) = match proposal {
-            Proposal::Write(row, version) => (row, version),
-            Proposal::Spent => return StoreGrant::Decided(QueryReply::Spent),
-            // While the store answers, a grant without it would use the share that is reserved for
-            // an outage.
-            Proposal::Withheld(doubt) if shared.store.is_fully_available() => {
+        let propose = |limit| {
+            let mut budgets = shared.budgets.borrow_mut();
+            budgets.propose_within(clock::now(), *program, *claim, &known.row, limit)
+        };
+        let mut lease = None;
+        let mut proposal = propose(Limit::Share(Doubt::Unsettled));
+        if let Proposal::Withheld(doubt) = proposal {
+            if let Err(doubt) = lease_for_consent(shared, *program) {
                 info!(program = %program.0, ?doubt, "budget: the rest is withheld");
                 return StoreGrant::Decided(QueryReply::Withheld(doubt));
             }
+            // Consent would end the grants without the store, so the store has to answer first.
+            match read_hedged(shared, *program).await {
+                HedgedOperation::Done(Ok(WriteOutcome::Superseded)) => {}
+                HedgedOperation::Done(_) => {
+                    return StoreGrant::Unavailable(QueryReply::Withheld(doubt));
+                }
+                HedgedOperation::Overdue(operation) => {
+                    let row = known.row.clone();
+                    return StoreGrant::Overdue(OverdueOperation { row, operation });
+                }
+            }
+            match consent(shared, *program, known) {
+                Ok((_, version)) => lease = Some(version),
+                Err(doubt) => {
+                    info!(program = %program.0, ?doubt, "budget: the rest is withheld");
+                    return StoreGrant::Decided(QueryReply::Withheld(doubt));
+                }
+            }
+            proposal = propose(Limit::Whole);
+        }
+        let (row, version) = match proposal {
+            Proposal::Write(row, version) => (row, version),
+            Proposal::Spent => return StoreGrant::Decided(QueryReply::Spent),
             Proposal::Withheld(doubt) => {
                 return StoreGrant::Unavailable(QueryReply::Withheld(doubt));
             }
         };
 
-        match write_hedged(shared, *program, row.clone(), version).await {
-            HedgedWrite::Done(Ok(WriteOutcome::Committed)) => {
+        match write_hedged(shared, *program, row.clone(), version, lease).await {
+            HedgedOperation::Done(Ok(WriteOutcome::Committed)) => {
                 return StoreGrant::Decided(QueryReply::Written(row));
             }
-            HedgedWrite::Done(Ok(WriteOutcome::Superseded)) => {}
-            HedgedWrite::Done(_) => return StoreGrant::Unavailable(QueryReply::Refused),
-            HedgedWrite::Overdue(writing) => {
-                return StoreGrant::Overdue(OverdueWrite { row, writing });
+            HedgedOperation::Done(Ok(WriteOutcome::Superseded | WriteOutcome::LeaseChanged)) => {}
+            HedgedOperation::Done(_) => return StoreGrant::Unavailable(QueryReply::Refused),
+            HedgedOperation::Overdue(operation) => {
+                return StoreGrant::Overdue(OverdueOperation { row, operation });
             }
         }
     }
@@ -244,32 +271,18 @@
 
 /// Grants a turn's tokens without the store. Returns `None` if this host may not.
 ///
-/// The host must reach a majority of the known hosts, so that at most one side of a network
-/// partition grants. Isolated hosts do not grant even as a majority, because their grants would be
-/// lost if all machines lost power. A process that the store has never answered does not grant,
-/// because it has no earlier state. Nor does a process that restarted together with all others: it
-/// does not know what was granted before, by the store or without it, to programs that are still
-/// running.
+/// Only the holder of the program's lease may. Isolated hosts do not grant, because their grants
+/// would be lost if all machines lost power.
 async fn grant_without_store(shared: &Rc<Shared>, query: &GrantQuery) -> Option<QueryReply> {
-    let GrantQuery { program, claim, known, .. } = query;
-    let is_entitled = shared.fleet.reaches_majority() && !shared.is_isolated();
-    if !shared.store.has_answered() || !is_entitled {
-        return None;
-    }
-    if !shared.has_complete_history() {
-        info!(program = %program.0, "budget: what was granted before all hosts started is not known");
+    let GrantQuery { program, claim, known } = query;
+    if shared.is_isolated() || !may_grant_without_store(shared, *program) {
         return None;
     }
 
     fetch_known_rows(shared, *program, ROW_REPLICAS).await;
-    if !shared.budgets.borrow().has_grants(*program) {
-        // After a rolling restart the next granters may have no state of the program. The host that
-        // forwarded its last turn does.
-        fetch_known_rows(shared, *program, MAX_HOSTS_QUERIED).await;
-        if !shared.budgets.borrow().has_grants(*program) && !query.begins {
-            info!(program = %program.0, "budget: no row is known for a running program");
-            return None;
-        }
+    // The lease may have expired in the meantime.
+    if !may_grant_without_store(shared, *program) {
+        return None;
     }
     let granted =
         shared.budgets.borrow_mut().grant_without_store(clock::now(), *program, *claim, &known.row);
@@ -292,21 +305,88 @@
     }
 }
 
-/// Returns the share of each budget up to which this host may grant tokens by writes to the store.
-pub(crate) fn limit(shared: &Shared) -> Limit {
-    shares::limit(shared.fleet_view())
+/// Returns whether this host holds a lease to grant tokens of a program without the store.
+fn may_grant_without_store(shared: &Shared, program: ProgramKey) -> bool {
+    let may_grant = shared.grant_leases.borrow().may_grant(clock::now(), partition_of(program));
+    if !may_grant {
+        info!(program = %program.0, "budget: no lease to grant without the store");
+    }
+
+    may_grant
+}
+
+/// Stops grants of a program's tokens without the store, if this host holds the lease. Returns the
+/// row as this host knows it, and the version of the lease row under which the store may grant the
+/// whole budget.
+pub(crate) fn consent(
+    shared: &Shared,
+    program: ProgramKey,
+    known: &KnownRow,
+) -> Result<(KnownRow, RowVersion), Doubt> {
+    let version = lease_for_consent(shared, program)?;
+    let closed = shared.budgets.borrow_mut().close_for_outages(clock::now(), program, known);
+
+    closed.map(|known| (known, version)).ok_or(Doubt::Forgotten)
+}
+
+/// Returns the version of the lease row under which this host can consent to grants of a program's
+/// whole budget by the store.
+fn lease_for_consent(
+    shared: &Shared,
+    program: ProgramKey,
+) -> std::result::Result<RowVersion, Doubt> {
+    match shared.grant_leases.borrow().consent(partition_of(program)) {
+        Consent::Given(_) if shared.budgets.borrow().is_quarantined(program) => {
+            Err(Doubt::Forgotten)
+        }
+        Consent::Given(version) => Ok(version),
+        Consent::Quarantined => Err(Doubt::Forgotten),
+        Consent::NotHolder => Err(Doubt::Unsettled),
+    }
+}
+
+/// Asks the holder of a program's lease for its consent to grants of the whole budget by the store,
+/// and merges the row as the holder knows it. Returns the version of the lease row on condition of
+/// which such grants may be written.
+pub(crate) async fn request_consent(
+    shared: &Shared,
+    program: ProgramKey,
+    budget: u64,
+) -> Result<RowVersion, Doubt> {
+    let known = known_or_empty(shared, program, budget);
+    let host = lease_holder(shared, program).ok_or(Doubt::Unsettled)?;
+    if host == shared.fleet.own_id() {
+        return consent(shared, program, &known).map(|(_, version)| version);
+    }
+
+    match queries::send(shared, host, &Query::Consent(program, known), CONSENT_TIMEOUT).await {
+        Some(QueryReply::Consented(known, version)) => {
+            shared.budgets.borrow_mut().merge_known_row(clock::now(), program, &known);
+            Ok(version)
+        }
+        Some(QueryReply::Withheld(doubt)) => Err(doubt),
+        _ => Err(Doubt::Unsettled),
+    }
+}
+
+/// Returns a program's row as this host knows it, without grants if it knows none.
+fn known_or_empty(shared: &Shared, program: ProgramKey, budget: u64) -> KnownRow {
+    let known = shared.budgets.borrow().known_row(program);
+    let empty = BudgetRow { budget, ..BudgetRow::default() };
+
+    known.unwrap_or(KnownRow { row: empty, stored: 0 })
 }
 
-/// A row write that is in progress.
-type WriteTask = JoinHandle<std::result::Result<WriteOutcome, Refusal>>;
+/// An operation on a program's row that is in progress.
+type RowTask = JoinHandle<std::result::Result<WriteOutcome, Refusal>>;
 
-/// The outcome of a row write that is awaited only for the hedging delay.
-pub(crate) enum HedgedWrite {
-    /// The write has ended.
+/// The outcome of an operation on a program's row that is awaited only for the hedging delay.
+pub(crate) enum HedgedOperation {
+    /// The operation has ended.
     Done(std::result::Result<WriteOutcome, Refusal>),
-    /// The write is still in progress. A grant that is made without the store meanwhile produces
-    /// the same row, so nothing is granted twice.
-    Overdue(WriteTask),
+    /// The operation is still in progress. A grant that is made without the store during a write
+    /// produces the same row, so nothing is granted twice.
+    Overdue(RowTask),
 }
 
 /// Writes a program's row, and waits for the outcome for at most the hedging delay.
@@ -315,17 +395,31 @@
     program: ProgramKey,
     row: BudgetRow,
     version: RowVersion,
-) -> HedgedWrite {
-    let mut writing = {
-        let shared = Rc::clone(shared);
-        tokio::task::spawn_local(async move { write_row(&shared, program, row, version).await })
-    };
+    lease: Option<RowVersion>,
+) -> HedgedOperation {
+    let writing = Rc::clone(shared);
+
+    hedge(shared, async move { write_row(&writing, program, row, version, lease).await }).await
+}
+
+/// Reads a program's row, and waits for the outcome for at most the hedging delay.
+async fn read_hedged(shared: &Rc<Shared>, program: ProgramKey) -> HedgedOperation {
+    let reading = Rc::clone(shared);
+
+    hedge(shared, async move { read_row(&reading, program).await }).await
+}
+
+async fn hedge(
+    shared: &Shared,
+    operation: impl Future<Output = std::result::Result<WriteOutcome, Refusal>> + 'static,
+) -> HedgedOperation {
+    let mut task = tokio::task::spawn_local(operation);
 
-    match timeout(store::HEDGE_AFTER, &mut writing).await {
-        Ok(written) => HedgedWrite::Done(written.unwrap_or_else(|_| Err(unknown_budget(shared)))),
+    match timeout(store::HEDGE_AFTER, &mut task).await {
+        Ok(ended) => HedgedOperation::Done(ended.unwrap_or_else(|_| Err(unknown_budget(shared)))),
         Err(_) => {
             shared.store.record_slow(clock::now());
-            HedgedWrite::Overdue(writing)
+            HedgedOperation::Overdue(task)
         }
     }
 }
@@ -426,7 +520,7 @@
     for round in rows.chunks(CONCURRENT_WRITES) {
         let writes = round.iter().cloned().map(|(program, row, version)| async move {
             matches!(
-                write_row(shared, program, row, version).await,
+                write_row(shared, program, row, version, None).await,
                 Ok(WriteOutcome::StoreUnavailable)
             )
         });
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -11,12 +11,12 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
 use camphorwalk_policy::entry::crashes::Crashes;
+use camphorwalk_policy::entry::grant_leases::{GrantLeases, Holder};
 use camphorwalk_policy::entry::isolation::{self, Surroundings};
 use camphorwalk_policy::entry::placement::Targets;
 use camphorwalk_policy::entry::rates::Rates;
 use camphorwalk_policy::entry::recent::RecentMap;
 use camphorwalk_policy::entry::routes::RouteTable;
-use camphorwalk_policy::entry::shares::{self, GrantHistory, HISTORY_COMPLETE_AFTER};
 use camphorwalk_policy::entry::target_table::TargetTable;
 use camphorwalk_policy::entry::turns::TurnCache;
 use camphorwalk_store::{Client, ClientOptions, QuotaOptions, RetryOptions};
@@ -34,7 +34,9 @@
 use crate::places::Places;
 use crate::queries::PendingQueries;
 use crate::store::Store;
-use crate::{callers, clock, fleet, probes, registry, retention, status_updates, store, watch};
+use crate::{
+    callers, clock, fleet, grant_leases, probes, registry, retention, status_updates, store, watch,
+};
 
 /// The longest time-out of one attempt of a store operation. The store answers within some
 /// milliseconds, and within a third of a second when it is slow.
@@ -68,10 +70,6 @@
 /// writes grants by itself again. Within this time the hosts write the unstored grants back.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
-/// Within this time each live host has reported whether it has unstored grants. It is longer than a
-/// status update is valid.
-const REPORT_TIME: Duration = Duration::from_secs(1);
-
 /// Retry-After of a caller that an isolated host cannot serve. The load balancer checks readiness
 /// every second and acts on the second failed check, so it moves new connections at most two
 /// seconds after the host notices that it is isolated. Callers retry two or three times within that
@@ -109,9 +107,7 @@
     pub(crate) places: Places,
     pub(crate) connections: Connections,
     pub(crate) budgets: RefCell<Budgets>,
-    grant_history: RefCell<GrantHistory>,
-    /// When any host was last known to grant tokens without the store, or to have unstored grants.
-    pub(crate) unstored_grants_at: Cell<Option<Instant>>,
+    pub(crate) grant_leases: RefCell<GrantLeases>,
     /// The lock of each program, which is held while tokens of its budget are requested.
     pub(crate) budget_locks: RefCell<Map<ProgramKey, Rc<Mutex<()>>>>,
     pub(crate) turns: RefCell<TurnCache>,
@@ -230,73 +226,11 @@
         self.settings.is_first_start || clock::now().since(self.started_at) > SETTLE_TIME
     }
 
-    /// Returns whether this host may grant tokens without the store now, or is responsible for
-    /// unstored grants.
-    pub(crate) fn may_have_unstored_grants(&self) -> bool {
-        let is_live = |run| self.is_run_live(run);
-
-        self.store.any_part_failed_within(REPORT_TIME)
-            || self.budgets.borrow().is_responsible_for_unstored(is_live)
-    }
-
-    /// Returns whether neither this host nor, according to its status updates, any other host has
-    /// had unstored grants or may have made some within [`REPORT_TIME`]. False for a process that
-    /// has just started, like [`Shared::is_settled`].
-    fn is_all_stored(&self) -> bool {
-        let now = clock::now();
-        if self.may_have_unstored_grants() {
-            self.unstored_grants_at.set(Some(now));
-        }
-
-        self.had_time_for_reports()
-            && self.unstored_grants_at.get().is_none_or(|at| now.since(at) > REPORT_TIME)
-    }
-
     /// Returns whether a run is that of this process, or of a live host.
     pub(crate) fn is_run_live(&self, run: RunId) -> bool {
         run == self.run || self.fleet.is_run_live(run.0)
     }
 
-    /// Returns whether this host knows of grants without the store to programs that may still be
-    /// running. After [`HISTORY_COMPLETE_AFTER`], such programs are assumed to have ended.
-    pub(crate) fn knows_of_unstored_grants(&self) -> bool {
-        self.unstored_grants_at
-            .get()
-            .is_some_and(|at| clock::now().since(at) <= HISTORY_COMPLETE_AFTER)
-    }
-
-    /// Returns whether this process knows of all grants that any host made without the store.
-    pub(crate) fn has_complete_history(&self) -> bool {
-        let others = self.fleet_view_of_others();
-
-        self.grant_history.borrow_mut().is_complete(clock::now(), others)
-    }
-
-    /// Returns what this host knows of the fleet, which determines the share of budgets that may be
-    /// granted.
-    pub(crate) fn fleet_view(&self) -> shares::FleetView {
-        let others_view = self.fleet_view_of_others();
-
-        others_view.including_self(self.has_complete_history(), self.knows_of_unstored_grants())
-    }
-
-    /// Returns what this host knows of the fleet. The counts of hosts include this one, but the
-    /// counts of grant histories do not.
-    fn fleet_view_of_others(&self) -> shares::FleetView {
-        let live = self.fleet.live_statuses();
-        let complete_histories = live.iter().filter(|status| status.has_complete_history);
-        let without_unstored_grants =
-            complete_histories.clone().filter(|status| !status.knows_of_unstored_grants);
-
-        shares::FleetView {
-            is_all_stored: self.is_all_stored(),
-            known_hosts: self.fleet.size(),
-            live_hosts: live.len() + 1,
-            complete_histories: complete_histories.count(),
-            without_unstored_grants: without_unstored_grants.count(),
-        }
-    }
-
     /// Returns whether the shutdown has begun.
     pub(crate) fn is_shutting_down(&self) -> bool {
         self.shutdown_began.get().is_some()
@@ -366,8 +300,10 @@
             places: Places::default(),
             connections: Connections::default(),
             budgets: RefCell::new(Budgets::new(run)),
-            unstored_grants_at: Cell::new(None),
-            grant_history: RefCell::new(GrantHistory::new(clock::now(), settings.is_first_start)),
+            grant_leases: RefCell::new(GrantLeases::new(
+                Holder { host: settings.name.clone(), run },
+                settings.is_first_start,
+            )),
             budget_locks: RefCell::default(),
             turns: RefCell::new(TurnCache::new(turn_bytes)),
             conversation_hosts: RefCell::new(RecentMap::new(CONVERSATION_HOSTS_KEPT)),
@@ -389,6 +325,7 @@
         fleet::start(&shared);
         store::start_write_back(&shared);
         retention::start_sweeper(&shared);
+        grant_leases::start(&shared);
 
         Ok(Self { shared, callers, ready })
     }
@@ -426,6 +363,7 @@
             }
         };
         let finished = timeout_at(end, done).await.is_ok();
+        grant_leases::release(shared).await;
 
         info!(finished, open = shared.open_requests.get(), "host: left");
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod events;
 mod fleet;
 mod forward;
+mod grant_leases;
 mod grants;
 mod host;
 mod log_sampler;
--- a/crates/entry/src/queries.rs
+++ b/crates/entry/src/queries.rs
@@ -28,6 +28,9 @@
     Store(PlatformOp),
     /// Grants the tokens of a turn while the store is not settled (see `Shared::is_settled`).
     Grant(GrantQuery),
+    /// Consents to grants of a program's whole budget by the store, and grants no more of it without
+    /// the store. The row is the one that the querying host knows.
+    Consent(ProgramKey, KnownRow),
     /// Merges the row that the store holds for a program.
     Stored(ProgramKey, BudgetRow, RowVersion),
     /// Records unstored grants, and writes them to the store later if the hosts that were granted
@@ -61,8 +64,6 @@
     pub(crate) claim: Claim,
     /// The row as the querying host knows it.
     pub(crate) known: KnownRow,
-    /// Whether the turn may be the first of its program.
-    pub(crate) begins: bool,
 }
 
 /// The reply to a query.
@@ -82,6 +83,9 @@
     /// The total that the replying host has transferred to the querying run, and all runs to which
     /// it has transferred tokens.
     Given(u64, Vec<RunId>),
+    /// The store may grant the whole budget while the lease row has this version. The program's row
+    /// contains all grants made by the replying host.
+    Consented(KnownRow, RowVersion),
     /// The rest of the budget may have been granted without the store.
     Withheld(Doubt),
     /// The budget does not have enough tokens left.
@@ -183,6 +187,10 @@
     match query {
         Query::Store(op) => store::run_for_peer(shared, op).await,
         Query::Grant(query) => grants::grant_for_peer(shared, &query).await,
+        Query::Consent(program, known) => match grants::consent(shared, program, &known) {
+            Ok((known, version)) => QueryReply::Consented(known, version),
+            Err(doubt) => QueryReply::Withheld(doubt),
+        },
         Query::Stored(program, row, version) => grants::apply_stored(shared, program, row, version),
         Query::Loose(program, known) => grants::record_unstored(shared, program, &known),
         Query::KnownRow(program) => budget::known_row(shared, program),
--- a/crates/entry/src/retention.rs
+++ b/crates/entry/src/retention.rs
@@ -51,7 +51,7 @@
 }
 
 async fn sweep(shared: &Rc<Shared>) {
-    let retention = longest_retention(shared).unwrap_or(DEFAULT_RETENTION);
+    let retention = program_retention(shared);
 
     // A budget is needed as long as its program may continue, which is as long as the turns of the
     // program are stored.
@@ -107,9 +107,11 @@
     }
 }
 
-fn longest_retention(shared: &Shared) -> Option<Duration> {
+/// Returns within which time after a turn a program may return: the longest retention of all routes.
+pub(crate) fn program_retention(shared: &Shared) -> Duration {
     let table = shared.routes.borrow();
-    let routes = table.as_ref()?.routing().routes.iter();
+    let routes = table.iter().flat_map(|table| table.routing().routes.iter());
+    let longest = routes.filter_map(|route| route.turn_retention).map(|c| c.retention).max();
 
-    routes.filter_map(|route| route.turn_retention).map(|config| config.retention).max()
+    longest.unwrap_or(DEFAULT_RETENTION)
 }
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -17,6 +17,7 @@
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::Peers;
+use camphorwalk_policy::entry::grant_leases::PartitionSet;
 use camphorwalk_policy::entry::prompts::CachedPart;
 use camphorwalk_policy::entry::rates::{ReservedShare, TenantStatus};
 use tokio::time::sleep;
@@ -165,9 +166,7 @@
         crashes: changes.crashes,
         store_answers: shared.store.is_available(),
         store_away: shared.store.reports_trouble(),
-        remembers: shared.has_complete_history(),
-        grants_loose: shared.may_have_unstored_grants(),
-        knows_of_loose: shared.knows_of_unstored_grants(),
+        grant_leases: shared.grant_leases.borrow().reported().words().into(),
         waiting: waiting
             .map(|(service, calls)| WaitingCalls { service: service.into(), calls })
             .collect(),
@@ -203,8 +202,7 @@
         store_answers: update.store_answers,
         run: update.run,
         manifest_version: update.manifest_version,
-        has_complete_history: update.remembers,
-        knows_of_unstored_grants: update.knows_of_loose,
+        grant_leases: PartitionSet::from_words(&update.grant_leases),
     };
     let has_recovered = update.store_answers && !shared.fleet.store_answers(from);
     if shared.fleet.record_status(from, status) {
@@ -219,10 +217,6 @@
         shared.store.record_recovery_elsewhere();
     }
 
-    if update.grants_loose {
-        shared.unstored_grants_at.set(Some(now));
-    }
-
     let tenants = update.demand.into_iter().map(|d| {
         let reserved = ReservedShare {
             share: d.withheld,
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -84,12 +84,6 @@
         is_slow || self.health.borrow().any_part_unavailable()
     }
 
-    /// Returns whether the store as a whole does not answer this host, or an unavailable part
-    /// failed to answer an operation that began within the last `lately`.
-    pub(crate) fn any_part_failed_within(&self, lately: Duration) -> bool {
-        self.health.borrow().any_part_failed_within(clock::now(), lately)
-    }
-
     /// Records that the store answered this host late or not at all.
     pub(crate) fn record_slow(&self, now: Instant) {
         self.slow_at.set(Some(now));
@@ -117,11 +111,6 @@
         self.health.borrow().silent_for(clock::now())
     }
 
-    /// Returns whether the store has ever answered this process.
-    pub(crate) fn has_answered(&self) -> bool {
-        self.health.borrow().has_answered()
-    }
-
     /// Records that the store, or a part of it, was slow or unavailable for this host or another
     /// one.
     pub(crate) fn record_trouble(&self, now: Instant) {
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -5,6 +5,7 @@
 pub mod budgets;
 pub mod call_stats;
 pub mod crashes;
+pub mod grant_leases;
 pub mod host_rows;
 pub mod isolation;
 pub mod manifests;
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -6,14 +6,11 @@
 //! grants, and so the tokens that all hosts spend, never exceed the budget, even across restarts,
 //! network partitions and lost answers: whatever a dead host was granted counts as spent.
 //!
-//! During an outage of the store, one host at a time grants a program's tokens in its place: the
-//! first live host in a fixed order per program, provided that a majority of the fleet is live from
-//! its point of view. A host is live if a status update of it has arrived recently. Hosts that may
-//! not know of all earlier grants without the store come last in the order, and do not grant.
-//! Grants made without the store are *unstored* until they are written to it. They come from a
-//! share of the budget that the store does not grant (see `shares`). The figures in a row only ever
-//! grow, so rows that were changed independently are merged by taking the highest figure for each
-//! run.
+//! While the store is unavailable, the holder of a lease grants a program's tokens in its place (see
+//! `grant_leases`). Grants made without the store are *unstored* until they are written to it. They
+//! come from a share of the budget that the store does not grant (see `shares`). The figures in a
+//! row only ever grow, so rows that were changed independently are merged by taking the highest
+//! figure for each run.
 //!
 //! A host can also hand unused tokens directly to another host without changing the row: each
 //! transfer reduces the sender's balance by what it adds to the receiver's.
@@ -27,7 +24,8 @@
 use camphorwalk_core::platform::RowVersion;
 use camphorwalk_core::time::Instant;
 
-use crate::entry::shares::{Doubt, Limit, share_without_store};
+use crate::entry::grant_leases::Succession;
+use crate::entry::shares::{Doubt, Limit, share_without_store, smallest_store_share};
 use crate::entry::write_back::writes_for_others;
 
 use account::Account;
@@ -126,6 +124,9 @@
 
         let needed = account.spent + account.reserved + most;
         if account.spendable(run) >= needed {
+            if account.has_expired_grants(now) {
+                return ReserveOutcome::Withheld(Doubt::Unsettled);
+            }
             account.reserved += most;
             account.refresh_due |= now.since(account.written_at) > REFRESH_AFTER;
             return ReserveOutcome::Reserved;
@@ -253,8 +254,8 @@
     /// `known` is the row as the requesting host knows it. The run may spend the tokens once a host
     /// of another zone has acknowledged the row.
     ///
-    /// Returns `None` if the budget does not cover the turn, or if the share that is granted
-    /// without the store does not.
+    /// Returns `None` if the budget does not cover the turn, if the share that is granted without the
+    /// store does not, or if the program is closed for such grants.
     pub fn grant_turn_without_store(
         &mut self,
         now: Instant,
@@ -280,15 +281,85 @@
         let Proposal::Write(row, _) = proposal else { return None };
         let account = self.accounts.get_mut(&program)?;
         let unstored = row.granted().saturating_sub(account.stored);
-        if unstored > share_without_store(row.budget, claim.most) {
+        if account.is_closed || unstored > share_without_store(row.budget, claim.most) {
             return None;
         }
 
+        account.has_granted_without_store = true;
         account.row = row;
         account.mark_unstored(now);
         Some(account.row.clone())
     }
 
+    /// Stops grants of a program's tokens without the store by this host, so that the store may
+    /// grant the whole budget. `known` is the row as the requesting host knows it. Returns the row as
+    /// this host knows it, which contains all its grants; `None` if the program is in quarantine.
+    ///
+    /// ```
+    /// use camphorwalk_policy::entry::budgets::{BudgetRow, Budgets, KnownRow, ProgramKey, RunId};
+    /// use camphorwalk_core::time::Instant;
+    /// let (now, program) = (Instant(0), ProgramKey(9));
+    /// let mut holder = Budgets::new(RunId(1));
+    /// let row = BudgetRow { budget: 1_000, ..BudgetRow::default() };
+    /// assert!(holder.grant_turn_without_store(now, program, RunId(2), 100, &row).is_some());
+    /// let closed = holder.close_for_outages(now, program, &KnownRow { row, stored: 0 }).unwrap();
+    /// assert_eq!(closed.row.granted[&RunId(2)], 100);
+    /// assert!(holder.grant_turn_without_store(now, program, RunId(2), 100, &closed.row).is_none());
+    /// ```
+    pub fn close_for_outages(
+        &mut self,
+        now: Instant,
+        program: ProgramKey,
+        known: &KnownRow,
+    ) -> Option<KnownRow> {
+        self.merge_known_row(now, program, known);
+        let account = self.accounts.get_mut(&program)?;
+        if account.is_quarantined {
+            return None;
+        }
+
+        account.is_closed = true;
+        Some(KnownRow { row: account.row.clone(), stored: account.stored })
+    }
+
+    /// Returns whether tokens of a program may have been granted without a trace.
+    pub fn is_quarantined(&self, program: ProgramKey) -> bool {
+        self.accounts.get(&program).is_some_and(|account| account.is_quarantined)
+    }
+
+    /// Merges the stored rows of a partition whose lease this host has acquired. Those that exceed
+    /// the share of the store are closed for grants without it. After a holder that may have left
+    /// grants without a trace, all of them are, and stay in quarantine.
+    pub fn merge_partition_rows(
+        &mut self,
+        now: Instant,
+        rows: impl IntoIterator<Item = (ProgramKey, BudgetRow, RowVersion)>,
+        succession: Succession,
+    ) {
+        for (program, row, version) in rows {
+            let is_abandoned = succession == Succession::Abandoned;
+            if !is_abandoned && row.held() <= smallest_store_share(row.budget) {
+                continue;
+            }
+            self.merge_stored_row(now, program, row, version);
+            if let Some(account) = self.accounts.get_mut(&program) {
+                account.is_closed = true;
+                account.is_quarantined |= is_abandoned;
+            }
+        }
+    }
+
+    /// Returns whether the lease of a partition can be released: this host has made no grants to the
+    /// programs that `is_inside` selects that are not in the store, and none of them is in
+    /// quarantine.
+    pub fn is_partition_settled(&self, is_inside: impl Fn(ProgramKey) -> bool) -> bool {
+        let has_unstored =
+            |a: &Account| a.has_unstored || a.has_granted_without_store && a.unstored_tokens() > 0;
+        let mut inside = self.accounts.iter().filter(|(program, _)| is_inside(**program));
+
+        inside.all(|(_, account)| !has_unstored(account) && !account.is_quarantined)
+    }
+
     /// Merges a row that contains unstored grants to this host, after a host of another zone has
     /// acknowledged the row. This host may spend the grants from now on.
     pub fn accept_unstored_grant(&mut self, now: Instant, program: ProgramKey, row: &BudgetRow) {
@@ -358,6 +429,28 @@
         Some(account.row.clone())
     }
 
+    /// Gives the unused tokens of all programs that ran within `recently` back to their budgets, for
+    /// a host that shuts down. Returns the rows to write, with the versions that they replace.
+    pub fn return_all_unused(
+        &mut self,
+        now: Instant,
+        recently: Duration,
+    ) -> Vec<(ProgramKey, BudgetRow, RowVersion)> {
+        let is_running = |a: &Account| now.since(a.last_used) <= recently && !a.has_unstored;
+        let running: Vec<_> =
+            self.accounts.iter().filter(|(_, a)| is_running(a)).map(|(p, _)| *p).collect();
+
+        running
+            .into_iter()
+            .filter_map(|program| {
+                let before = self.row(program)?.returned.clone();
+                let row = self.return_unused(program)?;
+                let version = self.accounts.get(&program)?.version;
+                (row.returned != before).then_some((program, row, version))
+            })
+            .collect()
+    }
+
     /// Returns the claim for the tokens that this host lacks for a turn of `most` tokens.
     pub fn claim(&self, program: ProgramKey, most: u64) -> Claim {
         let account = self.accounts.get(&program);
@@ -491,16 +584,6 @@
         self.row(program).is_some_and(|row| row.held() + most > row.budget)
     }
 
-    /// Returns whether this host has to report that unstored grants exist: it knows of a row with
-    /// such grants that has a grant to this host or to a run that is not live (`is_live`). Live
-    /// hosts report the rows that have a grant to themselves.
-    pub fn is_responsible_for_unstored(&self, is_live: impl Fn(RunId) -> bool) -> bool {
-        let is_own = |a: &Account| a.row.granted.contains_key(&self.run);
-        let any_silent = |a: &Account| !a.row.granted.keys().all(|run| is_live(*run));
-
-        self.accounts.values().any(|a| a.has_unstored && (is_own(a) || any_silent(a)))
-    }
-
     /// Returns a program's row and version in the store, if this host knows them.
     pub fn stored_row(&self, program: ProgramKey) -> Option<(BudgetRow, RowVersion)> {
         let account = self.accounts.get(&program)?;
@@ -546,9 +629,9 @@
     /// the store, with the last known versions of their rows. The caller deletes these rows and
     /// then calls `record_deletion`.
     ///
-    /// A program of which this host was granted or given tokens stays in memory until its row is
-    /// deleted. Otherwise this host could find its grant in the row again and spend it a second
-    /// time. All other inactive programs are removed from memory at once.
+    /// A program of which this host was granted or given tokens, or whose tokens it has granted or
+    /// may not grant without the store, stays in memory until its row is deleted. All other inactive
+    /// programs are removed from memory at once.
     pub fn take_idle(&mut self, now: Instant, idle: Duration) -> Vec<(ProgramKey, RowVersion)> {
         let run = self.run;
         let is_old = |a: &Account| {
@@ -560,14 +643,13 @@
             if !is_old(account) {
                 return true;
             }
-            let is_own =
-                account.row.granted.contains_key(&run) || !account.transferred_from.is_empty();
-            if is_own || account.version != RowVersion::ABSENT {
+            let is_kept = account.is_kept(run);
+            if is_kept || account.version != RowVersion::ABSENT {
                 old.push((*program, account.version));
             }
             // If the row cannot be deleted, the program is returned again after `idle`.
             account.last_used = now;
-            is_own
+            is_kept
         });
         old
     }
--- a/crates/policy/src/entry/budgets/account.rs
+++ b/crates/policy/src/entry/budgets/account.rs
@@ -5,6 +5,7 @@
 use camphorwalk_core::time::Instant;
 
 use crate::entry::budgets::row::{BudgetRow, RunId};
+use crate::entry::grant_leases::UNSTORED_GRANT_VALID_FOR;
 
 /// A program's account on this host.
 #[derive(Clone, Debug)]
@@ -24,6 +25,14 @@
     pub(super) written_at: Instant,
     /// Whether the row has to be written again so that other hosts do not delete it as idle.
     pub(super) refresh_due: bool,
+    /// Whether this host has granted tokens of the program without the store.
+    pub(super) has_granted_without_store: bool,
+    /// Whether this host grants no more tokens of the program without the store, since the store
+    /// may grant the whole budget.
+    pub(super) is_closed: bool,
+    /// Whether tokens of the program may have been granted without a trace, so that the store must
+    /// not grant more than its share.
+    pub(super) is_quarantined: bool,
     /// How many of the tokens granted to this run it may spend. The store or a host of another zone
     /// has recorded that much of the grant.
     pub(super) assured: u64,
@@ -49,6 +58,9 @@
             unstored_since: now,
             written_at: now,
             refresh_due: false,
+            has_granted_without_store: false,
+            is_closed: false,
+            is_quarantined: false,
             assured: 0,
             transferred_to: Map::default(),
             transferred_from: Map::default(),
@@ -66,6 +78,20 @@
         }
     }
 
+    /// Returns whether the row contains grants that are too old to be spent without a record in the
+    /// store.
+    pub(super) fn has_expired_grants(&self, now: Instant) -> bool {
+        self.has_unstored && now.since(self.unstored_since) > UNSTORED_GRANT_VALID_FOR
+    }
+
+    /// Returns whether this host has to remember the account as long as the program's row exists.
+    /// Otherwise it could spend its grant, or grant tokens without the store, a second time.
+    pub(super) fn is_kept(&self, run: RunId) -> bool {
+        let is_holder = self.row.granted.contains_key(&run) || !self.transferred_from.is_empty();
+
+        is_holder || self.has_granted_without_store || self.is_closed
+    }
+
     /// Records that `run`, which is this run, may spend all that `row` grants to it.
     pub(super) fn mark_assured(&mut self, run: RunId, row: &BudgetRow) {
         self.assured = self.assured.max(row.granted_to(run));
--- a/crates/policy/tests/entry_fuzz/asks.rs
+++ b/crates/policy/tests/entry_fuzz/asks.rs
@@ -5,6 +5,7 @@
 
 use camphorwalk_core::platform::RowVersion;
 use camphorwalk_policy::entry::budgets::{BudgetRow, Claim, KnownRow, ProgramKey, RunId};
+use camphorwalk_policy::entry::grant_leases::PartitionSet;
 use camphorwalk_policy::entry::shares::Doubt;
 
 use crate::grants;
@@ -24,15 +25,14 @@
     pub run: RunId,
     pub store_answers: bool,
     pub in_trouble: bool,
-    pub has_complete_history: bool,
-    pub may_have_unstored: bool,
-    pub knows_of_unstored: bool,
+    pub leases: PartitionSet,
 }
 
 #[derive(Clone, Debug)]
 pub enum Query {
     Store(Op),
     Grant(GrantQuery),
+    Consent(ProgramKey, KnownRow),
     Stored(ProgramKey, BudgetRow, RowVersion),
     Unstored(ProgramKey, KnownRow),
     KnownRow(ProgramKey),
@@ -46,8 +46,6 @@
     pub program: ProgramKey,
     pub claim: Claim,
     pub known: KnownRow,
-    /// Whether the turn may be the first one of its program.
-    pub begins: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -57,6 +55,7 @@
     Known(KnownRow),
     StoredRow(Option<(BudgetRow, RowVersion)>),
     Written(BudgetRow),
+    Consented(KnownRow, RowVersion),
     Transferred(u64, Vec<RunId>),
     Withheld(Doubt),
     Spent,
@@ -147,6 +146,10 @@
             let _turn = shared.lock(query.program).await;
             grants::grant(shared, &query).await
         }
+        Query::Consent(program, known) => match grants::consent(shared, program, &known) {
+            Ok((known, version)) => QueryReply::Consented(known, version),
+            Err(doubt) => QueryReply::Withheld(doubt),
+        },
         Query::Stored(program, row, version) => {
             budgets.borrow_mut().merge_stored_row(shared.now(), program, row, version);
             QueryReply::Done
--- a/crates/policy/tests/entry_fuzz/budget.rs
+++ b/crates/policy/tests/entry_fuzz/budget.rs
@@ -13,7 +13,7 @@
 use crate::host::Shared;
 use crate::sim::join_all;
 use crate::store::{Op, StoreReply};
-use crate::world::{MAX_TOKENS, Program};
+use crate::world::{MAX_TOKENS, Program, partition_of};
 
 pub const MAX_WRITES: u32 = 6;
 const QUERY_DEADLINE: Duration = Duration::from_millis(150);
@@ -32,6 +32,8 @@
 pub enum Written {
     Committed,
     Merged,
+    /// The lease has changed hands, so the consent of its holder no longer holds.
+    LeaseChanged,
     Unavailable,
     Unsure,
 }
@@ -39,20 +41,24 @@
 /// Reserves the tokens of a turn.
 pub async fn reserve(shared: &Shared, program: &Program) -> TurnAnswer {
     let Program { key, budget, .. } = *program;
-    let begins = program.last_turn.is_none();
     let budgets = &shared.host.budgets;
     let _turn = shared.lock(key).await;
 
     fetch_row(shared, program).await;
     let mut collected = false;
+    let mut consent = None;
     for _ in 0..MAX_WRITES {
         let is_settled = shared.is_settled();
-        let limit = if is_settled { shared.limit() } else { Limit::Whole };
+        let is_limited = is_settled && !matches!(consent, Some(Ok(_)));
+        let limit = if is_limited { Limit::Share(Doubt::Unsettled) } else { Limit::Whole };
         let reservation =
             budgets.borrow_mut().reserve_within(shared.now(), key, budget, MAX_TOKENS, limit);
 
         match reservation {
             ReserveOutcome::Reserved => return TurnAnswer::Tokens,
+            ReserveOutcome::Withheld(_) if is_limited && consent.is_none() => {
+                consent = Some(grants::request_consent(shared, key, budget).await);
+            }
             ReserveOutcome::Spent { certain: false } | ReserveOutcome::Withheld(_)
                 if !collected =>
             {
@@ -60,10 +66,14 @@
                 collect_tokens(shared, key, is_settled).await;
             }
             ReserveOutcome::Spent { .. } => return TurnAnswer::Spent,
-            ReserveOutcome::Withheld(doubt) => return withheld(doubt),
+            ReserveOutcome::Withheld(doubt) => {
+                return withheld(consent.and_then(Result::err).unwrap_or(doubt));
+            }
             ReserveOutcome::Write(row, version) if is_settled => {
-                match grants::write_hedged(shared, key, row, version).await {
+                let lease = consent.and_then(Result::ok);
+                match grants::write_hedged(shared, key, row, version, lease).await {
                     Hedged::Done(Written::Committed | Written::Merged) => {}
+                    Hedged::Done(Written::LeaseChanged) => consent = None,
                     Hedged::Done(_) | Hedged::Overdue(_) => shared.record_slow(),
                 }
             }
@@ -71,7 +81,7 @@
                 if !budgets.borrow().has_grants(key) {
                     grants::query_known_rows(shared, key, 1).await;
                 }
-                match grants::request_grant(shared, key, budget, begins).await {
+                match grants::request_grant(shared, key, budget).await {
                     Granted::Tokens => {}
                     Granted::Nothing | Granted::Withheld(_) if !collected => {
                         collected = true;
@@ -163,8 +173,10 @@
     program: ProgramKey,
     row: BudgetRow,
     version: RowVersion,
+    lease: Option<RowVersion>,
 ) -> Written {
-    match shared.run_store_op(Op::Commit(program, Some(row.clone()), version)).await {
+    let lease = lease.map(|version| (partition_of(program), version));
+    match shared.run_store_op(Op::Commit(program, Some(row.clone()), version, lease)).await {
         StoreReply::Committed(version) => {
             grants::notify_stored(shared, program, &row, version);
             shared.host.budgets.borrow_mut().record_write(shared.now(), program, row, version);
@@ -172,19 +184,23 @@
         }
         StoreReply::Conflict(there) => merge_result(shared, program, there),
         StoreReply::Unavailable => Written::Unavailable,
-        StoreReply::Row(_) | StoreReply::Unknown => {
-            match shared.run_store_op(Op::Read(program)).await {
-                StoreReply::Row(there) => merge_result(shared, program, there),
-                StoreReply::Unavailable => Written::Unavailable,
-                _ => Written::Unsure,
-            }
-        }
+        StoreReply::LeaseConflict => Written::LeaseChanged,
+        _ => read(shared, program).await,
+    }
+}
+
+/// Reads a row and merges what the store holds.
+pub async fn read(shared: &Shared, program: ProgramKey) -> Written {
+    match shared.run_store_op(Op::Read(program)).await {
+        StoreReply::Row(there) => merge_result(shared, program, there),
+        StoreReply::Unavailable => Written::Unavailable,
+        _ => Written::Unsure,
     }
 }
 
 /// Deletes a program's row that was idle at `idle_at`, if it still has this version.
 pub async fn delete(shared: &Shared, program: ProgramKey, version: RowVersion, idle_at: Instant) {
-    let reply = shared.run_store_op(Op::Commit(program, None, version)).await;
+    let reply = shared.run_store_op(Op::Commit(program, None, version, None)).await;
     let mut budgets = shared.host.budgets.borrow_mut();
 
     match reply {
--- a/crates/policy/tests/entry_fuzz/host.rs
+++ b/crates/policy/tests/entry_fuzz/host.rs
@@ -9,26 +9,29 @@
 use camphorwalk_core::platform::RowVersion;
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
+use camphorwalk_policy::entry::grant_leases::{
+    self, Claim, GrantLeases, Holder, HolderState, HostSeen, LeaseRow, Partition, PartitionSet,
+};
 use camphorwalk_policy::entry::host_rows::{HostRows, Presence};
 use camphorwalk_policy::entry::isolation::{self, Contact, Surroundings};
 use camphorwalk_policy::entry::outage::StoreHealth;
-use camphorwalk_policy::entry::shares::{self, GrantHistory, HISTORY_COMPLETE_AFTER, Limit};
 
 use crate::asks::{self, Query, QueryReply, Status};
 use crate::budget::{self, TurnAnswer};
 use crate::grants;
 use crate::oracle;
-use crate::sim::{Lock, Locked};
+use crate::sim::{Lock, Locked, join_all};
 use crate::store::{self, Op, StoreReply};
-use crate::world::{HOSTS, MAX_TOKENS, Program, RETENTION, World, ZONES};
+use crate::world::{HOSTS, LEASES, MAX_TOKENS, Program, RETENTION, World, ZONES, partition_of};
 
 const STATUS_PERIOD: Duration = Duration::from_millis(100);
 const LIVE_FOR: Duration = Duration::from_millis(700);
 const SETTLED_AFTER: Duration = Duration::from_secs(3);
-const UNSTORED_REPORT_WINDOW: Duration = Duration::from_secs(1);
 const SLOW_REPORT_TIME: Duration = Duration::from_millis(500);
 const LONG_SILENCE: Duration = Duration::from_millis(300);
 const RELAY_DEADLINE: Duration = Duration::from_millis(600);
+const CLAIM_PERIOD: Duration = Duration::from_millis(250);
+const RUNNING_WITHIN: Duration = Duration::from_secs(10);
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(5);
 const WRITE_BACK_PERIOD: Duration = Duration::from_millis(500);
@@ -41,8 +44,7 @@
     at: Instant,
     run: RunId,
     store_answers: bool,
-    has_complete_history: bool,
-    knows_of_unstored: bool,
+    leases: PartitionSet,
 }
 
 pub struct Host {
@@ -51,7 +53,7 @@
     /// Whether the whole fleet started for the first time together with this host.
     is_first_start: bool,
     began: Instant,
-    history: RefCell<GrantHistory>,
+    pub leases: RefCell<GrantLeases>,
     pub budgets: RefCell<Budgets>,
     pub health: RefCell<StoreHealth>,
     /// Whether the host has read who the others are. Until then it exchanges no messages with them.
@@ -59,11 +61,11 @@
     /// The rows of the other hosts as last read, and which of these hosts do not count as gone.
     rows: RefCell<HostRows>,
     known: RefCell<Set<usize>>,
+    seen: RefCell<Map<usize, HostSeen>>,
     heartbeat_at: Cell<Option<Instant>>,
     received: RefCell<Map<usize, ReceivedStatus>>,
     trouble_at: Cell<Option<Instant>>,
     slow_at: Cell<Option<Instant>>,
-    unstored_at: Cell<Option<Instant>>,
     locks: RefCell<Map<ProgramKey, Rc<Lock>>>,
 }
 
@@ -81,17 +83,20 @@
             run,
             is_first_start,
             began: now,
-            history: RefCell::new(GrantHistory::new(now, is_first_start)),
+            leases: RefCell::new(GrantLeases::new(
+                Holder { host: host_name(name), run },
+                is_first_start,
+            )),
             budgets: RefCell::new(Budgets::new(run)),
             health: RefCell::default(),
             joined: Cell::new(false),
             rows: RefCell::default(),
             known: RefCell::new((0..HOSTS).filter(|other| *other != name).collect()),
+            seen: RefCell::default(),
             heartbeat_at: Cell::new(None),
             received: RefCell::default(),
             trouble_at: Cell::new(None),
             slow_at: Cell::new(None),
-            unstored_at: Cell::new(None),
             locks: RefCell::default(),
         }
     }
@@ -132,17 +137,6 @@
         run == self.host.run || self.host_of_run(run).is_some()
     }
 
-    /// Returns how many hosts there are, as far as this one knows.
-    fn known(&self) -> usize {
-        if self.host.has_joined() { self.host.known.borrow().len() + 1 } else { 1 }
-    }
-
-    fn live_known_hosts(&self) -> Vec<(usize, ReceivedStatus)> {
-        let known = self.host.known.borrow();
-
-        self.live_hosts().into_iter().filter(|(host, _)| known.contains(host)).collect()
-    }
-
     /// Writes this host's row and reads those of the others, if it is time to do so.
     fn heartbeat(&self) {
         let now = self.now();
@@ -151,14 +145,27 @@
             return;
         }
         self.host.heartbeat_at.set(Some(now));
-        self.world.write_host_row(self.host.name);
+        self.world.write_host_row(self.host.name, self.host.run);
+        self.host.leases.borrow_mut().record_heartbeat(now, now);
 
+        self.read_host_rows(last.is_some());
+    }
+
+    /// Reads the rows of the other hosts. `is_period_over` tells whether each of them has had time
+    /// to write its row again since the last heartbeat.
+    fn read_host_rows(&self, is_period_over: bool) {
+        let now = self.now();
         let mut known = self.host.known.borrow_mut();
+
         for other in (0..HOSTS).filter(|other| *other != self.host.name) {
-            let version = RowVersion(self.world.host_rows.get()[other]);
-            let is_due = last.is_some() && !self.is_live(other);
+            let (version, run) = self.world.host_rows.get()[other];
+            let version = RowVersion(version);
+            let is_due = is_period_over && !self.is_live(other);
             let host = HostId(other as u64);
-            match self.host.rows.borrow_mut().record_read(host, version, is_due) {
+            let presence = self.host.rows.borrow_mut().record_read(host, version, is_due);
+            let is_gone = presence == Presence::Gone;
+            self.host.seen.borrow_mut().insert(other, HostSeen { run, is_gone, at: now });
+            match presence {
                 Presence::Updated => drop(known.insert(other)),
                 Presence::Silent => {}
                 Presence::Gone => drop(known.remove(&other)),
@@ -166,8 +173,33 @@
         }
     }
 
-    pub fn is_majority(&self) -> bool {
-        (self.live_known_hosts().len() + 1) * 2 > self.known()
+    /// Returns the host that holds the lease of a program, if it is live.
+    pub fn lease_holder(&self, program: ProgramKey) -> Option<usize> {
+        let partition = partition_of(program);
+        if self.host.leases.borrow().reported().contains(partition) {
+            return Some(self.host.name);
+        }
+
+        self.live_lease_holder(partition)
+    }
+
+    fn live_lease_holder(&self, partition: Partition) -> Option<usize> {
+        let live = self.live_hosts();
+        let holder = live.iter().find(|(_, received)| received.leases.contains(partition));
+
+        holder.map(|(host, _)| *host)
+    }
+
+    /// Returns whether this host may grant tokens of a program without the store.
+    pub fn may_grant(&self, program: ProgramKey) -> bool {
+        self.host.leases.borrow().may_grant(self.now(), partition_of(program))
+    }
+
+    fn holder_state(&self, holder: &Holder, read_at: Instant) -> HolderState {
+        let host = (0..HOSTS).find(|name| host_name(*name) == holder.host);
+        let seen = host.and_then(|host| self.host.seen.borrow().get(&host).copied());
+
+        grant_leases::holder_state(holder, read_at, seen)
     }
 
     pub fn is_isolated(&self) -> bool {
@@ -187,23 +219,22 @@
             })
     }
 
-    /// Returns the live hosts and this one, in the order in which they grant a program's tokens.
+    /// Returns the live hosts and this one, in the order in which they grant a program's tokens
+    /// while the store is unsettled: the holder of the lease first.
     pub fn order(&self, program: ProgramKey) -> Vec<usize> {
         let hosts = self.live_hosts().into_iter().map(|(host, _)| host).chain([self.host.name]);
         let order = rendezvous_order(program.0, hosts.map(|host| host as u64));
-        let has_complete_history = |host: &usize| match *host == self.host.name {
-            true => self.has_complete_history(),
-            false => self.reports_complete_history(*host),
-        };
-        let (mut order, late): (Vec<_>, Vec<_>) =
-            order.into_iter().map(|host| host as usize).partition(has_complete_history);
-        order.extend(late);
+        let holder = self.lease_holder(program);
+        let others = order.into_iter().map(|host| host as usize);
 
-        order
+        holder.into_iter().chain(others.filter(|host| Some(*host) != holder)).collect()
     }
 
-    fn reports_complete_history(&self, host: usize) -> bool {
-        self.live_hosts().iter().any(|(live, status)| *live == host && status.has_complete_history)
+    fn is_first_to_claim(&self, partition: Partition) -> bool {
+        let hosts = self.live_hosts().into_iter().map(|(host, _)| host).chain([self.host.name]);
+        let order = rendezvous_order(u64::from(partition.0), hosts.map(|host| host as u64));
+
+        order.first() == Some(&(self.host.name as u64))
     }
 
     pub fn next_granters(&self, program: ProgramKey) -> impl Iterator<Item = usize> {
@@ -242,61 +273,6 @@
         self.host.is_first_start || self.now().since(self.host.began) > SETTLED_AFTER
     }
 
-    fn may_have_unstored(&self) -> bool {
-        let any_unavailable =
-            self.host.health.borrow().any_part_failed_within(self.now(), UNSTORED_REPORT_WINDOW);
-
-        any_unavailable
-            || self.host.budgets.borrow().is_responsible_for_unstored(|run| self.is_run_live(run))
-    }
-
-    fn is_all_stored(&self) -> bool {
-        if self.may_have_unstored() {
-            self.host.unstored_at.set(Some(self.now()));
-        }
-        let unstored_at = self.host.unstored_at.get();
-
-        self.would_know_of_trouble()
-            && unstored_at.is_none_or(|at| self.now().since(at) > UNSTORED_REPORT_WINDOW)
-    }
-
-    pub fn has_complete_history(&self) -> bool {
-        let others = self.fleet_view_without_self();
-
-        self.host.history.borrow_mut().is_complete(self.now(), others)
-    }
-
-    /// Returns how much of a budget the store may grant on request of this host.
-    pub fn limit(&self) -> Limit {
-        shares::limit(self.fleet_view())
-    }
-
-    fn knows_of_unstored(&self) -> bool {
-        let unstored_at = self.host.unstored_at.get();
-
-        unstored_at.is_some_and(|at| self.now().since(at) <= HISTORY_COMPLETE_AFTER)
-    }
-
-    fn fleet_view(&self) -> shares::FleetView {
-        let others = self.fleet_view_without_self();
-
-        others.including_self(self.has_complete_history(), self.knows_of_unstored())
-    }
-
-    fn fleet_view_without_self(&self) -> shares::FleetView {
-        let live_hosts = self.live_known_hosts();
-        let complete = live_hosts.iter().filter(|(_, received)| received.has_complete_history);
-        let without_unstored = complete.clone().filter(|(_, received)| !received.knows_of_unstored);
-
-        shares::FleetView {
-            is_all_stored: self.is_all_stored(),
-            known_hosts: self.known(),
-            live_hosts: live_hosts.len() + 1,
-            complete_histories: complete.count(),
-            without_unstored_grants: without_unstored.count(),
-        }
-    }
-
     pub fn record_slow(&self) {
         self.host.slow_at.set(Some(self.now()));
         self.host.trouble_at.set(Some(self.now()));
@@ -371,26 +347,10 @@
     }
 
     pub fn apply_status(&self, from: usize, status: Status) {
-        let Status {
-            run,
-            store_answers,
-            in_trouble,
-            has_complete_history,
-            may_have_unstored,
-            knows_of_unstored,
-        } = status;
-        let received = ReceivedStatus {
-            at: self.now(),
-            run,
-            store_answers,
-            has_complete_history,
-            knows_of_unstored,
-        };
+        let Status { run, store_answers, in_trouble, leases } = status;
+        let received = ReceivedStatus { at: self.now(), run, store_answers, leases };
 
         self.host.received.borrow_mut().insert(from, received);
-        if may_have_unstored {
-            self.host.unstored_at.set(Some(self.now()));
-        }
         if in_trouble {
             self.host.trouble_at.set(Some(self.now()));
         }
@@ -405,13 +365,16 @@
             run: self.host.run,
             store_answers: self.answers_store(),
             in_trouble: is_slow || any_unavailable,
-            may_have_unstored: self.may_have_unstored(),
-            knows_of_unstored: self.knows_of_unstored(),
-            has_complete_history: self.has_complete_history(),
+            leases: self.host.leases.borrow().reported(),
         }
     }
 }
 
+/// Returns the name under which a host writes its rows.
+fn host_name(host: usize) -> Box<str> {
+    format!("h{host}").into()
+}
+
 /// Starts the background tasks of a host.
 pub fn start(world: &Rc<World>, host: &Rc<Host>) {
     let shared = Shared { world: Rc::clone(world), host: Rc::clone(host) };
@@ -419,6 +382,7 @@
     shared.spawn(probe_store(shared.clone()));
     shared.spawn(send_status(shared.clone()));
     shared.spawn(write_back(shared.clone()));
+    shared.spawn(claim_leases(shared.clone()));
     shared.spawn(sweep(shared.clone()));
 }
 
@@ -484,6 +448,94 @@
     }
 }
 
+/// Acquires vacant leases, and reads the rows of those acquired.
+async fn claim_leases(shared: Shared) {
+    loop {
+        shared.world.sim.sleep(CLAIM_PERIOD).await;
+        let all = || (0..LEASES).map(Partition);
+        let claims = shared.host.leases.borrow_mut().claims(
+            shared.now(),
+            all(),
+            |partition| shared.live_lease_holder(partition).is_some(),
+            |partition| shared.is_first_to_claim(partition),
+            |holder, at| shared.holder_state(holder, at),
+        );
+        let any_read = claims.iter().any(|(_, claim)| *claim == Claim::Read);
+        join_all(claims.into_iter().map(|(p, claim)| carry_out(&shared, p, claim))).await;
+        if any_read && let StoreReply::Row(_) = shared.run_store_op(Op::Probe).await {
+            shared.read_host_rows(false);
+        }
+
+        let due = shared.host.leases.borrow().partitions_to_read(shared.now());
+        join_all(due.into_iter().map(|partition| read_partition(&shared, partition))).await;
+    }
+}
+
+async fn carry_out(shared: &Shared, partition: Partition, claim: Claim) {
+    let (row, version, succession) = match claim {
+        Claim::Write(row, version, succession) => (row, version, succession),
+        Claim::Read => {
+            let began = shared.now();
+            let reply = shared.run_store_op(Op::ReadLease(partition)).await;
+            let StoreReply::Lease(row) = reply else { return };
+            let claim = shared.host.leases.borrow_mut().record_row(
+                began,
+                shared.now(),
+                partition,
+                row,
+                |holder, at| shared.holder_state(holder, at),
+            );
+            let Some(Claim::Write(row, version, succession)) = claim else { return };
+            (row, version, succession)
+        }
+    };
+
+    let reply = shared.run_store_op(Op::CommitLease(partition, row, version)).await;
+    let mut leases = shared.host.leases.borrow_mut();
+    match reply {
+        StoreReply::Committed(version) => {
+            let quarantine = grant_leases::quarantine_time(RETENTION);
+            leases.record_acquired(shared.now(), partition, version, succession, quarantine);
+        }
+        StoreReply::LeaseConflict => leases.record_conflict(partition),
+        _ => {}
+    }
+}
+
+async fn read_partition(shared: &Shared, partition: Partition) {
+    let began = shared.now();
+    let reply = shared.run_store_op(Op::ReadPartition(partition)).await;
+    let StoreReply::Rows(rows) = reply else { return };
+
+    if let Some(succession) = shared.host.leases.borrow_mut().record_read(began, partition) {
+        shared.host.budgets.borrow_mut().merge_partition_rows(shared.now(), rows, succession);
+    }
+}
+
+/// Begins the shutdown of a host, which releases its leases.
+pub fn shut_down(world: &Rc<World>, host: &Rc<Host>) {
+    let shared = Shared { world: Rc::clone(world), host: Rc::clone(host) };
+
+    shared.spawn(release_leases(shared.clone()));
+}
+
+async fn release_leases(shared: Shared) {
+    let released = shared.host.leases.borrow_mut().give_up_all(|partition| {
+        let budgets = shared.host.budgets.borrow();
+        budgets.is_partition_settled(|program| partition_of(program) == partition)
+    });
+    let release = |(partition, version)| {
+        shared.run_store_op(Op::CommitLease(partition, LeaseRow { holder: None }, version))
+    };
+    join_all(released.into_iter().map(release)).await;
+
+    let unused = shared.host.budgets.borrow_mut().return_all_unused(shared.now(), RUNNING_WITHIN);
+    let writes = unused
+        .into_iter()
+        .map(|(program, row, version)| budget::write(&shared, program, row, version, None));
+    join_all(writes).await;
+}
+
 /// Deletes rows of programs that may not return any more.
 async fn sweep(shared: Shared) {
     loop {
--- a/crates/policy/tests/entry_fuzz/store.rs
+++ b/crates/policy/tests/entry_fuzz/store.rs
@@ -6,9 +6,10 @@
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::platform::RowVersion;
 use camphorwalk_policy::entry::budgets::{BudgetRow, ProgramKey};
+use camphorwalk_policy::entry::grant_leases::{LeaseRow, Partition};
 
 use crate::oracle;
-use crate::world::World;
+use crate::world::{World, partition_of};
 
 /// How long a host waits for an answer of the store.
 const ANSWER_DEADLINE: Duration = Duration::from_millis(500);
@@ -29,12 +30,21 @@
     Late,
 }
 
-/// An operation on a program's row.
+/// A lease row that a write requires to have this version.
+pub type LeaseCheck = (Partition, RowVersion);
+
+/// An operation on the rows of programs and leases.
 #[derive(Clone, Debug)]
 pub enum Op {
-    /// Writes the row, or deletes it, provided that the stored one has this version.
-    Commit(ProgramKey, Option<BudgetRow>, RowVersion),
+    /// Writes the row, or deletes it, provided that the stored one has this version and that the
+    /// lease row, if one is given, has its version.
+    Commit(ProgramKey, Option<BudgetRow>, RowVersion, Option<LeaseCheck>),
     Read(ProgramKey),
+    /// Writes a lease row, provided that the stored one has this version.
+    CommitLease(Partition, LeaseRow, RowVersion),
+    ReadLease(Partition),
+    /// Reads the rows of all programs of a partition.
+    ReadPartition(Partition),
     /// An operation on the platform's own tables.
     Probe,
 }
@@ -52,6 +62,10 @@
     /// Holds the row that the store has instead.
     Conflict(Option<(BudgetRow, RowVersion)>),
     Row(Option<(BudgetRow, RowVersion)>),
+    /// The lease row does not have the required version.
+    LeaseConflict,
+    Lease(Option<(LeaseRow, RowVersion)>),
+    Rows(Vec<(ProgramKey, BudgetRow, RowVersion)>),
     Unavailable,
     Unknown,
 }
@@ -59,6 +73,7 @@
 #[derive(Default)]
 pub struct Rows {
     rows: Map<ProgramKey, (BudgetRow, RowVersion)>,
+    leases: Map<Partition, (LeaseRow, RowVersion)>,
     last: u64,
 }
 
@@ -67,11 +82,32 @@
         self.rows.get(&program)
     }
 
+    fn lease_version(&self, partition: Partition) -> RowVersion {
+        self.leases.get(&partition).map_or(RowVersion::ABSENT, |(_, version)| *version)
+    }
+
     fn run(&mut self, world: &World, op: &Op) -> StoreReply {
         match op {
             Op::Probe => StoreReply::Row(None),
             Op::Read(program) => StoreReply::Row(self.rows.get(program).cloned()),
-            Op::Commit(program, row, version) => {
+            Op::ReadLease(partition) => StoreReply::Lease(self.leases.get(partition).cloned()),
+            Op::ReadPartition(partition) => {
+                let inside = self.rows.iter().filter(|(p, _)| partition_of(**p) == *partition);
+                let rows = inside.map(|(p, (row, version))| (*p, row.clone(), *version));
+                StoreReply::Rows(rows.collect())
+            }
+            Op::CommitLease(partition, row, version) => {
+                if self.lease_version(*partition) != *version {
+                    return StoreReply::LeaseConflict;
+                }
+                self.last += 1;
+                self.leases.insert(*partition, (row.clone(), RowVersion(self.last)));
+                StoreReply::Committed(RowVersion(self.last))
+            }
+            Op::Commit(program, row, version, lease) => {
+                if lease.is_some_and(|(partition, at)| self.lease_version(partition) != at) {
+                    return StoreReply::LeaseConflict;
+                }
                 let there = self.rows.get(program).cloned();
                 if there.as_ref().map_or(RowVersion::ABSENT, |(_, version)| *version) != *version {
                     return StoreReply::Conflict(there);
@@ -95,10 +131,8 @@
 pub async fn run(world: &Rc<World>, mode: Mode, op: Op) -> StoreReply {
     let sim = &world.sim;
     let effect = || world.store.borrow_mut().run(world, &op);
-    let no_answer = match op {
-        Op::Commit(..) => StoreReply::Unknown,
-        Op::Read(_) | Op::Probe => StoreReply::Unavailable,
-    };
+    let is_write = matches!(op, Op::Commit(..) | Op::CommitLease(..));
+    let no_answer = if is_write { StoreReply::Unknown } else { StoreReply::Unavailable };
 
     match mode {
         Mode::Up | Mode::Slow => {
@@ -120,7 +154,7 @@
         }
         Mode::AnswersLost => {
             sim.sleep(sim.random_millis(1..100)).await;
-            if let Op::Commit(..) = op {
+            if is_write {
                 effect();
                 sim.sleep(sim.random_millis(50..500)).await;
                 return no_answer;
@@ -128,7 +162,7 @@
             effect()
         }
         Mode::Late => {
-            if let Op::Commit(..) = op {
+            if is_write {
                 apply_late(world, op);
             }
             sim.sleep(ANSWER_DEADLINE).await;
--- a/crates/policy/tests/entry_fuzz/world.rs
+++ b/crates/policy/tests/entry_fuzz/world.rs
@@ -7,6 +7,7 @@
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{ProgramKey, RunId};
+use camphorwalk_policy::entry::grant_leases::Partition as LeasePartition;
 
 use crate::budget::TurnAnswer;
 use crate::host::{self, Host};
@@ -23,6 +24,9 @@
 /// The maximum number of tokens of a turn.
 pub const MAX_TOKENS: u64 = 286;
 
+/// The number of partitions of programs, each of which has a lease.
+pub const LEASES: u16 = 8;
+
 /// How long after its last turn a program may return.
 pub const RETENTION: Duration = Duration::from_secs(60);
 
@@ -30,6 +34,14 @@
 /// status updates.
 const STATUS_DELAY: Duration = Duration::from_millis(300);
 
+/// How long a host runs after its shutdown began.
+const SHUTDOWN_TIME: Duration = Duration::from_millis(500);
+
+/// Returns the partition whose lease covers a program.
+pub fn partition_of(program: ProgramKey) -> LeasePartition {
+    LeasePartition::of(program, LEASES)
+}
+
 /// A program. Once it has been inactive for longer than `RETENTION` it does not return, and another
 /// program takes its place.
 #[derive(Clone, Debug)]
@@ -72,8 +84,8 @@
     pub sim: Rc<Sim>,
     pub store: RefCell<Rows>,
     pub hosts: RefCell<Vec<Option<Rc<Host>>>>,
-    /// The versions of the rows that hosts write as heartbeats.
-    pub host_rows: Cell<[u64; HOSTS]>,
+    /// The versions of the rows that hosts write as heartbeats, and the runs that wrote them.
+    pub host_rows: Cell<[(u64, RunId); HOSTS]>,
     pub modes: Cell<[Mode; HOSTS]>,
     pub net: Cell<Net>,
     pub partition: Cell<Partition>,
@@ -97,9 +109,9 @@
     }
 
     /// Updates a host's row.
-    pub fn write_host_row(&self, name: usize) {
+    pub fn write_host_row(&self, name: usize, run: RunId) {
         let mut rows = self.host_rows.get();
-        rows[name] += 1;
+        rows[name] = (rows[name].0 + 1, run);
         self.host_rows.set(rows);
     }
 
@@ -199,7 +211,7 @@
             sim: Rc::new(Sim::new(seed)),
             store: RefCell::default(),
             hosts: RefCell::new(vec![None; HOSTS]),
-            host_rows: Cell::new([0; HOSTS]),
+            host_rows: Cell::new([(0, World::NO_RUN); HOSTS]),
             modes: Cell::new([Mode::Up; HOSTS]),
             net: Cell::new(Net::Good),
             partition: Cell::new(Partition::None),
@@ -241,6 +253,14 @@
         host::start(&self.world, &host);
     }
 
+    /// Shuts a host down, which then has the time to release its leases.
+    pub fn shut_down(&mut self, name: usize) {
+        let Some(host) = self.world.host(name) else { return };
+        host::shut_down(&self.world, &host);
+        self.run(SHUTDOWN_TIME);
+        self.kill(name);
+    }
+
     /// Kills a host, unless this could destroy the last copy of a grant.
     pub fn kill(&mut self, name: usize) {
         let Some(host) = self.world.host(name) else { return };
