Status updates list the partitions whose lease a host holds

A bit set of 256 partitions took 34 bytes of each status update. A host of a large fleet holds a few leases only: in a fleet of 69 hosts the list takes about ten bytes. A host that looks for vacant leases joins the lists of the live hosts once, not for each of the 256 partitions. The doc tests and the tests of grant_leases, faults and service pass.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -30,10 +30,9 @@
     /// that has just started sets neither this flag nor `store_answers`.
     #[prost(bool, tag = "8")]
     pub store_away: bool,
-    /// The partitions of programs whose grant lease the sender holds, as a bit set: the bit `n % 64`
-    /// of the word `n / 64` stands for partition `n`.
-    #[prost(fixed64, repeated, tag = "15")]
-    pub grant_leases: Vec<u64>,
+    /// The numbers of the partitions of programs whose grant lease the sender holds.
+    #[prost(uint32, repeated, tag = "15")]
+    pub grant_leases: Vec<u32>,
     /// The number of calls queued at the sender for a place at a target, for each service that has
     /// any.
     #[prost(message, repeated, tag = "9")]
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -181,6 +181,13 @@
         holders.next().map(|(host, _)| host)
     }
 
+    /// Returns the partitions whose grant lease some other live host holds.
+    pub(crate) fn leases_of_live_hosts(&self) -> PartitionSet {
+        let live = self.live_hosts().into_iter();
+
+        live.fold(PartitionSet::default(), |all, (_, status)| all.union(status.grant_leases))
+    }
+
     /// Returns what the last read of a host's row says about it.
     pub(crate) fn host_seen(&self, name: &str) -> Option<HostSeen> {
         self.seen.borrow().get(&HostId::from_name(name)).copied()
--- a/crates/entry/src/grant_leases.rs
+++ b/crates/entry/src/grant_leases.rs
@@ -79,6 +79,7 @@
 /// Acquires the leases that this host should hold and that are vacant.
 async fn claim_vacant(shared: &Rc<Shared>) {
     let claims = {
+        let held_elsewhere = shared.fleet.leases_of_live_hosts();
         let live: Vec<_> = shared.fleet.live_hosts_in_order(0).into_iter().map(|h| h.0).collect();
         let own = shared.fleet.own_id().0;
         let is_first = |partition: Partition| {
@@ -87,7 +88,7 @@
         shared.grant_leases.borrow_mut().claims(
             clock::now(),
             (0..partition_count()).map(Partition),
-            |partition| shared.fleet.live_lease_holder(partition).is_some(),
+            |partition| held_elsewhere.contains(partition),
             is_first,
             |holder, at| state_of(shared, holder, at),
         )
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -166,7 +166,7 @@
         crashes: changes.crashes,
         store_answers: shared.store.is_available(),
         store_away: shared.store.reports_trouble(),
-        grant_leases: shared.grant_leases.borrow().reported().words().into(),
+        grant_leases: shared.grant_leases.borrow().reported().numbers().collect(),
         waiting: waiting
             .map(|(service, calls)| WaitingCalls { service: service.into(), calls })
             .collect(),
@@ -202,7 +202,7 @@
         store_answers: update.store_answers,
         run: update.run,
         manifest_version: update.manifest_version,
-        grant_leases: PartitionSet::from_words(&update.grant_leases),
+        grant_leases: PartitionSet::from_numbers(&update.grant_leases),
     };
     let has_recovered = update.store_answers && !shared.fleet.store_answers(from);
     if shared.fleet.record_status(from, status) {
--- a/crates/policy/src/entry/grant_leases.rs
+++ b/crates/policy/src/entry/grant_leases.rs
@@ -77,25 +77,32 @@
     }
 }
 
-/// The number of words of a [`PartitionSet`].
+/// The number of words of a [`PartitionSet`], and the number of partitions in a word.
 const WORDS: usize = 4;
+const WORD_BITS: usize = 64;
 
 /// A set of partitions with numbers below 256.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PartitionSet([u64; WORDS]);
 
 impl PartitionSet {
-    /// Creates a set from its words. Missing words count as empty.
-    pub fn from_words(words: &[u64]) -> Self {
-        let mut set = Self::default();
-        set.0.iter_mut().zip(words).for_each(|(own, word)| *own = *word);
+    /// Creates a set from the numbers of its partitions. Numbers that are too large are ignored.
+    pub fn from_numbers(numbers: &[u32]) -> Self {
+        let partitions = numbers.iter().filter_map(|number| u16::try_from(*number).ok());
 
-        set
+        partitions.map(Partition).collect()
+    }
+
+    /// Returns the numbers of the partitions in the set.
+    pub fn numbers(self) -> impl Iterator<Item = u32> {
+        let all = (0..WORDS * WORD_BITS).filter_map(|number| u16::try_from(number).ok());
+
+        all.filter(move |number| self.contains(Partition(*number))).map(u32::from)
     }
 
-    /// Returns the words of the set: the bit `n % 64` of the word `n / 64` stands for partition `n`.
-    pub fn words(self) -> [u64; WORDS] {
-        self.0
+    /// Returns the partitions that are in either set.
+    pub fn union(self, other: Self) -> Self {
+        Self(std::array::from_fn(|word| self.0[word] | other.0[word]))
     }
 
     /// Returns whether a partition is in the set.
@@ -104,12 +111,14 @@
     /// use camphorwalk_policy::entry::grant_leases::{Partition, PartitionSet};
     /// let set: PartitionSet = [Partition(70)].into_iter().collect();
     /// assert!(set.contains(Partition(70)) && !set.contains(Partition(6)));
-    /// assert_eq!(PartitionSet::from_words(&set.words()), set);
+    /// assert_eq!(set.numbers().collect::<Vec<_>>(), [70]);
+    /// assert_eq!(PartitionSet::from_numbers(&[70]), set);
     /// ```
     pub fn contains(self, Partition(number): Partition) -> bool {
-        let word = self.0.get(usize::from(number / 64)).copied().unwrap_or(0);
+        let number = usize::from(number);
+        let word = self.0.get(number / WORD_BITS).copied().unwrap_or(0);
 
-        word >> (number % 64) & 1 == 1
+        word >> (number % WORD_BITS) & 1 == 1
     }
 }
 
@@ -117,8 +126,9 @@
     fn from_iter<I: IntoIterator<Item = Partition>>(partitions: I) -> Self {
         let mut set = Self::default();
         for Partition(number) in partitions {
-            if let Some(word) = set.0.get_mut(usize::from(number / 64)) {
-                *word |= 1 << (number % 64);
+            let number = usize::from(number);
+            if let Some(word) = set.0.get_mut(number / WORD_BITS) {
+                *word |= 1 << (number % WORD_BITS);
             }
         }
 
