Budgets and leases: what a review, a wider fuzz and mixed builds found

Faults that were shown by a run, each with its order of events, and what changed: - An older fault: a host that cannot refresh a row went on spending its stored grant, while the others deleted the row as idle after 90 s and began the budget anew (4,376 and 5,148 of 4,000 tokens, oracle of deletions off). Now a host spends only within 20 s of the row's last write by or for it, and else writes it first; a turn that runs for long refreshes it. Tokens are handed to other hosts only while they may be spent. - The late heartbeat of a process that had ended replaced the row of its successor, which then counted as ended (two holders, 2,002 of 1,430). A heartbeat now replaces only the version that its host has seen. - Reads outside the heartbeat made a silent host gone after 15.1 s, before its lease had expired. The takeover now counts the time since the row was first seen unchanged. - Turns of different maxima: 1,990 of 1,000 tokens, 1,760 allowed, with turns above and just below three quarters. It releases them when callers have moved on, and ends when no call is open. - 402 was answered while a host that holds unused tokens did not reply (Spent, then Tokens after healing). It is 503 as long as that run may live, by the rows of the hosts. - A write that was late was refused at once where nothing could be granted without the store (one in 2,851 cases of the fuzz); it is awaited. - Hosts of the old build did not understand the query for a grant, as it lacked `begins`, and half of the leases stayed vacant beside them, as they counted among those that claim. The field is back, with its rule that a running program whose row nobody knows is granted nothing without the store; hosts report whether they claim leases. - Host rows are read by pages; a host acquires 32 leases a round at most, so that the first one that starts leaves the others their part.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -33,6 +33,9 @@
     /// The numbers of the partitions of programs whose grant lease the sender holds.
     #[prost(uint32, repeated, tag = "15")]
     pub grant_leases: Vec<u32>,
+    /// Whether the sender acquires vacant leases.
+    #[prost(bool, tag = "16")]
+    pub claims_leases: bool,
     /// The number of calls queued at the sender for a place at a target, for each service that has
     /// any.
     #[prost(message, repeated, tag = "9")]
--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -17,6 +17,7 @@
 use http::StatusCode;
 use std::time::Duration;
 use tokio::sync::Mutex;
+use tokio::time::timeout;
 use tracing::{info, warn};
 
 use crate::answer::Refusal;
@@ -24,7 +25,7 @@
 use crate::grants::{self, GrantOutcome, HedgedOperation, ROW_REPLICAS};
 use crate::host::Shared;
 use crate::queries::{self, Query, QueryReply};
-use crate::{clock, grant_leases, store};
+use crate::{clock, fleet, grant_leases, store};
 
 /// The table of budgets.
 pub(crate) const TABLE: &str = "budgets";
@@ -40,6 +41,9 @@
 /// How long another host may take to transfer or return tokens: one round trip with a large margin.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long the write of a row may take without which a host must not spend its grant.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(450);
+
 /// How long the host that forwarded the last turn may take to send the row: several times the
 /// usual round trip, and about as long as the store transaction that the row saves.
 const ROW_FETCH_TIMEOUT: Duration = Duration::from_millis(20);
@@ -95,6 +99,8 @@
 
     fetch_row_from_last_host(call, program).await;
     let mut has_collected = false;
+    // Whether another host may still hold tokens that it does not need.
+    let mut is_unheard = false;
     let mut consent = None;
     let mut is_first = !shared.budgets.borrow().has_grants(program);
     for _ in 0..MAX_WRITE_ATTEMPTS {
@@ -122,6 +128,13 @@
                     is_first,
                 }));
             }
+            ReserveOutcome::Refresh(row, version) => {
+                let writing = write_row(shared, program, row, version, None);
+                match timeout(REFRESH_TIMEOUT, writing).await {
+                    Ok(Ok(WriteOutcome::Committed | WriteOutcome::Superseded)) => {}
+                    _ => return Err(unknown_budget(shared)),
+                }
+            }
             ReserveOutcome::Withheld(_) if is_limited && consent.is_none() => {
                 consent = Some(grants::request_consent(shared, program, budget).await);
             }
@@ -130,7 +143,14 @@
                 if !has_collected =>
             {
                 has_collected = true;
-                collect_unused(shared, program, max_tokens, is_settled).await;
+                is_unheard = !collect_unused(shared, program, max_tokens, is_settled).await;
+            }
+            ReserveOutcome::Spent { .. } | ReserveOutcome::Withheld(_) if is_unheard => {
+                info!(
+                    request = %call.head.request_id, program = %program.0, most = max_tokens,
+                    "budget: a host that holds tokens does not answer"
+                );
+                return Err(unknown_budget(shared));
             }
             ReserveOutcome::Withheld(doubt) => {
                 let doubt = consent.and_then(Result::err).unwrap_or(doubt);
@@ -166,7 +186,10 @@
                     // Other hosts may hold tokens that they do not need.
                     GrantOutcome::Insufficient | GrantOutcome::Withheld(_) if !has_collected => {
                         has_collected = true;
-                        collect_unused(shared, program, max_tokens, is_settled).await;
+                        is_unheard = !collect_unused(shared, program, max_tokens, is_settled).await;
+                    }
+                    GrantOutcome::Insufficient | GrantOutcome::Withheld(_) if is_unheard => {
+                        return Err(unknown_budget(shared));
                     }
                     GrantOutcome::Withheld(doubt) => {
                         return Err(refuse_withheld(call, program, max_tokens, doubt));
@@ -223,44 +246,57 @@
 }
 
 /// Collects unused tokens of a program from other hosts: by direct transfers first, and if that is
-/// not enough and the store is settled, by asking the hosts to give them back to the budget.
-async fn collect_unused(shared: &Shared, program: ProgramKey, max_tokens: u64, is_settled: bool) {
+/// not enough and the store is settled, by asking the hosts to give them back to the budget. Returns
+/// whether all hosts that may hold such tokens have answered.
+async fn collect_unused(
+    shared: &Rc<Shared>,
+    program: ProgramKey,
+    max_tokens: u64,
+    is_settled: bool,
+) -> bool {
     if !is_settled {
         grants::fetch_known_rows(shared, program, ROW_REPLICAS).await;
     }
-    request_transfers(shared, program, max_tokens).await;
+    let mut all_answered = request_transfers(shared, program, max_tokens).await;
 
     if is_settled && shared.budgets.borrow().claim(program, max_tokens).missing > 0 {
-        request_returns(shared, program).await;
+        all_answered &= request_returns(shared, program).await;
     }
+    all_answered
 }
 
 /// Requests the missing tokens of a turn from the runs that were granted some, and from the runs to
-/// which those have transferred tokens.
-async fn request_transfers(shared: &Shared, program: ProgramKey, max_tokens: u64) {
+/// which those have transferred tokens. Returns whether all of them that may still run have answered.
+async fn request_transfers(shared: &Rc<Shared>, program: ProgramKey, max_tokens: u64) -> bool {
     let mut runs = shared.budgets.borrow().holders(program);
     runs.extend(shared.budgets.borrow().transfer_recipients(program));
     let mut queried = Set::from_iter([shared.run]);
+    let mut all_answered = true;
 
     while let Some(run) = runs.pop() {
         let missing = shared.budgets.borrow().claim(program, max_tokens).missing;
         if missing == 0 {
-            return;
+            return true;
+        }
+        if !queried.insert(run) {
+            continue;
         }
-        let Some(host) = shared.fleet.live_host_of_run(run.0).filter(|_| queried.insert(run))
-        else {
+        let Some(host) = shared.fleet.live_host_of_run(run.0) else {
+            all_answered &= has_ended(shared, run).await;
             continue;
         };
         let total = shared.budgets.borrow().transferred_from(program, run) + missing;
-        let Some(known) = shared.budgets.borrow().known_row(program) else { return };
+        let Some(known) = shared.budgets.borrow().known_row(program) else { return all_answered };
         let query = Query::Give(program, known, shared.run, total);
-        if let Some(QueryReply::Given(total, to)) =
-            queries::send(shared, host, &query, TRANSFER_TIMEOUT).await
-        {
-            shared.budgets.borrow_mut().record_transfer_from(program, run, total);
-            runs.extend(to);
+        match queries::send(shared, host, &query, TRANSFER_TIMEOUT).await {
+            Some(QueryReply::Given(total, to)) => {
+                shared.budgets.borrow_mut().record_transfer_from(program, run, total);
+                runs.extend(to);
+            }
+            _ => all_answered = false,
         }
     }
+    all_answered
 }
 
 /// Transfers unused tokens of this host to the run `to` of another host, until that run has `total`
@@ -275,22 +311,38 @@
     let mut budgets = shared.budgets.borrow_mut();
     budgets.merge_known_row(clock::now(), program, known);
 
-    QueryReply::Given(budgets.transfer_to(program, to, total), budgets.transfer_recipients(program))
+    QueryReply::Given(
+        budgets.transfer_to(clock::now(), program, to, total),
+        budgets.transfer_recipients(program),
+    )
 }
 
-/// Asks the other hosts to give their unused tokens of a program back to the budget.
-async fn request_returns(shared: &Shared, program: ProgramKey) {
+/// Returns whether the process of a run that is not live has ended, according to the rows of the
+/// hosts.
+async fn has_ended(shared: &Rc<Shared>, run: RunId) -> bool {
+    if shared.fleet.may_run(run) {
+        fleet::refresh_host_rows(shared).await;
+    }
+
+    !shared.fleet.may_run(run)
+}
+
+/// Asks the other hosts to give their unused tokens of a program back to the budget. Returns whether
+/// all that were asked have answered.
+async fn request_returns(shared: &Shared, program: ProgramKey) -> bool {
     let holders = shared.budgets.borrow().holders(program);
     let hosts = holders.into_iter().filter_map(|run| shared.fleet.live_host_of_run(run.0));
     let query = Query::Yield(program);
     let replies =
         join_all(hosts.map(|host| queries::send(shared, host, &query, TRANSFER_TIMEOUT))).await;
+    let all_answered = replies.iter().all(Option::is_some);
 
     for reply in replies.into_iter().flatten() {
         if let QueryReply::Granted(row) = reply {
             shared.budgets.borrow_mut().merge_row(clock::now(), program, &row);
         }
     }
+    all_answered
 }
 
 /// Gives the unused tokens of a program that this host holds back to the budget.
@@ -344,6 +396,9 @@
             Ok(WriteOutcome::Committed)
         }
         PlatformReply::Conflict(rows) if lease.is_some_and(|lease| !holds(&lease, &rows)) => {
+            if rows.iter().any(|row| row.key == key) {
+                apply_rows(shared, program, &rows)?;
+            }
             Ok(WriteOutcome::LeaseChanged)
         }
         PlatformReply::Conflict(rows) => apply_rows(shared, program, &rows),
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The other hosts of the fleet: which exist, according to their rows in the store, and their
 //! latest status updates.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,6 +51,12 @@
 /// The pause after a failed operation on the store, and between the first heartbeats of a process.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// How many times a heartbeat tries to write this host's row if another version of it is stored.
+const OWN_ROW_ATTEMPTS: u32 = 2;
+
+/// The number of host rows that are read with one operation.
+const ROWS_PER_READ: u32 = 500;
+
 /// How many received messages may wait to be processed.
 const INBOUND_BUFFER: usize = 1_024;
 
@@ -80,6 +86,8 @@
     rows: RefCell<HostRows>,
     known: RefCell<Map<HostId, KnownHost>>,
     seen: RefCell<Map<HostId, HostSeen>>,
+    /// The version of this host's own row in the store, as last seen.
+    own_row_version: Cell<RowVersion>,
     statuses: RefCell<Map<HostId, HostStatus>>,
     peers: RefCell<Option<Peers>>,
 }
@@ -96,6 +104,8 @@
     pub(crate) manifest_version: u64,
     /// The partitions whose grant lease the sender holds.
     pub(crate) grant_leases: PartitionSet,
+    /// Whether the sender acquires vacant leases.
+    pub(crate) claims_leases: bool,
 }
 
 impl HostStatus {
@@ -114,6 +124,7 @@
             rows: RefCell::default(),
             known: RefCell::default(),
             seen: RefCell::default(),
+            own_row_version: Cell::new(RowVersion::ABSENT),
             statuses: RefCell::default(),
             peers: RefCell::default(),
         }
@@ -173,19 +184,43 @@
         self.live_hosts().into_iter().map(|(host, _)| host).choose(&mut rand::rng())
     }
 
-    /// Returns another live host that holds the grant lease of a partition.
-    pub(crate) fn live_lease_holder(&self, partition: Partition) -> Option<HostId> {
-        let live = self.live_hosts().into_iter();
-        let mut holders = live.filter(|(_, status)| status.grant_leases.contains(partition));
+    /// Returns another host that holds the grant lease of a partition and is not silent. In a large
+    /// fleet status updates are too rare for hosts to be live all the time.
+    pub(crate) fn lease_holder(&self, partition: Partition) -> Option<HostId> {
+        let statuses = self.statuses.borrow();
+        let holds = |status: &HostStatus| status.grant_leases.contains(partition);
+        let holders = statuses.iter().filter(|(_, status)| holds(status));
+
+        holders.max_by_key(|(_, status)| status.received_at).map(|(host, _)| *host)
+    }
+
+    /// Returns the partitions whose grant lease some other host holds that is not silent.
+    pub(crate) fn leases_held_elsewhere(&self) -> PartitionSet {
+        let statuses = self.statuses.borrow();
+        let held = statuses.values().map(|status| status.grant_leases);
 
-        holders.next().map(|(host, _)| host)
+        held.fold(PartitionSet::default(), PartitionSet::union)
     }
 
-    /// Returns the partitions whose grant lease some other live host holds.
-    pub(crate) fn leases_of_live_hosts(&self) -> PartitionSet {
-        let live = self.live_hosts().into_iter();
+    /// Returns the hosts that acquire leases, this one included, as far as they are not silent.
+    pub(crate) fn lease_claimants(&self) -> Vec<HostId> {
+        let statuses = self.statuses.borrow();
+        let claimants = statuses.iter().filter(|(_, status)| status.claims_leases);
+
+        claimants.map(|(host, _)| *host).chain([self.own_id]).collect()
+    }
 
-        live.fold(PartitionSet::default(), |all, (_, status)| all.union(status.grant_leases))
+    /// Returns whether a run is the last known one of another host, so that its process may run.
+    pub(crate) fn may_run(&self, run: RunId) -> bool {
+        self.seen.borrow().values().any(|seen| seen.run == run)
+    }
+
+    /// Records what a read of another host's row, which began at `began`, says about it.
+    fn record_seen(&self, host: HostId, run: RunId, version: RowVersion, began: Instant) {
+        let mut seen = self.seen.borrow_mut();
+        let before = seen.get(&host).copied();
+
+        seen.insert(host, HostSeen::after_read(before, run, version, began, clock::now()));
     }
 
     /// Returns what the last read of a host's row says about it.
@@ -389,15 +424,7 @@
             run: shared.run.0,
             beat,
         };
-        let key = RowKey::new(HOSTS_TABLE, shared.settings.name.clone());
-        let value = serde_json::to_string(&row).ok().map(Into::into);
-        let write = Transaction { checks: Vec::new(), writes: vec![Write { key, value }] };
-        let began = clock::now();
-        let reply = store::run_direct_or_relayed(&shared, PlatformOp::Commit(write)).await;
-        if let PlatformReply::Committed(_) = reply {
-            shared.grant_leases.borrow_mut().record_heartbeat(began, clock::now());
-        }
-
+        write_own_row(&shared, &row).await;
         let answered = read_host_rows(&shared, &peers, beat > FAST_HEARTBEATS).await;
 
         // The first rounds are short, because hosts of a fleet start at the same time and each must
@@ -410,6 +437,46 @@
     }
 }
 
+/// Writes this host's row as a heartbeat, which renews its leases.
+///
+/// The write replaces the version that this host has last seen. Otherwise a late write of an earlier
+/// process could replace the row of this one, and other hosts would take this process for ended.
+async fn write_own_row(shared: &Rc<Shared>, row: &HostRow) {
+    let key = RowKey::new(HOSTS_TABLE, shared.settings.name.clone());
+    let value: Box<str> = match serde_json::to_string(row) {
+        Ok(text) => text.into(),
+        Err(e) => {
+            warn!(error = %e, "fleet: own row cannot be serialized");
+            return;
+        }
+    };
+
+    for _ in 0..OWN_ROW_ATTEMPTS {
+        let version = shared.fleet.own_row_version.get();
+        let tx = Transaction {
+            checks: vec![Check { key: key.clone(), version }],
+            writes: vec![Write { key: key.clone(), value: Some(value.clone()) }],
+        };
+        let began = clock::now();
+        match store::run_direct_or_relayed(shared, PlatformOp::Commit(tx)).await {
+            PlatformReply::Committed(version) => {
+                shared.fleet.own_row_version.set(version);
+                shared.grant_leases.borrow_mut().record_heartbeat(began, clock::now());
+                return;
+            }
+            PlatformReply::Conflict(rows) => {
+                let stored = rows.iter().find(|row| row.key == key);
+                let version = stored.map_or(RowVersion::ABSENT, |row| row.version);
+                shared.fleet.own_row_version.set(version);
+            }
+            reply => {
+                info!(?reply, "fleet: own row not written");
+                return;
+            }
+        }
+    }
+}
+
 /// Reads the rows of all hosts outside of the heartbeat, so that the state of the holder of a lease
 /// is known as of now.
 pub(crate) async fn refresh_host_rows(shared: &Rc<Shared>) {
@@ -423,18 +490,24 @@
 /// Reads the rows of all hosts. Returns whether the store answered.
 async fn read_host_rows(shared: &Rc<Shared>, peers: &Peers, is_period_over: bool) -> bool {
     let began = clock::now();
-    let op = PlatformOp::Scan {
-        table: HOSTS_TABLE.into(),
-        prefix: "".into(),
-        after: "".into(),
-        limit: 500,
-    };
-    let PlatformReply::Rows(rows) = store::run_direct_or_relayed(shared, op).await else {
-        return false;
-    };
+    let mut after: Box<str> = "".into();
 
-    apply_host_rows(shared, peers, &rows, began, is_period_over);
-    true
+    loop {
+        let op = PlatformOp::Scan {
+            table: HOSTS_TABLE.into(),
+            prefix: "".into(),
+            after,
+            limit: ROWS_PER_READ,
+        };
+        let PlatformReply::Rows(rows) = store::run_direct_or_relayed(shared, op).await else {
+            return false;
+        };
+        apply_host_rows(shared, peers, &rows, began, is_period_over);
+        match rows.last().filter(|_| rows.len() >= ROWS_PER_READ as usize) {
+            Some(last) => after = last.key.key.clone(),
+            None => return true,
+        }
+    }
 }
 
 /// Applies the rows of all hosts, whose read began at `began`. `is_period_over` tells whether each host has had time to write
@@ -460,9 +533,7 @@
         };
         let is_due = is_period_over && !fleet.has_recent_status(host);
         let presence = fleet.rows.borrow_mut().record_read(host, row.version, is_due);
-        let is_gone = presence == Presence::Gone;
-        let seen = HostSeen { run: RunId(content.run), is_gone, at: began };
-        fleet.seen.borrow_mut().insert(host, seen);
+        fleet.record_seen(host, RunId(content.run), row.version, began);
 
         match presence {
             Presence::Updated => {
--- a/crates/entry/src/grant_leases.rs
+++ b/crates/entry/src/grant_leases.rs
@@ -15,6 +15,7 @@
 };
 use camphorwalk_policy::entry::turns::PARTS;
 use futures::future::{join, join_all};
+use futures::stream::{self, StreamExt as _};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
@@ -41,9 +42,6 @@
 /// The number of budget rows that are read with one operation.
 const ROWS_PER_READ: u32 = 500;
 
-/// How long a host that shuts down may take to release its leases and to return unused tokens.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Programs that ran within this time may still be running.
 const RUNNING_WITHIN: Duration = Duration::from_secs(10);
 
@@ -79,11 +77,11 @@
 /// Acquires the leases that this host should hold and that are vacant.
 async fn claim_vacant(shared: &Rc<Shared>) {
     let claims = {
-        let held_elsewhere = shared.fleet.leases_of_live_hosts();
-        let live: Vec<_> = shared.fleet.live_hosts_in_order(0).into_iter().map(|h| h.0).collect();
+        let held_elsewhere = shared.fleet.leases_held_elsewhere();
+        let hosts: Vec<_> = shared.fleet.lease_claimants().into_iter().map(|h| h.0).collect();
         let own = shared.fleet.own_id().0;
         let is_first = |partition: Partition| {
-            rendezvous(u64::from(partition.0), live.iter().copied()) == Some(own)
+            rendezvous(u64::from(partition.0), hosts.iter().copied()) == Some(own)
         };
         shared.grant_leases.borrow_mut().claims(
             clock::now(),
@@ -237,8 +235,9 @@
 }
 
 /// Releases the leases of this host, which shuts down, so that their next holders need not keep
-/// them in quarantine. Also gives unused tokens of running programs back to their budgets.
-pub(crate) async fn release(shared: &Rc<Shared>) {
+/// them in quarantine. Also gives unused tokens of running programs back to their budgets. Takes no
+/// longer than `limit`.
+pub(crate) async fn release(shared: &Rc<Shared>, limit: Duration) {
     let leases = shared.grant_leases.borrow_mut().give_up_all(|partition| {
         let budgets = shared.budgets.borrow();
         budgets.is_partition_settled(|program| partition_of(program) == partition)
@@ -246,15 +245,25 @@
     let unused = shared.budgets.borrow_mut().return_all_unused(clock::now(), RUNNING_WITHIN);
     let (lease_count, budget_count) = (leases.len(), unused.len());
     let released = LeaseRow { holder: None };
-    let releases = join_all(
-        leases.iter().map(|(partition, version)| commit(shared, *partition, &released, *version)),
+    let releases = stream::iter(leases).for_each_concurrent(
+        CONCURRENT_OPERATIONS,
+        async |(partition, version)| {
+            let reply = commit(shared, partition, &released, version).await;
+            if !matches!(reply, PlatformReply::Committed(_)) {
+                info!(partition = partition.0, ?reply, "lease: not released");
+            }
+        },
     );
-    let returns = join_all(
-        unused
-            .into_iter()
-            .map(|(program, row, version)| budget::write_row(shared, program, row, version, None)),
+    let returns = stream::iter(unused).for_each_concurrent(
+        CONCURRENT_OPERATIONS,
+        async |(program, row, version)| {
+            // If the row is not written, the tokens stay with this process and are lost.
+            if budget::write_row(shared, program, row, version, None).await.is_err() {
+                info!(program = %program.0, "budget: unused tokens not returned");
+            }
+        },
     );
 
-    let is_finished = timeout(RELEASE_TIMEOUT, join(releases, returns)).await.is_ok();
+    let is_finished = timeout(limit, join(releases, returns)).await.is_ok();
     info!(leases = lease_count, budgets = budget_count, is_finished, "lease: released");
 }
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -40,6 +40,10 @@
 /// many, the grant survives if half of a small fleet is killed before the store recovers.
 const MAX_REPLICAS_ELSEWHERE: usize = 4;
 
+/// How many hosts are queried about a program that the next granters do not know: all of a small
+/// fleet.
+const MAX_HOSTS_QUERIED: usize = 12;
+
 /// How long a grant by another host may take: a round trip, and that host's attempts to write to a
 /// store that is slow or has just stopped answering. The granting host also waits for at most this
 /// long for an overdue write.
@@ -76,7 +80,7 @@
 
     match shared.grant_leases.borrow().reported().contains(partition) {
         true => Some(shared.fleet.own_id()),
-        false => shared.fleet.live_lease_holder(partition),
+        false => shared.fleet.lease_holder(partition),
     }
 }
 
@@ -132,7 +136,8 @@
     let shared = &call.shared;
     let known = known_or_empty(shared, program, budget);
     let claim = shared.budgets.borrow().claim(program, max_tokens);
-    let query = GrantQuery { program, claim, known };
+    let begins = call.may_begin_program();
+    let query = GrantQuery { program, claim, known, begins };
     let order = grant_order(shared, program);
     let host = order.first().copied().ok_or_else(|| unknown_budget(shared))?;
     let reply = match host == shared.fleet.own_id() {
@@ -180,14 +185,15 @@
                 return grant_without_store(shared, query).await.unwrap_or(otherwise);
             }
         };
-        match grant_without_store(shared, query).await {
-            Some(reply) => return reply,
-            // A write may still succeed, or may have conflicted with another one.
-            None => match timeout(GRANT_TIMEOUT, overdue.operation).await {
-                Ok(Ok(Ok(WriteOutcome::Committed))) => return QueryReply::Written(overdue.row),
-                Ok(Ok(Ok(WriteOutcome::Superseded | WriteOutcome::LeaseChanged))) => {}
-                _ => return QueryReply::Refused,
-            },
+        let otherwise = match grant_without_store(shared, query).await {
+            Some(reply @ QueryReply::Granted(_)) => return reply,
+            reply => reply.unwrap_or(QueryReply::Refused),
+        };
+        // A write may still succeed, or may have conflicted with another one.
+        match timeout(GRANT_TIMEOUT, overdue.operation).await {
+            Ok(Ok(Ok(WriteOutcome::Committed))) => return QueryReply::Written(overdue.row),
+            Ok(Ok(Ok(WriteOutcome::Superseded | WriteOutcome::LeaseChanged))) => {}
+            _ => return otherwise,
         }
     }
 
@@ -274,12 +280,20 @@
 /// Only the holder of the program's lease may. Isolated hosts do not grant, because their grants
 /// would be lost if all machines lost power.
 async fn grant_without_store(shared: &Rc<Shared>, query: &GrantQuery) -> Option<QueryReply> {
-    let GrantQuery { program, claim, known } = query;
+    let GrantQuery { program, claim, known, begins } = query;
     if shared.is_isolated() || !may_grant_without_store(shared, *program) {
         return None;
     }
 
     fetch_known_rows(shared, *program, ROW_REPLICAS).await;
+    if !shared.budgets.borrow().has_grants(*program) {
+        // The host that forwarded the program's last turn knows its row.
+        fetch_known_rows(shared, *program, MAX_HOSTS_QUERIED).await;
+        if !shared.budgets.borrow().has_grants(*program) && !begins {
+            info!(program = %program.0, "budget: no row is known for a running program");
+            return None;
+        }
+    }
     // The lease may have expired in the meantime.
     if !may_grant_without_store(shared, *program) {
         return None;
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -85,6 +85,9 @@
 /// accepted calls can finish.
 const ACCEPT_TIME_PART: f64 = 0.45;
 
+/// How long a host that shuts down may take to release its leases.
+const MAX_RELEASE_TIME: Duration = Duration::from_secs(1);
+
 /// How long before the end of the grace period a host shuts down even if calls are still running.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -358,13 +361,13 @@
         let end = begun + shared.settings.shutdown_grace.saturating_sub(GRACE_MARGIN);
         let done = async {
             sleep(BALANCER_DELAY).await;
+            // Calls that arrive meanwhile are still served.
+            grant_leases::release(shared, MAX_RELEASE_TIME).await;
             while shared.open_requests.get() > 0 {
                 sleep(Duration::from_millis(20)).await;
             }
         };
         let finished = timeout_at(end, done).await.is_ok();
-        grant_leases::release(shared).await;
-
         info!(finished, open = shared.open_requests.get(), "host: left");
     }
 }
--- a/crates/entry/src/queries.rs
+++ b/crates/entry/src/queries.rs
@@ -64,6 +64,8 @@
     pub(crate) claim: Claim,
     /// The row as the querying host knows it.
     pub(crate) known: KnownRow,
+    /// Whether the turn may be the first of its program.
+    pub(crate) begins: bool,
 }
 
 /// The reply to a query.
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -167,6 +167,7 @@
         store_answers: shared.store.is_available(),
         store_away: shared.store.reports_trouble(),
         grant_leases: shared.grant_leases.borrow().reported().numbers().collect(),
+        claims_leases: shared.grant_leases.borrow().can_claim(clock::now()),
         waiting: waiting
             .map(|(service, calls)| WaitingCalls { service: service.into(), calls })
             .collect(),
@@ -203,6 +204,7 @@
         run: update.run,
         manifest_version: update.manifest_version,
         grant_leases: PartitionSet::from_numbers(&update.grant_leases),
+        claims_leases: update.claims_leases,
     };
     let has_recovered = update.store_answers && !shared.fleet.store_answers(from);
     if shared.fleet.record_status(from, status) {
--- a/crates/policy/src/entry/budgets.rs
+++ b/crates/policy/src/entry/budgets.rs
@@ -36,9 +36,9 @@
 /// on a host that dies or that the program leaves.
 const SPARE_DIVISOR: u64 = 4;
 
-/// A host that keeps spending from an existing grant rewrites the row after this time, so that
-/// other hosts do not delete it as idle. They delete a row only if it has not been written for the
-/// time within which its program may return, plus a margin that is longer than this time.
+/// A host spends from an existing grant for this long after it wrote the row. Then it writes the row
+/// again, so that other hosts do not delete it as idle: they do if it has not been written for the time
+/// within which its program may return, plus a margin that is longer than this time and a turn.
 const REFRESH_AFTER: Duration = Duration::from_secs(20);
 
 /// Result of reserving a turn's tokens.
@@ -49,6 +49,9 @@
     /// The caller has to write this row, provided that the stored one still has this version, and
     /// then reserve again.
     Write(BudgetRow, RowVersion),
+    /// This host has the tokens, but other hosts may soon delete the row as idle. The caller has to
+    /// write this row, provided that the stored one still has this version, and then reserve again.
+    Refresh(BudgetRow, RowVersion),
     /// The remaining budget is not granted by the store, because hosts may grant it without the
     /// store.
     Withheld(Doubt),
@@ -127,8 +130,10 @@
             if account.has_expired_grants(now) {
                 return ReserveOutcome::Withheld(Doubt::Unsettled);
             }
+            if !account.is_row_fresh(now) {
+                return ReserveOutcome::Refresh(account.row.clone(), account.version);
+            }
             account.reserved += most;
-            account.refresh_due |= now.since(account.written_at) > REFRESH_AFTER;
             return ReserveOutcome::Reserved;
         }
         let missing = needed.saturating_sub(account.balance(run));
@@ -188,8 +193,7 @@
     ) {
         self.merge_stored_row(now, program, row, version);
         if let Some(account) = self.accounts.get_mut(&program) {
-            account.written_at = now;
-            account.refresh_due = false;
+            account.mark_written(now);
         }
     }
 
@@ -366,6 +370,14 @@
         self.merge_unstored_row(now, program, row);
         if let Some(account) = self.accounts.get_mut(&program) {
             account.mark_assured(self.run, row);
+            // The row may have been known before, from a host that is responsible for writing it.
+            if account.unstored_tokens() > 0 {
+                account.mark_unstored(now);
+            }
+            // A row that is not in the store is not deleted there.
+            if account.version == RowVersion::ABSENT {
+                account.mark_written(now);
+            }
         }
     }
 
@@ -387,6 +399,7 @@
         self.merge_row(now, program, row);
         if let Some(account) = self.accounts.get_mut(&program) {
             account.mark_assured(self.run, row);
+            account.mark_written(now);
         }
     }
 
@@ -497,14 +510,16 @@
     /// from.merge_stored_row(now, program, row.clone(), RowVersion(5));
     /// to.merge_stored_row(now, program, row, RowVersion(5));
     /// let wanted = to.transferred_from(program, RunId(1)) + 100;
-    /// let total = from.transfer_to(program, RunId(2), wanted);
+    /// let total = from.transfer_to(now, program, RunId(2), wanted);
     /// to.record_transfer_from(program, RunId(1), total);
     /// assert_eq!(to.reserve(now, program, 500, 100), ReserveOutcome::Reserved);
-    /// assert_eq!(from.transfer_to(program, RunId(2), 100), 100);
+    /// assert_eq!(from.transfer_to(now, program, RunId(2), 100), 100);
     /// ```
-    pub fn transfer_to(&mut self, program: ProgramKey, to: RunId, total: u64) -> u64 {
+    pub fn transfer_to(&mut self, now: Instant, program: ProgramKey, to: RunId, total: u64) -> u64 {
         let Some(account) = self.accounts.get_mut(&program) else { return 0 };
+        let is_spendable = account.is_row_fresh(now) && !account.has_expired_grants(now);
         let free = account.spendable(self.run).saturating_sub(account.spent + account.reserved);
+        let free = if is_spendable { free } else { 0 };
         let before = account.transferred_to.get(&to).copied().unwrap_or(0);
         let given = before + free.min(total.saturating_sub(before));
         if given > before {
@@ -594,7 +609,7 @@
     }
 
     /// Returns the rows that this host has to write now, with the versions that they replace: rows
-    /// with unstored grants that are due, and rows to refresh.
+    /// with unstored grants that are due, and rows to refresh, also during a long turn.
     ///
     /// A host writes the rows that contain a grant to itself. It writes another row only if that is
     /// still unstored after a while: soon if one of the runs in the row is not live (`is_live`),
@@ -611,8 +626,12 @@
 
             a.row.granted.contains_key(&self.run) || writes_for_others(age, all_live)
         };
-        let due =
-            self.accounts.iter().filter(|(_, a)| a.refresh_due || a.has_unstored && is_due(a));
+        let is_running_long =
+            |a: &Account| a.reserved > 0 && now.since(a.written_at) > REFRESH_AFTER;
+        let due = self
+            .accounts
+            .iter()
+            .filter(|(_, a)| a.refresh_due || is_running_long(a) || a.has_unstored && is_due(a));
 
         due.map(|(program, a)| (*program, a.row.clone(), a.version)).collect()
     }
--- a/crates/policy/src/entry/budgets/account.rs
+++ b/crates/policy/src/entry/budgets/account.rs
@@ -4,6 +4,7 @@
 use camphorwalk_core::platform::RowVersion;
 use camphorwalk_core::time::Instant;
 
+use crate::entry::budgets::REFRESH_AFTER;
 use crate::entry::budgets::row::{BudgetRow, RunId};
 use crate::entry::grant_leases::UNSTORED_GRANT_VALID_FOR;
 
@@ -21,8 +22,11 @@
     pub(super) has_unstored: bool,
     /// When this host learned of the first of these grants.
     pub(super) unstored_since: Instant,
-    /// When this host last wrote the row; until its first write, when the account was created.
+    /// When this host last wrote the row, or another host wrote it for this one; until the first such
+    /// write, when the account was created.
     pub(super) written_at: Instant,
+    /// Whether the row has been written by or for this host.
+    pub(super) has_written: bool,
     /// Whether the row has to be written again so that other hosts do not delete it as idle.
     pub(super) refresh_due: bool,
     /// Whether this host has granted tokens of the program without the store.
@@ -57,6 +61,7 @@
             has_unstored: false,
             unstored_since: now,
             written_at: now,
+            has_written: false,
             refresh_due: false,
             has_granted_without_store: false,
             is_closed: false,
@@ -84,6 +89,21 @@
         self.has_unstored && now.since(self.unstored_since) > UNSTORED_GRANT_VALID_FOR
     }
 
+    /// Records that the row has been written by or for this host.
+    pub(super) fn mark_written(&mut self, now: Instant) {
+        self.written_at = now;
+        self.has_written = true;
+        self.refresh_due = false;
+    }
+
+    /// Returns whether the row was written so recently that no other host deletes it as idle before
+    /// the program may return after a turn that begins now.
+    pub(super) fn is_row_fresh(&self, now: Instant) -> bool {
+        let valid_for = if self.has_written { REFRESH_AFTER } else { REFRESH_AFTER / 2 };
+
+        now.since(self.written_at) <= valid_for
+    }
+
     /// Returns whether this host has to remember the account as long as the program's row exists.
     /// Otherwise it could spend its grant, or grant tokens without the store, a second time.
     pub(super) fn is_kept(&self, run: RunId) -> bool {
--- a/crates/policy/src/entry/grant_leases.rs
+++ b/crates/policy/src/entry/grant_leases.rs
@@ -24,13 +24,16 @@
 
 use crate::entry::budgets::{ProgramKey, RunId};
 
-/// How long leases are valid after the start of the holder's last acknowledged heartbeat. It is
-/// shorter than the time after which a silent host counts as gone (see `host_rows`), with a margin
-/// for [`MAX_HEARTBEAT_TIME`] and for clocks that run at different speeds.
+/// How long leases are valid after the start of the holder's last acknowledged heartbeat.
 pub const LEASE_VALID_FOR: Duration = Duration::from_secs(15);
 
+/// A lease may be taken over once the row of its holder's host has not changed for this long. It is
+/// longer than [`LEASE_VALID_FOR`] and [`MAX_HEARTBEAT_TIME`] together, so the holder then knows
+/// that its lease has expired, with a margin for clocks that run at different speeds.
+pub const TAKEOVER_AFTER: Duration = Duration::from_secs(20);
+
 /// A heartbeat that the store acknowledges later than this does not renew leases.
-const MAX_HEARTBEAT_TIME: Duration = Duration::from_secs(2);
+pub const MAX_HEARTBEAT_TIME: Duration = Duration::from_secs(2);
 
 /// How long a host may spend a grant that is not known to be in the store. Afterwards the program
 /// of a lost grant no longer runs on it, so the quarantine of its partition can end.
@@ -42,6 +45,10 @@
 /// A partition counts as vacant when no live host has reported to hold its lease for this long.
 const VACANT_AFTER: Duration = Duration::from_millis(500);
 
+/// How many leases a host acquires in one round at most, so that the first host that starts leaves
+/// the others their part.
+const MAX_CLAIMS: usize = 32;
+
 /// How long a host waits before it reads the row of a lease again. What it knows of the holder
 /// changes with each heartbeat, not with the row, so there is no hurry.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
@@ -167,23 +174,54 @@
 pub struct HostSeen {
     /// The run that wrote the row.
     pub run: RunId,
-    /// Whether the host counts as gone (see `host_rows`).
-    pub is_gone: bool,
-    /// When the read began.
+    /// The version of the row.
+    pub version: RowVersion,
+    /// When the first read ended that found this version.
+    pub since: Instant,
+    /// When the last read began.
     pub at: Instant,
 }
 
+impl HostSeen {
+    /// Returns what is known of a host after another read of its row, which began at `began` and
+    /// ended at `now`.
+    ///
+    /// ```
+    /// use camphorwalk_core::platform::RowVersion;
+    /// use camphorwalk_core::time::Instant;
+    /// use camphorwalk_policy::entry::budgets::RunId;
+    /// use camphorwalk_policy::entry::grant_leases::HostSeen;
+    /// let (run, version) = (RunId(7), RowVersion(3));
+    /// let first = HostSeen::after_read(None, run, version, Instant(10), Instant(12));
+    /// let next = HostSeen::after_read(Some(first), run, version, Instant(20), Instant(22));
+    /// assert_eq!((next.since, next.at), (Instant(12), Instant(20)));
+    /// ```
+    pub fn after_read(
+        before: Option<Self>,
+        run: RunId,
+        version: RowVersion,
+        began: Instant,
+        now: Instant,
+    ) -> Self {
+        let unchanged = before.filter(|before| before.version == version);
+
+        Self { run, version, since: unchanged.map_or(now, |before| before.since), at: began }
+    }
+}
+
 /// Determines the state of a holder that a lease row names, from the row of its host.
 ///
-/// A host writes its own row before it acquires a lease. So a host row that was read after the lease
-/// row shows the holder's run, or a later one.
+/// A host writes its own row, on condition of the version that it has read, before it acquires a
+/// lease. So a host row that was read after the lease row shows the holder's run, or a later one.
 ///
 /// ```
+/// use camphorwalk_core::platform::RowVersion;
 /// use camphorwalk_core::time::Instant;
 /// use camphorwalk_policy::entry::budgets::RunId;
 /// use camphorwalk_policy::entry::grant_leases::{Holder, HolderState, HostSeen, holder_state};
 /// let holder = Holder { host: "a".into(), run: RunId(7) };
-/// let seen = HostSeen { run: RunId(8), is_gone: false, at: Instant(20) };
+/// let version = RowVersion(3);
+/// let seen = HostSeen { run: RunId(8), version, since: Instant(20), at: Instant(20) };
 /// assert_eq!(holder_state(&holder, Instant(10), Some(seen)), HolderState::Ended);
 /// assert_eq!(holder_state(&holder, Instant(30), Some(seen)), HolderState::MayRun);
 /// ```
@@ -192,8 +230,10 @@
     lease_read_at: Instant,
     seen: Option<HostSeen>,
 ) -> HolderState {
-    let has_ended =
-        |seen: HostSeen| seen.at > lease_read_at && (seen.run != holder.run || seen.is_gone);
+    let has_ended = |seen: HostSeen| {
+        let is_silent = seen.at.since(seen.since) >= TAKEOVER_AFTER;
+        seen.at > lease_read_at && (seen.run != holder.run || is_silent)
+    };
 
     match seen.is_some_and(has_ended) {
         true => HolderState::Ended,
@@ -324,6 +364,12 @@
         self.renewed_at.is_some_and(|at| now.since(at) < LEASE_VALID_FOR)
     }
 
+    /// Returns whether this host acquires vacant leases. Before its first heartbeat the row of its host
+    /// may still name an earlier run.
+    pub fn can_claim(&self, now: Instant) -> bool {
+        !self.is_leaving && self.is_valid(now)
+    }
+
     /// Returns the partitions whose lease this host reports to hold.
     pub fn reported(&self) -> PartitionSet {
         let confirmed = self.held.iter().filter(|(_, held)| held.is_confirmed);
@@ -343,8 +389,7 @@
         is_first: impl Fn(Partition) -> bool,
         holder_state: impl Fn(&Holder, Instant) -> HolderState,
     ) -> Vec<(Partition, Claim)> {
-        // Without a heartbeat the row of this host may still name an earlier run.
-        if self.is_leaving || !self.is_valid(now) {
+        if !self.can_claim(now) {
             return Vec::new();
         }
 
@@ -364,6 +409,7 @@
             let claim = self.claim(now, partition, &holder_state)?;
             Some((partition, claim))
         })
+        .take(MAX_CLAIMS)
         .collect()
     }
 
@@ -499,9 +545,9 @@
         self.attempts.remove(&partition);
     }
 
-    /// Records that the row of a lease was not written because another one is stored.
+    /// Records that the row of a lease was not written because another one is stored, which has to be
+    /// read next. It may be this host's own, written late.
     pub fn record_conflict(&mut self, partition: Partition) {
-        self.held.remove(&partition);
         self.observed.remove(&partition);
     }
 
--- a/crates/policy/src/entry/shares.rs
+++ b/crates/policy/src/entry/shares.rs
@@ -32,9 +32,13 @@
     budget - budget / WITHOUT_STORE_DIVISOR
 }
 
-/// Returns how many tokens of a budget hosts without the store grant to turns of at most `most`
-/// tokens. Both shares together exceed the budget by one turn, which is the most by which a program
-/// may exceed its budget.
+/// Returns how many tokens of a budget are granted without the store to turns of at most `most`
+/// tokens. Both shares together exceed the budget by one turn at most, which is the most by which a
+/// program may exceed its budget.
+///
+/// The turns of a program may have different maxima. A turn of more than the smallest share of the
+/// store makes the whole budget available from the store, so the share of other turns must not
+/// exceed that turn.
 ///
 /// ```
 /// use camphorwalk_policy::entry::shares::{share_without_store, store_share};
@@ -42,7 +46,9 @@
 /// assert_eq!(store_share(2_000, 300) + share_without_store(2_000, 300), 2_300);
 /// ```
 pub fn share_without_store(budget: u64, most: u64) -> u64 {
-    budget - store_share(budget, most) + most
+    let smallest = smallest_store_share(budget);
+
+    (budget - smallest + most).min(smallest).max(most)
 }
 
 /// How much of a budget the store may grant on request of a host.
