Fuzz budgets under cuts of any groups, one-way cuts, freezes, shutdowns and unrestricted kills

Adds fuzz_wide, with its own seed; the two generators of fuzz, their seeds, bounds and checks are unchanged. A program there also ends if it has sent no turn, refused ones included, for longer than the retention; otherwise a program that was refused once returned after any time, which the budget's rules exclude.

--- a/crates/policy/tests/entry_fuzz/asks.rs
+++ b/crates/policy/tests/entry_fuzz/asks.rs
@@ -80,7 +80,7 @@
         let (query, replied) = (query.clone(), replied.clone());
         other.clone().spawn(async move {
             let reply = answer(&other, query).await;
-            send(&other.world.clone(), other.host.name, from, move |requester| {
+            send_reply(&other.world.clone(), other.host.name, from, move |requester| {
                 if requester.host.run == run {
                     replied.put(reply.clone());
                 }
@@ -108,8 +108,27 @@
     }
 }
 
-/// Runs `done` on the other host after the message delay, unless the message is lost.
+/// Runs `done` on the other host after the message delay, and not before the host is thawed, unless
+/// the message is lost.
 fn send(world: &Rc<World>, from: usize, to: usize, done: impl Fn(Shared) + 'static) {
+    let done = Rc::new(done);
+
+    deliver(world, from, to, move |other| {
+        let (done, world) = (Rc::clone(&done), Rc::clone(&other.world));
+        if !world.sim.is_frozen(other.host.run) {
+            return done(other);
+        }
+        world.clone().sim.spawn(other.host.run, async move { done(other) });
+    });
+}
+
+/// Runs `done` after the message delay, unless the message is lost. A frozen host finds a reply that
+/// arrived meanwhile as soon as it is thawed, before it notices how late it is.
+fn send_reply(world: &Rc<World>, from: usize, to: usize, done: impl Fn(Shared) + 'static) {
+    deliver(world, from, to, done);
+}
+
+fn deliver(world: &Rc<World>, from: usize, to: usize, done: impl Fn(Shared) + 'static) {
     let sim = &world.sim;
     let is_bad = world.net.get() == Net::Bad;
     if is_bad && sim.chance(LOST) {
--- a/crates/policy/tests/entry_fuzz/main.rs
+++ b/crates/policy/tests/entry_fuzz/main.rs
@@ -11,7 +11,9 @@
 mod asks;
 mod budget;
 mod faults;
+mod faults_wide;
 mod fuzz;
+mod fuzz_wide;
 mod grants;
 mod host;
 mod merge;
--- a/crates/policy/tests/entry_fuzz/sim.rs
+++ b/crates/policy/tests/entry_fuzz/sim.rs
@@ -1,7 +1,7 @@
 //! Simulated time and tasks of a fleet, single-threaded and reproducible by seed.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::{Future, poll_fn};
 use std::ops::Range;
 use std::pin::{Pin, pin};
@@ -29,6 +29,8 @@
     spawned: RefCell<Vec<Task>>,
     /// Whether something has happened that another task may be waiting for.
     progressed: Cell<bool>,
+    /// The runs whose tasks do not run before a time, although the clock goes on.
+    frozen: RefCell<BTreeMap<RunId, Instant>>,
     rng: RefCell<SmallRng>,
 }
 
@@ -39,6 +41,7 @@
             wakes: RefCell::default(),
             spawned: RefCell::default(),
             progressed: Cell::new(false),
+            frozen: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         }
     }
@@ -60,6 +63,21 @@
         self.progressed.set(true);
     }
 
+    /// Lets no task of a run continue for `time`.
+    pub fn freeze(&self, run: RunId, time: Duration) {
+        let until = self.wake_in(time);
+        self.frozen.borrow_mut().insert(run, until);
+    }
+
+    /// Lets the tasks of all runs continue.
+    pub fn thaw_all(&self) {
+        self.frozen.borrow_mut().clear();
+    }
+
+    pub fn is_frozen(&self, run: RunId) -> bool {
+        self.frozen.borrow().get(&run).is_some_and(|until| self.now() < *until)
+    }
+
     pub async fn sleep(&self, time: Duration) {
         let until = self.wake_in(time);
 
@@ -190,7 +208,9 @@
         loop {
             sim.progressed.set(false);
             self.0.extend(sim.spawned.take());
-            self.0.retain_mut(|task| task.work.as_mut().poll(&mut cx).is_pending());
+            self.0.retain_mut(|task| {
+                sim.is_frozen(task.run) || task.work.as_mut().poll(&mut cx).is_pending()
+            });
             if !sim.progressed.get() {
                 return;
             }
--- a/crates/policy/tests/entry_fuzz/world.rs
+++ b/crates/policy/tests/entry_fuzz/world.rs
@@ -50,6 +50,8 @@
     pub budget: u64,
     pub last_turn: Option<Instant>,
     pub last_host: Option<usize>,
+    /// When it last requested a turn in `Fleet::turn_of_attempt`.
+    pub last_attempt: Option<Instant>,
     /// The tokens that all its turns have generated.
     pub spent: u64,
 }
@@ -80,6 +82,9 @@
     }
 }
 
+/// Whether messages from one host to another are lost.
+pub type Cuts = [[bool; HOSTS]; HOSTS];
+
 pub struct World {
     pub sim: Rc<Sim>,
     pub store: RefCell<Rows>,
@@ -89,6 +94,8 @@
     pub modes: Cell<[Mode; HOSTS]>,
     pub net: Cell<Net>,
     pub partition: Cell<Partition>,
+    /// The pairs of hosts of which the first cannot send messages to the second.
+    pub cuts: Cell<Cuts>,
     pub programs: RefCell<Vec<Program>>,
     /// All earlier programs, by key.
     pub past_programs: RefCell<Map<ProgramKey, Program>>,
@@ -119,8 +126,11 @@
         self.hosts.borrow().iter().flatten().cloned().collect()
     }
 
-    pub fn is_connected(&self, a: usize, b: usize) -> bool {
-        self.partition.get().is_inside(a) == self.partition.get().is_inside(b)
+    /// Returns whether messages from one host reach another.
+    pub fn is_connected(&self, from: usize, to: usize) -> bool {
+        let partition = self.partition.get();
+
+        partition.is_inside(from) == partition.is_inside(to) && !self.cuts.get()[from][to]
     }
 
     /// Returns how many runs of hosts there have been. They are numbered from one.
@@ -143,6 +153,21 @@
         programs[index].clone()
     }
 
+    /// Replaces a program that has been refused its turns, and then sent no more of them for longer
+    /// than `RETENTION`, as `program` replaces one that had turns.
+    fn end_if_silent(&self, index: usize) {
+        let mut programs = self.programs.borrow_mut();
+        let now = self.sim.now();
+        let last = programs[index].last_attempt;
+
+        if last.is_some_and(|last| now.since(last) > RETENTION) {
+            let next = self.new_program(index);
+            let past = std::mem::replace(&mut programs[index], next);
+            self.past_programs.borrow_mut().insert(past.key, past);
+        }
+        programs[index].last_attempt = Some(now);
+    }
+
     /// Returns a current or earlier program.
     pub fn program_of(&self, key: ProgramKey) -> Option<Program> {
         let programs = self.programs.borrow();
@@ -194,6 +219,7 @@
             budget: BUDGETS[index],
             last_turn: None,
             last_host: None,
+            last_attempt: None,
             spent: 0,
         }
     }
@@ -215,6 +241,7 @@
             modes: Cell::new([Mode::Up; HOSTS]),
             net: Cell::new(Net::Good),
             partition: Cell::new(Partition::None),
+            cuts: Cell::default(),
             programs: RefCell::default(),
             past_programs: RefCell::default(),
             committed: RefCell::default(),
@@ -282,6 +309,37 @@
         names.iter().for_each(|name| self.start(*name));
     }
 
+    /// Kills a host, whatever it holds.
+    pub fn kill_anyway(&mut self, name: usize) {
+        let Some(host) = self.world.host(name) else { return };
+        self.world.may_have_single_copy.set(true);
+        self.end(&host);
+    }
+
+    /// Shuts a host down, whatever it holds.
+    pub fn shut_down_anyway(&mut self, name: usize) {
+        let Some(host) = self.world.host(name) else { return };
+        host::shut_down(&self.world, &host);
+        self.run(SHUTDOWN_TIME);
+        self.kill_anyway(name);
+    }
+
+    /// Lets no task of a host run for `time`.
+    pub fn freeze(&mut self, name: usize, time: Duration) {
+        if let Some(host) = self.world.host(name) {
+            self.world.sim.freeze(host.run, time);
+        }
+    }
+
+    /// Lets no message pass from one group of hosts to another.
+    pub fn cut(&mut self, from: impl Fn(usize) -> bool, to: impl Fn(usize) -> bool) {
+        let mut cuts = self.world.cuts.get();
+        for (a, b) in (0..HOSTS).flat_map(|a| (0..HOSTS).map(move |b| (a, b))) {
+            cuts[a][b] |= from(a) && to(b);
+        }
+        self.world.cuts.set(cuts);
+    }
+
     fn end(&mut self, host: &Host) {
         self.tasks.kill(&self.world.sim, host.run);
         self.world.hosts.borrow_mut()[host.name] = None;
@@ -341,6 +399,16 @@
         host::turn(&self.world, &host, program, used, time);
     }
 
+    /// Runs a turn of a program that also ends if it has sent no turn for longer than `RETENTION`,
+    /// refused ones included.
+    pub fn turn_of_attempt(&mut self, host: usize, index: usize, used: u64, time: Duration) {
+        if self.world.host(host).is_some() {
+            self.world.program(index);
+            self.world.end_if_silent(index);
+        }
+        self.turn(host, index, used, time);
+    }
+
     /// Asserts that a turn of each program gets a definite answer on each host.
     pub fn assert_all_answered(&mut self) {
         for index in 0..BUDGETS.len() {
@@ -358,6 +426,8 @@
     /// Repairs everything, and gives hosts the time to write their backlogs.
     pub fn heal(&mut self) {
         self.world.net.set(Net::Good);
+        self.world.cuts.set(Cuts::default());
+        self.world.sim.thaw_all();
         self.partition(Partition::None);
         self.world.modes.set([Mode::Up; HOSTS]);
         self.run(Duration::from_secs(10));
