--- a/crates/policy/tests/grant_leases.rs
+++ b/crates/policy/tests/grant_leases.rs
@@ -310,7 +310,7 @@
     let late = START + UNSTORED_GRANT_VALID_FOR + seconds(1);
 
     let expired = spender.reserve(late, PROGRAM, BUDGET, MAX_TOKENS);
-    spender.merge_stored_row(late, PROGRAM, row, RowVersion(4));
+    spender.record_write(late, PROGRAM, row, RowVersion(4));
     let stored = spender.reserve(late, PROGRAM, BUDGET, MAX_TOKENS);
 
     assert!(matches!(expired, ReserveOutcome::Withheld(_)), "{expired:?}");
