A step-by-step test that a consent ends with the lease under which it was given

It guards the check of the lease version in the write of a row that exceeds the store's share. A writer stops between the consent and its write, the holder releases its lease, and the successor grants the other share without the store. The late write must then have no effect.

The time in debug was not measured, and the product's own write_row is not covered by it.

--- a/crates/policy/tests/entry_fuzz/main.rs
+++ b/crates/policy/tests/entry_fuzz/main.rs
@@ -11,6 +11,7 @@
 mod asks;
 mod budget;
 mod faults;
+mod faults_lease;
 mod faults_wide;
 mod fuzz;
 mod fuzz_wide;
