--- a/crates/policy/tests/grant_leases.rs
+++ b/crates/policy/tests/grant_leases.rs
@@ -317,6 +317,25 @@
     assert_eq!(stored, ReserveOutcome::Reserved);
 }
 
+#[test]
+fn a_grant_that_nobody_has_stored_is_withheld_rather_than_refreshed() {
+    // Guards against a host that refreshes, and then spends, a grant that is too old to be spent.
+    let mut spender = Budgets::new(RunId(2));
+    let row = BudgetRow {
+        budget: BUDGET,
+        granted: [(RunId(2), MAX_TOKENS)].into(),
+        ..BudgetRow::default()
+    };
+    spender.accept_unstored_grant(START, PROGRAM, &row);
+    let expiry = START + UNSTORED_GRANT_VALID_FOR;
+
+    let expired = spender.reserve(expiry + seconds(1), PROGRAM, BUDGET, MAX_TOKENS);
+    let in_time = spender.reserve(expiry, PROGRAM, BUDGET, MAX_TOKENS);
+
+    assert!(matches!(expired, ReserveOutcome::Withheld(_)), "{expired:?}");
+    assert_eq!(in_time, ReserveOutcome::Reserved);
+}
+
 #[test]
 fn a_host_row_that_is_older_than_the_lease_row_says_nothing_of_the_holder() {
     // Guards against taking over the lease of a host that has just restarted and acquired it.
