The rows that a long conversation needs outlive its last turn

Cause: each turn's row was deleted by its writer 30 s after its own retention, also while later turns of the same conversation, whose prompts begin with it, could still be continued. Copies in hosts' memory hid that until all hosts lost power: callers then got 503 for the last turn of a conversation that went on for longer than the retention and 30 s.

Change: a turn says when the oldest row that it needs was written. A turn that continues from rows older than 15 s stores the earlier text again, several turns in a row of some 32 KiB, and names these rows instead. Rows live for the retention and 30 s, so those that a turn names outlive its retention by 15 s, which also covers clocks that differ by some seconds. Rows of earlier builds do not tell their age and are stored again at once; earlier builds read the new rows.

Weighed: a marker row for each conversation, read before each deletion (a read for every conversation instead of a write for the long ones); rewriting each old row in place (a write for each turn and a conditional deletion).

--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -21,6 +21,15 @@
     Instant(seconds * 1_000_000 + micros)
 }
 
+/// Returns the time of day, in milliseconds since the Unix epoch. It may differ between hosts.
+pub(crate) fn unix_ms() -> u64 {
+    let time = clock_gettime(ClockId::Realtime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let millis = u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000_000;
+
+    seconds * 1_000 + millis
+}
+
 /// Returns the time left until `deadline`.
 pub(crate) fn until(deadline: Instant) -> Duration {
     deadline.since(now())
--- a/crates/entry/src/retention.rs
+++ b/crates/entry/src/retention.rs
@@ -6,17 +6,13 @@
 
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowKey, Transaction, Write};
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::turns::TurnKey;
+use camphorwalk_policy::entry::turns::{ROW_MARGIN, TurnKey};
 use tracing::info;
 
 use crate::host::Shared;
 use crate::turns::row_key;
 use crate::{budget, clock, store};
 
-/// How long a turn's row is kept beyond its retention, so that a turn that was found just before
-/// its expiry still exists when it is used.
-const SWEEP_MARGIN: Duration = Duration::from_secs(30);
-
 /// How long a program may pause between turns if no route stores turns.
 const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
 
@@ -56,13 +52,13 @@
     // A budget is needed as long as its program may continue, which is as long as the turns of the
     // program are stored.
     let checked_at = clock::now();
-    let expired = shared.budgets.borrow_mut().take_idle(checked_at, retention + SWEEP_MARGIN);
+    let expired = shared.budgets.borrow_mut().take_idle(checked_at, retention + ROW_MARGIN);
     for (program, version) in expired {
         budget::delete_row(shared, program, version, checked_at).await;
     }
 
     loop {
-        let batch = take_expired(shared, retention + SWEEP_MARGIN);
+        let batch = take_expired(shared, retention + ROW_MARGIN);
         if batch.is_empty() {
             return;
         }
--- a/crates/entry/src/turn_storage.rs
+++ b/crates/entry/src/turn_storage.rs
@@ -7,7 +7,8 @@
 };
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::turn_writes::{AfterFailedWrite, TurnWrites};
-use camphorwalk_policy::entry::turns::{Turn, TurnKey};
+use camphorwalk_policy::entry::turns::{self, Turn, TurnKey};
+use futures::future::try_join_all;
 use tokio::time::timeout;
 use tracing::info;
 
@@ -36,11 +37,26 @@
 /// A turn that has ended and must be stored.
 struct CompletedTurn<'a> {
     call: &'a Call,
+    /// The rows to write: those of earlier turns that are stored again, then its own.
+    rows: Vec<TurnRow>,
+    ended_at: Instant,
+}
+
+/// A row of the table of turns.
+#[derive(Clone)]
+struct TurnRow {
     key: TurnKey,
     turn: Rc<Turn>,
     /// The row's value.
     value: Rc<str>,
-    ended_at: Instant,
+}
+
+impl TurnRow {
+    fn new(key: TurnKey, turn: Rc<Turn>) -> std::result::Result<Self, &'static str> {
+        let value = serde_json::to_string(&*turn).map_err(|_| "the turn cannot be written")?;
+
+        Ok(Self { key, turn, value: value.into() })
+    }
 }
 
 /// Writes a turn whose stream has ended to the store, if its route stores turns. The end of the
@@ -62,26 +78,54 @@
 
     let mut text = call.body.to_vec();
     text.extend_from_slice(&output);
-    let turn = Turn::new(continuation.conversation.clone(), text);
-    let value = serde_json::to_string(&turn).map_err(|_| "the turn cannot be written")?;
-    let completed = CompletedTurn {
-        call,
-        key: TurnKey::new(call.tenant.as_deref().unwrap_or_default(), &call.head.request_id),
-        turn: Rc::new(turn),
-        value: value.into(),
-        ended_at: clock::now(),
-    };
+    let completed =
+        CompletedTurn { call, rows: rows(call, continuation, text)?, ended_at: clock::now() };
     timeout(clock::until(call.deadline), completed.store())
         .await
         .unwrap_or(Err("the time is over"))?;
 
     let shared = &call.shared;
     shared.metrics.turn_write_wait.observe(clock::now().since(completed.ended_at).as_secs_f64());
-    shared.turns.borrow_mut().put(completed.key, completed.turn);
+    let mut cache = shared.turns.borrow_mut();
+    completed.rows.into_iter().for_each(|row| cache.put(row.key, row.turn));
 
     Ok(())
 }
 
+/// Returns the rows of a completed turn. If a row of an earlier turn is old, they include the earlier
+/// turns once more: the rows of a long conversation's first turns would otherwise be deleted while
+/// its last turn can still be continued.
+fn rows(
+    call: &Call,
+    continuation: &Continuation,
+    transcript: Vec<u8>,
+) -> std::result::Result<Vec<TurnRow>, &'static str> {
+    let key = TurnKey::new(call.tenant.as_deref().unwrap_or_default(), &call.head.request_id);
+    let now_ms = clock::unix_ms();
+    let previous = continuation.earlier.last();
+    let is_packed = previous.is_some_and(|turn| turn.needs_packing(now_ms));
+    let earlier = match is_packed {
+        true => turns::pack(key, &continuation.earlier, now_ms),
+        false => Vec::new(),
+    };
+
+    let turn = match (is_packed, previous) {
+        (false, Some(previous)) => Turn::new(continuation.conversation.clone(), transcript)
+            .with_oldest_row(previous.oldest_row_ms()),
+        _ => Turn::new(earlier.iter().map(|(key, _)| *key).collect(), transcript)
+            .with_oldest_row(now_ms),
+    };
+    if is_packed {
+        info!(
+            request = %call.head.request_id, earlier = continuation.earlier.len(),
+            rows = earlier.len(), "turn: earlier turns stored again"
+        );
+    }
+
+    let rows = earlier.into_iter().chain([(key, Rc::new(turn))]);
+    rows.map(|(key, turn)| TurnRow::new(key, turn)).collect()
+}
+
 impl CompletedTurn<'_> {
     /// Writes the turn until the store has it or retrying is pointless.
     async fn store(&self) -> std::result::Result<(), &'static str> {
@@ -92,8 +136,7 @@
             // tracked for deletion.
             let writing = tokio::task::spawn_local(write_and_track(
                 Rc::clone(&self.call.shared),
-                self.key,
-                Rc::clone(&self.value),
+                self.rows.clone(),
             ));
             let written =
                 writing.await.unwrap_or(Err(WriteFailure::transient("the write ended early")));
@@ -130,12 +173,18 @@
     }
 }
 
-/// Writes the row of a turn and tracks it for deletion after its retention.
-async fn write_and_track(shared: Rc<Shared>, key: TurnKey, value: Rc<str>) -> Result<()> {
-    write(&shared, key, &value).await?;
-    retention::track(&shared, key);
+/// Writes the rows of a turn, its own after the others, and tracks them for deletion after its
+/// retention.
+async fn write_and_track(shared: Rc<Shared>, rows: Vec<TurnRow>) -> Result<()> {
+    let Some((own, earlier)) = rows.split_last() else { return Ok(()) };
+    let write_row = async |row: &TurnRow| {
+        write(&shared, row.key, &row.value).await?;
+        retention::track(&shared, row.key);
+        Ok(())
+    };
 
-    Ok(())
+    try_join_all(earlier.iter().map(write_row)).await?;
+    write_row(own).await
 }
 
 /// Writes the row of a turn.
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct Continuation {
     /// The earlier turns, oldest first.
-    earlier: Vec<Rc<Turn>>,
+    pub(crate) earlier: Vec<Rc<Turn>>,
     /// The keys of the earlier turns, oldest first.
     pub(crate) conversation: Vec<TurnKey>,
 }
--- a/crates/policy/src/entry/turns.rs
+++ b/crates/policy/src/entry/turns.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
 
 use camphorwalk_core::hash::{Map, stable_hash};
 use serde::{Deserialize, Serialize};
@@ -16,6 +17,19 @@
 /// its part is available.
 pub const PARTS: u64 = 256;
 
+/// How long a row is kept beyond the retention of its turn, so that a turn that was found just
+/// before its expiry still exists when it is used.
+pub const ROW_MARGIN: Duration = Duration::from_secs(30);
+
+/// A turn that continues from rows older than this stores what it needs of them again. Less than
+/// [`ROW_MARGIN`], so that the rows exist for at least the retention of each turn that names them,
+/// also if the clocks of their writers differ by some seconds.
+pub const MAX_ROW_AGE: Duration = Duration::from_secs(15);
+
+/// The transcripts of earlier turns are stored again in rows of about this many bytes each, which
+/// is well below the largest row that the store takes.
+const PACKED_ROW_BYTES: usize = 32 * 1024;
+
 /// Identifies a turn within the fleet: a hash of its tenant and its request id. The tenant is
 /// included so that no tenant can look up a turn of another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -27,6 +41,11 @@
         Self(stable_hash(&[b"turn", tenant.as_bytes(), request_id.as_bytes()]))
     }
 
+    /// Returns the key of the `index`th row in which the turn stores its earlier turns again.
+    fn packed(self, index: usize) -> Self {
+        Self(stable_hash(&[b"packed", &self.0.to_be_bytes(), &index.to_be_bytes()]))
+    }
+
     /// Returns the key of the turn's row in the store.
     ///
     /// ```
@@ -56,6 +75,14 @@
     #[serde_as(as = "Base64")]
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     raw: Vec<u8>,
+    /// When the oldest row that the turn needs was written, its own included, in milliseconds since
+    /// the Unix epoch; 0 if that is not known.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    oldest_row_ms: u64,
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
 
 impl Turn {
@@ -68,11 +95,37 @@
     /// ```
     pub fn new(line: Vec<TurnKey>, transcript: Vec<u8>) -> Self {
         match String::from_utf8(transcript) {
-            Ok(text) => Self { line, text: text.into(), raw: Vec::new() },
-            Err(e) => Self { line, text: Box::default(), raw: e.into_bytes() },
+            Ok(text) => Self { line, text: text.into(), raw: Vec::new(), oldest_row_ms: 0 },
+            Err(e) => Self { line, text: Box::default(), raw: e.into_bytes(), oldest_row_ms: 0 },
         }
     }
 
+    /// Sets when the oldest row that the turn needs was written, in milliseconds since the Unix
+    /// epoch.
+    #[must_use]
+    pub fn with_oldest_row(self, oldest_row_ms: u64) -> Self {
+        Self { oldest_row_ms, ..self }
+    }
+
+    /// Returns when the oldest row that the turn needs was written, in milliseconds since the Unix
+    /// epoch; 0 if that is not known.
+    pub fn oldest_row_ms(&self) -> u64 {
+        self.oldest_row_ms
+    }
+
+    /// Returns whether a turn that continues from this one must store the earlier turns again,
+    /// because their rows may be deleted before its own retention ends.
+    ///
+    /// ```
+    /// use camphorwalk_policy::entry::turns::Turn;
+    /// let turn = Turn::new(Vec::new(), b"hello".to_vec()).with_oldest_row(1_000_000);
+    /// assert!(!turn.needs_packing(1_010_000));
+    /// assert!(turn.needs_packing(1_020_000));
+    /// ```
+    pub fn needs_packing(&self, now_ms: u64) -> bool {
+        u128::from(now_ms.abs_diff(self.oldest_row_ms)) > MAX_ROW_AGE.as_millis()
+    }
+
     /// Returns what the turn adds to the prompt: its input, then the data of each event followed by
     /// a line feed.
     pub fn transcript(&self) -> &[u8] {
@@ -90,6 +143,32 @@
     }
 }
 
+/// Returns the rows in which a turn stores its earlier turns again, oldest first, with their keys.
+/// Together they hold the transcripts of `earlier` in order, several in a row.
+///
+/// ```
+/// use std::rc::Rc;
+/// use camphorwalk_policy::entry::turns::{Turn, TurnKey, pack};
+/// let earlier = ["one ", "two "].map(|t| Rc::new(Turn::new(Vec::new(), t.into())));
+/// let rows = pack(TurnKey(7), &earlier, 1_000);
+/// assert_eq!(rows[0].1.transcript(), b"one two ");
+/// ```
+pub fn pack(owner: TurnKey, earlier: &[Rc<Turn>], now_ms: u64) -> Vec<(TurnKey, Rc<Turn>)> {
+    let mut transcripts: Vec<Vec<u8>> = Vec::new();
+
+    for turn in earlier {
+        let text = turn.transcript();
+        match transcripts.last_mut() {
+            Some(row) if row.len() + text.len() <= PACKED_ROW_BYTES => row.extend_from_slice(text),
+            _ => transcripts.push(text.to_vec()),
+        }
+    }
+
+    let rows = transcripts.into_iter().enumerate();
+    let to_row = |text| Rc::new(Turn::new(Vec::new(), text).with_oldest_row(now_ms));
+    rows.map(|(index, text)| (owner.packed(index), to_row(text))).collect()
+}
+
 /// A cache of turns, limited by size in bytes. The turns that were cached first are evicted first.
 #[derive(Debug)]
 pub struct TurnCache {
--- a/crates/policy/tests/entry_routes.rs
+++ b/crates/policy/tests/entry_routes.rs
@@ -9,7 +9,7 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::crashes::{Crashes, Fingerprint};
 use camphorwalk_policy::entry::routes::{Adoption, RouteTable, adoption, choose_service};
-use camphorwalk_policy::entry::turns::{Turn, TurnCache, TurnKey};
+use camphorwalk_policy::entry::turns::{MAX_ROW_AGE, ROW_MARGIN, Turn, TurnCache, TurnKey, pack};
 
 fn route(hostname: &str, prefix: &str, services: &[(&str, u32)]) -> Route {
     let services = services
@@ -102,6 +102,35 @@
     }
 }
 
+#[test]
+fn packed_rows_hold_the_whole_conversation_in_order() {
+    // Guards against a conversation that loses or repeats text when its rows are written again.
+    let texts: Vec<Vec<u8>> = (0..40u8).map(|i| vec![b'a' + i % 26; 3_000]).collect();
+    let earlier: Vec<_> =
+        texts.iter().map(|text| Rc::new(Turn::new(Vec::new(), text.clone()))).collect();
+
+    let rows = pack(TurnKey(7), &earlier, 5_000);
+
+    let packed: Vec<u8> = rows.iter().flat_map(|(_, row)| row.transcript().to_vec()).collect();
+    assert_eq!(packed, texts.concat());
+    assert!(rows.iter().all(|(_, row)| row.transcript().len() <= 33_000 && row.line.is_empty()));
+    assert!(rows.len() < 6, "{} rows", rows.len());
+    let keys: std::collections::HashSet<_> = rows.iter().map(|(key, _)| key.0).collect();
+    assert_eq!(keys.len(), rows.len());
+}
+
+#[test]
+fn a_turn_of_unknown_age_is_packed() {
+    // Guards against trusting rows of an earlier build, which do not tell when they were written.
+    assert!(Turn::new(Vec::new(), b"x".to_vec()).needs_packing(1_700_000_000_000));
+}
+
+#[test]
+fn rows_are_written_again_long_before_they_are_deleted() {
+    // Guards against a margin that clocks a few seconds apart would use up.
+    assert!(MAX_ROW_AGE + Duration::from_secs(10) <= ROW_MARGIN);
+}
+
 #[test]
 fn the_cache_of_turns_stays_within_its_size() {
     let mut cache = TurnCache::new(10_000);
