Rates: a tick costs no look at each host for each customer

Cause: on each tick a host summed, for each of the customers, the demand at each other host, with a look-up by text for each pair, also when every host is live and nobody uses the customer: 195 x 195 x 140 over the fleet, several times a second.

Change: each account keeps the sum of what counted hosts reported, changed by each report. Silent hosts are charged for as a whole; what each is taken to have admitted is worked out when it reports again (rates/silent_hosts.rs). Each silent host is looked at only when the set of silent hosts changes.

Ruled out: customers that are interned as numbers; the pairs remain.

Shown by: the tests of rates, unchanged; a new one compares the sum with the last reports over 3,000 random steps in which hosts fall silent, return, restart and leave and customers come and go.

--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -11,16 +11,18 @@
 //! more.
 
 mod estimates;
+mod silent_hosts;
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use camphorwalk_core::entry::TenantSpec;
-use camphorwalk_core::hash::Map;
+use camphorwalk_core::hash::{Map, Set};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 
 use self::estimates::OtherHosts;
+use self::silent_hosts::SilentHosts;
 
 /// How long a silent host is assumed to keep admitting calls within its share. During a network
 /// partition it does; if the others took over its share at once, both sides together would exceed
@@ -36,8 +38,8 @@
 /// tick. The share of a silent host is computed from the sample taken at its last status update.
 const SAMPLES_KEPT: Duration = Duration::from_secs(1);
 
-/// The delay of a status update: its period plus the latency between two zones.
-const UPDATE_DELAY: Duration = Duration::from_millis(130);
+/// The shortest delay of a status update: its period plus the latency between two zones.
+const MIN_UPDATE_DELAY: Duration = Duration::from_millis(130);
 
 /// The fraction of the burst that a new process starts with, until it receives another host's
 /// level. With a full burst, a fleet that restarts could admit the burst twice within one window.
@@ -154,6 +156,13 @@
     demand: f64,
     /// The demand at the other hosts, in calls per second.
     others_demand: f64,
+    /// The sum of the demands that counted hosts reported (see [`HostReport::is_counted`]), in calls
+    /// per second.
+    reported_demand: f64,
+    /// No share that another host reserves for silent hosts is valid at or after this time.
+    peers_reserved_until: Instant,
+    /// The hosts that are silent, or were when the tenant's calls there were last reported.
+    silent: SilentHosts,
     /// The number of calls admitted here, plus those that other hosts reported.
     spent: f64,
     /// Recent samples, reaching back to the last status update of a host that is only now found
@@ -171,6 +180,13 @@
 }
 
 impl Account {
+    fn status(&self) -> TenantStatus {
+        let Self { admitted, demand, level, reserved, .. } = *self;
+        let is_level_exact = self.is_level_exact();
+
+        TenantStatus { admitted, demand, level, reserved, is_level_exact }
+    }
+
     /// Returns whether to send a status update: the values that other hosts use have changed, or
     /// other hosts need this host's level to correct their estimates.
     fn has_update(&self) -> bool {
@@ -194,6 +210,9 @@
     /// The run of its process from which a full status update has arrived. Before that, it is not
     /// known which of the calls it reports were already counted.
     baseline_run: Option<u64>,
+    /// Whether its demand is part of the accounts' sums: it belongs to the fleet, and is live or
+    /// silent.
+    is_counted: bool,
     tenants: Map<Box<str>, TenantReport>,
 }
 
@@ -201,11 +220,6 @@
     fn is_silent(&self, now: Instant) -> bool {
         now.since(self.received_at) > SILENCE_TIMEOUT
     }
-
-    /// Returns the fraction of a tenant's rate that the host is assumed to use while it is silent.
-    fn share(&self, tenant: &str) -> f64 {
-        self.tenants.get(tenant).and_then(|t| t.share).unwrap_or_default()
-    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -213,11 +227,6 @@
     status: TenantStatus,
     /// Until when the share that the host reserves for silent hosts is valid.
     reserved_until: Instant,
-    /// The tokens charged for this host since it went silent.
-    estimated: f64,
-    /// The fraction of the rate that the host is assumed to use while it is silent, computed from
-    /// the demand at its last status update.
-    share: Option<f64>,
 }
 
 /// The state of another host, judged by the age of its last status update.
@@ -247,9 +256,25 @@
     reports: Map<HostId, HostReport>,
     /// The other hosts of the fleet, live or not.
     others: Vec<HostId>,
+    /// The hosts that were silent at the last tick. The accounts look at each of them only when
+    /// `silent_changes` has changed, and otherwise charge for them as a whole.
+    silent: Set<HostId>,
+    /// The number of changes of `silent`.
+    silent_changes: u64,
+    /// How long it takes on average until a host knows of a call that another host has admitted.
+    update_delay: Duration,
     ticked: Option<Instant>,
 }
 
+/// Whether a status update can be accounted for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Baseline {
+    /// It was accounted for.
+    Known,
+    /// It was not, because no update of all tenants has arrived from this run of the host's process.
+    Missing,
+}
+
 impl Rates {
     /// Applies the tenants of a manifest. Existing buckets keep their levels.
     pub fn configure(&mut self, now: Instant, tenants: &[TenantSpec]) {
@@ -267,6 +292,9 @@
                 arrived: 0,
                 demand: 0.0,
                 others_demand: 0.0,
+                reported_demand: 0.0,
+                peers_reserved_until: Instant(0),
+                silent: SilentHosts::default(),
                 spent: 0.0,
                 samples: VecDeque::new(),
                 reserved: ReservedShare::default(),
@@ -282,12 +310,65 @@
         }
 
         self.accounts = accounts;
+        self.sum_reports();
     }
 
     /// Sets the other hosts of the fleet.
     pub fn set_peers(&mut self, others: Vec<HostId>) {
-        self.reports.retain(|host, _| others.contains(host));
+        let members: Set<HostId> = others.iter().copied().collect();
+        self.reports.retain(|host, _| members.contains(host));
+        for account in self.accounts.values_mut() {
+            account.silent.retain(|host| members.contains(&host));
+        }
         self.others = others;
+        self.sum_reports();
+    }
+
+    /// Sets how long it takes on average until a host knows of a call that another host has
+    /// admitted.
+    pub fn set_update_delay(&mut self, delay: Duration) {
+        self.update_delay = delay;
+    }
+
+    /// Computes the sums over the reports of all hosts anew.
+    fn sum_reports(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.reported_demand = 0.0;
+            account.peers_reserved_until = Instant(0);
+        }
+        for report in self.reports.values() {
+            for (tenant, report_of_tenant) in &report.tenants {
+                let Some(account) = self.accounts.get_mut(tenant) else { continue };
+                account.expect_reserved_until(report_of_tenant.reserved_until);
+                if report.is_counted {
+                    account.reported_demand += report_of_tenant.status.demand;
+                }
+            }
+        }
+    }
+
+    /// Determines which hosts are live, silent or unknown, and whose demand counts.
+    fn classify_hosts(&mut self, now: Instant, elapsed: Duration) -> OtherHosts {
+        let others = OtherHosts::new(now, elapsed, &self.others, &self.reports);
+
+        for (host, is_counted) in others.counted() {
+            let Some(report) = self.reports.get_mut(&host) else { continue };
+            if std::mem::replace(&mut report.is_counted, is_counted) == is_counted {
+                continue;
+            }
+            let sign = if is_counted { 1.0 } else { -1.0 };
+            for (tenant, report_of_tenant) in &report.tenants {
+                if let Some(account) = self.accounts.get_mut(tenant) {
+                    account.reported_demand += sign * report_of_tenant.status.demand;
+                }
+            }
+        }
+        if self.silent != others.silent {
+            self.silent.clone_from(&others.silent);
+            self.silent_changes += 1;
+        }
+
+        others
     }
 
     /// Applies a status update from the process run `run` of a host. If `all` is set, the update
@@ -299,46 +380,55 @@
         run: u64,
         all: bool,
         updates: impl IntoIterator<Item = (Box<str>, TenantStatus)>,
-    ) {
+    ) -> Baseline {
         let report = self.reports.entry(host).or_default();
         let is_new = report.baseline_run.is_none();
         let same_run = report.baseline_run == Some(run);
         if report.is_silent(now) {
-            report.tenants.values_mut().for_each(|tenant| tenant.share = None);
+            self.accounts.values_mut().for_each(|account| account.silent.end_silence(host));
+            // It may be silent again before the next tick.
+            self.silent_changes += 1;
         }
         report.received_at = now;
         report.counted_until = now;
 
         if !same_run && !all {
-            return;
+            return Baseline::Missing;
         }
         report.baseline_run = Some(run);
+        let is_counted = report.is_counted;
         // A new run counts from zero; tenants missing from its full status update have no demand
         // there.
         let mut corrections = Vec::new();
-        let mut previous_run = match same_run {
-            true => Map::default(),
-            false => std::mem::take(&mut report.tenants),
-        };
+        if !same_run {
+            let previous_run = std::mem::take(&mut report.tenants);
+            for (tenant, report_of_tenant) in previous_run.iter().filter(|_| is_counted) {
+                if let Some(account) = self.accounts.get_mut(tenant) {
+                    account.reported_demand -= report_of_tenant.status.demand;
+                }
+            }
+        }
 
         for (tenant, status) in updates {
             let reserved_until = now + status.reserved.expires_in;
-            let new = TenantReport { status, reserved_until, estimated: 0.0, share: None };
+            let new = TenantReport { status, reserved_until };
             let before = report.tenants.insert(tenant.clone(), new).unwrap_or_default();
             let Some(account) = self.accounts.get_mut(&tenant) else { continue };
             account.refill(now);
+            account.expect_reserved_until(reserved_until);
+            if is_counted {
+                account.reported_demand += status.demand - before.status.demand;
+            }
+            let estimated = account.silent.take_estimate(host);
             let admitted = status.admitted as f64 - before.status.admitted as f64;
             let charged = match (is_new, same_run) {
                 // The level already includes what the host admitted before its first status update
                 // arrived.
                 (true, _) => 0.0,
-                (false, true) => admitted - before.estimated,
+                (false, true) => admitted - estimated,
                 // What the previous run admitted while it was silent will never be reported; its
                 // estimate is kept.
-                (false, false) => {
-                    let estimated = previous_run.remove(&tenant).map_or(0.0, |b| b.estimated);
-                    (admitted - estimated).max(0.0)
-                }
+                (false, false) => (admitted - estimated).max(0.0),
             };
             account.level -= charged;
             account.spent += if is_new { 0.0 } else { admitted };
@@ -354,24 +444,18 @@
                 corrections.push((tenant, excess));
             }
         }
-        for (tenant, excess) in corrections {
-            self.add_to_estimates(now, &tenant, excess);
+        if !same_run {
+            self.accounts.values_mut().for_each(|account| account.silent.remove(host));
         }
-    }
-
-    /// Adds calls to the estimates of the silent hosts in proportion to their shares. These hosts
-    /// admitted more than estimated, which the lower level of a host in contact with them has
-    /// shown.
-    fn add_to_estimates(&mut self, now: Instant, tenant: &str, calls: f64) {
-        let silent = |report: &HostReport| matches!(liveness(now, Some(report)), Liveness::Silent);
-        let total: f64 = self.reports.values().filter(|r| silent(r)).map(|r| r.share(tenant)).sum();
-
-        for report in self.reports.values_mut().filter(|report| silent(report)) {
-            let fraction = report.share(tenant) / total.max(f64::MIN_POSITIVE);
-            if let Some(tenant) = report.tenants.get_mut(tenant) {
-                tenant.estimated += calls * fraction;
+        // The silent hosts admitted more than estimated, which the lower level of a host in contact
+        // with them has shown.
+        for (tenant, excess) in corrections {
+            if let Some(account) = self.accounts.get_mut(&tenant) {
+                account.silent.add_calls(excess);
             }
         }
+
+        Baseline::Known
     }
 
     /// Returns the status updates for the other hosts and records them as sent. With `all`, covers
@@ -384,15 +468,20 @@
             if !(account.has_update() || (all && account.last_sent.is_some())) {
                 continue;
             }
-            let Account { admitted, demand, level, reserved, .. } = *account;
-            let is_level_exact = account.is_level_exact();
-            let status = TenantStatus { admitted, demand, level, reserved, is_level_exact };
+            let status = account.status();
             account.last_sent = Some(status);
             updates.push((name.clone(), status));
         }
         updates
     }
 
+    /// Returns the status of every tenant that had calls here, without recording it as sent.
+    pub fn all_statuses(&self) -> Vec<(Box<str>, TenantStatus)> {
+        let active = self.accounts.iter().filter(|(_, account)| account.last_sent.is_some());
+
+        active.map(|(name, account)| (name.clone(), account.status())).collect()
+    }
+
     /// Updates the demand with the calls since the last tick, and charges the estimated calls of
     /// hosts that are not live. Called several times a second.
     pub fn tick(&mut self, now: Instant) {
@@ -403,11 +492,11 @@
             return;
         }
 
-        let others = OtherHosts::new(now, elapsed, &self.others, &self.reports);
+        let others = self.classify_hosts(now, elapsed);
         for (name, account) in &mut self.accounts {
             account.refill(now);
             account.smooth(elapsed);
-            others.charge_non_live(name, account, &mut self.reports);
+            others.charge_non_live(name, account, &self.reports, self.silent_changes);
         }
         for report in self.reports.values_mut().filter(|report| report.is_silent(now)) {
             report.counted_until = now;
@@ -427,7 +516,7 @@
         account.arrived += u32::from(waited.is_zero());
         account.refill(now);
 
-        let needed = 1.0 + account.headroom(is_new);
+        let needed = 1.0 + account.headroom(is_new, self.update_delay.max(MIN_UPDATE_DELAY));
         if account.level < needed {
             let after = account.time_until_level(needed);
             let max_wait = if is_new { MAX_WAIT_NEW } else { MAX_WAIT };
@@ -487,6 +576,11 @@
         self.samples.iter().find(|sample| sample.at >= at).copied().unwrap_or(now)
     }
 
+    /// Records until when another host reserves a share for silent hosts.
+    fn expect_reserved_until(&mut self, until: Instant) {
+        self.peers_reserved_until = self.peers_reserved_until.max(until);
+    }
+
     /// Returns whether the level contains only reported calls and no estimates.
     fn is_level_exact(&self) -> bool {
         self.non_live_share <= 0.0
@@ -515,11 +609,11 @@
     ///
     /// Other hosts may have admitted calls whose status updates are still in transit. Without this
     /// reserve, a tenant that sends many times its rate would exceed it, each time the bucket runs
-    /// empty, by the calls that arrive within [`UPDATE_DELAY`]. The demand counts for at most twice
+    /// empty, by the calls that arrive within the delay of the updates. The demand counts for at most twice
     /// the rate, since the other hosts refuse what exceeds that.
-    fn headroom(&self, is_new: bool) -> f64 {
+    fn headroom(&self, is_new: bool, update_delay: Duration) -> f64 {
         let others = self.others_demand.min(2.0 * self.rate);
-        let in_transit = (others * UPDATE_DELAY.as_secs_f64()).min(self.capacity() / 4.0);
+        let in_transit = (others * update_delay.as_secs_f64()).min(self.capacity() / 4.0);
 
         if is_new { in_transit.max(self.capacity() * RUNNING_PROGRAMS_RESERVE) } else { in_transit }
     }
--- a/crates/policy/src/entry/rates/estimates.rs
+++ b/crates/policy/src/entry/rates/estimates.rs
@@ -3,10 +3,11 @@
 
 use std::time::Duration;
 
-use camphorwalk_core::hash::Map;
+use camphorwalk_core::hash::{Map, Set};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 
+use super::silent_hosts::SilentHost;
 use super::{
     Account, HostReport, Liveness, ReservedShare, SILENT_SHARE_LIFETIME, TenantReport, liveness,
 };
@@ -22,7 +23,10 @@
     /// The number of hosts, this one included.
     fleet_size: f64,
     live: Vec<HostId>,
-    silent: Vec<HostId>,
+    pub(super) silent: Set<HostId>,
+    gone: Vec<HostId>,
+    /// The time until the share of the host that went silent last expires.
+    silent_share_expires_in: Duration,
     /// The number of hosts that have never sent a status update to this process.
     unknown: f64,
 }
@@ -35,57 +39,85 @@
         reports: &Map<HostId, HostReport>,
     ) -> Self {
         let fleet_size = (hosts.len() + 1) as f64;
-        let (live, silent) = (Vec::new(), Vec::new());
-        let mut others = Self { now, elapsed, fleet_size, live, silent, unknown: 0.0 };
+        let mut others = Self {
+            now,
+            elapsed,
+            fleet_size,
+            live: Vec::with_capacity(hosts.len()),
+            silent: Set::default(),
+            gone: Vec::new(),
+            silent_share_expires_in: Duration::ZERO,
+            unknown: 0.0,
+        };
 
         for host in hosts {
-            match liveness(now, reports.get(host)) {
+            let report = reports.get(host);
+            match liveness(now, report) {
                 Liveness::Unknown => others.unknown += 1.0,
                 Liveness::Live => others.live.push(*host),
-                Liveness::Silent => others.silent.push(*host),
-                Liveness::Gone => {}
+                Liveness::Silent => {
+                    others.silent.insert(*host);
+                    let expiry = report.map(|r| r.received_at + SILENT_SHARE_LIFETIME);
+                    let remaining = expiry.map_or(Duration::ZERO, |expiry| expiry.since(now));
+                    others.silent_share_expires_in = others.silent_share_expires_in.max(remaining);
+                }
+                Liveness::Gone => others.gone.push(*host),
             }
         }
         others
     }
 
+    /// Returns the hosts that sent status updates, and whether their demand counts.
+    pub(super) fn counted(&self) -> impl Iterator<Item = (HostId, bool)> {
+        let counted = self.live.iter().chain(&self.silent).map(|host| (*host, true));
+
+        counted.chain(self.gone.iter().map(|host| (*host, false)))
+    }
+
     /// Subtracts from a tenant's bucket the calls admitted by hosts that are not live, within their
-    /// shares.
+    /// shares. `silent_changes` is the number of changes of the set of silent hosts.
     pub(super) fn charge_non_live(
         &self,
         tenant: &str,
         account: &mut Account,
-        reports: &mut Map<HostId, HostReport>,
+        reports: &Map<HostId, HostReport>,
+        silent_changes: u64,
     ) {
-        account.others_demand = self.others_demand(tenant, account, reports);
+        account.others_demand = account.reported_demand.max(0.0) + self.unknown * account.demand;
         account.record_sample(self.now);
-        account.peers_need_level = self.peers_need_level(tenant, reports);
+        account.peers_need_level = self.peers_need_level(tenant, account, reports);
         account.reserved = ReservedShare::default();
         account.non_live_share = 0.0;
+        let is_changed = account.silent.update_version(silent_changes);
+        if is_changed {
+            account.silent.end_except(&self.silent);
+        }
         if self.silent.is_empty() && self.unknown <= 0.0 {
             return;
         }
 
-        let newly_silent = self.determine_shares(tenant, account, reports);
-        let silent: f64 = self.silent.iter().map(|host| reports[host].share(tenant)).sum();
+        let newly_silent = match is_changed {
+            true => self.newly_silent(tenant, account, reports),
+            false => Vec::new(),
+        };
+        let newly_silent_share: f64 = newly_silent.iter().map(|(_, share)| share).sum();
+        let silent = account.silent.share() + newly_silent_share;
         let non_live = silent + self.unknown * self.even_share(account);
-        account.reserved = self.reserved_share(tenant, silent, reports);
+        account.reserved = self.reserved_share(tenant, silent, account, reports);
         account.non_live_share =
             non_live.max(account.reserved.share).min(self.max_non_live_share());
 
         // The estimate of each silent host is recorded, and corrected when that host reports its
         // admitted calls.
         let scale = (account.non_live_share / non_live.max(f64::MIN_POSITIVE)).min(1.0);
+        let refilled = account.rate * self.elapsed.as_secs_f64();
         let unrecorded = account.non_live_share - silent * scale;
-        let mut charged = account.rate * unrecorded * self.elapsed.as_secs_f64();
-        for host in &self.silent {
-            let Some(report) = reports.get_mut(host) else { continue };
-            let share = report.share(tenant) * scale;
-            let estimated = match newly_silent.contains(host) {
-                true => self.estimate_since_update(account, report, share),
-                false => account.rate * share * self.elapsed.as_secs_f64(),
-            };
-            report.tenants.entry(tenant.into()).or_default().estimated += estimated;
+        let mut charged = refilled * unrecorded;
+        charged += account.silent.charge_per_share(refilled * scale);
+        for (host, share) in newly_silent {
+            let Some(report) = reports.get(&host) else { continue };
+            let estimated = self.estimate_since_update(account, report, share * scale);
+            account.silent.begin_silence(host, SilentHost { share, estimated });
             charged += estimated;
         }
         account.level = (account.level - charged).max(-account.capacity());
@@ -113,19 +145,6 @@
         (account.demand + self.demand_floor(account)) / total_demand
     }
 
-    /// Returns the demand at the other hosts, in calls per second.
-    fn others_demand(
-        &self,
-        tenant: &str,
-        account: &Account,
-        reports: &Map<HostId, HostReport>,
-    ) -> f64 {
-        let known = self.live.iter().chain(&self.silent).filter_map(|host| reports.get(host));
-        let tenants = known.filter_map(|report| report.tenants.get(tenant));
-
-        tenants.map(|t| t.status.demand).sum::<f64>() + self.unknown * account.demand
-    }
-
     fn reports_of<'a>(
         &self,
         tenant: &str,
@@ -137,32 +156,35 @@
     }
 
     /// Returns whether a live host reserves a share for silent ones.
-    fn peers_need_level(&self, tenant: &str, reports: &Map<HostId, HostReport>) -> bool {
-        self.reports_of(tenant, reports).any(|t| t.reserved_until > self.now)
+    fn peers_need_level(
+        &self,
+        tenant: &str,
+        account: &Account,
+        reports: &Map<HostId, HostReport>,
+    ) -> bool {
+        account.peers_reserved_until > self.now
+            && self.reports_of(tenant, reports).any(|t| t.reserved_until > self.now)
     }
 
-    /// Determines the shares of hosts that have just gone silent, and returns these hosts. A share
-    /// stays the same until the host is live again.
-    fn determine_shares(
+    /// Returns the hosts that have just gone silent, with their shares. A share stays the same until
+    /// the host is live again.
+    fn newly_silent(
         &self,
         tenant: &str,
         account: &Account,
-        reports: &mut Map<HostId, HostReport>,
-    ) -> Vec<HostId> {
-        let mut newly_silent = Vec::new();
-
-        for host in &self.silent {
-            let Some(report) = reports.get_mut(host) else { continue };
-            let total_demand =
-                account.sample_at(report.received_at).demand + DEMAND_FLOOR * account.rate;
-            let tenant = report.tenants.entry(tenant.into()).or_default();
-            if tenant.share.is_none() {
-                tenant.share =
-                    Some((tenant.status.demand + self.demand_floor(account)) / total_demand);
-                newly_silent.push(*host);
-            }
-        }
-        newly_silent
+        reports: &Map<HostId, HostReport>,
+    ) -> Vec<(HostId, f64)> {
+        let hosts = self.silent.iter().filter(|host| !account.silent.contains(**host));
+
+        hosts
+            .filter_map(|host| {
+                let report = reports.get(host)?;
+                let total_demand =
+                    account.sample_at(report.received_at).demand + DEMAND_FLOOR * account.rate;
+                let demand = report.tenants.get(tenant).map_or(0.0, |t| t.status.demand);
+                Some((*host, (demand + self.demand_floor(account)) / total_demand))
+            })
+            .collect()
     }
 
     /// Returns the share reserved for silent hosts, where `silent` is the sum of their shares. For
@@ -172,13 +194,11 @@
         &self,
         tenant: &str,
         silent: f64,
+        account: &Account,
         reports: &Map<HostId, HostReport>,
     ) -> ReservedShare {
-        let remaining =
-            |report: &HostReport| (report.received_at + SILENT_SHARE_LIFETIME).since(self.now);
-        let longest = self.silent.iter().map(|host| remaining(&reports[host])).max();
-        let own = ReservedShare { share: silent, expires_in: longest.unwrap_or_default() };
-        if self.unknown <= 0.0 {
+        let own = ReservedShare { share: silent, expires_in: self.silent_share_expires_in };
+        if self.unknown <= 0.0 || account.peers_reserved_until <= self.now {
             return own;
         }
 
--- a/crates/policy/tests/entry_rates.rs
+++ b/crates/policy/tests/entry_rates.rs
@@ -7,6 +7,8 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::rates::{Admission, Rates, TenantStatus};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
 
 const TICK: Duration = Duration::from_millis(100);
 
@@ -280,3 +282,72 @@
 
     assert_eq!(admitted, 50 * 7);
 }
+
+#[test]
+fn the_demand_of_the_others_is_what_they_reported_last_whatever_came_before() {
+    // Guards against a sum that drifts from the reports while hosts fall silent, return, restart or
+    // leave the fleet, and while tenants come and go.
+    use std::collections::HashMap;
+    const OTHERS: usize = 12;
+    const NAMES: [&str; 3] = ["a", "b", "c"];
+    let spec = |name: &str| TenantSpec { name: name.into(), ..tenant(50.0, 50.0) };
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut rates = Rates::default();
+    let mut now = Instant::from_millis(1_000);
+    rates.configure(now, &NAMES.map(spec));
+    let mut members: Vec<usize> = (1..=OTHERS).collect();
+    rates.set_peers(members.iter().copied().map(id).collect());
+    rates.tick(now);
+    // The run, the time of the last update and the reported demand of each host.
+    let mut reports: HashMap<usize, (u64, Instant, HashMap<&str, f64>)> = HashMap::new();
+
+    for _ in 0..3_000 {
+        now = now + Duration::from_millis(rng.random_range(20..400));
+        match rng.random_range(0..20) {
+            0 => {
+                members = (1..=OTHERS).filter(|_| rng.random_bool(0.8)).collect();
+                rates.set_peers(members.iter().copied().map(id).collect());
+                reports.retain(|host, _| members.contains(host));
+            }
+            1 => {
+                let kept: Vec<_> = NAMES.into_iter().filter(|_| rng.random_bool(0.7)).collect();
+                rates.configure(now, &kept.into_iter().map(spec).collect::<Vec<_>>());
+                rates.configure(now, &NAMES.map(spec));
+            }
+            2..5 => now = now + Duration::from_millis(rng.random_range(500..18_000)),
+            _ => {
+                let host = members[rng.random_range(0..members.len())];
+                let known = reports.remove(&host);
+                let is_restart = known.is_none() || rng.random_bool(0.05);
+                let (run, _, mut demand) = known.unwrap_or_default();
+                let run = run + u64::from(is_restart);
+                if is_restart {
+                    demand.clear();
+                }
+                let draws = NAMES.map(|name| (name, rng.random_range(0..80u32)));
+                let updates: Vec<_> = draws
+                    .into_iter()
+                    .filter(|(_, demand)| *demand < 40)
+                    .map(|(name, demand)| (name, f64::from(demand)))
+                    .collect();
+                demand.extend(updates.iter().copied());
+                let statuses = updates.into_iter().map(|(name, demand)| {
+                    (Box::from(name), TenantStatus { demand, ..TenantStatus::default() })
+                });
+                rates.apply_update(now, id(host), run, is_restart, statuses);
+                reports.insert(host, (run, now, demand));
+            }
+        }
+        now = now + Duration::from_millis(1);
+        rates.tick(now);
+
+        for name in NAMES {
+            let is_known = |at: Instant| now.since(at) <= Duration::from_secs(15);
+            let reported = reports.values().filter(|(_, at, _)| is_known(*at));
+            let expected: f64 = reported.filter_map(|(_, _, demand)| demand.get(name)).sum();
+            // Hosts that were never heard are taken to have this host's demand, which is none.
+            let found = rates.explain(name).unwrap().others_demand;
+            assert!((found - expected).abs() < 1e-6, "{name}: {found} instead of {expected}");
+        }
+    }
+}
