Status updates reach other zones through hosts that forward them

Cause: each host updated all others itself, at 5 ms for each receiver: every 0.97 s in a fleet of 195, although a host counts as silent after 0.7 s. Hosts of other zones seemed silent a quarter of the time. All customers' demand, sent to every host each 10 s, was most of the bytes between zones.

Change: policy/entry/status_exchange.rs decides who gets which update. Within a zone hosts update each other as before. Each update to another zone goes to two of six of its hosts, in turn, which forward it with their own next update. Updates are numbered; copies, late ones and those of an ended run are dropped; each covers the changes of the round before once more. A host that misses changes asks for all of them once. Small fleets, in which direct updates are frequent enough, keep them. Hosts of an older build are updated directly, and their updates need no number. The rates' reserve for updates in transit follows the mean delay.

Weighed: longer time-outs of silence (a cut zone would be seen two seconds late); a digest by one host for its zone (its loss silences the zone); sums for each zone (shares of silent hosts need the demand of each).

Shown by: policy/tests/large_fleet drives the exchange and the rates of 60 to 200 hosts over delays, kills of 55%, a cut zone, slow forwarders, restarts and an older build. With direct updates only, four of its ten tests fail (no host seems silent; stays live; limits; no wrongful refusal).

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PeerMessage {
     /// The content. `None` if a newer version sent a message of an unknown kind, which is ignored.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub body: Option<Body>,
 }
 
@@ -66,6 +66,12 @@
     /// The reply to a query.
     #[prost(message, tag = "14")]
     PeerQueryReply(entry::PeerQueryReply),
+    /// A status update for the receiver and the other hosts of its availability zone.
+    #[prost(message, tag = "15")]
+    ForwardedStatus(entry::ForwardedStatus),
+    /// Asks the receiver for a status update with the demand of all tenants.
+    #[prost(message, tag = "16")]
+    StatusRequest(entry::StatusRequest),
 }
 
 impl From<Body> for PeerMessage {
--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -44,8 +44,49 @@
     /// parts each target has cached.
     #[prost(message, repeated, tag = "11")]
     pub prompts: Vec<SentPrompts>,
+    /// The number of the sender's round of updates; 0 from a build that neither numbers its updates
+    /// nor forwards those of others.
+    #[prost(uint64, tag = "17")]
+    pub sequence: u64,
+    /// The update covers the changes after the sender's round with this number.
+    #[prost(uint64, tag = "18")]
+    pub changes_since: u64,
+    /// Updates of hosts of other zones, which the sender forwards within its zone.
+    #[prost(message, repeated, tag = "19")]
+    pub forwarded: Vec<ForwardedStatus>,
 }
 
+/// A status update on its way through a host that forwards it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ForwardedStatus {
+    /// Id of the host whose status it is.
+    #[prost(fixed64, tag = "1")]
+    pub host: u64,
+    /// The `run`, `sequence`, `changes_since` and `all_demand` of the update, so that copies of one
+    /// that is known need not be decoded.
+    #[prost(fixed64, tag = "2")]
+    pub run: u64,
+    /// See `run`.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// See `run`.
+    #[prost(uint64, tag = "4")]
+    pub changes_since: u64,
+    /// See `run`.
+    #[prost(bool, tag = "5")]
+    pub all_demand: bool,
+    /// For how long it has waited at the hosts that forwarded it, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub age_ms: u32,
+    /// The encoded [`EntryStatus`].
+    #[prost(bytes = "bytes", tag = "7")]
+    pub status: bytes::Bytes,
+}
+
+/// Asks an entry host for a status update with the demand of all tenants.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct StatusRequest {}
+
 /// The number of calls queued at one host for a service.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WaitingCalls {
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -18,6 +18,7 @@
 use camphorwalk_policy::entry::grant_leases::{HostSeen, Partition, PartitionSet};
 use camphorwalk_policy::entry::host_rows::{HostRows, Presence};
 use camphorwalk_policy::entry::isolation::Contact;
+use camphorwalk_policy::entry::status_exchange::{Forwarding, Member, mean_delay};
 use rand::RngCore as _;
 use rand::seq::IteratorRandom as _;
 use serde::{Deserialize, Serialize};
@@ -106,6 +107,8 @@
     pub(crate) grant_leases: PartitionSet,
     /// Whether the sender acquires vacant leases.
     pub(crate) claims_leases: bool,
+    /// Whether the sender forwards status updates within its zone.
+    pub(crate) forwards: bool,
 }
 
 impl HostStatus {
@@ -329,11 +332,35 @@
         peers.as_ref().is_some_and(|peers| peers.send(host, PeerMessage::from(body)))
     }
 
-    /// Returns the other hosts of this host's availability zone, and the hosts of all other zones.
-    pub(crate) fn split_by_zone(&self) -> (Vec<HostId>, Vec<HostId>) {
+    /// Calls `f` with all other known hosts.
+    pub(crate) fn with_members<T>(&self, f: impl FnOnce(&[Member<'_>]) -> T) -> T {
+        let now = clock::now();
+        let known = self.known.borrow();
+        let statuses = self.statuses.borrow();
+        let members: Vec<_> = known
+            .iter()
+            .map(|(host, known)| {
+                let status = statuses.get(host);
+                let forwarding = match status.map(|status| status.forwards) {
+                    None => Forwarding::Unknown,
+                    Some(true) => Forwarding::Supported,
+                    Some(false) => Forwarding::Unsupported,
+                };
+                let is_live = status.is_some_and(|status| status.is_valid(now));
+                Member { host: *host, zone: &known.zone, is_live, forwarding }
+            })
+            .collect();
+
+        f(&members)
+    }
+
+    /// Returns the number of other known hosts of this host's availability zone, and of all other
+    /// zones.
+    pub(crate) fn sizes(&self) -> (usize, usize) {
         let known = self.known.borrow();
+        let near = known.values().filter(|known| known.zone == self.zone).count();
 
-        known.keys().partition(|host| known[*host].zone == self.zone)
+        (near, known.len() - near)
     }
 
     /// Records the latest status of another host. Returns whether the previous one is missing (see
@@ -553,7 +580,12 @@
         }
     }
 
-    shared.rates.borrow_mut().set_peers(known.keys().copied().collect());
+    shared.status_exchange.borrow_mut().retain(|host| known.contains_key(&host));
+    let mut rates = shared.rates.borrow_mut();
+    rates.set_peers(known.keys().copied().collect());
+    drop(known);
+    let (near, far) = fleet.sizes();
+    rates.set_update_delay(mean_delay(near, far));
 }
 
 /// Drops the status of hosts that have been silent for [`SILENCE_TIMEOUT`], so that their in-flight
@@ -580,7 +612,11 @@
         let Inbound::Message { from, message } = inbound else { continue };
 
         match message.body {
-            Some(Body::EntryStatus(update)) => status_updates::apply_update(&shared, from, update),
+            Some(Body::EntryStatus(update)) => status_updates::receive(&shared, from, update),
+            Some(Body::ForwardedStatus(update)) => {
+                status_updates::receive_for_zone(&shared, from, update);
+            }
+            Some(Body::StatusRequest(_)) => status_updates::send_all(&shared, from),
             Some(Body::Manifest(manifest)) => watch::adopt(&shared, &manifest.text, "peer"),
             Some(Body::PeerQuery(query)) => {
                 tokio::task::spawn_local(queries::serve(Rc::clone(&shared), from, query));
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -8,6 +8,7 @@
 use camphorwalk_core::entry::{CallHead, EntrySettings};
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::HostId;
+use camphorwalk_core::messages::entry::ForwardedStatus;
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
 use camphorwalk_policy::entry::crashes::Crashes;
@@ -17,6 +18,7 @@
 use camphorwalk_policy::entry::rates::Rates;
 use camphorwalk_policy::entry::recent::RecentMap;
 use camphorwalk_policy::entry::routes::RouteTable;
+use camphorwalk_policy::entry::status_exchange::StatusExchange;
 use camphorwalk_policy::entry::target_table::TargetTable;
 use camphorwalk_policy::entry::turns::TurnCache;
 use camphorwalk_store::{Client, ClientOptions, QuotaOptions, RetryOptions};
@@ -104,6 +106,7 @@
     pub(crate) manifests: Manifests,
     pub(crate) rates: RefCell<Rates>,
     pub(crate) full_demand_receivers: status_updates::FullDemandReceivers,
+    pub(crate) status_exchange: RefCell<StatusExchange<ForwardedStatus>>,
     /// The entries under which targets have registered themselves.
     pub(crate) target_table: RefCell<TargetTable>,
     pub(crate) targets: RefCell<Targets>,
@@ -298,6 +301,10 @@
             manifests: Manifests::default(),
             rates: RefCell::default(),
             full_demand_receivers: status_updates::FullDemandReceivers::default(),
+            status_exchange: RefCell::new(StatusExchange::new(
+                HostId::from_name(&settings.name),
+                clock::now(),
+            )),
             target_table: RefCell::new(TargetTable::new(settings.target_heartbeat)),
             targets: RefCell::new(Targets::new(&settings.zone)),
             places: Places::default(),
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -1,9 +1,7 @@
 //! Status updates, which hosts send each other several times a second: calls in flight, tenants'
 //! demand, prompts and crashes, and whether the store answers.
 //!
-//! Hosts of the same availability zone are updated more often than the others. A call mostly goes
-//! to a target of its own zone, where the load changes within the duration of a call. Updating all
-//! hosts as often would take most of the processor time of a small host.
+//! Who gets which update is decided by `camphorwalk_policy::entry::status_exchange`.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -12,41 +10,31 @@
 use camphorwalk_core::hash::{Map, Set};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::entry::{
-    CrashReport, Demand, EntryStatus, InFlight, SentPrompts, WaitingCalls,
+    CrashReport, Demand, EntryStatus, ForwardedStatus, InFlight, SentPrompts, StatusRequest,
+    WaitingCalls,
 };
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::Peers;
 use camphorwalk_policy::entry::grant_leases::PartitionSet;
 use camphorwalk_policy::entry::prompts::CachedPart;
-use camphorwalk_policy::entry::rates::{ReservedShare, TenantStatus};
+use camphorwalk_policy::entry::rates::{Baseline, ReservedShare, TenantStatus};
+use camphorwalk_policy::entry::status_exchange::{
+    FarChanges, Freshness, Merge, Round, Stamp, near_period,
+};
+use prost::Message as _;
 use tokio::time::sleep;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::fleet::{HostStatus, drop_silent_hosts};
 use crate::host::Shared;
 use crate::{clock, manifests, places};
 
-/// The shortest period of status updates. A call takes about a fifth of a second, so the other
-/// hosts know of it while it still runs, and do not take a full target for an idle one.
-const MIN_PERIOD: Duration = Duration::from_millis(100);
-
-/// The period is at least this long for each receiver, so that a host sends no more than a few
-/// hundred messages a second in a fleet of any size.
-const PERIOD_PER_HOST: Duration = Duration::from_millis(5);
-
 /// How often the demand of all tenants is sent instead of only the changes. Lost updates are
 /// repaired after this time at the latest. A host that was silent or has just started gets the
 /// demand of all tenants at once.
 const ALL_DEMAND_PERIOD: Duration = Duration::from_secs(10);
 
-/// Returns the period of status updates to this many hosts.
-fn period(hosts: usize) -> Duration {
-    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-
-    MIN_PERIOD.max(PERIOD_PER_HOST.saturating_mul(hosts))
-}
-
 /// What has changed since the last status update. The rest of an update is the current state.
 #[derive(Clone, Default)]
 struct Changes {
@@ -65,9 +53,10 @@
             crashes: shared.crashes.borrow_mut().take_updates(),
         }
     }
+}
 
-    /// Adds changes that came later.
-    fn add(&mut self, later: Changes) {
+impl Merge for Changes {
+    fn merge(&mut self, later: Self) {
         for (target, parts) in later.prompts {
             self.prompts.entry(target).or_default().extend(parts);
         }
@@ -98,35 +87,101 @@
 /// Periodically sends status updates to the other hosts.
 pub(crate) async fn broadcast(shared: Rc<Shared>, peers: Peers) {
     let mut all_demand_sent_at = Instant(0);
-    let mut far_sent_at = Instant(0);
-    let mut far_changes = Changes::default();
+    let mut far_changes = FarChanges::<Changes>::default();
 
     loop {
-        let (near, far) = shared.fleet.split_by_zone();
-        sleep(period(near.len())).await;
-        shared.rates.borrow_mut().tick(clock::now());
-        drop_silent_hosts(&shared);
-
+        sleep(near_period(shared.fleet.sizes().0)).await;
         let now = clock::now();
-        let is_far_due = now.since(far_sent_at) + MIN_PERIOD / 2 >= period(near.len() + far.len());
-        if is_far_due && now.since(all_demand_sent_at) >= ALL_DEMAND_PERIOD {
+        shared.rates.borrow_mut().tick(now);
+        drop_silent_hosts(&shared);
+        if now.since(all_demand_sent_at) >= ALL_DEMAND_PERIOD {
             all_demand_sent_at = now;
             shared.full_demand_receivers.0.borrow_mut().clear();
         }
 
+        let round = shared.fleet.with_members(|members| {
+            shared.status_exchange.borrow_mut().begin_round(now, &shared.settings.zone, members)
+        });
         let changes = Changes::take(&shared);
-        far_changes.add(changes.clone());
-        send(&shared, &peers, near, &changes);
-        if is_far_due {
-            far_sent_at = now;
-            send(&shared, &peers, far, &std::mem::take(&mut far_changes));
+        far_changes.add(&changes);
+        send_round(&shared, &peers, round, &changes, &mut far_changes);
+        for host in shared.status_exchange.borrow_mut().take_requests(now) {
+            peers.send(host, PeerMessage::from(Body::StatusRequest(StatusRequest {})));
         }
     }
 }
 
+/// Sends the status updates of one round.
+fn send_round(
+    shared: &Shared,
+    peers: &Peers,
+    round: Round,
+    changes: &Changes,
+    far_changes: &mut FarChanges<Changes>,
+) {
+    let forwarded = take_forwarded(shared);
+    send(shared, peers, round.near, changes, &forwarded);
+
+    if !round.direct.is_empty() {
+        send(shared, peers, round.direct, &far_changes.take_direct(), &[]);
+    }
+    if !round.forwarders.is_empty() {
+        let mut changes = far_changes.take_forwarded();
+        if round.is_full {
+            changes.demand = shared.rates.borrow_mut().take_updates(true).into_iter().collect();
+        }
+        let mut update = status_update(shared, changes, round.is_full);
+        update.changes_since = round.changes_since;
+        let update = PeerMessage::from(Body::ForwardedStatus(envelope(shared, &update)));
+        round.forwarders.iter().for_each(|host| {
+            peers.send(*host, update.clone());
+        });
+    }
+}
+
+/// Encodes a status update of this host to be forwarded.
+fn envelope(shared: &Shared, update: &EntryStatus) -> ForwardedStatus {
+    ForwardedStatus {
+        host: shared.fleet.own_id().0,
+        run: update.run,
+        sequence: update.sequence,
+        changes_since: update.changes_since,
+        all_demand: update.all_demand,
+        age_ms: 0,
+        status: update.encode_to_vec().into(),
+    }
+}
+
+/// Takes the updates of other zones that this host forwards within its own.
+fn take_forwarded(shared: &Shared) -> Vec<ForwardedStatus> {
+    let queue = shared.status_exchange.borrow_mut().take_queue(clock::now());
+
+    queue
+        .into_iter()
+        .map(|(update, waited)| {
+            let waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
+            ForwardedStatus { age_ms: update.age_ms.saturating_add(waited_ms), ..update }
+        })
+        .collect()
+}
+
+/// Sends a host the demand of all tenants, which it has requested.
+pub(crate) fn send_all(shared: &Shared, to: HostId) {
+    let demand = shared.rates.borrow().all_statuses();
+    let changes = Changes { demand: demand.into_iter().collect(), ..Changes::default() };
+
+    shared.fleet.send(to, Body::EntryStatus(status_update(shared, changes, true)));
+}
+
 /// Sends a status update to some hosts, with the demand of all tenants to those that may not know
 /// it.
-fn send(shared: &Shared, peers: &Peers, hosts: Vec<HostId>, changes: &Changes) {
+fn send(
+    shared: &Shared,
+    peers: &Peers,
+    hosts: Vec<HostId>,
+    changes: &Changes,
+    forwarded: &[ForwardedStatus],
+) {
     let (informed, uninformed) = shared.full_demand_receivers.split(hosts);
     let send_to = |hosts: &[HostId], update: EntryStatus| {
         // The current state is sent again in the next round. The changes in an update that cannot
@@ -140,12 +195,15 @@
     };
 
     if !informed.is_empty() {
-        send_to(&informed, status_update(shared, changes.clone(), false));
+        let update = status_update(shared, changes.clone(), false);
+        send_to(&informed, EntryStatus { forwarded: forwarded.to_vec(), ..update });
     }
     if !uninformed.is_empty() {
         let mut all = changes.clone();
         all.demand = shared.rates.borrow_mut().take_updates(true).into_iter().collect();
-        let informed = send_to(&uninformed, status_update(shared, all, true));
+        let update = status_update(shared, all, true);
+        let informed =
+            send_to(&uninformed, EntryStatus { forwarded: forwarded.to_vec(), ..update });
         shared.full_demand_receivers.0.borrow_mut().extend(informed);
     }
 }
@@ -172,6 +230,9 @@
             .map(|(service, calls)| WaitingCalls { service: service.into(), calls })
             .collect(),
         prompts: changes.prompts.into_iter().map(prompts).collect(),
+        sequence: shared.status_exchange.borrow().sequence(),
+        changes_since: 0,
+        forwarded: Vec::new(),
     }
 }
 
@@ -195,16 +256,83 @@
     SentPrompts { target: target.into(), parts, tokens }
 }
 
-/// Applies a status update of another host.
-pub(crate) fn apply_update(shared: &Rc<Shared>, from: HostId, update: EntryStatus) {
+/// Handles a status update that another host has sent to this one, with those that it forwards.
+pub(crate) fn receive(shared: &Rc<Shared>, from: HostId, mut update: EntryStatus) {
+    let forwarded = std::mem::take(&mut update.forwarded);
+    let stamp = Stamp {
+        run: update.run,
+        sequence: update.sequence,
+        changes_since: update.changes_since,
+        is_full: update.all_demand,
+    };
+
+    if shared.status_exchange.borrow_mut().record_direct(from, stamp) == Freshness::New {
+        apply_update(shared, from, update, clock::now());
+    }
+    for update in forwarded {
+        let (host, age) = (HostId(update.host), age(&update));
+        let mut exchange = shared.status_exchange.borrow_mut();
+        let freshness = exchange.record_forwarded(host, stamp_of(&update), age);
+        drop(exchange);
+        if freshness == Freshness::New {
+            apply_forwarded(shared, &update);
+        }
+    }
+    places::assign_all_places(shared);
+}
+
+/// Handles a status update of a host of another zone, which this host forwards within its own.
+pub(crate) fn receive_for_zone(shared: &Rc<Shared>, from: HostId, update: ForwardedStatus) {
+    if update.host != from.0 {
+        warn!(from = from.0, host = update.host, "fleet: status of a third host dropped");
+        return;
+    }
+    let (now, stamp) = (clock::now(), stamp_of(&update));
+    let mut exchange = shared.status_exchange.borrow_mut();
+    let freshness = exchange.record_for_zone(now, from, stamp, update.clone());
+    drop(exchange);
+
+    if freshness == Freshness::New {
+        apply_forwarded(shared, &update);
+        places::assign_all_places(shared);
+    }
+}
+
+fn stamp_of(update: &ForwardedStatus) -> Stamp {
+    Stamp {
+        run: update.run,
+        sequence: update.sequence,
+        changes_since: update.changes_since,
+        is_full: update.all_demand,
+    }
+}
+
+/// Returns for how long an update has waited at hosts that forwarded it.
+fn age(update: &ForwardedStatus) -> Duration {
+    Duration::from_millis(u64::from(update.age_ms))
+}
+
+/// Applies a status update that has been forwarded.
+fn apply_forwarded(shared: &Rc<Shared>, update: &ForwardedStatus) {
+    let host = HostId(update.host);
+
+    match EntryStatus::decode(update.status.clone()) {
+        Ok(status) => apply_update(shared, host, status, clock::now() - age(update)),
+        Err(e) => warn!(host = host.0, error = %e, "fleet: unreadable status update dropped"),
+    }
+}
+
+/// Applies a status update of another host, which it sent at `sent_at`.
+fn apply_update(shared: &Rc<Shared>, from: HostId, update: EntryStatus, sent_at: Instant) {
     let now = clock::now();
     let status = HostStatus {
-        received_at: now,
+        received_at: sent_at,
         store_answers: update.store_answers,
         run: update.run,
         manifest_version: update.manifest_version,
         grant_leases: PartitionSet::from_numbers(&update.grant_leases),
         claims_leases: update.claims_leases,
+        forwards: update.sequence > 0,
     };
     let has_recovered = update.store_answers && !shared.fleet.store_answers(from);
     if shared.fleet.record_status(from, status) {
@@ -228,7 +356,16 @@
         let is_level_exact = d.hears_all;
         (d.tenant.into(), TenantStatus { admitted, demand, level, reserved, is_level_exact })
     });
-    shared.rates.borrow_mut().apply_update(now, from, update.run, update.all_demand, tenants);
+    let baseline = shared.rates.borrow_mut().apply_update(
+        sent_at,
+        from,
+        update.run,
+        update.all_demand,
+        tenants,
+    );
+    if baseline == Baseline::Missing && update.sequence > 0 {
+        shared.status_exchange.borrow_mut().want_all(from);
+    }
     let in_flight = update.in_flight.into_iter().map(|f| (f.target.into(), f.calls)).collect();
     let waiting = update.waiting.into_iter().map(|w| (w.service.into(), w.calls)).collect();
     shared.targets.borrow_mut().set_remote_load(from, in_flight, waiting);
@@ -238,7 +375,6 @@
     }
 
     manifests::handle_reported_version(shared, from, update.manifest_version);
-    places::assign_all_places(shared);
 }
 
 fn apply_prompts(shared: &Shared, from: HostId, prompts: Vec<SentPrompts>) {
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -16,6 +16,7 @@
 pub mod recent;
 pub mod routes;
 pub mod shares;
+pub mod status_exchange;
 pub mod target_table;
 pub mod transfers;
 pub mod turn_writes;
--- a/crates/policy/src/scheduler/requests.rs
+++ b/crates/policy/src/scheduler/requests.rs
@@ -196,7 +196,9 @@
                 | Body::EntryStatus(_)
                 | Body::Manifest(_)
                 | Body::PeerQuery(_)
-                | Body::PeerQueryReply(_),
+                | Body::PeerQueryReply(_)
+                | Body::ForwardedStatus(_)
+                | Body::StatusRequest(_),
             )
             | None => {}
         }
--- /dev/null
+++ b/crates/policy/tests/large_fleet/exchange.rs
@@ -0,0 +1,137 @@
+//! Who knows of whom in a large fleet.
+
+use std::time::Duration;
+
+use crate::world::World;
+
+const ZONES: usize = 5;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Returns the hosts that `which` selects and that some host which `by` selects takes for silent.
+fn silent_hosts(
+    world: &World,
+    by: impl Fn(usize) -> bool,
+    which: impl Fn(usize) -> bool,
+) -> Vec<(usize, usize)> {
+    let mut silent = Vec::new();
+    for host in (0..world.hosts.len()).filter(|host| by(*host)) {
+        let live = world.live_for(host);
+        let missing =
+            (0..world.hosts.len()).filter(|o| which(*o) && *o != host && !live.contains(o));
+        silent.extend(missing.map(|other| (host, other)));
+    }
+    silent
+}
+
+#[test]
+fn no_host_of_a_large_fleet_seems_silent() {
+    // Guards against updates that are rarer than the time after which a host counts as silent.
+    let mut world = World::new(195, ZONES, Vec::new(), 1);
+    world.run(seconds(2));
+
+    for _ in 0..20 {
+        world.run(Duration::from_millis(170));
+        assert_eq!(silent_hosts(&world, |_| true, |_| true), []);
+    }
+}
+
+#[test]
+fn messages_of_a_host_grow_with_its_zone_and_not_with_the_fleet() {
+    // Guards against updates whose number a host grows with the fleet.
+    let messages_per_host = |hosts, zones| {
+        let mut world = World::new(hosts, zones, Vec::new(), 2);
+        world.run(seconds(2));
+        world.messages = 0;
+        world.run(seconds(2));
+        world.messages as f64 / 2.0 / hosts as f64
+    };
+
+    let (three_zones, ten_zones) = (messages_per_host(60, 3), messages_per_host(200, 10));
+
+    assert!(ten_zones < three_zones * 1.5, "{three_zones}, then {ten_zones} a second");
+}
+
+#[test]
+fn hosts_stay_live_while_most_others_lose_power_at_once() {
+    // Guards against updates that hang on a few hosts which forward them.
+    let mut world = World::new(150, ZONES, Vec::new(), 3);
+    world.run(seconds(2));
+
+    let is_down = |host: usize| host % 20 < 11;
+    (0..150).filter(|host| is_down(*host)).for_each(|host| world.hosts[host].process = None);
+    let mut lost = 0;
+    for _ in 0..20 {
+        world.run(Duration::from_millis(100));
+        lost += silent_hosts(&world, |host| !is_down(host), |host| !is_down(host)).len();
+    }
+
+    // Half a percent of the pairs that are looked at.
+    let pairs = 20 * 67 * 66;
+    assert!(lost * 200 < pairs, "{lost} of {pairs} pairs");
+    assert_eq!(silent_hosts(&world, |host| !is_down(host), |host| !is_down(host)), []);
+}
+
+#[test]
+fn a_host_that_lost_power_is_known_to_be_silent_within_a_second_and_a_half() {
+    // Guards against hosts that go on forwarding the last update of a host that is gone.
+    let mut world = World::new(150, ZONES, Vec::new(), 4);
+    world.run(seconds(2));
+
+    world.hosts[7].process = None;
+    world.run(Duration::from_millis(1_500));
+
+    for host in (0..150).filter(|host| *host != 7) {
+        assert!(!world.live_for(host).contains(&7), "live for {host}");
+    }
+}
+
+#[test]
+fn a_slow_forwarder_brings_no_host_back() {
+    // Guards against old updates, forwarded late, that replace newer ones or make a dead host live.
+    let mut world = World::new(150, ZONES, Vec::new(), 5);
+    world.run(seconds(2));
+
+    (0..150).step_by(3).for_each(|host| world.hosts[host].slow = seconds(3));
+    world.run(Duration::from_millis(600));
+    world.hosts[7].process = None;
+    world.run(Duration::from_millis(2_000));
+
+    for host in (0..150).filter(|host| *host != 7) {
+        assert!(!world.live_for(host).contains(&7), "live for {host}");
+    }
+}
+
+#[test]
+fn a_zone_that_was_cut_off_is_heard_again_at_once() {
+    // Guards against forwarders that are looked for only among live hosts.
+    let mut world = World::new(150, ZONES, Vec::new(), 6);
+    world.run(seconds(2));
+    let is_inside = |host: usize| host % ZONES == 0;
+
+    world.cut_zone = Some(0);
+    world.run(Duration::from_millis(1_500));
+    for host in (0..150).filter(|host| is_inside(*host)) {
+        assert!(world.live_for(host).iter().all(|other| is_inside(*other)));
+    }
+    world.cut_zone = None;
+    world.run(Duration::from_millis(700));
+
+    assert_eq!(silent_hosts(&world, |_| true, |_| true), []);
+}
+
+#[test]
+fn hosts_of_an_older_build_hear_all_others_and_are_heard() {
+    // Guards against a release in which the hosts of one build take those of the other for silent.
+    // The period at which an older build updates other zones is longer than hosts count as live.
+    let mut world = World::new(60, 3, Vec::new(), 7);
+    (0..30).for_each(|host| world.hosts[host].is_old_build = true);
+    world.run(seconds(3));
+
+    for _ in 0..10 {
+        world.run(Duration::from_millis(170));
+        assert_eq!(silent_hosts(&world, |_| true, |_| true), []);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/large_fleet/main.rs
@@ -0,0 +1,5 @@
+//! Status updates and rates in fleets of some hundred hosts, in virtual time.
+
+mod exchange;
+mod rates;
+mod world;
