Late updates of a dead host, or of a run that was replaced, do not count

Cause: the age of a forwarded update was the time for which it had waited at forwarders, not the time on the way, and a process that had just started did not know which run of another came first. A forwarder whose messages took 3 s made a dead host live again for 0.7 s; a late update of an ended run replaced that of its successor, whose calls would then be counted again.

Change: an update says when it was sent by its sender's clock, and when its process started. Its age is counted from the fastest update of the same run; one that is 0.7 s older is dropped. While a host was heard in the last 2 s, updates of a run that started before are dropped; later its clock may have been set back.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -80,12 +80,15 @@
     /// See `run`.
     #[prost(bool, tag = "5")]
     pub all_demand: bool,
-    /// For how long it has waited at the hosts that forwarded it, in milliseconds.
-    #[prost(uint32, tag = "6")]
-    pub age_ms: u32,
+    /// When it was sent, in microseconds of a clock of the sender that only goes forward.
+    #[prost(uint64, tag = "6")]
+    pub sent_us: u64,
     /// The encoded [`EntryStatus`].
     #[prost(bytes = "bytes", tag = "7")]
     pub status: bytes::Bytes,
+    /// When the sender's process started, in milliseconds since the Unix epoch by its clock.
+    #[prost(uint64, tag = "8")]
+    pub started_ms: u64,
 }
 
 /// Asks an entry host for a status update with the demand of all tenants.
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -98,6 +98,8 @@
     pub(crate) settings: EntrySettings,
     pub(crate) run: RunId,
     started_at: Instant,
+    /// The same by the time of day, in milliseconds since the Unix epoch.
+    pub(crate) started_ms: u64,
     pub(crate) store: Store,
     pub(crate) pending_queries: PendingQueries,
     pub(crate) routes: RefCell<Option<RouteTable>>,
@@ -293,6 +295,7 @@
 
         let shared = Rc::new(Shared {
             started_at: clock::now(),
+            started_ms: clock::unix_ms(),
             run,
             store,
             pending_queries: PendingQueries::default(),
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -129,28 +129,24 @@
         sequence: update.sequence,
         changes_since: update.changes_since,
         all_demand: update.all_demand,
-        age_ms: 0,
+        sent_us: clock::now().0,
         status: update.encode_to_vec().into(),
+        started_ms: shared.started_ms,
     };
 
     if round.forwarders.contains(&shared.fleet.own_id()) {
-        shared.status_exchange.borrow_mut().queue_own(clock::now(), update.clone());
+        shared.status_exchange.borrow_mut().queue_own(update.clone());
     }
     peers.send_to_all(&round.forwarders, &PeerMessage::from(Body::ForwardedStatus(update)));
 }
 
 /// Forwards the updates of other hosts within this host's zone.
 fn forward(shared: &Shared, peers: &Peers) {
-    let queue = shared.status_exchange.borrow_mut().take_queue(clock::now());
-    if queue.is_empty() {
+    let updates = shared.status_exchange.borrow_mut().take_queue();
+    if updates.is_empty() {
         return;
     }
-    let updates = queue.into_iter().map(|(update, waited)| {
-        let waited_ms = u32::try_from(waited.as_millis()).unwrap_or(u32::MAX);
-        ForwardedStatus { age_ms: update.age_ms.saturating_add(waited_ms), ..update }
-    });
-    let statuses = ForwardedStatuses { updates: updates.collect() };
-    let message = PeerMessage::from(Body::ForwardedStatuses(statuses));
+    let message = PeerMessage::from(Body::ForwardedStatuses(ForwardedStatuses { updates }));
 
     peers.send_to_all(&shared.fleet.zone_hosts(), &message);
 }
@@ -239,10 +235,14 @@
         sequence: update.sequence,
         changes_since: update.changes_since,
         is_full: update.all_demand,
+        started_ms: 0,
+        sent_at: None,
     };
+    let now = clock::now();
+    let freshness = shared.status_exchange.borrow_mut().record_direct(now, from, stamp);
 
-    if shared.status_exchange.borrow_mut().record_direct(from, stamp) == Freshness::New {
-        apply_update(shared, from, update, clock::now());
+    if freshness != Freshness::Old {
+        apply_update(shared, from, update, now);
         places::assign_all_places(shared);
     }
 }
@@ -250,12 +250,12 @@
 /// Handles status updates that another host forwards.
 pub(crate) fn receive_forwarded(shared: &Rc<Shared>, statuses: ForwardedStatuses) {
     for update in statuses.updates {
-        let (host, age) = (HostId(update.host), age(&update));
+        let (now, host) = (clock::now(), HostId(update.host));
         let mut exchange = shared.status_exchange.borrow_mut();
-        let freshness = exchange.record_forwarded(host, stamp_of(&update), age);
+        let freshness = exchange.record_forwarded(now, host, stamp_of(&update));
         drop(exchange);
-        if freshness == Freshness::New {
-            apply_forwarded(shared, &update);
+        if let Freshness::New(age) = freshness {
+            apply_forwarded(shared, &update, now - age);
         }
     }
     places::assign_all_places(shared);
@@ -272,8 +272,8 @@
     let freshness = exchange.record_for_zone(now, from, stamp, update.clone());
     drop(exchange);
 
-    if freshness == Freshness::New {
-        apply_forwarded(shared, &update);
+    if let Freshness::New(age) = freshness {
+        apply_forwarded(shared, &update, now - age);
         places::assign_all_places(shared);
     }
 }
@@ -284,20 +284,17 @@
         sequence: update.sequence,
         changes_since: update.changes_since,
         is_full: update.all_demand,
+        started_ms: update.started_ms,
+        sent_at: Some(Instant(update.sent_us)),
     }
 }
 
-/// Returns for how long an update has waited at hosts that forwarded it.
-fn age(update: &ForwardedStatus) -> Duration {
-    Duration::from_millis(u64::from(update.age_ms))
-}
-
-/// Applies a status update that has been forwarded.
-fn apply_forwarded(shared: &Rc<Shared>, update: &ForwardedStatus) {
+/// Applies a status update that has been forwarded, which was sent at `sent_at`.
+fn apply_forwarded(shared: &Rc<Shared>, update: &ForwardedStatus, sent_at: Instant) {
     let host = HostId(update.host);
 
     match EntryStatus::decode(update.status.clone()) {
-        Ok(status) => apply_update(shared, host, status, clock::now() - age(update)),
+        Ok(status) => apply_update(shared, host, status, sent_at),
         Err(e) => warn!(host = host.0, error = %e, "fleet: unreadable status update dropped"),
     }
 }
--- a/crates/policy/src/entry/status_exchange.rs
+++ b/crates/policy/src/entry/status_exchange.rs
@@ -54,6 +54,10 @@
 /// A forwarded update that is older than this is dropped: its sender would count as silent.
 const MAX_AGE: Duration = Duration::from_millis(700);
 
+/// For this long after an update of a host, those of an earlier run of its process are dropped. Later
+/// the clock of the host may have been set back, and the run that seems earlier is the present one.
+const RUN_MEMORY: Duration = Duration::from_secs(2);
+
 /// The latency between two zones, with the time that a host takes to handle an update.
 const LATENCY: Duration = Duration::from_millis(30);
 
@@ -111,13 +115,20 @@
     pub changes_since: u64,
     /// Whether the update covers the demand of all tenants.
     pub is_full: bool,
+    /// When the process started, in milliseconds since the Unix epoch by the sender's clock; 0 if
+    /// that is not known.
+    pub started_ms: u64,
+    /// When it was sent, by a clock of the sender that only goes forward; `None` if that is not
+    /// known.
+    pub sent_at: Option<Instant>,
 }
 
 /// What to do with a status update that has arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
-    /// It is newer than all before, and must be applied.
-    New,
+    /// It is newer than all before, and must be applied. It has been on the way for this much longer
+    /// than the fastest update of the same run.
+    New(Duration),
     /// It, or a newer one, has been applied.
     Old,
 }
@@ -127,10 +138,31 @@
 struct Position {
     run: u64,
     sequence: u64,
+    started_ms: u64,
+    recorded_at: Instant,
+    /// The lowest difference between this host's clock on arrival and the sender's on sending, in
+    /// microseconds: that of the fastest update.
+    clock_offset: i64,
     /// The run of its process before that. Its updates may still be on the way.
     previous_run: Option<u64>,
 }
 
+impl Position {
+    /// Returns whether an update is of an earlier run of the process.
+    fn has_replaced(&self, now: Instant, stamp: Stamp) -> bool {
+        self.previous_run == Some(stamp.run)
+            || (stamp.started_ms > 0
+                && stamp.started_ms < self.started_ms
+                && now.since(self.recorded_at) < RUN_MEMORY)
+    }
+}
+
+/// Returns the difference between this host's clock and that of the sender of an update, in
+/// microseconds, with the time that the update took.
+fn clock_offset(now: Instant, sent_at: Instant) -> i64 {
+    now.0.cast_signed().wrapping_sub(sent_at.0.cast_signed())
+}
+
 /// Changes that can be merged with later ones.
 pub trait Merge {
     /// Adds changes that came later.
@@ -189,13 +221,6 @@
     pub forwarded: C,
 }
 
-/// An update that this host forwards within its zone.
-#[derive(Clone, Debug)]
-struct Queued<U> {
-    update: U,
-    received_at: Instant,
-}
-
 /// The exchange of status updates at one host. `U` is an update as it is forwarded.
 #[derive(Debug)]
 pub struct StatusExchange<U> {
@@ -209,7 +234,8 @@
     /// The numbers of the last two rounds with an update to forwarders, the latest first.
     forwarded_rounds: [u64; 2],
     positions: Map<HostId, Position>,
-    queue: Vec<Queued<U>>,
+    /// The updates that this host forwards within its zone.
+    queue: Vec<U>,
     /// The hosts of which changes are missing, and when all of their demand was last requested.
     incomplete: Map<HostId, Option<Instant>>,
 }
@@ -387,22 +413,21 @@
     }
 
     /// Decides whether an update that its sender has sent to this host is new, and records it.
-    pub fn record_direct(&mut self, host: HostId, stamp: Stamp) -> Freshness {
-        self.record(host, stamp, false)
+    pub fn record_direct(&mut self, now: Instant, host: HostId, stamp: Stamp) -> Freshness {
+        self.record(now, host, stamp, false)
     }
 
-    /// Decides whether an update that another host has forwarded is new, and records it. `age` is
-    /// the time for which it has waited at hosts that forwarded it.
-    pub fn record_forwarded(&mut self, host: HostId, stamp: Stamp, age: Duration) -> Freshness {
-        match host == self.own || age > MAX_AGE {
+    /// Decides whether an update that another host has forwarded is new, and records it.
+    pub fn record_forwarded(&mut self, now: Instant, host: HostId, stamp: Stamp) -> Freshness {
+        match host == self.own {
             true => Freshness::Old,
-            false => self.record(host, stamp, true),
+            false => self.record(now, host, stamp, true),
         }
     }
 
     /// Decides whether an update that its sender has sent to be forwarded is new, records it, and
-    /// queues it for the other hosts of this host's zone. If another host has already forwarded it, the other hosts
-    /// of the zone have it, too.
+    /// queues it for the other hosts of this host's zone. If another host has already forwarded it,
+    /// the other hosts of the zone have it, too.
     pub fn record_for_zone(
         &mut self,
         now: Instant,
@@ -410,47 +435,69 @@
         stamp: Stamp,
         update: U,
     ) -> Freshness {
-        let freshness = self.record(host, stamp, true);
+        let freshness = self.record(now, host, stamp, true);
 
-        if freshness == Freshness::New {
-            self.queue.push(Queued { update, received_at: now });
+        if freshness != Freshness::Old {
+            self.queue.push(update);
         }
         freshness
     }
 
     /// Queues an update of this host, which forwards it itself.
-    pub fn queue_own(&mut self, now: Instant, update: U) {
-        self.queue.push(Queued { update, received_at: now });
+    pub fn queue_own(&mut self, update: U) {
+        self.queue.push(update);
     }
 
-    fn record(&mut self, host: HostId, stamp: Stamp, is_forwarded: bool) -> Freshness {
+    fn record(
+        &mut self,
+        now: Instant,
+        host: HostId,
+        stamp: Stamp,
+        is_forwarded: bool,
+    ) -> Freshness {
         if stamp.sequence == 0 {
-            return Freshness::New;
+            return Freshness::New(Duration::ZERO);
         }
         let before = self.positions.get(&host).copied();
-        let previous_run = match before {
-            Some(before) if before.run == stamp.run => {
-                let is_old = stamp.sequence < before.sequence
-                    || (stamp.sequence == before.sequence && !stamp.is_full);
-                if is_old {
-                    return Freshness::Old;
-                }
-                if is_forwarded && !stamp.is_full && stamp.changes_since > before.sequence {
-                    self.want_all(host);
-                }
-                before.previous_run
-            }
-            Some(before) if before.previous_run == Some(stamp.run) => return Freshness::Old,
-            Some(before) => Some(before.run),
-            None => None,
+        if before.is_some_and(|before| before.run != stamp.run && before.has_replaced(now, stamp)) {
+            return Freshness::Old;
+        }
+        let same_run = before.filter(|before| before.run == stamp.run);
+        let is_old = same_run.is_some_and(|before| {
+            stamp.sequence < before.sequence
+                || (stamp.sequence == before.sequence && !stamp.is_full)
+        });
+        let offset = stamp.sent_at.map_or(i64::MAX, |sent_at| clock_offset(now, sent_at));
+        let fastest = same_run.map_or(offset, |before| before.clock_offset.min(offset));
+        let age = match stamp.sent_at {
+            Some(_) => Duration::from_micros(offset.abs_diff(fastest)),
+            None => Duration::ZERO,
         };
+        if is_old || age > MAX_AGE {
+            return Freshness::Old;
+        }
+
+        let is_gap = is_forwarded && !stamp.is_full;
+        if is_gap && same_run.is_some_and(|before| stamp.changes_since > before.sequence) {
+            self.want_all(host);
+        }
         if stamp.is_full {
             self.incomplete.remove(&host);
         }
-        let position = Position { run: stamp.run, sequence: stamp.sequence, previous_run };
+        let position = Position {
+            run: stamp.run,
+            sequence: stamp.sequence,
+            started_ms: same_run.map_or(0, |before| before.started_ms).max(stamp.started_ms),
+            recorded_at: now,
+            clock_offset: fastest,
+            previous_run: match same_run {
+                Some(before) => before.previous_run,
+                None => before.map(|before| before.run),
+            },
+        };
         self.positions.insert(host, position);
 
-        Freshness::New
+        Freshness::New(age)
     }
 
     /// Records that changes of a host are missing, so that all of its demand is requested.
@@ -470,11 +517,9 @@
         .collect()
     }
 
-    /// Returns the updates to forward, with the time for which each has waited here.
-    pub fn take_queue(&mut self, now: Instant) -> Vec<(U, Duration)> {
-        let queue = std::mem::take(&mut self.queue).into_iter();
-
-        queue.map(|queued| (queued.update, now.since(queued.received_at))).collect()
+    /// Takes the updates to forward.
+    pub fn take_queue(&mut self) -> Vec<U> {
+        std::mem::take(&mut self.queue)
     }
 
     /// Forgets the hosts that no longer belong to the fleet.
--- a/crates/policy/tests/large_fleet/exchange.rs
+++ b/crates/policy/tests/large_fleet/exchange.rs
@@ -90,18 +90,39 @@
 
 #[test]
 fn a_slow_forwarder_brings_no_host_back() {
-    // Guards against old updates, forwarded late, that replace newer ones or make a dead host live.
+    // Guards against old updates, forwarded late, that make a dead host live.
     let mut world = World::new(150, ZONES, Vec::new(), 5);
     world.run(seconds(2));
 
     (0..150).step_by(3).for_each(|host| world.hosts[host].slow = seconds(3));
     world.run(Duration::from_millis(600));
     world.hosts[7].process = None;
-    world.run(Duration::from_millis(2_000));
+    world.run(Duration::from_millis(1_500));
+    for _ in 0..25 {
+        world.run(Duration::from_millis(100));
+        for host in (0..150).filter(|host| *host != 7) {
+            assert!(!world.live_for(host).contains(&7), "live for {host}");
+        }
+    }
 
-    for host in (0..150).filter(|host| *host != 7) {
-        assert!(!world.live_for(host).contains(&7), "live for {host}");
+    assert_eq!(world.stale, 0);
+}
+
+#[test]
+fn updates_of_a_run_that_was_replaced_are_dropped() {
+    // Guards against a late update of a process that has ended, which is taken for that of a new
+    // one: its calls would be counted again.
+    let mut world = World::new(60, 3, Vec::new(), 8);
+    world.run(seconds(2));
+
+    (0..60).step_by(3).for_each(|host| world.hosts[host].slow = seconds(2));
+    for host in 20..40 {
+        world.start(host);
+        world.run(Duration::from_millis(200));
     }
+    world.run(seconds(3));
+
+    assert_eq!(world.stale, 0);
 }
 
 #[test]
--- a/crates/policy/tests/large_fleet/world.rs
+++ b/crates/policy/tests/large_fleet/world.rs
@@ -41,29 +41,26 @@
     demand: Vec<(Box<str>, TenantStatus)>,
 }
 
-/// An update that is being forwarded, with the time for which it has waited.
-#[derive(Clone)]
-struct Forwarded {
-    update: Rc<Update>,
-    age: Duration,
-}
-
 #[derive(Clone)]
 enum Message {
     Direct(Rc<Update>),
-    Forwarded(Rc<Vec<Forwarded>>),
-    ForZone(Forwarded),
+    Forwarded(Rc<Vec<Rc<Update>>>),
+    ForZone(Rc<Update>),
     Request,
 }
 
 /// A process on a host.
 pub struct Process {
     run: u64,
-    exchange: StatusExchange<Forwarded>,
+    started_ms: u64,
+    exchange: StatusExchange<Rc<Update>>,
     pub rates: Rates,
     unsent: UnsentChanges<Changes>,
     /// The time of the latest status of each host, and whether that host forwards updates.
     heard: Map<usize, (Instant, bool)>,
+    /// The run and number of the last update of each host.
+    last_applied: Map<usize, (u64, u64)>,
+    stale: u64,
     far_sent_at: Instant,
     rows_read_at: Instant,
 }
@@ -85,6 +82,8 @@
     /// A zone that is cut off from the others.
     pub cut_zone: Option<usize>,
     pub messages: u64,
+    /// The number of updates that were applied after a newer one of the same host.
+    pub stale: u64,
     rng: SmallRng,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     on_the_way: Map<u64, (usize, usize, Message)>,
@@ -117,6 +116,7 @@
             tenants,
             cut_zone: None,
             messages: 0,
+            stale: 0,
             rng: SmallRng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             on_the_way: Map::default(),
@@ -134,10 +134,13 @@
         rates.configure(self.now, &self.tenants);
         self.hosts[host].process = Some(Process {
             run: self.runs,
+            started_ms: self.now.0 / 1_000,
             exchange: StatusExchange::new(id(host), self.now),
             rates,
             unsent: UnsentChanges::default(),
             heard: Map::default(),
+            last_applied: Map::default(),
+            stale: 0,
             far_sent_at: Instant(0),
             rows_read_at: Instant(0),
         });
@@ -227,9 +230,10 @@
 
         let changes = Changes(process.rates.take_updates(false).into_iter().collect());
         let changes = process.unsent.split(&round, changes);
-        let (run, sequence) = (process.run, round.sequence);
+        let (run, sequence, started_ms) = (process.run, round.sequence, process.started_ms);
         let update = |changes_since, is_full, demand: Vec<_>| {
-            let stamp = Stamp { run, sequence, changes_since, is_full };
+            let sent_at = Some(now);
+            let stamp = Stamp { run, sequence, changes_since, is_full, started_ms, sent_at };
             Rc::new(Update { host, stamp, demand })
         };
         let mut out = Vec::new();
@@ -245,17 +249,14 @@
                 false => changes.forwarded.0.into_iter().collect(),
             };
             let update = update(round.changes_since, round.is_full, demand);
-            let item = Forwarded { update, age: Duration::ZERO };
             for to in &round.forwarders {
                 match *to == id(host) {
-                    true => process.exchange.queue_own(now, item.clone()),
-                    false => out.push((index(*to), Message::ForZone(item.clone()))),
+                    true => process.exchange.queue_own(Rc::clone(&update)),
+                    false => out.push((index(*to), Message::ForZone(Rc::clone(&update)))),
                 }
             }
         }
-        let queue = process.exchange.take_queue(now).into_iter();
-        let forwarded: Vec<_> =
-            queue.map(|(item, waited)| Forwarded { age: item.age + waited, ..item }).collect();
+        let forwarded = process.exchange.take_queue();
         if !forwarded.is_empty() {
             let forwarded = Rc::new(forwarded);
             let near = (0..zones.len()).filter(|other| zones[*other] == zone && *other != host);
@@ -303,29 +304,31 @@
         let now = self.now;
         let is_old_build = self.hosts[to].is_old_build;
         let process = self.hosts[to].process.as_mut().unwrap();
+        self.stale += std::mem::take(&mut process.stale);
 
         match message {
             Message::Direct(update) => {
-                if process.exchange.record_direct(id(from), update.stamp) == Freshness::New {
+                let freshness = process.exchange.record_direct(now, id(from), update.stamp);
+                if freshness != Freshness::Old {
                     process.apply(now, &update);
                 }
             }
             Message::Forwarded(_) if is_old_build => {}
             Message::Forwarded(items) => {
-                for item in items.iter() {
-                    let Update { host, stamp, .. } = *item.update;
-                    let freshness = process.exchange.record_forwarded(id(host), stamp, item.age);
-                    if freshness == Freshness::New {
-                        process.apply(now - item.age, &item.update);
+                for update in items.iter() {
+                    let Update { host, stamp, .. } = **update;
+                    let freshness = process.exchange.record_forwarded(now, id(host), stamp);
+                    if let Freshness::New(age) = freshness {
+                        process.apply(now - age, update);
                     }
                 }
             }
             Message::ForZone(_) if is_old_build => {}
-            Message::ForZone(item) => {
-                let update = Rc::clone(&item.update);
-                let stamp = update.stamp;
-                if process.exchange.record_for_zone(now, id(from), stamp, item) == Freshness::New {
-                    process.apply(now, &update);
+            Message::ForZone(update) => {
+                let (stamp, copy) = (update.stamp, Rc::clone(&update));
+                let freshness = process.exchange.record_for_zone(now, id(from), stamp, copy);
+                if let Freshness::New(age) = freshness {
+                    process.apply(now - age, &update);
                 }
             }
             Message::Request => {
@@ -334,6 +337,8 @@
                     sequence: process.exchange.sequence(),
                     changes_since: 0,
                     is_full: true,
+                    started_ms: 0,
+                    sent_at: None,
                 };
                 let demand = process.rates.all_statuses();
                 let update = Rc::new(Update { host: to, stamp, demand });
@@ -351,6 +356,9 @@
             self.rates.apply_update(sent_at, id(*host), stamp.run, stamp.is_full, demand);
 
         self.heard.insert(*host, (sent_at, stamp.sequence > 0));
+        let position = (stamp.run, stamp.sequence);
+        let before = self.last_applied.insert(*host, position);
+        self.stale += u64::from(before.is_some_and(|before| position < before));
         if baseline == Baseline::Missing && stamp.sequence > 0 {
             self.exchange.want_all(id(*host));
         }
