Hosts with the most processor time forward status updates

Cause: the forwarders of a zone were drawn by hash.

Rows of older builds say nothing and come last.

Shown by: large_hosts_forward_updates_for_small_ones; the other tests of large_fleet now run on hosts of two sizes.

--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -40,4 +40,6 @@
     pub shutdown_grace: Duration,
     /// Memory limit of the process, in bytes.
     pub memory_bytes: u64,
+    /// Processor time that the process may use, in thousandths of a core.
+    pub processor_millis: u32,
 }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -75,12 +75,16 @@
     run: u64,
     /// Incremented by each write, so that the row's version changes.
     beat: u64,
+    /// The processor time that it may use, in thousandths of a core; 0 from an older build.
+    #[serde(default)]
+    processor_millis: u32,
 }
 
 /// Another host, according to its row in the store.
 struct KnownHost {
     address: SocketAddr,
     zone: Box<str>,
+    processor_millis: u32,
 }
 
 /// The hosts of the fleet, as this host knows them.
@@ -358,7 +362,8 @@
                     Some(false) => Forwarding::Unsupported,
                 };
                 let age = status.map(|status| now.since(status.received_at));
-                Member { host: *host, zone: &known.zone, age, forwarding }
+                let KnownHost { zone, processor_millis, .. } = known;
+                Member { host: *host, zone, age, forwarding, processor_millis: *processor_millis }
             })
             .collect();
 
@@ -461,6 +466,7 @@
             zone: shared.settings.zone.clone(),
             run: shared.run.0,
             beat,
+            processor_millis: shared.settings.processor_millis,
         };
         write_own_row(&shared, &row).await;
         let answered = read_host_rows(&shared, &peers, beat > FAST_HEARTBEATS).await;
@@ -578,8 +584,9 @@
                 if known.get(&host).is_none_or(|known| known.address != content.peers) {
                     info!(host = %row.key.key, address = %content.peers, "fleet: host known");
                 }
-                known.insert(host, KnownHost { address: content.peers, zone: content.zone });
-                peers.set_address(host, content.peers);
+                let HostRow { peers: address, zone, processor_millis, .. } = content;
+                known.insert(host, KnownHost { address, zone, processor_millis });
+                peers.set_address(host, address);
             }
             Presence::Silent => {}
             Presence::Gone => {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -306,6 +306,7 @@
             full_demand_receivers: status_updates::FullDemandReceivers::default(),
             status_exchange: RefCell::new(StatusExchange::new(
                 HostId::from_name(&settings.name),
+                settings.processor_millis,
                 clock::now(),
             )),
             target_table: RefCell::new(TargetTable::new(settings.target_heartbeat)),
--- a/crates/policy/src/entry/status_exchange.rs
+++ b/crates/policy/src/entry/status_exchange.rs
@@ -10,9 +10,10 @@
 //! that some dead or slow forwarders delay only some updates. Updates are numbered, since they
 //! arrive over several ways in any order.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
-use camphorwalk_core::hash::{Map, rendezvous_order, stable_hash};
+use camphorwalk_core::hash::{Map, rendezvous_weight, stable_hash};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 
@@ -72,6 +73,8 @@
     pub age: Option<Duration>,
     /// Whether it forwards updates, as far as is known.
     pub forwarding: Forwarding,
+    /// The processor time that it may use, in thousandths of a core; 0 if that is not known.
+    pub processor_millis: u32,
 }
 
 /// Whether another host forwards updates.
@@ -225,6 +228,7 @@
 #[derive(Debug)]
 pub struct StatusExchange<U> {
     own: HostId,
+    processor_millis: u32,
     started_at: Instant,
     sequence: u64,
     /// When hosts of other zones were last updated directly.
@@ -301,10 +305,11 @@
 }
 
 impl<U> StatusExchange<U> {
-    /// Creates the exchange of a process that starts now.
-    pub fn new(own: HostId, now: Instant) -> Self {
+    /// Creates the exchange of a process that starts now, on a host with so much processor time.
+    pub fn new(own: HostId, processor_millis: u32, now: Instant) -> Self {
         Self {
             own,
+            processor_millis,
             started_at: now,
             sequence: 0,
             far_sent_at: Instant(0),
@@ -383,6 +388,7 @@
             zone: own_zone,
             age: Some(Duration::ZERO),
             forwarding: Forwarding::Supported,
+            processor_millis: self.processor_millis,
         };
         let mut zones: Map<&str, Vec<Member<'_>>> = Map::default();
         for member in members.iter().copied().chain([own]) {
@@ -395,21 +401,24 @@
     }
 
     fn forwarders_of_zone(&self, zone: &str, hosts: &[Member<'_>]) -> Vec<HostId> {
-        let younger_than = |limit: Duration| -> Vec<u64> {
-            let young = hosts.iter().filter(|m| m.age.is_some_and(|age| age < limit));
-            young.map(|member| member.host.0).collect()
+        let younger_than = |limit: Duration| -> Vec<Member<'_>> {
+            let is_young = |m: &&Member<'_>| m.age.is_some_and(|age| age < limit);
+            hosts.iter().filter(is_young).copied().collect()
         };
         // If all of them are silent, updates must pass as soon as the zone can be reached again.
-        let all = || hosts.iter().map(|member| member.host.0).collect();
-        let candidates = [younger_than(FORWARDER_MAX_AGE), younger_than(MAX_AGE), all()];
+        let candidates = [younger_than(FORWARDER_MAX_AGE), younger_than(MAX_AGE), hosts.to_vec()];
         let candidates = candidates.into_iter().find(|hosts| !hosts.is_empty());
-        let mut order =
-            rendezvous_order(stable_hash(&[zone.as_bytes()]), candidates.unwrap_or_default());
+        let mut order = candidates.unwrap_or_default();
+        // A forwarder has several times the work of the other hosts.
+        let item = stable_hash(&[zone.as_bytes()]);
+        order.sort_unstable_by_key(|member| {
+            Reverse((member.processor_millis, rendezvous_weight(item, member.host.0)))
+        });
         order.truncate(FORWARDERS);
 
         let first = usize::try_from(self.sequence).unwrap_or(0) * COPIES;
         let copies = COPIES.min(order.len());
-        (0..copies).map(|copy| HostId(order[(first + copy) % order.len()])).collect()
+        (0..copies).map(|copy| order[(first + copy) % order.len()].host).collect()
     }
 
     /// Decides whether an update that its sender has sent to this host is new, and records it.
--- a/crates/policy/tests/large_fleet/exchange.rs
+++ b/crates/policy/tests/large_fleet/exchange.rs
@@ -156,3 +156,15 @@
         assert_eq!(silent_hosts(&world, |_| true, |_| true), []);
     }
 }
+
+#[test]
+fn large_hosts_forward_updates_for_small_ones() {
+    // Guards against small hosts that spend most of their processor time on forwarding.
+    let mut world = World::new(195, ZONES, Vec::new(), 9);
+    world.run(seconds(2));
+    world.hosts.iter_mut().for_each(|host| host.sent = 0);
+    world.run(seconds(2));
+
+    let most = world.hosts.iter().filter(|h| h.processor_millis < 500).map(|h| h.sent).max();
+    assert!(most <= Some(150), "{most:?} messages in two seconds");
+}
--- a/crates/policy/tests/large_fleet/world.rs
+++ b/crates/policy/tests/large_fleet/world.rs
@@ -67,6 +67,9 @@
 
 pub struct Host {
     pub zone: usize,
+    pub processor_millis: u32,
+    /// The number of messages that it has sent.
+    pub sent: u64,
     pub process: Option<Process>,
     /// Whether it runs a build that neither numbers its updates nor forwards those of others.
     pub is_old_build: bool,
@@ -107,6 +110,9 @@
             hosts: (0..hosts)
                 .map(|host| Host {
                     zone: host % zones,
+                    // A fifth of the hosts are large.
+                    processor_millis: if (host / zones).is_multiple_of(5) { 500 } else { 120 },
+                    sent: 0,
                     process: None,
                     is_old_build: false,
                     slow: Duration::ZERO,
@@ -135,7 +141,7 @@
         self.hosts[host].process = Some(Process {
             run: self.runs,
             started_ms: self.now.0 / 1_000,
-            exchange: StatusExchange::new(id(host), self.now),
+            exchange: StatusExchange::new(id(host), self.hosts[host].processor_millis, self.now),
             rates,
             unsent: UnsentChanges::default(),
             heard: Map::default(),
@@ -193,6 +199,7 @@
         let others = self.hosts.len() - 1;
         let near = self.hosts.iter().filter(|other| other.zone == zone).count() - 1;
         let zones: Vec<usize> = self.hosts.iter().map(|host| host.zone).collect();
+        let processors: Vec<u32> = self.hosts.iter().map(|h| h.processor_millis).collect();
         let is_old_build = self.hosts[host].is_old_build;
         let process = self.hosts[host].process.as_mut().unwrap();
 
@@ -212,7 +219,13 @@
                     Some((_, false)) => Forwarding::Unsupported,
                 };
                 let age = heard.map(|(at, _)| now.since(*at));
-                Member { host: id(other), zone: &self.zones[zones[other]], age, forwarding }
+                Member {
+                    host: id(other),
+                    zone: &self.zones[zones[other]],
+                    age,
+                    forwarding,
+                    processor_millis: processors[other],
+                }
             })
             .collect();
         let mut round = process.exchange.begin_round(now, &self.zones[zone], &members);
@@ -277,6 +290,7 @@
         let slow = self.hosts[from].slow;
         let delay = Duration::from_micros(self.rng.random_range(500..12_000)) + slow;
         self.messages += 1;
+        self.hosts[from].sent += 1;
         self.next_message += 1;
         self.on_the_way.insert(self.next_message, (from, to, message));
         self.queue.push(Reverse(((self.now + delay).0, self.next_message)));
