A host asks hosts of its own zone first to run operations on the store

A host that forwards an update itself was also in the list of receivers, which counted as a message to an unknown peer.

Change: live hosts of the own zone are preferred, as for manifests already; a line in the log when a host asks for all demand.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -160,10 +160,23 @@
     }
 
     /// Returns a random other live host that the store answers, according to its latest status.
+    /// Hosts of this host's availability zone are preferred: updates of other zones may be forwarded
+    /// to this host although it cannot reach their senders.
     pub(crate) fn live_peer_with_store(&self) -> Option<HostId> {
         let reaching = self.live_hosts().into_iter().filter(|(_, status)| status.store_answers);
 
-        reaching.map(|(host, _)| host).choose(&mut rand::rng())
+        self.choose_near(reaching.map(|(host, _)| host))
+    }
+
+    /// Returns a random one of some hosts, if possible of this host's availability zone.
+    fn choose_near(&self, hosts: impl Iterator<Item = HostId>) -> Option<HostId> {
+        let known = self.known.borrow();
+        let is_near = |host: &HostId| known.get(host).is_some_and(|k| k.zone == self.zone);
+        let (near, far): (Vec<_>, Vec<_>) = hosts.partition(is_near);
+
+        near.into_iter()
+            .choose(&mut rand::rng())
+            .or_else(|| far.into_iter().choose(&mut rand::rng()))
     }
 
     /// Returns the other live host whose process has this run id.
@@ -179,20 +192,14 @@
         version: u64,
         may_ask: impl Fn(&HostId) -> bool,
     ) -> Option<HostId> {
-        let known = self.known.borrow();
-        let is_near = |host: &HostId| known.get(host).is_some_and(|k| k.zone == self.zone);
         let live = self.live_hosts().into_iter().filter(|(_, s)| s.manifest_version > version);
-        let (near, far): (Vec<_>, Vec<_>) =
-            live.map(|(host, _)| host).filter(may_ask).partition(|host| is_near(host));
 
-        near.into_iter()
-            .choose(&mut rand::rng())
-            .or_else(|| far.into_iter().choose(&mut rand::rng()))
+        self.choose_near(live.map(|(host, _)| host).filter(may_ask))
     }
 
-    /// Returns a random other live host.
+    /// Returns a random other live host, like [`Fleet::live_peer_with_store`].
     pub(crate) fn any_live_peer(&self) -> Option<HostId> {
-        self.live_hosts().into_iter().map(|(host, _)| host).choose(&mut rand::rng())
+        self.choose_near(self.live_hosts().into_iter().map(|(host, _)| host))
     }
 
     /// Returns another host that holds the grant lease of a partition and is not silent. In a large
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -109,6 +109,9 @@
         send_to_forwarders(&shared, &peers, &round, changes.forwarded);
         forward(&shared, &peers);
         let incomplete = shared.status_exchange.borrow_mut().take_requests(now);
+        if !incomplete.is_empty() {
+            info!(hosts = incomplete.len(), "fleet: changes missed, all demand requested");
+        }
         peers.send_to_all(&incomplete, &PeerMessage::from(Body::StatusRequest(StatusRequest {})));
     }
 }
@@ -134,10 +137,12 @@
         started_ms: shared.started_ms,
     };
 
-    if round.forwarders.contains(&shared.fleet.own_id()) {
+    let own_id = shared.fleet.own_id();
+    let others: Vec<_> = round.forwarders.iter().copied().filter(|host| *host != own_id).collect();
+    if others.len() < round.forwarders.len() {
         shared.status_exchange.borrow_mut().queue_own(update.clone());
     }
-    peers.send_to_all(&round.forwarders, &PeerMessage::from(Body::ForwardedStatus(update)));
+    peers.send_to_all(&others, &PeerMessage::from(Body::ForwardedStatus(update)));
 }
 
 /// Forwards the updates of other hosts within this host's zone.
