A crash that is reported through forwarders counts once

Cause: each update through forwarders covers the changes of the round before once more, and so did its reports of crashes, which receivers add up; the second copy of a new process's updates was applied, too. A call that crashed a target twice would have been blocked at other hosts as if it had three times.

Change: only what does no harm when applied twice is repeated; a second copy is old, whatever it covers, unless it is the direct reply to a request.

--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -63,6 +63,11 @@
         self.demand.extend(later.demand);
         self.crashes.extend(later.crashes);
     }
+
+    /// Returns the changes without crashes, which the receivers add up.
+    fn into_repeatable(self) -> Self {
+        Self { crashes: Vec::new(), ..self }
+    }
 }
 
 /// The other hosts that have received the demand of all tenants within the current
--- a/crates/policy/src/entry/status_exchange.rs
+++ b/crates/policy/src/entry/status_exchange.rs
@@ -170,6 +170,9 @@
 pub trait Merge {
     /// Adds changes that came later.
     fn merge(&mut self, later: Self);
+
+    /// Returns those changes that do no harm when they are applied twice.
+    fn into_repeatable(self) -> Self;
 }
 
 /// The changes that have not been sent to all hosts yet.
@@ -177,9 +180,10 @@
 pub struct UnsentChanges<C> {
     /// Those since the last direct update to other zones.
     far: C,
-    /// Those since the last update to forwarders, and those that it covered as the latest. Each
-    /// change is sent twice, so that the loss of one update costs nothing.
+    /// Those since the last update to forwarders.
     forwarded: C,
+    /// Those that it covered as the latest, as far as they can be repeated: they are sent twice, so
+    /// that the loss of one update costs little.
     forwarded_before: C,
 }
 
@@ -206,7 +210,8 @@
 
     fn take_forwarded(&mut self) -> C {
         let latest = std::mem::take(&mut self.forwarded);
-        let mut all = std::mem::replace(&mut self.forwarded_before, latest.clone());
+        let repeatable = latest.clone().into_repeatable();
+        let mut all = std::mem::replace(&mut self.forwarded_before, repeatable);
 
         all.merge(latest);
         all
@@ -474,7 +479,8 @@
         let same_run = before.filter(|before| before.run == stamp.run);
         let is_old = same_run.is_some_and(|before| {
             stamp.sequence < before.sequence
-                || (stamp.sequence == before.sequence && !stamp.is_full)
+                // The reply to a request has the number of the round before it.
+                || (stamp.sequence == before.sequence && (is_forwarded || !stamp.is_full))
         });
         let offset = stamp.sent_at.map_or(i64::MAX, |sent_at| clock_offset(now, sent_at));
         let fastest = same_run.map_or(offset, |before| before.clock_offset.min(offset));
--- a/crates/policy/tests/large_fleet/exchange.rs
+++ b/crates/policy/tests/large_fleet/exchange.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
-use crate::world::World;
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::status_exchange::{
+    Freshness, Merge, Round, Stamp, StatusExchange, UnsentChanges,
+};
+
+use crate::world::{World, id};
 
 const ZONES: usize = 5;
 
@@ -168,3 +173,73 @@
     let most = world.hosts.iter().filter(|h| h.processor_millis < 500).map(|h| h.sent).max();
     assert!(most <= Some(150), "{most:?} messages in two seconds");
 }
+
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Changes {
+    totals: Vec<u32>,
+    counts: Vec<u32>,
+}
+
+impl Merge for Changes {
+    fn merge(&mut self, later: Self) {
+        self.totals.extend(later.totals);
+        self.counts.extend(later.counts);
+    }
+
+    fn into_repeatable(self) -> Self {
+        Self { counts: Vec::new(), ..self }
+    }
+}
+
+#[test]
+fn what_receivers_add_up_is_sent_once_and_the_rest_twice() {
+    // Guards against crashes of a call that count twice, so that the call is blocked too early.
+    let round = Round { is_forwarded: true, forwarders: vec![id(1)], ..Round::default() };
+    let mut unsent = UnsentChanges::default();
+    let mut send = |number: u32| {
+        let changes = Changes { totals: vec![number], counts: vec![number] };
+        unsent.split(&round, changes).forwarded
+    };
+
+    assert_eq!(send(1), Changes { totals: vec![1], counts: vec![1] });
+    assert_eq!(send(2), Changes { totals: vec![1, 2], counts: vec![2] });
+    assert_eq!(send(3), Changes { totals: vec![2, 3], counts: vec![3] });
+}
+
+#[test]
+fn changes_are_kept_until_they_are_sent_and_no_longer() {
+    // Guards against changes that are lost between two updates, or collected for ever where no host
+    // gets that kind of update.
+    let none = |is_forwarded| Round { is_forwarded, ..Round::default() };
+    let change = |number: u32| Changes { totals: vec![number], counts: Vec::new() };
+    let mut unsent = UnsentChanges::default();
+
+    assert_eq!(unsent.split(&none(true), change(1)).forwarded, Changes::default());
+    let forwarded = Round { forwarders: vec![id(1)], ..none(true) };
+    assert_eq!(unsent.split(&forwarded, change(2)).forwarded.totals, [1, 2]);
+    assert_eq!(unsent.split(&none(false), change(3)).far, Changes::default());
+    let far = Round { far: vec![id(1)], ..none(false) };
+    let sent = unsent.split(&far, change(4));
+    assert_eq!((sent.near.totals, sent.far.totals), (vec![4], vec![3, 4]));
+    assert_eq!(unsent.split(&far, change(5)).far.totals, [5]);
+}
+
+#[test]
+fn the_second_copy_of_an_update_is_old_also_if_it_covers_all_tenants() {
+    // Guards against applying both copies of the updates of a process that has just started.
+    let now = Instant::from_millis(5_000);
+    let mut exchange = StatusExchange::<()>::new(id(0), 500, now);
+    let stamp = Stamp {
+        run: 3,
+        sequence: 4,
+        changes_since: 2,
+        is_full: true,
+        started_ms: 9,
+        sent_at: Some(now),
+    };
+
+    assert_eq!(exchange.record_forwarded(now, id(1), stamp), Freshness::New(Duration::ZERO));
+    assert_eq!(exchange.record_forwarded(now, id(1), stamp), Freshness::Old);
+    let reply = Stamp { started_ms: 0, sent_at: None, ..stamp };
+    assert_eq!(exchange.record_direct(now, id(1), reply), Freshness::New(Duration::ZERO));
+}
--- a/crates/policy/tests/large_fleet/world.rs
+++ b/crates/policy/tests/large_fleet/world.rs
@@ -32,6 +32,10 @@
     fn merge(&mut self, later: Self) {
         self.0.extend(later.0);
     }
+
+    fn into_repeatable(self) -> Self {
+        self
+    }
 }
 
 /// A status update.
