Store client: how attempts ended is counted and logged once a second

The logs said that the store did not take the turn, but not what it answered: a status, nothing, or that the host's own quota was used up.

Change: `platform: not all attempts of a second were answered` gives, once a second and host at the most, how many reads and writes of each table were answered, lost, not sent, answered with 503 or 429, or over the host's own quota. The counter `camphorwalk_store_attempts_total` has the same figures.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
+use crate::attempt_log::{AttemptEnd, AttemptLog};
 use crate::errors::{Error, Result};
 use crate::limits::{Access, AttemptTimeouts, Quota, RetryBudget};
 use crate::metrics::Metrics;
@@ -54,6 +55,8 @@
     timeouts: AttemptTimeouts,
     /// The source of the jitter between attempts.
     rng: SmallRng,
+    /// The attempts that are not logged yet.
+    attempts: AttemptLog,
 }
 
 /// The result of all attempts of an operation.
@@ -84,6 +87,7 @@
             budget: RetryBudget::new(options.retry),
             timeouts: AttemptTimeouts::new(options.min_deadline, options.deadline),
             rng: SmallRng::seed_from_u64(options.seed),
+            attempts: AttemptLog::new(Instant::now()),
         };
         let inner = Inner {
             transport: Transport::new(&options)?,
@@ -144,7 +148,13 @@
             (operations::access(&op), operations::on_lost_response(&op));
 
         let reply = match self
-            .send_with_retries(name, access, on_lost_response, &request, on_piece)
+            .send_with_retries(
+                (name, operations::table(&op)),
+                access,
+                on_lost_response,
+                &request,
+                on_piece,
+            )
             .await
         {
             Outcome::OverQuota => {
@@ -170,7 +180,7 @@
         let request = operations::hosts_request();
 
         let outcome = self.send_with_retries(
-            LIST_HOSTS,
+            (LIST_HOSTS, LIST_HOSTS),
             Access::Read,
             OnLostResponse::Resend,
             &request,
@@ -193,13 +203,14 @@
     /// Sends a request until it is answered or no further attempt is allowed.
     async fn send_with_retries(
         &self,
-        name: &str,
+        (name, table): (&str, &str),
         access: Access,
         on_lost_response: OnLostResponse,
         request: &StoreRequest,
         on_piece: &impl Fn(usize),
     ) -> Outcome {
         if !self.limits().quota.take(access, Instant::now()) {
+            self.record_attempt(access, table, AttemptEnd::OverQuota);
             return Outcome::OverQuota;
         }
 
@@ -213,13 +224,14 @@
             let head_timeout = self.limits().timeouts.next(lost_attempts);
             let attempt = self.inner.transport.send(request, head_timeout, on_piece).await;
             self.update_timeouts(&attempt, request);
+            self.record_attempt(access, table, AttemptEnd::of(&attempt));
 
             match attempt {
                 Attempt::Answered { status, body, .. } => {
                     let earlier = self.earlier_attempts(lost, started);
                     return Outcome::Answered { status, body, earlier };
                 }
-                Attempt::NotExecuted => {}
+                Attempt::NotExecuted(_) => {}
                 Attempt::Lost { .. } => {
                     lost = true;
                     lost_attempts += 1;
@@ -240,6 +252,16 @@
         }
     }
 
+    /// Counts an attempt, and logs the attempts of each second in which some were not answered.
+    fn record_attempt(&self, access: Access, table: &str, end: AttemptEnd) {
+        self.inner.metrics.record_attempt(access, table, end);
+        let summary = self.limits().attempts.record(Instant::now(), access, table, end);
+
+        if let Some(attempts) = summary {
+            tracing::info!(%attempts, "platform: not all attempts of a second were answered");
+        }
+    }
+
     /// Updates the attempt timeouts from a response or a loss. Requests that wait for changes on
     /// the platform are left out, since their duration says nothing about its speed.
     fn update_timeouts(&self, attempt: &Attempt, request: &StoreRequest) {
@@ -252,7 +274,7 @@
                 self.limits().timeouts.record_response(*head_time)
             }
             Attempt::Lost { waited } => self.limits().timeouts.record_loss(*waited),
-            Attempt::NotExecuted => {}
+            Attempt::NotExecuted(_) => {}
         }
     }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod attempt_log;
 mod client;
 pub mod errors;
 mod limits;
--- a/crates/store/src/limits.rs
+++ b/crates/store/src/limits.rs
@@ -40,7 +40,7 @@
 }
 
 /// The kind of access that an operation counts as in the quota.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Access {
     /// Counts against the quota of reads.
     Read,
@@ -48,6 +48,16 @@
     Write,
 }
 
+impl Access {
+    /// Returns the word that metrics and logs use.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Write => "write",
+        }
+    }
+}
+
 /// The host's quota of platform requests, one token bucket for reads and one for writes.
 #[derive(Debug)]
 pub(crate) struct Quota {
--- a/crates/store/src/operations.rs
+++ b/crates/store/src/operations.rs
@@ -47,6 +47,21 @@
     }
 }
 
+/// Returns the table that the operation accesses, for the logs.
+pub(crate) fn table(op: &PlatformOp) -> &str {
+    match op {
+        PlatformOp::Commit(tx) => {
+            let first = tx.writes.first().map(|w| &w.key).or(tx.checks.first().map(|c| &c.key));
+            first.map_or("", |key| &key.table)
+        }
+        PlatformOp::Read(keys) => keys.first().map_or("", |key| &key.table),
+        PlatformOp::Scan { table, .. }
+        | PlatformOp::Snapshot { table, .. }
+        | PlatformOp::Changes { table, .. } => table,
+        PlatformOp::PutObject(_) | PlatformOp::GetObject(_) => "objects",
+    }
+}
+
 /// Returns whether the operation counts as a read or as a write in the host's quota.
 pub(crate) fn access(op: &PlatformOp) -> Access {
     match op {
--- a/crates/store/src/transport.rs
+++ b/crates/store/src/transport.rs
@@ -45,7 +45,7 @@
         head_time: Duration,
     },
     /// The request was not executed and will not be: it was refused or never sent.
-    NotExecuted,
+    NotExecuted(Rejection),
     /// The response was lost: the request may have been executed or may be executed later.
     Lost {
         /// How long the attempt waited for the next part of the response.
@@ -53,6 +53,17 @@
     },
 }
 
+/// Why a request was not executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Rejection {
+    /// No connection could be opened, or the request cannot be built.
+    NotSent,
+    /// The platform answered that it is unavailable.
+    Unavailable,
+    /// The platform answered that there are too many requests.
+    RateLimited,
+}
+
 /// The connections to the platform.
 #[derive(Clone, Debug)]
 pub(crate) struct Transport {
@@ -99,7 +110,7 @@
         on_piece: &impl Fn(usize),
     ) -> Attempt {
         let Some(req) = self.http_request(request) else {
-            return Attempt::NotExecuted;
+            return Attempt::NotExecuted(Rejection::NotSent);
         };
         let sent_at = Instant::now();
 
@@ -107,13 +118,17 @@
         let response =
             match timeout_with_grace(head_timeout + request.wait, self.client.request(req)).await {
                 Some(Ok(response)) => response,
-                Some(Err(error)) if error.is_connect() => return Attempt::NotExecuted,
+                Some(Err(error)) if error.is_connect() => {
+                    return Attempt::NotExecuted(Rejection::NotSent);
+                }
                 Some(Err(_)) | None => return Attempt::Lost { waited: sent_at.elapsed() },
             };
         let (status, head_time) = (response.status(), sent_at.elapsed());
 
-        if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
-            return Attempt::NotExecuted;
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => return Attempt::NotExecuted(Rejection::Unavailable),
+            StatusCode::TOO_MANY_REQUESTS => return Attempt::NotExecuted(Rejection::RateLimited),
+            _ => {}
         }
         if status.is_server_error() {
             return Attempt::Lost { waited: head_time };
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -158,6 +158,32 @@
     assert!(metrics.contains(r#"operation_seconds_count{operation="commit"} 1"#));
 }
 
+/// Attempts are counted by how they ended, so that a platform that refuses requests can be told from
+/// one that does not answer, and from a host whose quota is used up.
+#[tokio::test]
+async fn attempts_are_counted_by_how_they_ended() {
+    let platform = platform().await;
+    let quota = QuotaOptions { writes_per_second: 0.0, ..options(any_port()).quota };
+    let client = Client::new(ClientOptions { quota, ..options(platform.address()) }).unwrap();
+    let registry = Registry::new();
+    client.register(&registry).unwrap();
+
+    row(&client, "r").await;
+    platform.set_mode(ModeSetting::all(Mode::Refuse));
+    commit(&client, unconditional("r", "x")).await;
+    commit(&client, unconditional("r", "x")).await;
+
+    let metrics = TextEncoder::new().encode_to_string(&registry.gather()).unwrap();
+    let count = |access: &str, end: &str| {
+        let name = "camphorwalk_store_attempts_total";
+        let line = format!(r#"{name}{{access="{access}",end="{end}",table="t"}} 1"#);
+        metrics.contains(&line)
+    };
+    assert!(count("read", "answered"), "{metrics}");
+    assert!(count("write", "unavailable"), "{metrics}");
+    assert!(count("write", "over_quota"), "{metrics}");
+}
+
 /// The platform refuses requests of one availability zone only. This checks that clients send
 /// their zone: the host of the other zone must be served.
 #[tokio::test]
