A write over the store's rate is no outage, and is not sent through another host

Cause: the store answers 429 to whatever exceeds the rate that all hosts share. The client reported that as `Unavailable`, as it does an outage. So the host sent the same write through another host, which tried it up to four times more at the same store, and took that part of the store for unavailable: 1,100 to 1,600 `store: does not answer` a second.

Change: the client reports whether an operation was rejected because of the rate (`Report::is_rate_limited`). Such a write is neither relayed nor recorded as an outage, as long as the store answers this host at all. A store that turns one host away answers none of its requests; that host still relays.

`a_host_whose_requests_are_all_rejected_stores_turns_through_another_host` guards the other case; it passes before and after.

--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -9,7 +9,7 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::outage::{Change, StoreHealth};
 use camphorwalk_policy::entry::write_back::{NextRound, WriteBack};
-use camphorwalk_store::Client;
+use camphorwalk_store::{Client, Report};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 use tracing::{info, warn};
@@ -43,10 +43,18 @@
 /// fails. A part that nobody uses is not tried again, and must not keep the fleet unsettled.
 const FAILURE_REPORT_TIME: Duration = Duration::from_secs(1);
 
+/// A store that answered this host within this time answers it: a rejection because of the rate then
+/// applies to all hosts, and another host could not run the operation either. A store that rejects
+/// all requests of one host answers none of them. Each host reads the changes of the targets more than
+/// twice within this time.
+const ANSWERED_LATELY: Duration = Duration::from_secs(1);
+
 /// A client of the store that tracks which parts of it are available.
 pub(crate) struct Store {
     client: Client,
     health: RefCell<StoreHealth>,
+    /// When the store last answered this host.
+    answered_at: Cell<Option<Instant>>,
     /// When the store was last slow or unavailable, for this host or another one.
     trouble_at: Cell<Option<Instant>>,
     /// When the store was last slow for this host.
@@ -61,6 +69,7 @@
         Self {
             client,
             health: RefCell::default(),
+            answered_at: Cell::new(None),
             trouble_at: Cell::new(None),
             slow_at: Cell::new(None),
             recovered: Notify::new(),
@@ -164,9 +173,10 @@
 /// Runs an operation directly, or through another host if the store does not answer. Background
 /// tasks use this instead of [`run`], because a direct attempt each time detects the recovery.
 pub(crate) async fn run_direct_or_relayed(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
-    match run_direct(shared, op.clone(), &|_| ()).await {
-        PlatformReply::Unavailable => relay(shared, op).await,
-        reply => reply,
+    match run_here(shared, op.clone(), &|_| ()).await {
+        DirectReply::Reply(PlatformReply::Unavailable) => relay(shared, op).await,
+        DirectReply::Reply(reply) => reply,
+        DirectReply::OverRate => PlatformReply::Unavailable,
     }
 }
 
@@ -177,18 +187,50 @@
     op: PlatformOp,
     on_piece: &impl Fn(usize),
 ) -> PlatformReply {
+    match run_here(shared, op, on_piece).await {
+        DirectReply::Reply(reply) => reply,
+        DirectReply::OverRate => PlatformReply::Unavailable,
+    }
+}
+
+/// The result of an operation that was run without another host.
+enum DirectReply {
+    /// The store's reply.
+    Reply(PlatformReply),
+    /// The operation was not executed, because the hosts together exceed the store's rate. Another
+    /// host would not succeed either.
+    OverRate,
+}
+
+async fn run_here(shared: &Rc<Shared>, op: PlatformOp, on_piece: &impl Fn(usize)) -> DirectReply {
+    let store = &shared.store;
     let began = clock::now();
     let part: Box<str> = part(&op).into();
-    let reply = shared.store.client.run_with_progress(op, on_piece).await;
+    let report = store.client.run_reported(op, on_piece).await;
+    let now = clock::now();
+    let answered_lately = store.answered_at.get().is_some_and(|at| now.since(at) < ANSWERED_LATELY);
+    if report.is_rate_limited && answered_lately {
+        return DirectReply::OverRate;
+    }
+
+    record_health(shared, &part, began, &report);
+    DirectReply::Reply(report.reply)
+}
+
+/// Records whether a part of the store answered an operation that began at `began`.
+fn record_health(shared: &Shared, part: &str, began: Instant, report: &Report) {
     let now = clock::now();
     let change = {
         let mut health = shared.store.health.borrow_mut();
-        match reply {
-            PlatformReply::Unavailable => health.failed(began, &part),
+        match report.reply {
+            PlatformReply::Unavailable => health.failed(began, part),
             // A store may lose the answers to writes while it answers all other operations.
             PlatformReply::Unknown if now.since(began) < NO_ANSWER_TIMEOUT => None,
-            PlatformReply::Unknown => health.failed(began, &part),
-            _ => health.answered(now, &part),
+            PlatformReply::Unknown => health.failed(began, part),
+            _ => {
+                shared.store.answered_at.set(Some(now));
+                health.answered(now, part)
+            }
         }
     };
 
@@ -196,14 +238,16 @@
         shared.store.record_trouble(now);
     }
     match change {
-        Some(Change::Lost) => warn!(part = %part, "store: does not answer"),
+        Some(Change::Lost) => {
+            let rate_limited = report.rate_limited_attempts;
+            warn!(part, reply = ?report.reply, rate_limited, "store: does not answer");
+        }
         Some(Change::Regained) => {
-            info!(part = %part, "store: answers again");
+            info!(part, "store: answers again");
             shared.store.recovered.notify_waiters();
         }
         None => {}
     }
-    reply
 }
 
 /// Starts the task that writes unstored grants back to the store: as soon as a part recovers, and
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -16,7 +16,7 @@
 use crate::operations::{self, EarlierAttempts, OnLostResponse};
 use crate::options::{ClientOptions, RetryOptions};
 use crate::protocol::{StoreProtocol, StoreRequest};
-use crate::transport::{Attempt, Transport};
+use crate::transport::{Attempt, Rejection, Transport};
 
 /// The metric label of the operation that lists the hosts.
 const LIST_HOSTS: &str = "hosts";
@@ -59,6 +59,34 @@
     attempts: AttemptLog,
 }
 
+/// The reply to an operation, and whether the platform's rate was exceeded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The reply.
+    pub reply: PlatformReply,
+    /// How many attempts the platform rejected because of its rate.
+    pub rate_limited_attempts: u32,
+    /// Whether the operation was not executed because of the platform's rate.
+    pub is_rate_limited: bool,
+}
+
+impl Report {
+    /// Creates the report on an operation that was not sent.
+    fn not_executed() -> Self {
+        Self { reply: PlatformReply::Unavailable, rate_limited_attempts: 0, is_rate_limited: false }
+    }
+}
+
+/// What the attempts of an operation depend on.
+struct Operation<'a> {
+    /// The metric label.
+    name: &'static str,
+    /// The table, for the logs.
+    table: &'a str,
+    access: Access,
+    on_lost_response: OnLostResponse,
+}
+
 /// The result of all attempts of an operation.
 enum Outcome {
     /// The platform answered.
@@ -74,11 +102,20 @@
     Unanswered {
         /// Whether the response to any attempt was lost; if not, the platform did nothing.
         lost: bool,
+        /// Why the platform did not execute the last attempt.
+        rejection: Option<Rejection>,
     },
     /// No attempt was made because the quota was used up.
     OverQuota,
 }
 
+impl Outcome {
+    /// Returns whether the operation was not executed because of the platform's rate.
+    fn is_rate_limited(&self) -> bool {
+        matches!(self, Self::Unanswered { lost: false, rejection: Some(Rejection::RateLimited) })
+    }
+}
+
 impl Client {
     /// Creates a client, which connects on its first request.
     pub fn new(options: ClientOptions) -> Result<Self> {
@@ -135,6 +172,24 @@
         op: PlatformOp,
         on_piece: &impl Fn(usize),
     ) -> PlatformReply {
+        self.run_reported(op, on_piece).await.reply
+    }
+
+    /// Runs an operation like [`run_with_progress`](Self::run_with_progress), and also reports
+    /// whether the platform rejected it, or some of its attempts, because of its rate.
+    ///
+    /// ```
+    /// use camphorwalk_core::platform::PlatformOp;
+    /// use camphorwalk_store::{Client, ClientOptions};
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let nobody = "127.0.0.1:1".parse().unwrap();
+    /// let client = Client::new(ClientOptions::new(nobody, "a")).unwrap();
+    /// let op = PlatformOp::Read(vec![]);
+    /// let report = client.run_reported(op, &|_| ()).await;
+    /// assert!(!report.is_rate_limited);
+    /// # });
+    /// ```
+    pub async fn run_reported(&self, op: PlatformOp, on_piece: &impl Fn(usize)) -> Report {
         let name = operations::name(&op);
         let started = Instant::now();
         let Some(request) = (self.inner.protocol.encode_request)(&op) else {
@@ -142,26 +197,26 @@
                 operation = name,
                 "platform: operation not supported by the store protocol"
             );
-            return PlatformReply::Unavailable;
+            return Report::not_executed();
         };
-        let (access, on_lost_response) =
-            (operations::access(&op), operations::on_lost_response(&op));
-
-        let reply = match self
-            .send_with_retries(
-                (name, operations::table(&op)),
-                access,
-                on_lost_response,
-                &request,
-                on_piece,
-            )
-            .await
-        {
+        let operation = Operation {
+            name,
+            table: operations::table(&op),
+            access: operations::access(&op),
+            on_lost_response: operations::on_lost_response(&op),
+        };
+
+        let mut report = Report::not_executed();
+        let outcome = self
+            .send_with_retries(&operation, &request, on_piece, &mut report.rate_limited_attempts)
+            .await;
+        report.is_rate_limited = operation.access == Access::Write && outcome.is_rate_limited();
+        report.reply = match outcome {
             Outcome::OverQuota => {
                 self.inner.metrics.record_over_quota(name);
-                return PlatformReply::Unavailable;
+                return report;
             }
-            Outcome::Unanswered { lost } => operations::reply_without_response(&op, lost),
+            Outcome::Unanswered { lost, .. } => operations::reply_without_response(&op, lost),
             Outcome::Answered { status, body, earlier } => {
                 match (self.inner.protocol.decode_response)(&op, status, &body) {
                     Some(response) => operations::reply(&op, earlier, response),
@@ -170,23 +225,22 @@
             }
         };
 
-        self.inner.metrics.record_operation(name, outcome_name(&reply), started.elapsed());
-        reply
+        self.inner.metrics.record_operation(name, outcome_name(&report.reply), started.elapsed());
+        report
     }
 
     /// Lists the hosts that the platform knows; the list may be out of date.
     pub async fn hosts(&self) -> Result<Vec<HostListing>> {
         let started = Instant::now();
         let request = operations::hosts_request();
+        let operation = Operation {
+            name: LIST_HOSTS,
+            table: LIST_HOSTS,
+            access: Access::Read,
+            on_lost_response: OnLostResponse::Resend,
+        };
 
-        let outcome = self.send_with_retries(
-            (LIST_HOSTS, LIST_HOSTS),
-            Access::Read,
-            OnLostResponse::Resend,
-            &request,
-            &|_| (),
-        );
-        let hosts = match outcome.await {
+        let hosts = match self.send_with_retries(&operation, &request, &|_| (), &mut 0).await {
             Outcome::OverQuota => {
                 self.inner.metrics.record_over_quota(LIST_HOSTS);
                 return Err(Error::OverQuota);
@@ -200,17 +254,18 @@
         hosts.ok_or(Error::Unavailable)
     }
 
-    /// Sends a request until it is answered or no further attempt is allowed.
+    /// Sends a request until it is answered or no further attempt is allowed. Adds the attempts that
+    /// the platform rejected because of its rate to `rate_limited_attempts`.
     async fn send_with_retries(
         &self,
-        (name, table): (&str, &str),
-        access: Access,
-        on_lost_response: OnLostResponse,
+        operation: &Operation<'_>,
         request: &StoreRequest,
         on_piece: &impl Fn(usize),
+        rate_limited_attempts: &mut u32,
     ) -> Outcome {
+        let access = operation.access;
         if !self.limits().quota.take(access, Instant::now()) {
-            self.record_attempt(access, table, AttemptEnd::OverQuota);
+            self.record_attempt(operation, AttemptEnd::OverQuota);
             return Outcome::OverQuota;
         }
 
@@ -224,36 +279,40 @@
             let head_timeout = self.limits().timeouts.next(lost_attempts);
             let attempt = self.inner.transport.send(request, head_timeout, on_piece).await;
             self.update_timeouts(&attempt, request);
-            self.record_attempt(access, table, AttemptEnd::of(&attempt));
+            self.record_attempt(operation, AttemptEnd::of(&attempt));
 
-            match attempt {
+            let rejection = match attempt {
                 Attempt::Answered { status, body, .. } => {
                     let earlier = self.earlier_attempts(lost, started);
                     return Outcome::Answered { status, body, earlier };
                 }
-                Attempt::NotExecuted(_) => {}
+                Attempt::NotExecuted(rejection) => Some(rejection),
                 Attempt::Lost { .. } => {
                     lost = true;
                     lost_attempts += 1;
+                    None
                 }
-            }
+            };
+            let is_rate_limited = rejection == Some(Rejection::RateLimited);
+            *rate_limited_attempts += u32::from(is_rate_limited);
 
-            if lost && on_lost_response == OnLostResponse::GiveUp {
-                return Outcome::Unanswered { lost };
+            if lost && operation.on_lost_response == OnLostResponse::GiveUp {
+                return Outcome::Unanswered { lost, rejection };
             }
 
             let Some(pause) = self.take_retry(attempts, started, access) else {
-                return Outcome::Unanswered { lost };
+                return Outcome::Unanswered { lost, rejection };
             };
 
-            self.inner.metrics.record_retry(name);
+            self.inner.metrics.record_retry(operation.name);
             tokio::time::sleep(pause).await;
             attempts += 1;
         }
     }
 
     /// Counts an attempt, and logs the attempts of each second in which some were not answered.
-    fn record_attempt(&self, access: Access, table: &str, end: AttemptEnd) {
+    fn record_attempt(&self, operation: &Operation<'_>, end: AttemptEnd) {
+        let Operation { access, table, .. } = *operation;
         self.inner.metrics.record_attempt(access, table, end);
         let summary = self.limits().attempts.record(Instant::now(), access, table, end);
 
