Writes that can wait are limited while the hosts exceed the rate of the store

Cause: each host may send a quarter of the store's rate, so that 59 hosts may send fifteen times of it, and nothing made the sum fall when the store rejected. What it rejected came again: from the client, from another host, as a grant without the store that is written back, and from the next round of writing back. The end of a turn, which cannot wait, was rejected as often as all that can.

Change: `entry/write_throttle.rs` in the policy crate. After a quarter of a second with a rejection a host makes half as many writes as before, and more again while there is none (AIMD). Ends of turns, heartbeats and leases are not limited. Writing back gets what grants leave, and no second attempt.

--- a/crates/entry/src/budget.rs
+++ b/crates/entry/src/budget.rs
@@ -13,6 +13,7 @@
 use camphorwalk_policy::entry::shares::{Doubt, Limit};
 use camphorwalk_policy::entry::turn_writes;
 use camphorwalk_policy::entry::turns::PARTS;
+use camphorwalk_policy::entry::write_throttle::Priority;
 use futures::future::join_all;
 use http::StatusCode;
 use std::time::Duration;
@@ -130,7 +131,7 @@
                 }));
             }
             ReserveOutcome::Refresh(row, version) => {
-                let writing = write_row(shared, program, row, version, None);
+                let writing = write_row(shared, program, row, version, None, Priority::Normal);
                 match timeout(REFRESH_TIMEOUT, writing).await {
                     Ok(Ok(WriteOutcome::Committed | WriteOutcome::Superseded)) => {}
                     _ => return Err(unknown_budget(shared)),
@@ -379,6 +380,7 @@
     row: BudgetRow,
     version: RowVersion,
     lease: Option<RowVersion>,
+    priority: Priority,
 ) -> Result<WriteOutcome, Refusal> {
     let key = row_key(program);
     let text: Box<str> = match serde_json::to_string(&row) {
@@ -395,7 +397,7 @@
         writes: vec![Write { key: key.clone(), value: Some(text) }],
     };
 
-    match store::run(shared, PlatformOp::Commit(tx)).await {
+    match store::run_with_priority(shared, PlatformOp::Commit(tx), priority).await {
         PlatformReply::Committed(version) => {
             grants::notify_stored(shared, program, &row, version);
             shared.budgets.borrow_mut().record_write(clock::now(), program, row, version);
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -30,7 +30,7 @@
 use crate::{clock, queries, status_updates, store, watch};
 
 /// The table of hosts. Each host's row is stored under its name.
-const HOSTS_TABLE: &str = "hosts";
+pub(crate) const HOSTS_TABLE: &str = "hosts";
 
 /// The table of settings that all hosts share.
 const FLEET_TABLE: &str = "fleet";
--- a/crates/entry/src/grant_leases.rs
+++ b/crates/entry/src/grant_leases.rs
@@ -14,6 +14,7 @@
     Claim, Holder, HolderState, LeaseRow, Partition, Succession, holder_state, quarantine_time,
 };
 use camphorwalk_policy::entry::turns::PARTS;
+use camphorwalk_policy::entry::write_throttle::Priority;
 use futures::future::{join, join_all};
 use futures::stream::{self, StreamExt as _};
 use tokio::time::{sleep, timeout};
@@ -24,7 +25,7 @@
 
 /// The table of leases. The row of a partition's lease lies in the same part of the store as the
 /// partition's budgets, so that one transaction can check the lease and write a budget.
-const TABLE: &str = "grant-leases";
+pub(crate) const TABLE: &str = "grant-leases";
 
 /// The key of a lease's row within its part.
 const KEY: &str = "lease";
@@ -258,7 +259,10 @@
         CONCURRENT_OPERATIONS,
         async |(program, row, version)| {
             // If the row is not written, the tokens stay with this process and are lost.
-            if budget::write_row(shared, program, row, version, None).await.is_err() {
+            if budget::write_row(shared, program, row, version, None, Priority::Normal)
+                .await
+                .is_err()
+            {
                 info!(program = %program.0, "budget: unused tokens not returned");
             }
         },
--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -15,6 +15,7 @@
 use camphorwalk_policy::entry::grant_leases::Consent;
 use camphorwalk_policy::entry::shares::{Doubt, Limit};
 use camphorwalk_policy::entry::write_back::RoundOutcome;
+use camphorwalk_policy::entry::write_throttle::Priority;
 use futures::future::join_all;
 use futures::stream::{FuturesUnordered, StreamExt as _};
 use tokio::task::JoinHandle;
@@ -425,7 +426,10 @@
 ) -> HedgedOperation {
     let writing = Rc::clone(shared);
 
-    hedge(shared, async move { write_row(&writing, program, row, version, lease).await }).await
+    hedge(shared, async move {
+        write_row(&writing, program, row, version, lease, Priority::Normal).await
+    })
+    .await
 }
 
 /// Reads a program's row, and waits for the outcome for at most the hedging delay.
@@ -546,7 +550,7 @@
     for round in rows.chunks(CONCURRENT_WRITES) {
         let writes = round.iter().cloned().map(|(program, row, version)| async move {
             matches!(
-                write_row(shared, program, row, version, None).await,
+                write_row(shared, program, row, version, None, Priority::Deferrable).await,
                 Ok(WriteOutcome::StoreUnavailable)
             )
         });
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -52,6 +52,8 @@
     pub(crate) grants_without_store: IntCounter,
     /// Operations on the store that were relayed through another host.
     pub(crate) relayed_operations: IntCounter,
+    /// Writes that were not sent because the hosts together exceed the store's rate.
+    pub(crate) throttled_writes: IntCounter,
     /// Reads of a turn from the store because this host did not have it in memory.
     pub(crate) turn_reads: IntCounter,
     /// Turns that were received with a whole conversation from another host. Turns that were
@@ -140,6 +142,10 @@
                 "camphorwalk_store_relayed_total",
                 "Operations on the store that another host ran.",
             )?,
+            throttled_writes: counter(
+                "camphorwalk_store_throttled_total",
+                "Writes not sent because the hosts together exceed the store's rate.",
+            )?,
             turns_fetched: counter(
                 "camphorwalk_turns_fetched_total",
                 "Turns that another host sent.",
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -9,14 +9,15 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::outage::{Change, StoreHealth};
 use camphorwalk_policy::entry::write_back::{NextRound, WriteBack};
-use camphorwalk_store::{Client, Report};
+use camphorwalk_policy::entry::write_throttle::{Priority, WriteThrottle};
+use camphorwalk_store::{Client, OnRateLimit, Report};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 use tracing::{info, warn};
 
 use crate::host::Shared;
 use crate::queries::{self, Query, QueryReply};
-use crate::{clock, grants};
+use crate::{clock, fleet, grant_leases, grants, turns};
 
 /// How long a relayed operation may take: the other host's own attempts and a round trip.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(600);
@@ -53,6 +54,7 @@
 pub(crate) struct Store {
     client: Client,
     health: RefCell<StoreHealth>,
+    throttle: RefCell<WriteThrottle>,
     /// When the store last answered this host.
     answered_at: Cell<Option<Instant>>,
     /// When the store was last slow or unavailable, for this host or another one.
@@ -69,6 +71,7 @@
         Self {
             client,
             health: RefCell::default(),
+            throttle: RefCell::new(WriteThrottle::new(clock::now())),
             answered_at: Cell::new(None),
             trouble_at: Cell::new(None),
             slow_at: Cell::new(None),
@@ -76,6 +79,20 @@
         }
     }
 
+    /// Updates the limit on writes, and logs when it begins and ends.
+    fn update_throttle<T>(&self, update: impl FnOnce(&mut WriteThrottle) -> T) -> T {
+        let mut throttle = self.throttle.borrow_mut();
+        let was_limited = throttle.rate().is_some();
+        let result = update(&mut throttle);
+
+        match throttle.rate() {
+            Some(rate) if !was_limited => info!(rate, "store: writes are limited"),
+            None if was_limited => info!("store: writes are no longer limited"),
+            _ => {}
+        }
+        result
+    }
+
     /// Returns whether the store as a whole answers this host.
     pub(crate) fn is_available(&self) -> bool {
         self.health.borrow().answers()
@@ -155,10 +172,33 @@
     }
 }
 
+/// Returns the priority of an operation, by the table that it writes. Deletions of turns are few,
+/// since one transaction deletes many.
+fn priority(op: &PlatformOp) -> Priority {
+    let PlatformOp::Commit(tx) = op else { return Priority::Essential };
+    let Some(write) = tx.writes.first() else { return Priority::Essential };
+
+    match &*write.key.table {
+        turns::TABLE | fleet::HOSTS_TABLE | grant_leases::TABLE => Priority::Essential,
+        _ => Priority::Normal,
+    }
+}
+
 /// Runs an operation directly or through another host. Makes no direct attempt while the part that
 /// the operation accesses is known to be unavailable and no retry is due, so that a call does not
 /// wait for it. Returns `Unavailable` without delay if no live host reaches the store either.
 pub(crate) async fn run(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
+    let priority = priority(&op);
+
+    run_with_priority(shared, op, priority).await
+}
+
+/// Runs an operation like [`run`], with a priority that the operation itself does not show.
+pub(crate) async fn run_with_priority(
+    shared: &Rc<Shared>,
+    op: PlatformOp,
+    priority: Priority,
+) -> PlatformReply {
     let is_unavailable = {
         let mut health = shared.store.health.borrow_mut();
         health.is_unavailable(part(&op)) && !health.start_retry_if_due(clock::now(), part(&op))
@@ -166,14 +206,24 @@
 
     match is_unavailable {
         true => relay(shared, op).await,
-        false => run_direct_or_relayed(shared, op).await,
+        false => run_here_or_relayed(shared, op, priority).await,
     }
 }
 
 /// Runs an operation directly, or through another host if the store does not answer. Background
 /// tasks use this instead of [`run`], because a direct attempt each time detects the recovery.
 pub(crate) async fn run_direct_or_relayed(shared: &Rc<Shared>, op: PlatformOp) -> PlatformReply {
-    match run_here(shared, op.clone(), &|_| ()).await {
+    let priority = priority(&op);
+
+    run_here_or_relayed(shared, op, priority).await
+}
+
+async fn run_here_or_relayed(
+    shared: &Rc<Shared>,
+    op: PlatformOp,
+    priority: Priority,
+) -> PlatformReply {
+    match run_here(shared, op.clone(), priority, &|_| ()).await {
         DirectReply::Reply(PlatformReply::Unavailable) => relay(shared, op).await,
         DirectReply::Reply(reply) => reply,
         DirectReply::OverRate => PlatformReply::Unavailable,
@@ -187,7 +237,9 @@
     op: PlatformOp,
     on_piece: &impl Fn(usize),
 ) -> PlatformReply {
-    match run_here(shared, op, on_piece).await {
+    let priority = priority(&op);
+
+    match run_here(shared, op, priority, on_piece).await {
         DirectReply::Reply(reply) => reply,
         DirectReply::OverRate => PlatformReply::Unavailable,
     }
@@ -202,12 +254,30 @@
     OverRate,
 }
 
-async fn run_here(shared: &Rc<Shared>, op: PlatformOp, on_piece: &impl Fn(usize)) -> DirectReply {
+async fn run_here(
+    shared: &Rc<Shared>,
+    op: PlatformOp,
+    priority: Priority,
+    on_piece: &impl Fn(usize),
+) -> DirectReply {
     let store = &shared.store;
     let began = clock::now();
+    if !store.update_throttle(|throttle| throttle.admit(began, priority)) {
+        shared.metrics.throttled_writes.inc();
+        return DirectReply::OverRate;
+    }
+
     let part: Box<str> = part(&op).into();
-    let report = store.client.run_reported(op, on_piece).await;
+    let on_rate_limit = match priority {
+        Priority::Deferrable => OnRateLimit::GiveUp,
+        Priority::Essential | Priority::Normal => OnRateLimit::Retry,
+    };
+    let report = store.client.run_reported(op, on_rate_limit, on_piece).await;
     let now = clock::now();
+    if report.rate_limited_attempts > 0 {
+        let attempts = report.rate_limited_attempts;
+        store.update_throttle(|throttle| throttle.record_rejections(now, attempts));
+    }
     let answered_lately = store.answered_at.get().is_some_and(|at| now.since(at) < ANSWERED_LATELY);
     if report.is_rate_limited && answered_lately {
         return DirectReply::OverRate;
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -20,7 +20,7 @@
 use crate::{clock, store};
 
 /// The table of turns.
-const TABLE: &str = "turns";
+pub(crate) const TABLE: &str = "turns";
 
 /// Retry-After of a call while it cannot be determined whether its previous turn exists.
 const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(300);
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -23,3 +23,4 @@
 pub mod turns;
 pub mod waiting;
 pub mod write_back;
+pub mod write_throttle;
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -59,6 +59,16 @@
     attempts: AttemptLog,
 }
 
+/// Whether an attempt that the platform rejected because of its rate is repeated. Other rejections
+/// are repeated in any case.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnRateLimit {
+    /// Retry, within the limits of all retries.
+    Retry,
+    /// Give up: the operation can wait, and another attempt would take the rate from others.
+    GiveUp,
+}
+
 /// The reply to an operation, and whether the platform's rate was exceeded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -85,6 +95,7 @@
     table: &'a str,
     access: Access,
     on_lost_response: OnLostResponse,
+    on_rate_limit: OnRateLimit,
 }
 
 /// The result of all attempts of an operation.
@@ -172,7 +183,7 @@
         op: PlatformOp,
         on_piece: &impl Fn(usize),
     ) -> PlatformReply {
-        self.run_reported(op, on_piece).await.reply
+        self.run_reported(op, OnRateLimit::Retry, on_piece).await.reply
     }
 
     /// Runs an operation like [`run_with_progress`](Self::run_with_progress), and also reports
@@ -180,16 +191,21 @@
     ///
     /// ```
     /// use camphorwalk_core::platform::PlatformOp;
-    /// use camphorwalk_store::{Client, ClientOptions};
+    /// use camphorwalk_store::{Client, ClientOptions, OnRateLimit};
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// let nobody = "127.0.0.1:1".parse().unwrap();
     /// let client = Client::new(ClientOptions::new(nobody, "a")).unwrap();
     /// let op = PlatformOp::Read(vec![]);
-    /// let report = client.run_reported(op, &|_| ()).await;
+    /// let report = client.run_reported(op, OnRateLimit::GiveUp, &|_| ()).await;
     /// assert!(!report.is_rate_limited);
     /// # });
     /// ```
-    pub async fn run_reported(&self, op: PlatformOp, on_piece: &impl Fn(usize)) -> Report {
+    pub async fn run_reported(
+        &self,
+        op: PlatformOp,
+        on_rate_limit: OnRateLimit,
+        on_piece: &impl Fn(usize),
+    ) -> Report {
         let name = operations::name(&op);
         let started = Instant::now();
         let Some(request) = (self.inner.protocol.encode_request)(&op) else {
@@ -204,6 +220,7 @@
             table: operations::table(&op),
             access: operations::access(&op),
             on_lost_response: operations::on_lost_response(&op),
+            on_rate_limit,
         };
 
         let mut report = Report::not_executed();
@@ -238,6 +255,7 @@
             table: LIST_HOSTS,
             access: Access::Read,
             on_lost_response: OnLostResponse::Resend,
+            on_rate_limit: OnRateLimit::Retry,
         };
 
         let hosts = match self.send_with_retries(&operation, &request, &|_| (), &mut 0).await {
@@ -296,7 +314,9 @@
             let is_rate_limited = rejection == Some(Rejection::RateLimited);
             *rate_limited_attempts += u32::from(is_rate_limited);
 
-            if lost && operation.on_lost_response == OnLostResponse::GiveUp {
+            if lost && operation.on_lost_response == OnLostResponse::GiveUp
+                || is_rate_limited && operation.on_rate_limit == OnRateLimit::GiveUp
+            {
                 return Outcome::Unanswered { lost, rejection };
             }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -18,7 +18,7 @@
 mod transport;
 mod witness;
 
-pub use client::{Client, Report};
+pub use client::{Client, OnRateLimit, Report};
 pub use errors::{Error, Result};
 pub use options::{ClientOptions, QuotaOptions, RetryOptions};
 pub use protocol::StoreProtocol;
