The end of a turn is written once more while its caller still waits

What callers saw: a stream cut although its caller would have waited 296 ms longer.

Cause: the pauses between writes of a turn double up to 400 ms, and a turn was given up as soon as the next pause did not fit into the time that was left. So the last 400 ms were never used.

Change: the last pauses are half of what is left, down to 50 ms for the write itself. `a_failing_store_gets_few_writes_per_turn` still holds its bound of 12.

Test: `a_turn_is_stored_by_a_write_that_succeeds_shortly_before_its_caller_leaves` fails before (broken off at 390 ms of 550).

--- a/crates/policy/src/entry/turn_writes.rs
+++ b/crates/policy/src/entry/turn_writes.rs
@@ -13,6 +13,9 @@
 /// not add load to a store in trouble.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
+/// The shortest time in which a write can end before the caller leaves.
+const MIN_WRITE_TIME: Duration = Duration::from_millis(50);
+
 /// How long a host must be isolated before it breaks off streams. A short delay of other hosts'
 /// status updates looks like isolation too.
 const ISOLATION_CONFIRMED_AFTER: Duration = Duration::from_secs(1);
@@ -59,7 +62,9 @@
         self.failed += 1;
 
         let is_isolated = isolated_for.is_some_and(|time| time >= ISOLATION_CONFIRMED_AFTER);
-        match is_isolated || pause >= left {
+        // The last pauses are shorter: half of the remaining time is left for the write.
+        let pause = pause.min(left / 2);
+        match is_isolated || left - pause < MIN_WRITE_TIME {
             true => AfterFailedWrite::BreakOff,
             false => AfterFailedWrite::Retry(pause),
         }
--- a/crates/policy/tests/entry_keeping.rs
+++ b/crates/policy/tests/entry_keeping.rs
@@ -19,6 +19,11 @@
 /// Simulates writes that take `each` and fail until `stored_at`. Returns how they ended and how
 /// many failed.
 fn simulate(each: Duration, stored_at: Duration) -> (End, u32) {
+    simulate_for(CALLER_WAIT, each, stored_at)
+}
+
+/// Simulates writes like [`simulate`], for a caller that waits for `wait`.
+fn simulate_for(wait: Duration, each: Duration, stored_at: Duration) -> (End, u32) {
     let mut writes = TurnWrites::default();
     let mut now = Duration::ZERO;
 
@@ -27,7 +32,7 @@
         if now >= stored_at {
             return (End::Stored(now), writes.failed());
         }
-        match writes.write_failed(CALLER_WAIT.saturating_sub(now), None) {
+        match writes.write_failed(wait.saturating_sub(now), None) {
             AfterFailedWrite::Retry(pause) => now += pause,
             AfterFailedWrite::BreakOff => return (End::BrokenOff(now), writes.failed()),
         }
@@ -46,6 +51,20 @@
     }
 }
 
+#[test]
+fn a_turn_is_stored_by_a_write_that_succeeds_shortly_before_its_caller_leaves() {
+    // Guards against breaking a stream off while there is time for a further write.
+    for wait in (500..3_000).step_by(50).map(Duration::from_millis) {
+        let stored_at = wait - Duration::from_millis(120);
+        let (end, failed) = simulate_for(wait, Duration::from_millis(10), stored_at);
+
+        assert!(
+            matches!(end, End::Stored(at) if at < wait),
+            "{end:?} after {failed} failures, for a caller that waits for {wait:?}"
+        );
+    }
+}
+
 #[test]
 fn a_turn_that_cannot_be_stored_is_broken_off_while_its_caller_waits() {
     // Guards against holding back an answer after its caller has left.
