Callers' connections that end before their answer are logged and counted by cause

Of the ways in which that can come about only a stream that the host breaks off was logged; a caller that leaves, an idle connection and bytes that nobody acknowledges for 2 s were silent, so that the record could not tell them apart.

Change: `callers: connection ended before its answer` with the request, the cause and the error, once for each such connection, and the counter `camphorwalk_unanswered_total` by cause. What this does not show: an idle connection that is closed while a request is still in the socket's buffer, since the request was not read.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -1,19 +1,29 @@
 //! Accepts the connections of callers.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
+use camphorwalk_adapter::head::{self, LogIds};
 use camphorwalk_core::entry::CallLimits;
+use camphorwalk_core::time::Instant;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::answer::{AnswerBody, BrokenBody};
 use crate::errors::{Error, Result};
 use crate::host::Shared;
-use crate::{call, connections};
+use crate::{call, clock, connections};
 
 /// The pause after a failed accept, which is mostly caused by a lack of file descriptors.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -58,16 +68,82 @@
     shared.routes.borrow().as_ref().map_or(DEFAULT_LIMITS, |table| table.routing().limits)
 }
 
+/// The request of a connection that is not answered completely yet.
+struct Unanswered {
+    ids: LogIds,
+    received_at: Instant,
+}
+
+/// The request that a connection answers at the moment, if any.
+type CurrentRequest = Rc<RefCell<Option<Unanswered>>>;
+
+/// The body of an answer that records when it is complete.
+struct TrackedBody {
+    body: AnswerBody,
+    current: CurrentRequest,
+}
+
+impl TrackedBody {
+    fn new(body: AnswerBody, current: CurrentRequest) -> Self {
+        let tracked = Self { body, current };
+        tracked.record_if_complete();
+
+        tracked
+    }
+
+    fn record_if_complete(&self) {
+        if self.body.is_end_stream() {
+            self.current.take();
+        }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = BrokenBody;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BrokenBody>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        match &frame {
+            Poll::Ready(None) => drop(self.current.take()),
+            Poll::Ready(Some(Ok(_))) => self.record_if_complete(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+        }
+
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+async fn answer(
+    shared: Rc<Shared>,
+    current: CurrentRequest,
+    req: Request<Incoming>,
+) -> Response<TrackedBody> {
+    let ids = head::read_ids(req.headers());
+    current.replace(Some(Unanswered { ids, received_at: clock::now() }));
+
+    call::serve(shared, req).await.map(|body| TrackedBody::new(body, current))
+}
+
 async fn serve(shared: Rc<Shared>, stream: TcpStream) {
     connections::set_socket_options(&stream);
     let limits = limits(&shared);
-    let service = {
-        let shared = Rc::clone(&shared);
-        service_fn(move |req| {
-            let shared = Rc::clone(&shared);
-            async move { Ok::<_, Infallible>(call::serve(shared, req).await) }
-        })
-    };
+    let current = CurrentRequest::default();
+    let service = service_fn(|req| {
+        let answering = answer(Rc::clone(&shared), Rc::clone(&current), req);
+        async move { Ok::<_, Infallible>(answering.await) }
+    });
     // The header timeout also limits how long a connection may stay idle, so it is the longer of
     // the two.
     let connection = http1::Builder::new()
@@ -78,7 +154,37 @@
 
     // A caller may disconnect at any time. Dropping the service's future then ends the work for its
     // call.
-    if let Err(e) = connection.await {
-        tracing::trace!(error = %e, "callers: connection closed");
+    let ended = connection.await;
+    if let Some(unanswered) = current.take() {
+        log_unanswered(&shared, &unanswered, ended.err().as_ref());
+    }
+}
+
+/// Logs a connection that ended before the answer to its request was complete.
+fn log_unanswered(shared: &Shared, unanswered: &Unanswered, error: Option<&hyper::Error>) {
+    let cause = error.map_or("closed", cause);
+    let Unanswered { ids, received_at } = unanswered;
+
+    tracing::info!(
+        request = %ids.request, program = %ids.program, cause,
+        error = error.map(tracing::field::display),
+        took_ms = clock::now().since(*received_at).as_millis() as u64,
+        "callers: connection ended before its answer"
+    );
+    shared.metrics.unanswered.with_label_values(&[cause]).inc();
+}
+
+/// Returns the metric label of the error that ended a connection.
+fn cause(error: &hyper::Error) -> &'static str {
+    let io_error =
+        std::error::Error::source(error).and_then(|e| e.downcast_ref::<std::io::Error>());
+
+    match io_error.map(std::io::Error::kind) {
+        _ if error.is_timeout() => "idle",
+        _ if error.is_user() => "broken_off",
+        _ if error.is_incomplete_message() => "closed",
+        Some(ErrorKind::ConnectionReset | ErrorKind::BrokenPipe) => "reset",
+        Some(ErrorKind::TimedOut) => "unacknowledged",
+        _ => "other",
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) tenant_latency: HistogramVec,
     /// Answers that the host made itself, by reason.
     pub(crate) refusals: IntCounterVec,
+    /// Connections of callers that ended before the answer to their request was complete, by cause.
+    pub(crate) unanswered: IntCounterVec,
     /// Calls that were sent to another target or resumed, by reason.
     pub(crate) resends: IntCounterVec,
     /// Calls that had to wait for a place.
@@ -100,6 +102,11 @@
                 "Answers of our own by reason.",
                 &["reason"],
             )?,
+            unanswered: by(
+                "camphorwalk_unanswered_total",
+                "Connections of callers that ended before the answer, by cause.",
+                &["cause"],
+            )?,
             resends: by("camphorwalk_resends_total", "Calls sent again, by reason.", &["reason"])?,
             queued_calls: counter("camphorwalk_waited_total", "Calls that waited for a place.")?,
             place_wait: wait(
