Docs and comments: what happens to writes over the rate of the store

Two comments said that rejected requests count against the rate. They do not: the store took 1,150 to 1,240 writes a second while 4,000 to 5,000 more were rejected. No code changes.

--- a/crates/entry/src/grants.rs
+++ b/crates/entry/src/grants.rs
@@ -555,7 +555,7 @@
             )
         });
         refused = join_all(writes).await.contains(&true);
-        // The store would refuse the rest too, and each refusal counts against its rate limit.
+        // The store would refuse the rest too, and each attempt competes with writes that cannot wait.
         if refused {
             break;
         }
--- a/crates/policy/src/entry/write_back.rs
+++ b/crates/policy/src/entry/write_back.rs
@@ -1,11 +1,11 @@
 //! Paces how fast a host writes its backlog of unstored rows after an outage of the store.
 //!
 //! After an outage all hosts have rows to write. A store that gets more requests than its rate
-//! allows refuses the excess, and refused requests count against the rate too. If every host
-//! retried all its rows at once, the store would stay overloaded forever: the backlog would never
-//! be written, and writes for new calls would be refused as well. Each host therefore writes only a
-//! part of its backlog per round, fewer rows after a refusal and more after a round without one.
-//! The fleet converges on the store's rate without coordination.
+//! allows refuses the excess, whichever requests these are. If every host retried all its rows at
+//! once, the store would stay overloaded, and writes for new calls would be refused as often as those
+//! of the backlog. Each host therefore writes only a part of its backlog per round, fewer rows after
+//! a refusal and more after a round without one. The fleet converges on the store's rate without
+//! coordination. All other writes are limited by `write_throttle`.
 
 use std::time::Duration;
 
