Store client: which operations are reported as over the platform's rate

Read as a newcomer, `Report::is_rate_limited` did not say that it is never set for reads, on which the detection of a store that turns one host away depends. A comment only.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -76,7 +76,8 @@
     pub reply: PlatformReply,
     /// How many attempts the platform rejected because of its rate.
     pub rate_limited_attempts: u32,
-    /// Whether the operation was not executed because of the platform's rate.
+    /// Whether a write was not executed because of the platform's rate. Reads are reported as
+    /// unavailable: a platform that rejects them turns this host away.
     pub is_rate_limited: bool,
 }
 
