Logs and metrics name the version of targets, and the streams that callers resume

What was missing in the record of the incident: no line named the version of a target, the target at which a stream went on, or that a call resumes a stream of another host. So the resumption by the caller, the one by the host and a target that is replaced in place could not be told apart.

`targets: entry new or changed` and `call: answered` have the version, `call: stream goes on` has the targets and versions before and after, `call: resumes a stream` is new. `camphorwalk_resumptions_total` counts both paths. No decision changes.

--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -47,6 +47,8 @@
     pub affinity_key: Option<Box<str>>,
     /// The last event that the caller received of a stream that it wants to resume.
     pub last_event: Option<u64>,
+    /// The request id of the attempt that brought the first event of that stream.
+    pub resumes: Option<Box<str>>,
 }
 
 impl CallHead {
--- a/crates/core/src/entry/target.rs
+++ b/crates/core/src/entry/target.rs
@@ -24,6 +24,10 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: Box<str>,
+    /// The version of its software. `None` if it is not known: the target does not publish it, or
+    /// the entry was copied from a host of an older build.
+    #[serde(default)]
+    pub version: Option<Box<str>>,
     /// Number of calls that it runs concurrently.
     pub slots: u32,
     /// Whether it takes new calls or is shutting down.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -25,6 +25,7 @@
 use crate::answer::{Answer, Refusal, close_after};
 use crate::budget::{self, TokenReservation};
 use crate::host::{OpenRequest, Shared};
+use crate::places::PlaceTarget;
 use crate::turns::{self, Continuation};
 use crate::{callers, clock, places, stream, unary};
 
@@ -45,11 +46,7 @@
 /// How a target answered a call, for the logs.
 #[derive(Clone, Copy)]
 pub(crate) struct TargetAnswer<'a> {
-    /// The target's id.
-    pub(crate) target: &'a str,
-    /// The calls that all hosts had in flight at the target, this one included, as far as this host
-    /// knew.
-    pub(crate) load: u32,
+    pub(crate) target: &'a PlaceTarget,
     pub(crate) status: StatusCode,
     /// How many targets were tried, plus the number of attempts to resume a stream.
     pub(crate) offers: u32,
@@ -157,12 +154,14 @@
             return;
         }
 
-        let TargetAnswer { target, load, status, offers, events } = *answered;
+        let TargetAnswer { target, status, offers, events } = *answered;
+        let PlaceTarget { id, version, load } = target;
         info!(
             request = %self.head.request_id, program = self.head.program.as_deref(),
             route = %self.route().name, manifest = self.routing.version,
-            tenant = self.tenant.as_deref(), is_new = self.is_new.get(), target_id = target, load,
-            offers, events, status = status.as_u16(),
+            tenant = self.tenant.as_deref(), is_new = self.is_new.get(), target_id = %id, version,
+            load, offers, events, status = status.as_u16(),
+            resumes = self.head.resumes.as_deref(), last_event = self.head.last_event,
             took_ms = clock::now().since(self.received_at).as_millis() as u64, "call: answered"
         );
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,6 +30,9 @@
     pub(crate) unanswered: IntCounterVec,
     /// Calls that were sent to another target or resumed, by reason.
     pub(crate) resends: IntCounterVec,
+    /// Streams that were sent to a target to be resumed, by who resumed them: `host`, within one
+    /// answer, or `caller`.
+    pub(crate) resumptions: IntCounterVec,
     /// Calls that had to wait for a place.
     pub(crate) queued_calls: IntCounter,
     /// How long calls waited for the place that they got.
@@ -108,6 +111,11 @@
                 &["cause"],
             )?,
             resends: by("camphorwalk_resends_total", "Calls sent again, by reason.", &["reason"])?,
+            resumptions: by(
+                "camphorwalk_resumptions_total",
+                "Streams sent to a target to be resumed, by the host or by the caller.",
+                &["by"],
+            )?,
             queued_calls: counter("camphorwalk_waited_total", "Calls that waited for a place.")?,
             place_wait: wait(
                 "camphorwalk_place_wait_seconds",
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -94,6 +94,16 @@
     }
 }
 
+/// The target of a place, for the logs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PlaceTarget {
+    pub(crate) id: Box<str>,
+    /// The version of its software, if known.
+    pub(crate) version: Option<Box<str>>,
+    /// The calls that all hosts have in flight there, as far as this host knows.
+    pub(crate) load: u32,
+}
+
 /// A place at a target. Dropping it without an outcome counts as abandoned by the caller.
 pub(crate) struct Place {
     shared: Rc<Shared>,
@@ -149,12 +159,13 @@
         self.events += events;
     }
 
-    /// Returns the target's id and the number of calls that all hosts have in flight there, as far
-    /// as this host knows.
-    pub(crate) fn target(&self) -> (Box<str>, u32) {
+    /// Returns the place's target; empty if its run is over.
+    pub(crate) fn target(&self) -> PlaceTarget {
         let targets = self.shared.targets.borrow();
+        let Some(target) = targets.get(self.key) else { return PlaceTarget::default() };
+        let (entry, load) = (&target.entry, target.load());
 
-        targets.get(self.key).map_or_else(Default::default, |t| (t.entry.id.clone(), t.load()))
+        PlaceTarget { id: entry.id.clone(), version: entry.version.clone(), load }
     }
 
     /// Frees the place with the outcome of the call.
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -223,6 +223,7 @@
 
 fn use_entry(shared: &Rc<Shared>, entry: TargetEntry, as_of: RowVersion, source: Source) {
     let (id, state, born) = (entry.id.clone(), entry.state, entry.born);
+    let version = entry.version.clone();
     let before = {
         let targets = shared.targets.borrow();
         targets.by_id(&id).map(|target| (target.entry.state, target.entry.born))
@@ -233,7 +234,7 @@
     }
     if before != Some((state, born)) {
         info!(
-            target_id = %id, ?state, born, as_of = as_of.0, ?source,
+            target_id = %id, ?state, born, version, as_of = as_of.0, ?source,
             "targets: entry new or changed"
         );
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::call::{Call, TargetAnswer};
 use crate::events::EventParser;
 use crate::forward::{self, CallAttempt, SendOutcome, Started};
+use crate::places::{Place, PlaceTarget};
 use crate::turns::Continuation;
 use crate::unary::rejection_reason;
 use crate::{clock, places, turn_storage};
@@ -34,6 +35,8 @@
 
 /// The state of a stream.
 struct Progress {
+    /// The target that began the answer.
+    began_at: PlaceTarget,
     /// The id of the last event that was forwarded, or that the caller had before the call.
     last_event: Option<u64>,
     /// The number of events that were forwarded.
@@ -77,6 +80,9 @@
             head_timeout,
         };
 
+        if call.head.last_event.is_some() {
+            log_resumed_by_caller(&call, &place);
+        }
         match forward::send(&attempt, place).await {
             SendOutcome::Started(started) => break *started,
             SendOutcome::NotRun(reason) => {
@@ -122,6 +128,17 @@
     Ok(answer)
 }
 
+/// Logs and counts that a call which resumes a stream is sent to a target.
+fn log_resumed_by_caller(call: &Call, place: &Place) {
+    let target = place.target();
+    call.shared.metrics.resumptions.with_label_values(&["caller"]).inc();
+    info!(
+        request = %call.head.request_id, resumes = call.head.resumes.as_deref(),
+        last_event = call.head.last_event, target_id = %target.id, version = target.version,
+        "call: resumes a stream"
+    );
+}
+
 /// Returns whether a stream of which nothing was received may start again at another target
 /// although a target may have run the call. The stream must be resumable, the target must be down,
 /// and the call must not be blocked because it crashed too many targets.
@@ -161,6 +178,7 @@
     offers: u32,
 ) -> impl futures::Stream<Item = Result<Bytes, BrokenBody>> {
     let mut progress = Progress {
+        began_at: started.place.target(),
         last_event: call.head.last_event,
         events: 0,
         output: Vec::new(),
@@ -290,9 +308,12 @@
             }
         };
         key = place.key;
+        let target = place.target();
+        call.shared.metrics.resumptions.with_label_values(&["host"]).inc();
         info!(
             request = %call.head.request_id, last_event = progress.last_event, down, reason,
-            "call: stream goes on"
+            began_at = %progress.began_at.id, began_version = progress.began_at.version,
+            target_id = %target.id, version = target.version, "call: stream goes on"
         );
         call.shared.metrics.resends.with_label_values(&[reason]).inc();
         let head_timeout = clock::until(call.deadline);
@@ -316,10 +337,8 @@
 fn finish(call: &Call, started: Started, progress: &Progress) {
     let Started { head, connection, place, response } = started;
     let key = place.key;
-    let (target, load) = place.target();
     call.log_answer(&TargetAnswer {
-        target: &target,
-        load,
+        target: &place.target(),
         status: response.status(),
         offers: progress.offers + progress.resumes,
         events: Some(progress.events),
--- a/crates/entry/src/unary.rs
+++ b/crates/entry/src/unary.rs
@@ -110,9 +110,8 @@
         return Err(reason);
     }
 
-    let (target, load) = place.target();
-    let status = parts.status;
-    call.log_answer(&TargetAnswer { target: &target, load, status, offers, events: None });
+    let (target, status) = (place.target(), parts.status);
+    call.log_answer(&TargetAnswer { target: &target, status, offers, events: None });
     place.complete();
     forward::put_back(&call.shared, key, connection, &head);
 
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -17,6 +17,7 @@
         service: "engines".into(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: zone.into(),
+        version: Some("v1".into()),
         slots: 2,
         state: TargetState::Ready,
         born: 1,
--- a/crates/policy/tests/target_table.rs
+++ b/crates/policy/tests/target_table.rs
@@ -39,6 +39,7 @@
         service: "engines".into(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: "a".into(),
+        version: Some("v1".into()),
         slots: 2,
         state: TargetState::Ready,
         born: 1,
--- a/crates/policy/tests/target_table_fuzz/targets.rs
+++ b/crates/policy/tests/target_table_fuzz/targets.rs
@@ -214,6 +214,7 @@
         service: "engines".into(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: "a".into(),
+        version: Some("v1".into()),
         slots: 2,
         state: TargetState::Ready,
         born,
