A host resumes its own stream only at targets of the version that began it

What callers saw: one answer with events of two software versions of a target (ORDER).

Cause: when the target of a resumable stream is gone, `resume` avoided that target and took any other one of the service.

Change: a request for a place may name a version, and placement then chooses only targets of it (`PlacementRequest::version`). A stream names the version of the target that began its answer; if that is not known, or another process has the target's id by now, it goes on only at the same target. A call that waits for a full version no longer keeps those behind it waiting: the queue is walked past it. Its expected wait counts the slots of its version. If no target of the version is left the answer is broken off at once, and the log says why.

`entry_placement` tests the choice and the queue; its test of the queue's order takes calls off by their position, as the product does now.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -111,7 +111,7 @@
 
         let seed = stable_hash(&[self.head.request_id.as_bytes()]);
 
-        PlacementRequest { new_program_rank, parts, object, avoid: Vec::new(), seed }
+        PlacementRequest { new_program_rank, parts, object, seed, ..PlacementRequest::default() }
     }
 
     /// Returns the call's urgency in the queue for a place.
@@ -155,7 +155,7 @@
         }
 
         let TargetAnswer { target, status, offers, events } = *answered;
-        let PlaceTarget { id, version, load } = target;
+        let PlaceTarget { id, version, load, .. } = target;
         info!(
             request = %self.head.request_id, program = self.head.program.as_deref(),
             route = %self.route().name, manifest = self.routing.version,
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -21,6 +21,10 @@
 /// Retry-After of a call for which no target is usable, if no ejected target is due to return.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Retry-After of a stream of which no target of its version is left. Waiting does not help, so that
+/// the caller should begin anew soon.
+const VERSION_GONE_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Retry-After of a new program while its service is full: about as long as a call holds its place.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -100,6 +104,8 @@
     pub(crate) id: Box<str>,
     /// The version of its software, if known.
     pub(crate) version: Option<Box<str>>,
+    /// When its process started (see `TargetEntry::born`).
+    pub(crate) born: u64,
     /// The calls that all hosts have in flight there, as far as this host knows.
     pub(crate) load: u32,
 }
@@ -165,7 +171,7 @@
         let Some(target) = targets.get(self.key) else { return PlaceTarget::default() };
         let (entry, load) = (&target.entry, target.load());
 
-        PlaceTarget { id: entry.id.clone(), version: entry.version.clone(), load }
+        PlaceTarget { id: entry.id.clone(), version: entry.version.clone(), born: entry.born, load }
     }
 
     /// Frees the place with the outcome of the call.
@@ -241,14 +247,14 @@
         Choice::Target(key) if nobody_waits => {
             return Ok(Place::new(shared, service, key, placement));
         }
-        Choice::NoTarget => return Err(no_target(shared, service)),
+        Choice::NoTarget => return Err(no_target(shared, service, placement)),
         Choice::Target(_) | Choice::Full => {}
     }
 
     if urgency.is_new && shared.places.waiting.borrow().len(service) >= MAX_NEW_WAITING {
         return Err(refuse_full());
     }
-    let expected = expected_wait(shared, service, urgency);
+    let expected = expected_wait(shared, service, placement, urgency);
     if !urgency.is_new && expected > clock::until(urgency.deadline) {
         info!(
             service,
@@ -278,10 +284,15 @@
 
 /// Estimates how long a call will wait behind the calls ahead of it at this host, assuming
 /// that the host gets an even share of the places that become free.
-fn expected_wait(shared: &Shared, service: &str, urgency: Urgency) -> Duration {
+fn expected_wait(
+    shared: &Shared,
+    service: &str,
+    placement: &PlacementRequest,
+    urgency: Urgency,
+) -> Duration {
     let ahead = shared.places.waiting.borrow().ahead(service, urgency);
     let targets = shared.targets.borrow();
-    let slots = f64::from(targets.capacity(clock::now(), service).0);
+    let slots = f64::from(targets.permitted_slots(clock::now(), service, placement));
     let places = (slots / shared.fleet.size() as f64).max(1.0);
 
     targets.mean_service_time(service).mul_f64(ahead as f64 / places)
@@ -333,7 +344,7 @@
             shared.metrics.place_wait.observe(waited.as_secs_f64());
             Ok(place)
         }
-        Ok(Err(_)) => Err(no_target(shared, service)),
+        Ok(Err(_)) => Err(no_target(shared, service, placement)),
         Err(_) if urgency.is_new => Err(refuse_full()),
         Err(_) => Err(Refusal::timed_out(false)),
     }
@@ -341,20 +352,29 @@
 
 /// Assigns free places of a service to the waiting calls, in the order of the queue.
 pub(crate) fn assign_places(shared: &Rc<Shared>, service: &str) {
+    let places = &shared.places;
+    let mut passed_over = None;
+
     loop {
-        let places = &shared.places;
-        let Some(id) = places.waiting.borrow().first(service) else { return };
-        let choice = {
+        let next = places.waiting.borrow().next(service, passed_over);
+        let Some((urgency, id)) = next else { return };
+        let (choice, is_limited) = {
             let waiters = places.waiters.borrow();
             let Some(waiter) = waiters.get(&id) else { return };
-            shared.targets.borrow().choose(clock::now(), service, &waiter.placement)
+            let choice = shared.targets.borrow().choose(clock::now(), service, &waiter.placement);
+            (choice, waiter.placement.version.is_some())
         };
 
         if choice == Choice::Full {
+            // Targets of other versions may have places for the calls behind it.
+            if is_limited {
+                passed_over = Some((urgency, id));
+                continue;
+            }
             return;
         }
 
-        places.waiting.borrow_mut().remove_first(service);
+        places.waiting.borrow_mut().remove(service, urgency, id);
         let Some(waiter) = places.waiters.borrow_mut().remove(&id) else { continue };
 
         // Without a usable target, dropping the sender wakes the call with an error.
@@ -371,8 +391,14 @@
     services.iter().for_each(|service| assign_places(shared, service));
 }
 
-fn no_target(shared: &Shared, service: &str) -> Refusal {
-    let back = shared.targets.borrow().time_to_readmission(clock::now(), service);
+/// Returns the refusal of a call for which no target is usable.
+fn no_target(shared: &Shared, service: &str, placement: &PlacementRequest) -> Refusal {
+    let targets = shared.targets.borrow();
+    if placement.version.is_some() && !targets.has_permitted(service, placement) {
+        let reason = "no target of the stream's version is left";
+        return Refusal::retry_later(reason, VERSION_GONE_RETRY_AFTER);
+    }
+    let back = targets.time_to_readmission(clock::now(), service, placement);
 
     Refusal::retry_later(
         "no target can be reached",
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::call::{Call, TargetAnswer};
 use crate::events::EventParser;
 use crate::forward::{self, CallAttempt, SendOutcome, Started};
+use crate::host::Shared;
 use crate::places::{Place, PlaceTarget};
 use crate::turns::Continuation;
 use crate::unary::rejection_reason;
@@ -68,10 +69,10 @@
     let mut placement = call.placement_request();
     let mut offers = 0;
 
-    let started = loop {
+    let (started, began_at) = loop {
         let place = places::take(&call.shared, &call.service, &placement, call.urgency()).await;
         let place = place.map_err(|refusal| call.adjust_refusal(refusal))?;
-        let key = place.key;
+        let (key, target) = (place.key, place.target());
         let head_timeout = clock::until(call.deadline);
         let attempt = CallAttempt {
             call: &call,
@@ -81,10 +82,10 @@
         };
 
         if call.head.last_event.is_some() {
-            log_resumed_by_caller(&call, &place);
+            log_resumed_by_caller(&call, &target);
         }
         match forward::send(&attempt, place).await {
-            SendOutcome::Started(started) => break *started,
+            SendOutcome::Started(started) => break (*started, target),
             SendOutcome::NotRun(reason) => {
                 call.shared.metrics.resends.with_label_values(&[reason]).inc();
                 info!(request = %call.head.request_id, offers, reason, "call: target did not run it");
@@ -118,19 +119,18 @@
     let mut answer = Response::new(AnswerBody::Whole(None));
     *answer.headers_mut() = head::write_answer(started.response.headers());
     *answer.body_mut() = AnswerBody::Pieces(Box::pin(event_stream(
-        call,
+        Rc::clone(&call),
         reservation,
         continuation,
         body,
-        started,
+        BegunAnswer { started, began_at: confirm_version(&call.shared, began_at) },
         offers + 1,
     )));
     Ok(answer)
 }
 
 /// Logs and counts that a call which resumes a stream is sent to a target.
-fn log_resumed_by_caller(call: &Call, place: &Place) {
-    let target = place.target();
+fn log_resumed_by_caller(call: &Call, target: &PlaceTarget) {
     call.shared.metrics.resumptions.with_label_values(&["caller"]).inc();
     info!(
         request = %call.head.request_id, resumes = call.head.resumes.as_deref(),
@@ -148,6 +148,21 @@
         && !call.shared.crashes.borrow().is_blocked(call.fingerprint())
 }
 
+/// An answer that has begun, and the target that began it.
+struct BegunAnswer {
+    started: Started,
+    began_at: PlaceTarget,
+}
+
+/// Forgets the version of a target if another process has its id by now. Which of the two answered
+/// is then not known.
+fn confirm_version(shared: &Shared, target: PlaceTarget) -> PlaceTarget {
+    match shared.targets.borrow().is_replaced(&target.id, target.born) {
+        true => PlaceTarget { version: None, ..target },
+        false => target,
+    }
+}
+
 /// Forwards a failure that a target answered instead of a stream.
 async fn forward_failure(started: Started) -> Result<Answer, Refusal> {
     let (parts, body) = started.response.into_parts();
@@ -174,18 +189,18 @@
     mut reservation: Option<TokenReservation>,
     continuation: Continuation,
     body: Bytes,
-    started: Started,
+    begun: BegunAnswer,
     offers: u32,
 ) -> impl futures::Stream<Item = Result<Bytes, BrokenBody>> {
     let mut progress = Progress {
-        began_at: started.place.target(),
+        began_at: begun.began_at,
         last_event: call.head.last_event,
         events: 0,
         output: Vec::new(),
         offers,
         resumes: 0,
     };
-    let mut current = Some(started);
+    let mut current = Some(begun.started);
     let mut parser = EventParser::default();
 
     async_stream::stream! {
@@ -301,11 +316,7 @@
 
         let place = match down {
             false => places::retake(&call.shared, &call.service, key, &call.placement_request()),
-            true => {
-                let mut placement = call.placement_request();
-                placement.avoid.push(key);
-                places::take(&call.shared, &call.service, &placement, call.urgency()).await.ok()?
-            }
+            true => take_at_version(call, &progress.began_at, key).await?,
         };
         key = place.key;
         let target = place.target();
@@ -333,6 +344,28 @@
     None
 }
 
+/// Takes a place at another target of the version that began a stream, whose target `down` is gone.
+async fn take_at_version(
+    call: &Rc<Call>,
+    began_at: &PlaceTarget,
+    down: TargetKey,
+) -> Option<Place> {
+    let mut placement = call.placement_request();
+    placement.avoid.push(down);
+    placement.version = Some(began_at.version.clone()?);
+
+    let place = places::take(&call.shared, &call.service, &placement, call.urgency()).await;
+    place
+        .inspect_err(|refusal| {
+            info!(
+                request = %call.head.request_id, reason = refusal.reason,
+                began_at = %began_at.id, version = began_at.version,
+                "call: stream does not go on"
+            );
+        })
+        .ok()
+}
+
 /// Logs a stream that ended without a failure, and returns its connection to the pool.
 fn finish(call: &Call, started: Started, progress: &Progress) {
     let Started { head, connection, place, response } = started;
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -101,6 +101,9 @@
     pub object: Option<u64>,
     /// The targets that the call was already sent to.
     pub avoid: Vec<TargetKey>,
+    /// The version of target software that began the stream, for a stream that goes on. Events of
+    /// two versions do not fit together, so no other target may be chosen.
+    pub version: Option<Box<str>>,
     /// The seed of the random draw for a call without a prompt; different for each call.
     pub seed: u64,
 }
@@ -112,6 +115,11 @@
         self.parts.last().map_or(self.seed, |(id, _)| *id)
     }
 
+    /// Returns whether the call may be sent to targets of a version, `None` if that is not known.
+    pub fn permits(&self, version: Option<&str>) -> bool {
+        self.version.is_none() || self.version.as_deref() == version
+    }
+
     /// Returns the limit on the calls in flight at a target with `slots` slots: this call may only
     /// be sent there while fewer are in flight.
     fn limit(&self, slots: u32) -> u32 {
@@ -134,7 +142,7 @@
     /// Targets are usable, but the call must not be sent now: each of them, or the service as a
     /// whole, is too busy for it, or it starts a program and calls wait at other hosts.
     Full,
-    /// No target of the service is usable.
+    /// No target of the service, and of the request's version if it has one, is usable.
     NoTarget,
 }
 
@@ -181,6 +189,12 @@
         self.targets.get(*self.by_id.get(id)?)
     }
 
+    /// Returns whether the target with this id is another process than the one that started at
+    /// `born`.
+    pub fn is_replaced(&self, id: &str, born: u64) -> bool {
+        self.by_id(id).is_some_and(|target| target.entry.born != born)
+    }
+
     /// Returns the targets of a service that are not draining.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
         let keys = self.by_service.get(service).into_iter().flatten();
@@ -323,7 +337,9 @@
     /// weighted by their free slots.
     pub fn choose(&self, now: Instant, service: &str, request: &PlacementRequest) -> Choice {
         let usable = |(key, target): &(TargetKey, &Target)| {
-            !request.avoid.contains(key) && !target.is_ejected(now)
+            request.permits(target.entry.version.as_deref())
+                && !request.avoid.contains(key)
+                && !target.is_ejected(now)
         };
         let is_postponed = request
             .new_program_rank
@@ -459,13 +475,41 @@
         }
     }
 
-    /// Returns the time until the first ejected target of a service gets calls again.
-    pub fn time_to_readmission(&self, now: Instant, service: &str) -> Option<Duration> {
-        let until = self.of_service(service).filter_map(|(_, target)| target.ejected_until);
+    /// Returns the time until the first ejected target of a service that a request may be sent to
+    /// gets calls again.
+    pub fn time_to_readmission(
+        &self,
+        now: Instant,
+        service: &str,
+        request: &PlacementRequest,
+    ) -> Option<Duration> {
+        let until = self.permitted(service, request).filter_map(|target| target.ejected_until);
 
         until.min().map(|at| at.since(now))
     }
 
+    /// Returns whether a service has targets that a request may be sent to, usable or not.
+    pub fn has_permitted(&self, service: &str, request: &PlacementRequest) -> bool {
+        self.permitted(service, request).next().is_some()
+    }
+
+    /// Returns the total slots of a service's usable targets that a request may be sent to.
+    pub fn permitted_slots(&self, now: Instant, service: &str, request: &PlacementRequest) -> u32 {
+        let usable = self.permitted(service, request).filter(|target| !target.is_ejected(now));
+
+        usable.map(|target| target.entry.slots).sum()
+    }
+
+    fn permitted(
+        &self,
+        service: &str,
+        request: &PlacementRequest,
+    ) -> impl Iterator<Item = &Target> {
+        let targets = self.of_service(service).map(|(_, target)| target);
+
+        targets.filter(|target| request.permits(target.entry.version.as_deref()))
+    }
+
     /// Returns the total slots of a service's usable targets, and their total calls in flight.
     pub fn capacity(&self, now: Instant, service: &str) -> (u32, u32) {
         let usable = self.of_service(service).filter(|(_, target)| !target.is_ejected(now));
--- a/crates/policy/src/entry/waiting.rs
+++ b/crates/policy/src/entry/waiting.rs
@@ -8,6 +8,7 @@
 //! then by the earliest deadline.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::time::Instant;
@@ -64,16 +65,21 @@
         }
     }
 
-    /// Removes the most urgent call of a service.
-    pub fn remove_first(&mut self, service: &str) {
-        if let Some(queue) = self.queues.get_mut(service) {
-            queue.pop_first();
-        }
-    }
-
     /// Returns the most urgent call of a service.
     pub fn first(&self, service: &str) -> Option<WaiterId> {
-        self.queues.get(service)?.first_key_value().map(|((_, id), ())| *id)
+        self.next(service, None).map(|(_, id)| id)
+    }
+
+    /// Returns the most urgent call of a service after another one, or of all without one.
+    pub fn next(
+        &self,
+        service: &str,
+        after: Option<(Urgency, WaiterId)>,
+    ) -> Option<(Urgency, WaiterId)> {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut following = self.queues.get(service)?.range((from, Bound::Unbounded));
+
+        following.next().map(|(position, ())| *position)
     }
 
     /// Returns how many waiting calls of a service are more urgent than `urgency`.
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -225,9 +225,9 @@
     waiting.push("engines", urgency(false, 0, 10), WaiterId(4));
 
     let mut order = Vec::new();
-    while let Some(id) = waiting.first("engines") {
+    while let Some((urgency, id)) = waiting.next("engines", None) {
         order.push(id.0);
-        waiting.remove_first("engines");
+        waiting.remove("engines", urgency, id);
     }
 
     assert_eq!(order, [4, 3, 2, 1, 5]);
@@ -501,3 +501,44 @@
     assert!(both_free > 75, "{both_free}");
     assert_eq!(near_full, 0);
 }
+
+/// Returns a request of a stream that a target of `version` began.
+fn resuming(version: &str) -> PlacementRequest {
+    PlacementRequest { version: Some(version.into()), ..PlacementRequest::default() }
+}
+
+fn versioned(id: &str, version: Option<&str>) -> TargetEntry {
+    TargetEntry { version: version.map(Into::into), ..entry(id, "a") }
+}
+
+#[test]
+fn a_stream_that_goes_on_is_sent_only_to_targets_of_its_version() {
+    // Guards against a stream with events of two versions, also if its version is full or gone.
+    let mut targets = Targets::new("a");
+    targets.put(versioned("old", Some("v1")));
+    targets.put(versioned("new", Some("v2")));
+    targets.put(versioned("unknown", None));
+
+    let sent: Vec<_> = (0..4).map_while(|_| send(&mut targets, &resuming("v1"))).collect();
+
+    assert!(sent.iter().all(|key| name(&targets, *key) == "old") && sent.len() == 4);
+    assert_eq!(targets.choose(NOW, "engines", &resuming("v1")), Choice::Full);
+    assert_eq!(targets.choose(NOW, "engines", &resuming("v3")), Choice::NoTarget);
+}
+
+#[test]
+fn a_waiting_call_that_is_passed_over_stays_in_the_queue() {
+    // Guards against a stream that waits for its version, and keeps all calls behind it waiting.
+    let mut waiting = WaitQueue::default();
+    let urgency =
+        |ms| Urgency { is_late: false, is_new: false, rank: 0, deadline: Instant::from_millis(ms) };
+    waiting.push("engines", urgency(10), WaiterId(1));
+    waiting.push("engines", urgency(20), WaiterId(2));
+
+    let first = waiting.next("engines", None);
+    let second = waiting.next("engines", first);
+
+    assert_eq!(first, Some((urgency(10), WaiterId(1))));
+    assert_eq!(second, Some((urgency(20), WaiterId(2))));
+    assert_eq!((waiting.next("engines", second), waiting.len("engines")), (None, 2));
+}
