A stream that its caller resumes goes on only at the version that began it

Cause: a call with a last event was placed like a new one, at any target of the service. The host that takes it is mostly not the one that forwarded the first events, and nothing told it where the stream began.

Change: `policy/entry/stream_origins.rs` decides on plain inputs whether a call begins a stream, may go on, or is refused. When a target begins to answer, and before any event is forwarded, the host records the stream's service and version under the request id and under a hash of the call, and tells two hosts of its zone and one of another (rendezvous hashing by the hash of the call). A call that resumes a stream is looked up here, at those hosts, then at all others. It is then bound to the service and version. A version counts as unknown if another process has taken the target's id before it answered. A caller that names no attempt is found by the hash of its call, and refused if streams of that call began at several versions.

Why it works: what is told is fixed when it is told, since the answer goes on only at the version whose head was passed on, so that no message can be overtaken by another truth; a lost one leads to a refusal. No wait is added to a stream.

Weighed: a row in the store for each stream (up to 1,200 writes a second for all; ends of turns go first; a zone that is cut off has no store); a row only if several versions are known (the first streams of a new version would be missed); notes in status updates (100 ms late, as long as a stream lasts; to all hosts 195 x 700 notes a second at the largest size); a version computed from the id and the listing (listings differ while a version is released, which is when it matters). Cost: four small messages a stream, none for routes that are not resumable.

A host that has just started has heard no other one for up to five seconds; it tells those it knows by their rows, apart from the ones that fell silent. A reply that nobody waits for is not sent any more.

--- a/crates/core/src/entry/routing.rs
+++ b/crates/core/src/entry/routing.rs
@@ -24,6 +24,11 @@
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
     }
+
+    /// Returns whether the answer is a stream that another target can continue.
+    pub fn is_resumable(self) -> bool {
+        self == Self::Stream { resumable: true }
+    }
 }
 
 /// A service that a route sends calls to, with its share of the traffic.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -15,6 +15,7 @@
 use camphorwalk_policy::entry::placement::PlacementRequest;
 use camphorwalk_policy::entry::rates::Admission;
 use camphorwalk_policy::entry::routes;
+use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey};
 use camphorwalk_policy::entry::waiting::Urgency;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -27,7 +28,7 @@
 use crate::host::{OpenRequest, Shared};
 use crate::places::PlaceTarget;
 use crate::turns::{self, Continuation};
-use crate::{callers, clock, places, stream, unary};
+use crate::{callers, clock, places, stream, stream_origins, unary};
 
 /// The time-out of a call whose route sets none. A caller can only shorten it.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -75,6 +76,9 @@
     /// Whether an attempt may have run at a target.
     pub(crate) attempts: Cell<Attempts>,
     fingerprint: Fingerprint,
+    /// Where the stream began that the call resumes, if it does. The call may be sent to no other
+    /// service or version.
+    origin: Option<Origin>,
     /// Whether the call begins a program, as far as this host can tell.
     is_new: Cell<bool>,
     /// Counts the request as open until the answer is complete.
@@ -111,7 +115,9 @@
 
         let seed = stable_hash(&[self.head.request_id.as_bytes()]);
 
-        PlacementRequest { new_program_rank, parts, object, seed, ..PlacementRequest::default() }
+        let version = self.origin.as_ref().map(|origin| origin.version.clone());
+
+        PlacementRequest { new_program_rank, parts, object, avoid: Vec::new(), version, seed }
     }
 
     /// Returns the call's urgency in the queue for a place.
@@ -198,6 +204,33 @@
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         self.fingerprint
     }
+
+    /// Returns the key of the streams that the call brings, however often it is sent.
+    pub(crate) fn content_key(&self) -> StreamKey {
+        let program = self.head.program.as_deref().unwrap_or_default();
+        let session = self.head.session.as_deref().unwrap_or_default();
+
+        StreamKey::of_content(self.fingerprint, program, session)
+    }
+
+    /// Returns the keys by which a caller may resume the call's stream. If the call itself resumes
+    /// a stream, these are that stream's keys.
+    pub(crate) fn stream_keys(&self) -> Vec<StreamKey> {
+        let tenant = self.tenant.as_deref().unwrap_or_default();
+        let first_attempt = match self.head.last_event {
+            Some(_) => self.head.resumes.as_deref(),
+            None => Some(&*self.head.request_id),
+        };
+        let named = first_attempt.map(|id| StreamKey::of_attempt(tenant, id));
+
+        named.into_iter().chain([self.content_key()]).collect()
+    }
+
+    /// Sends the call, which resumes a stream, only to the service and version that began it.
+    pub(crate) fn bind_to_origin(&mut self, origin: Origin) {
+        self.service = origin.service.clone();
+        self.origin = Some(origin);
+    }
 }
 
 /// The route and tenant of a request, as far as they are known: labels of its metrics, and fields
@@ -269,16 +302,19 @@
     if shared.refuses_new_calls() {
         return Err(Refusal::retry_later_jittered("the host is leaving", SHUTDOWN_RETRY_AFTER));
     }
-    let call = read_request(shared, req, received_at, open).await?;
+    let mut call = read_request(shared, req, received_at, open).await?;
     labels.route = call.route().name.clone();
     labels.tenant = call.tenant.clone().unwrap_or_default();
     admit(&call).await?;
 
+    let resolved = stream_origins::resolve(&mut call).await;
     let call = Rc::new(call);
     let left = clock::until(call.deadline);
-    let result = match timeout(left, forward(Rc::clone(&call))).await {
-        Ok(result) => result,
-        Err(_) => Err(Refusal::timed_out(call.may_have_run())),
+    let result = match resolved {
+        Err(refusal) => Err(refusal),
+        Ok(()) => timeout(left, forward(Rc::clone(&call)))
+            .await
+            .unwrap_or_else(|_| Err(Refusal::timed_out(call.may_have_run()))),
     };
 
     // A refused call that no target may have run does not count towards its tenant's rate.
@@ -338,6 +374,7 @@
         deadline,
         attempts: Cell::default(),
         fingerprint,
+        origin: None,
         _open: open,
         head,
     };
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -98,6 +98,8 @@
     /// The version of this host's own row in the store, as last seen.
     own_row_version: Cell<RowVersion>,
     statuses: RefCell<Map<HostId, HostStatus>>,
+    /// The hosts that were heard, and then sent no status update for [`SILENCE_TIMEOUT`].
+    silent: RefCell<Set<HostId>>,
     peers: RefCell<Option<Peers>>,
 }
 
@@ -137,6 +139,7 @@
             seen: RefCell::default(),
             own_row_version: Cell::new(RowVersion::ABSENT),
             statuses: RefCell::default(),
+            silent: RefCell::default(),
             peers: RefCell::default(),
         }
     }
@@ -347,6 +350,16 @@
         peers.as_ref().is_some_and(|peers| peers.send(host, PeerMessage::from(body)))
     }
 
+    /// Returns the other known hosts that have not fallen silent, with their zones. A process that
+    /// has just started has not heard of most of them yet.
+    pub(crate) fn hosts_not_silent(&self) -> Vec<(HostId, Box<str>)> {
+        let silent = self.silent.borrow();
+        let known = self.known.borrow();
+        let others = known.iter().filter(|(host, _)| !silent.contains(host));
+
+        others.map(|(host, known)| (*host, known.zone.clone())).collect()
+    }
+
     /// Returns the other known hosts of this host's availability zone.
     pub(crate) fn zone_hosts(&self) -> Vec<HostId> {
         let known = self.known.borrow();
@@ -390,6 +403,7 @@
     /// [`drop_silent_hosts`]) or came from an earlier run of the host's process.
     pub(crate) fn record_status(&self, host: HostId, status: HostStatus) -> bool {
         let before = self.statuses.borrow_mut().insert(host, status);
+        self.silent.borrow_mut().remove(&host);
 
         before.is_none_or(|before| before.run != status.run)
     }
@@ -605,6 +619,7 @@
         }
     }
 
+    fleet.silent.borrow_mut().retain(|host| known.contains_key(host));
     shared.status_exchange.borrow_mut().retain(|host| known.contains_key(&host));
     let mut rates = shared.rates.borrow_mut();
     rates.set_peers(known.keys().copied().collect());
@@ -627,6 +642,7 @@
 
     for host in silent {
         info!(host = host.0, "fleet: host silent");
+        shared.fleet.silent.borrow_mut().insert(host);
         shared.targets.borrow_mut().set_remote_load(host, Map::default(), Map::default());
     }
 }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -19,6 +19,7 @@
 use camphorwalk_policy::entry::recent::RecentMap;
 use camphorwalk_policy::entry::routes::RouteTable;
 use camphorwalk_policy::entry::status_exchange::StatusExchange;
+use camphorwalk_policy::entry::stream_origins::StreamOrigins;
 use camphorwalk_policy::entry::target_table::TargetTable;
 use camphorwalk_policy::entry::turns::TurnCache;
 use camphorwalk_store::{Client, ClientOptions, QuotaOptions, RetryOptions};
@@ -122,6 +123,7 @@
     /// The other host that last reported a turn of a conversation, by the id of the conversation's
     /// prompt part.
     pub(crate) conversation_hosts: RefCell<RecentMap<u64, HostId>>,
+    pub(crate) stream_origins: RefCell<StreamOrigins>,
     pub(crate) written_turns: RefCell<retention::WrittenTurns>,
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) fleet: Fleet,
@@ -321,6 +323,7 @@
             budget_locks: RefCell::default(),
             turns: RefCell::new(TurnCache::new(turn_bytes)),
             conversation_hosts: RefCell::new(RecentMap::new(CONVERSATION_HOSTS_KEPT)),
+            stream_origins: RefCell::default(),
             written_turns: RefCell::default(),
             crashes: RefCell::default(),
             fleet: Fleet::new(&settings.name, &settings.zone),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod status_updates;
 mod store;
 mod stream;
+mod stream_origins;
 mod turn_storage;
 mod turns;
 mod unary;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,6 +30,8 @@
     pub(crate) unanswered: IntCounterVec,
     /// Calls that were sent to another target or resumed, by reason.
     pub(crate) resends: IntCounterVec,
+    /// Streams that callers resumed, by who knew at which version they began.
+    pub(crate) stream_lookups: IntCounterVec,
     /// Streams that were sent to a target to be resumed, by who resumed them: `host`, within one
     /// answer, or `caller`.
     pub(crate) resumptions: IntCounterVec,
@@ -111,6 +113,11 @@
                 &["cause"],
             )?,
             resends: by("camphorwalk_resends_total", "Calls sent again, by reason.", &["reason"])?,
+            stream_lookups: by(
+                "camphorwalk_stream_lookups_total",
+                "Streams that callers resumed, by who knew where they began.",
+                &["source"],
+            )?,
             resumptions: by(
                 "camphorwalk_resumptions_total",
                 "Streams sent to a target to be resumed, by the host or by the caller.",
--- a/crates/entry/src/queries.rs
+++ b/crates/entry/src/queries.rs
@@ -11,6 +11,7 @@
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowVersion};
 use camphorwalk_policy::entry::budgets::{BudgetRow, Claim, KnownRow, ProgramKey, RunId};
 use camphorwalk_policy::entry::shares::Doubt;
+use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey};
 use camphorwalk_policy::entry::target_table;
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
 use serde::{Deserialize, Serialize};
@@ -19,7 +20,7 @@
 use tracing::warn;
 
 use crate::host::Shared;
-use crate::{budget, clock, grants, manifests, store, turns};
+use crate::{budget, clock, grants, manifests, store, stream_origins, turns};
 
 /// A query to another host. The comment on each variant says what the receiver does.
 #[derive(Debug, Serialize, Deserialize)]
@@ -53,6 +54,10 @@
     /// Returns the receiver's copy of the target table. The rows are left out if none has changed
     /// since this version of the store.
     Targets(RowVersion),
+    /// Records at which service and version the streams with these keys began.
+    StreamBegan(Vec<StreamKey>, Origin),
+    /// Returns where a stream began, if the receiver knows.
+    StreamOrigin(StreamKey),
     /// Sends the manifest in force at the receiver, as a separate message before the reply.
     Manifest,
 }
@@ -100,6 +105,8 @@
     Line(Vec<(TurnKey, Turn)>),
     /// The copy of the target table; `None` if the replying host has none yet.
     Targets(Option<target_table::TableCopy>),
+    /// Where the stream began, if the replying host knows.
+    StreamOrigin(Option<Origin>),
     /// The host cannot carry out the query now.
     Refused,
 }
@@ -155,14 +162,15 @@
     rx.await.ok()
 }
 
+/// The id of queries whose sender ignores the reply.
+const UNUSED_ID: u64 = u64::MAX;
+
 /// Sends a query to another host without waiting for the reply.
 pub(crate) fn notify(shared: &Shared, host: HostId, query: &Query) {
-    /// An id that no pending query has, so that the reply is ignored.
-    const UNUSED_ID: u64 = u64::MAX;
-
     if let Some(question) = encode(query) {
-        // These queries send rows of budgets. A lost one does no harm, because a host fetches the
-        // row from other hosts before it grants tokens without the store.
+        // These queries send rows of budgets and origins of streams. A lost one does no harm: a host
+        // fetches the row from other hosts before it grants tokens without the store, and refuses to
+        // resume a stream whose origin it does not find out.
         shared.fleet.send(host, Body::PeerQuery(wire::PeerQuery { id: UNUSED_ID, question }));
     }
 }
@@ -177,6 +185,9 @@
         }
     };
 
+    if message.id == UNUSED_ID {
+        return;
+    }
     if let Some(reply) = encode(&reply) {
         // If the reply is lost, the querying host runs into its timeout.
         shared
@@ -207,6 +218,13 @@
         Query::Targets(has) => {
             QueryReply::Targets(shared.target_table.borrow().copy_for(clock::now(), has))
         }
+        Query::StreamBegan(keys, origin) => {
+            stream_origins::record_keys(shared, &keys, &origin);
+            QueryReply::Done
+        }
+        Query::StreamOrigin(key) => {
+            QueryReply::StreamOrigin(stream_origins::known_origin(shared, key))
+        }
         Query::Line(key) => QueryReply::Line(turns::cached_conversation(shared, key)),
         Query::Find(key) => QueryReply::Turn(turns::cached_turn(shared, key)),
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -5,7 +5,6 @@
 
 use bytes::{Bytes, BytesMut};
 use camphorwalk_adapter::head;
-use camphorwalk_core::entry::RetryPolicy;
 use camphorwalk_policy::entry::placement::{Outcome, TargetKey};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt as _;
@@ -21,7 +20,7 @@
 use crate::places::{Place, PlaceTarget};
 use crate::turns::Continuation;
 use crate::unary::rejection_reason;
-use crate::{clock, places, turn_storage};
+use crate::{clock, places, stream_origins, turn_storage};
 
 /// The maximum number of targets that are tried for a turn until one of them starts the stream.
 const MAX_OFFERS: u32 = 4;
@@ -116,6 +115,9 @@
         return forward_failure(started).await;
     }
 
+    let began_at = confirm_version(&call.shared, began_at);
+    stream_origins::record(&call, &began_at);
+
     let mut answer = Response::new(AnswerBody::Whole(None));
     *answer.headers_mut() = head::write_answer(started.response.headers());
     *answer.body_mut() = AnswerBody::Pieces(Box::pin(event_stream(
@@ -123,7 +125,7 @@
         reservation,
         continuation,
         body,
-        BegunAnswer { started, began_at: confirm_version(&call.shared, began_at) },
+        BegunAnswer { started, began_at },
         offers + 1,
     )));
     Ok(answer)
@@ -143,7 +145,7 @@
 /// although a target may have run the call. The stream must be resumable, the target must be down,
 /// and the call must not be blocked because it crashed too many targets.
 fn may_restart(call: &Call, crashed: bool) -> bool {
-    call.route().retry_policy == RetryPolicy::Stream { resumable: true }
+    call.route().retry_policy.is_resumable()
         && crashed
         && !call.shared.crashes.borrow().is_blocked(call.fingerprint())
 }
@@ -303,7 +305,7 @@
     mut key: TargetKey,
     reason: &'static str,
 ) -> Option<Started> {
-    if call.route().retry_policy != (RetryPolicy::Stream { resumable: true }) {
+    if !call.route().retry_policy.is_resumable() {
         return None;
     }
 
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -17,6 +17,7 @@
 pub mod routes;
 pub mod shares;
 pub mod status_exchange;
+pub mod stream_origins;
 pub mod target_table;
 pub mod transfers;
 pub mod turn_writes;
--- /dev/null
+++ b/crates/policy/src/entry/stream_origins.rs
@@ -0,0 +1,253 @@
+//! Which targets began the streams that callers may resume, and where such a stream may go on.
+//!
+//! What targets of two software versions write does not fit together. A caller that resumes a
+//! stream may reach another host than the one that forwarded its first events, so a host tells
+//! others the service and version at which a stream began. A host that does not know them refuses
+//! the call: even if all its targets have one version, the stream may have begun at another.
+
+use camphorwalk_core::entry::{Route, WeightedService};
+use camphorwalk_core::hash::{rendezvous_weight, stable_hash};
+use camphorwalk_core::ids::HostId;
+use serde::{Deserialize, Serialize};
+
+use crate::entry::crashes::Fingerprint;
+use crate::entry::recent::RecentMap;
+
+/// A host remembers the origins of at least this many of the streams that it last heard of. Each
+/// stream has up to two keys.
+const STREAMS_KEPT: usize = 8_192;
+
+/// The most origins that are remembered at a time, one for each version of a service.
+const MAX_ORIGINS: usize = 1_024;
+
+/// How many hosts of the own availability zone are told where a stream began, and of all others.
+const NEAR_COPIES: usize = 2;
+const FAR_COPIES: usize = 1;
+
+/// Identifies a stream of a tenant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// Returns the key of the stream whose first event was brought by the call `request_id` of a
+    /// tenant.
+    ///
+    /// ```
+    /// use camphorwalk_policy::entry::stream_origins::StreamKey;
+    /// assert_ne!(StreamKey::of_attempt("easel", "r-1"), StreamKey::of_attempt("ramp", "r-1"));
+    /// ```
+    pub fn of_attempt(tenant: &str, request_id: &str) -> Self {
+        Self(stable_hash(&[b"stream", tenant.as_bytes(), request_id.as_bytes()]))
+    }
+
+    /// Returns the key of the streams that the same call of a program brings, however often it is
+    /// sent.
+    pub fn of_content(fingerprint: Fingerprint, program: &str, session: &str) -> Self {
+        let call = fingerprint.0.to_be_bytes();
+
+        Self(stable_hash(&[b"content", &call, program.as_bytes(), session.as_bytes()]))
+    }
+}
+
+/// The service and software version of the target that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Name of the service.
+    pub service: Box<str>,
+    /// The version of the target's software.
+    pub version: Box<str>,
+}
+
+/// Index of an origin in the list of a [`StreamOrigins`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct OriginKey(usize);
+
+/// What is known of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Known {
+    BeganAt(OriginKey),
+    /// Streams with the same key began at different origins.
+    Ambiguous,
+}
+
+/// The origins of streams, as far as a host remembers them.
+#[derive(Clone, Debug)]
+pub struct StreamOrigins {
+    origins: Vec<Origin>,
+    streams: RecentMap<StreamKey, Known>,
+}
+
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        Self { origins: Vec::new(), streams: RecentMap::new(STREAMS_KEPT) }
+    }
+}
+
+impl StreamOrigins {
+    /// Records where a stream began.
+    ///
+    /// ```
+    /// use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey, StreamOrigins};
+    /// let at = |version: &str| Origin { service: "engines".into(), version: version.into() };
+    /// let key = StreamKey::of_attempt("easel", "r-1");
+    /// let mut origins = StreamOrigins::default();
+    /// origins.record(key, &at("v1"));
+    /// assert_eq!(origins.get(key), Some(&at("v1")));
+    /// origins.record(key, &at("v2"));
+    /// assert_eq!(origins.get(key), None);
+    /// ```
+    pub fn record(&mut self, stream: StreamKey, origin: &Origin) {
+        let began_at = Known::BeganAt(self.intern(origin));
+        let known = match self.streams.get(&stream) {
+            Some(known) if known != began_at => Known::Ambiguous,
+            _ => began_at,
+        };
+
+        self.streams.put(stream, known);
+    }
+
+    /// Returns where a stream began, unless that is not known or ambiguous.
+    pub fn get(&self, stream: StreamKey) -> Option<&Origin> {
+        match self.streams.get(&stream)? {
+            Known::BeganAt(OriginKey(index)) => self.origins.get(index),
+            Known::Ambiguous => None,
+        }
+    }
+
+    fn intern(&mut self, origin: &Origin) -> OriginKey {
+        if let Some(index) = self.origins.iter().position(|known| known == origin) {
+            return OriginKey(index);
+        }
+        if self.origins.len() >= MAX_ORIGINS {
+            *self = Self::default();
+        }
+        self.origins.push(origin.clone());
+
+        OriginKey(self.origins.len() - 1)
+    }
+}
+
+/// Why a call that resumes a stream is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResumeRefusal {
+    /// The route does not allow it.
+    NotResumable,
+    /// Neither this host nor any that it reaches knows at which version the stream began.
+    OriginUnknown,
+    /// The route no longer leads to the service at which the stream began.
+    ServiceGone,
+}
+
+impl ResumeRefusal {
+    /// Returns the reason for the caller and the logs.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::NotResumable => "streams of this route cannot be resumed",
+            Self::OriginUnknown => "it is not known at which version the stream began",
+            Self::ServiceGone => "the route no longer leads to the service of the stream",
+        }
+    }
+}
+
+/// What to do about a call on a streaming route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamStart {
+    /// The call begins a stream, at any target.
+    Begin,
+    /// The call resumes a stream: find out where that began.
+    LookUp(StreamKey),
+    /// Refuse the call.
+    Refuse(ResumeRefusal),
+}
+
+/// The properties of a call that decide whether it resumes a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamCall<'a> {
+    /// The call's tenant.
+    pub tenant: &'a str,
+    /// The id of the last event that the caller received.
+    pub last_event: Option<u64>,
+    /// The attempt that brought the first event, if the caller names it.
+    pub resumes: Option<&'a str>,
+    /// The key of the call's content, by which the stream is found if the caller names no attempt.
+    pub content: StreamKey,
+}
+
+/// Returns whether a call begins a stream or resumes one.
+///
+/// Without a last event nothing is joined to what the caller has, so the call begins a stream, even
+/// if it names an earlier one.
+pub fn stream_start(route: &Route, call: StreamCall<'_>) -> StreamStart {
+    if call.last_event.is_none() {
+        return StreamStart::Begin;
+    }
+    if !route.retry_policy.is_resumable() {
+        return StreamStart::Refuse(ResumeRefusal::NotResumable);
+    }
+
+    match call.resumes {
+        Some(attempt) => StreamStart::LookUp(StreamKey::of_attempt(call.tenant, attempt)),
+        None => StreamStart::LookUp(call.content),
+    }
+}
+
+/// Returns where a stream that was looked up may go on.
+///
+/// # Errors
+///
+/// Returns why the call must be refused.
+pub fn resume_at(
+    services: &[WeightedService],
+    origin: Option<Origin>,
+) -> std::result::Result<Origin, ResumeRefusal> {
+    let origin = origin.ok_or(ResumeRefusal::OriginUnknown)?;
+
+    match services.iter().any(|candidate| candidate.service == origin.service) {
+        true => Ok(origin),
+        false => Err(ResumeRefusal::ServiceGone),
+    }
+}
+
+/// Another host that may be told or asked where a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// The host.
+    pub host: HostId,
+    /// Its availability zone.
+    pub zone: &'a str,
+}
+
+/// Returns the hosts to tell where a stream began: some of this host's zone, where its caller comes
+/// back to, and one of another zone, in case this one is lost or its hosts are not ready.
+pub fn hosts_to_tell(content: StreamKey, zone: &str, hosts: &[Candidate<'_>]) -> Vec<HostId> {
+    let (near, far): (Vec<_>, Vec<_>) =
+        in_order(content, hosts).into_iter().partition(|candidate| candidate.zone == zone);
+    let told = near.into_iter().take(NEAR_COPIES).chain(far.into_iter().take(FAR_COPIES));
+
+    told.map(|candidate| candidate.host).collect()
+}
+
+/// Returns the hosts to ask first where a stream began. Whatever zone the host is in that forwarded
+/// its first events, one of these was told, as long as both hosts hear the same others.
+pub fn hosts_to_ask(content: StreamKey, zone: &str, hosts: &[Candidate<'_>]) -> Vec<HostId> {
+    let mut asked: Vec<Candidate<'_>> = Vec::new();
+
+    for candidate in in_order(content, hosts) {
+        let copies = if candidate.zone == zone { NEAR_COPIES } else { FAR_COPIES };
+        if asked.iter().filter(|other| other.zone == candidate.zone).count() < copies {
+            asked.push(candidate);
+        }
+    }
+
+    asked.into_iter().map(|candidate| candidate.host).collect()
+}
+
+/// Returns hosts in an order that is the same at all hosts that know them.
+fn in_order<'a>(stream: StreamKey, hosts: &[Candidate<'a>]) -> Vec<Candidate<'a>> {
+    let mut hosts = hosts.to_vec();
+    hosts.sort_unstable_by_key(|candidate| {
+        std::cmp::Reverse(rendezvous_weight(stream.0, candidate.host.0))
+    });
+
+    hosts
+}
