A stored turn is not resumed at a host that lacks its first events

What callers would see: a turn that continues from a resumed one runs with a prompt that lacks the first events of the earlier answer.

Cause: the row holds what this call brought. A call that resumes a turn at another host brings only the events after its last one.

Change: such a call is refused at once, and its caller begins the turn anew.

--- a/crates/policy/src/entry/stream_origins.rs
+++ b/crates/policy/src/entry/stream_origins.rs
@@ -132,6 +132,9 @@
 pub enum ResumeRefusal {
     /// The route does not allow it.
     NotResumable,
+    /// The route stores turns. The host that resumes a turn lacks its earlier events, so that it
+    /// could store only a part of it.
+    TurnIncomplete,
     /// Neither this host nor any that it reaches knows at which version the stream began.
     OriginUnknown,
     /// The route no longer leads to the service at which the stream began.
@@ -143,6 +146,7 @@
     pub fn reason(self) -> &'static str {
         match self {
             Self::NotResumable => "streams of this route cannot be resumed",
+            Self::TurnIncomplete => "the earlier part of a stored turn is not known here",
             Self::OriginUnknown => "it is not known at which version the stream began",
             Self::ServiceGone => "the route no longer leads to the service of the stream",
         }
@@ -184,6 +188,9 @@
     if !route.retry_policy.is_resumable() {
         return StreamStart::Refuse(ResumeRefusal::NotResumable);
     }
+    if route.turn_retention.is_some() {
+        return StreamStart::Refuse(ResumeRefusal::TurnIncomplete);
+    }
 
     match call.resumes {
         Some(attempt) => StreamStart::LookUp(StreamKey::of_attempt(call.tenant, attempt)),
