Two hosts of other zones are told where a stream began

What callers would see: streams begun anew after most hosts of a zone were killed together.

`most_streams_go_on_after_many_hosts_are_killed_at_once` holds the bound of half for 10 to 195 hosts of which 60 in 100 are killed, `all_streams_go_on_after_a_zone_is_lost` for a zone.

--- a/crates/policy/src/entry/stream_origins.rs
+++ b/crates/policy/src/entry/stream_origins.rs
@@ -20,9 +20,10 @@
 /// The most origins that are remembered at a time, one for each version of a service.
 const MAX_ORIGINS: usize = 1_024;
 
-/// How many hosts of the own availability zone are told where a stream began, and of all others.
+/// How many hosts of the own availability zone are told where a stream began, and of all other
+/// zones together.
 const NEAR_COPIES: usize = 2;
-const FAR_COPIES: usize = 1;
+const FAR_COPIES: usize = 2;
 
 /// Identifies a stream of a tenant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -225,7 +226,7 @@
 }
 
 /// Returns the hosts to tell where a stream began: some of this host's zone, where its caller comes
-/// back to, and one of another zone, in case this one is lost or its hosts are not ready.
+/// back to, and some of other zones, in case this one is lost or its hosts are not ready.
 pub fn hosts_to_tell(content: StreamKey, zone: &str, hosts: &[Candidate<'_>]) -> Vec<HostId> {
     let (near, far): (Vec<_>, Vec<_>) =
         in_order(content, hosts).into_iter().partition(|candidate| candidate.zone == zone);
