A stream does not go on at the version that its target had before it was replaced

What callers would see: ORDER again, when a target starts anew under its id with another version.

Cause: the origin of a stream is the version in the entry that the host knew when the answer began. A target that was replaced in place answers from its start on, and its new entry reaches hosts up to a second later. The host then told others the former version.

Change: a host remembers the streams that began at it within five seconds. When another process takes a target's id, it tells the new version for those of this target. If the versions differ, the origin becomes ambiguous everywhere, and the stream is refused; if not, nothing changes. The same check is made before a stream goes on within one answer.

What remains: while the store is away no new entry arrives, and a target that is replaced in place at another version meanwhile is not noticed.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -15,7 +15,7 @@
 use camphorwalk_policy::entry::placement::PlacementRequest;
 use camphorwalk_policy::entry::rates::Admission;
 use camphorwalk_policy::entry::routes;
-use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey};
+use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey, StreamKeys};
 use camphorwalk_policy::entry::waiting::Urgency;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -215,15 +215,15 @@
 
     /// Returns the keys by which a caller may resume the call's stream. If the call itself resumes
     /// a stream, these are that stream's keys.
-    pub(crate) fn stream_keys(&self) -> Vec<StreamKey> {
+    pub(crate) fn stream_keys(&self) -> StreamKeys {
         let tenant = self.tenant.as_deref().unwrap_or_default();
         let first_attempt = match self.head.last_event {
             Some(_) => self.head.resumes.as_deref(),
             None => Some(&*self.head.request_id),
         };
-        let named = first_attempt.map(|id| StreamKey::of_attempt(tenant, id));
+        let attempt = first_attempt.map(|id| StreamKey::of_attempt(tenant, id));
 
-        named.into_iter().chain([self.content_key()]).collect()
+        StreamKeys { attempt, content: self.content_key() }
     }
 
     /// Sends the call, which resumes a stream, only to the service and version that began it.
--- a/crates/entry/src/queries.rs
+++ b/crates/entry/src/queries.rs
@@ -11,7 +11,7 @@
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowVersion};
 use camphorwalk_policy::entry::budgets::{BudgetRow, Claim, KnownRow, ProgramKey, RunId};
 use camphorwalk_policy::entry::shares::Doubt;
-use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey};
+use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey, StreamKeys};
 use camphorwalk_policy::entry::target_table;
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
 use serde::{Deserialize, Serialize};
@@ -54,8 +54,8 @@
     /// Returns the receiver's copy of the target table. The rows are left out if none has changed
     /// since this version of the store.
     Targets(RowVersion),
-    /// Records at which service and version the streams with these keys began.
-    StreamBegan(Vec<StreamKey>, Origin),
+    /// Records at which service and version a stream began.
+    StreamBegan(StreamKeys, Origin),
     /// Returns where a stream began, if the receiver knows.
     StreamOrigin(StreamKey),
     /// Sends the manifest in force at the receiver, as a separate message before the reply.
@@ -218,8 +218,8 @@
         Query::Targets(has) => {
             QueryReply::Targets(shared.target_table.borrow().copy_for(clock::now(), has))
         }
-        Query::StreamBegan(keys, origin) => {
-            stream_origins::record_keys(shared, &keys, &origin);
+        Query::StreamBegan(stream, origin) => {
+            stream_origins::record_told(shared, stream, &origin);
             QueryReply::Done
         }
         Query::StreamOrigin(key) => {
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -19,7 +19,7 @@
 
 use crate::host::Shared;
 use crate::queries::{self, Query, QueryReply};
-use crate::{clock, places, store};
+use crate::{clock, places, store, stream_origins};
 
 /// The number of rows in a page of a full read of the table.
 const PAGE_ROWS: u32 = 500;
@@ -223,18 +223,19 @@
 
 fn use_entry(shared: &Rc<Shared>, entry: TargetEntry, as_of: RowVersion, source: Source) {
     let (id, state, born) = (entry.id.clone(), entry.state, entry.born);
-    let version = entry.version.clone();
     let before = {
         let targets = shared.targets.borrow();
         targets.by_id(&id).map(|target| (target.entry.state, target.entry.born))
     };
 
-    if let Some(former) = shared.targets.borrow_mut().put(entry) {
+    let replaced = shared.targets.borrow_mut().put(entry.clone());
+    if let Some(former) = replaced {
         shared.connections.close(former);
+        stream_origins::on_target_replaced(shared, &entry);
     }
     if before != Some((state, born)) {
         info!(
-            target_id = %id, ?state, born, version, as_of = as_of.0, ?source,
+            target_id = %id, ?state, born, version = entry.version, as_of = as_of.0, ?source,
             "targets: entry new or changed"
         );
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -156,10 +156,12 @@
     began_at: PlaceTarget,
 }
 
-/// Forgets the version of a target if another process has its id by now. Which of the two answered
-/// is then not known.
+/// Forgets the version of a target if a process of another version has its id by now. Which of the
+/// two answered is then not known.
 fn confirm_version(shared: &Shared, target: PlaceTarget) -> PlaceTarget {
-    match shared.targets.borrow().is_replaced(&target.id, target.born) {
+    let version = target.version.as_deref();
+
+    match shared.targets.borrow().is_replaced(&target.id, target.born, version) {
         true => PlaceTarget { version: None, ..target },
         false => target,
     }
@@ -352,6 +354,7 @@
     began_at: &PlaceTarget,
     down: TargetKey,
 ) -> Option<Place> {
+    let began_at = confirm_version(&call.shared, began_at.clone());
     let mut placement = call.placement_request();
     placement.avoid.push(down);
     placement.version = Some(began_at.version.clone()?);
--- a/crates/entry/src/stream_origins.rs
+++ b/crates/entry/src/stream_origins.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use camphorwalk_core::entry::TargetEntry;
 use camphorwalk_core::ids::HostId;
 use camphorwalk_policy::entry::stream_origins::{
-    Candidate, Origin, ResumeRefusal, StreamCall, StreamKey, StreamStart, hosts_to_ask,
+    Candidate, Origin, ResumeRefusal, StreamCall, StreamKey, StreamKeys, StreamStart, hosts_to_ask,
     hosts_to_tell, resume_at, stream_start,
 };
 use futures::StreamExt as _;
@@ -153,20 +154,38 @@
     }
     let shared = &call.shared;
     let origin = Origin { service: call.service.clone(), version: version.clone() };
-    let keys = call.stream_keys();
-    record_keys(shared, &keys, &origin);
+    let stream = call.stream_keys();
+    shared.stream_origins.borrow_mut().record_begun(clock::now(), &began_at.id, stream, &origin);
 
+    tell(shared, stream, origin);
+}
+
+/// Handles that another process has the id of a target. Streams that lately began there may have
+/// begun at the new process, although the former one's entry was known then. If its version is
+/// another one, their origin becomes ambiguous, here and at the hosts that were told.
+pub(crate) fn on_target_replaced(shared: &Shared, entry: &TargetEntry) {
+    let version = entry.version.clone().unwrap_or_default();
+    let origin = Origin { service: entry.service.clone(), version };
+    let streams = shared.stream_origins.borrow_mut().begun_lately_at(clock::now(), &entry.id);
+
+    for stream in streams {
+        record_told(shared, stream, &origin);
+        tell(shared, stream, origin.clone());
+    }
+}
+
+/// Tells other hosts where a stream began.
+fn tell(shared: &Shared, stream: StreamKeys, origin: Origin) {
     let all = shared.fleet.hosts_not_silent();
-    let told = hosts_to_tell(call.content_key(), &shared.settings.zone, &candidates(&all));
-    let query = Query::StreamBegan(keys, origin);
+    let told = hosts_to_tell(stream.content, &shared.settings.zone, &candidates(&all));
+    let query = Query::StreamBegan(stream, origin);
+
     told.into_iter().for_each(|host| queries::notify(shared, host, &query));
 }
 
-/// Records where streams with these keys began.
-pub(crate) fn record_keys(shared: &Shared, keys: &[StreamKey], origin: &Origin) {
-    let mut origins = shared.stream_origins.borrow_mut();
-
-    keys.iter().for_each(|key| origins.record(*key, origin));
+/// Records where a stream began, as another host tells.
+pub(crate) fn record_told(shared: &Shared, stream: StreamKeys, origin: &Origin) {
+    shared.stream_origins.borrow_mut().record(stream, origin);
 }
 
 fn candidates(hosts: &[(HostId, Box<str>)]) -> Vec<Candidate<'_>> {
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -190,9 +190,12 @@
     }
 
     /// Returns whether the target with this id is another process than the one that started at
-    /// `born`.
-    pub fn is_replaced(&self, id: &str, born: u64) -> bool {
-        self.by_id(id).is_some_and(|target| target.entry.born != born)
+    /// `born`, and has another version.
+    pub fn is_replaced(&self, id: &str, born: u64, version: Option<&str>) -> bool {
+        let is_other =
+            |entry: &TargetEntry| entry.born != born && entry.version.as_deref() != version;
+
+        self.by_id(id).is_some_and(|target| is_other(&target.entry))
     }
 
     /// Returns the targets of a service that are not draining.
--- a/crates/policy/src/entry/stream_origins.rs
+++ b/crates/policy/src/entry/stream_origins.rs
@@ -5,9 +5,13 @@
 //! others the service and version at which a stream began. A host that does not know them refuses
 //! the call: even if all its targets have one version, the stream may have begun at another.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
 use camphorwalk_core::entry::{Route, WeightedService};
 use camphorwalk_core::hash::{rendezvous_weight, stable_hash};
 use camphorwalk_core::ids::HostId;
+use camphorwalk_core::time::Instant;
 use serde::{Deserialize, Serialize};
 
 use crate::entry::crashes::Fingerprint;
@@ -20,6 +24,11 @@
 /// The most origins that are remembered at a time, one for each version of a service.
 const MAX_ORIGINS: usize = 1_024;
 
+/// How long after its beginning a stream may turn out to have begun at another process than the one
+/// whose entry the host knew: longer than a change of an entry takes to reach all hosts, and than
+/// callers wait for a stream.
+const REPLACEMENT_WINDOW: Duration = Duration::from_secs(5);
+
 /// How many hosts of the own availability zone are told where a stream began, and of all other
 /// zones together.
 const NEAR_COPIES: usize = 2;
@@ -50,6 +59,15 @@
     }
 }
 
+/// The keys by which a caller may resume a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamKeys {
+    /// The key of the attempt that brought the first event, if that attempt is known.
+    pub attempt: Option<StreamKey>,
+    /// The key of the call's content.
+    pub content: StreamKey,
+}
+
 /// The service and software version of the target that began a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
@@ -71,16 +89,31 @@
     Ambiguous,
 }
 
+/// A stream that this host forwards, or lately forwarded.
+#[derive(Clone, Debug)]
+struct Beginning {
+    at: Instant,
+    /// The id of the target that began it.
+    target: Box<str>,
+    stream: StreamKeys,
+}
+
 /// The origins of streams, as far as a host remembers them.
 #[derive(Clone, Debug)]
 pub struct StreamOrigins {
     origins: Vec<Origin>,
     streams: RecentMap<StreamKey, Known>,
+    /// The streams that began at this host within [`REPLACEMENT_WINDOW`], oldest first.
+    begun_here: VecDeque<Beginning>,
 }
 
 impl Default for StreamOrigins {
     fn default() -> Self {
-        Self { origins: Vec::new(), streams: RecentMap::new(STREAMS_KEPT) }
+        Self {
+            origins: Vec::new(),
+            streams: RecentMap::new(STREAMS_KEPT),
+            begun_here: VecDeque::new(),
+        }
     }
 }
 
@@ -88,23 +121,57 @@
     /// Records where a stream began.
     ///
     /// ```
-    /// use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey, StreamOrigins};
+    /// use camphorwalk_policy::entry::stream_origins::{
+    ///     Origin, StreamKey, StreamKeys, StreamOrigins,
+    /// };
     /// let at = |version: &str| Origin { service: "engines".into(), version: version.into() };
-    /// let key = StreamKey::of_attempt("easel", "r-1");
+    /// let content = StreamKey(7);
     /// let mut origins = StreamOrigins::default();
-    /// origins.record(key, &at("v1"));
-    /// assert_eq!(origins.get(key), Some(&at("v1")));
-    /// origins.record(key, &at("v2"));
-    /// assert_eq!(origins.get(key), None);
+    /// origins.record(StreamKeys { attempt: None, content }, &at("v1"));
+    /// assert_eq!(origins.get(content), Some(&at("v1")));
+    /// origins.record(StreamKeys { attempt: None, content }, &at("v2"));
+    /// assert_eq!(origins.get(content), None);
     /// ```
-    pub fn record(&mut self, stream: StreamKey, origin: &Origin) {
+    pub fn record(&mut self, stream: StreamKeys, origin: &Origin) {
         let began_at = Known::BeganAt(self.intern(origin));
-        let known = match self.streams.get(&stream) {
-            Some(known) if known != began_at => Known::Ambiguous,
-            _ => began_at,
-        };
 
-        self.streams.put(stream, known);
+        for key in stream.attempt.into_iter().chain([stream.content]) {
+            let known = match self.streams.get(&key) {
+                Some(known) if known != began_at => Known::Ambiguous,
+                _ => began_at,
+            };
+            self.streams.put(key, known);
+        }
+    }
+
+    /// Records where a stream began that this host forwards: at the target with this id.
+    pub fn record_begun(
+        &mut self,
+        now: Instant,
+        target: &str,
+        stream: StreamKeys,
+        origin: &Origin,
+    ) {
+        self.forget_old_beginnings(now);
+        self.begun_here.push_back(Beginning { at: now, target: target.into(), stream });
+        self.record(stream, origin);
+    }
+
+    /// Returns the streams that lately began at this host and at the target with this id. If
+    /// another process has the id now, it may have begun them.
+    pub fn begun_lately_at(&mut self, now: Instant, target: &str) -> Vec<StreamKeys> {
+        self.forget_old_beginnings(now);
+        let there = self.begun_here.iter().filter(|beginning| *beginning.target == *target);
+
+        there.map(|beginning| beginning.stream).collect()
+    }
+
+    fn forget_old_beginnings(&mut self, now: Instant) {
+        let is_old = |beginning: &Beginning| now.since(beginning.at) > REPLACEMENT_WINDOW;
+
+        while self.begun_here.front().is_some_and(is_old) {
+            self.begun_here.pop_front();
+        }
     }
 
     /// Returns where a stream began, unless that is not known or ambiguous.
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -542,3 +542,15 @@
     assert_eq!(second, Some((urgency(20), WaiterId(2))));
     assert_eq!((waiting.next("engines", second), waiting.len("engines")), (None, 2));
 }
+
+#[test]
+fn a_target_that_started_again_at_another_version_is_replaced() {
+    // Guards against the version of a former process with the same id.
+    let mut targets = Targets::new("a");
+    targets.put(TargetEntry { born: 2, ..versioned("x", Some("v2")) });
+
+    assert!(targets.is_replaced("x", 1, Some("v1")));
+    assert!(!targets.is_replaced("x", 1, Some("v2")));
+    assert!(!targets.is_replaced("x", 2, Some("v2")));
+    assert!(!targets.is_replaced("gone", 1, Some("v1")));
+}
--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -5,10 +5,11 @@
 use camphorwalk_core::entry::{RetryPolicy, Route, TurnRetention, WeightedService};
 use camphorwalk_core::hash::Set;
 use camphorwalk_core::ids::HostId;
+use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::crashes::Fingerprint;
 use camphorwalk_policy::entry::stream_origins::{
-    Candidate, Origin, ResumeRefusal, StreamCall, StreamKey, StreamOrigins, StreamStart,
-    hosts_to_ask, hosts_to_tell, resume_at, stream_start,
+    Candidate, Origin, ResumeRefusal, StreamCall, StreamKey, StreamKeys, StreamOrigins,
+    StreamStart, hosts_to_ask, hosts_to_tell, resume_at, stream_start,
 };
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom as _;
@@ -162,9 +163,30 @@
     // Guards against memory that grows with each stream.
     let mut origins = StreamOrigins::default();
 
-    (0..100_000).for_each(|stream| origins.record(StreamKey(stream), &origin("engines", "v1")));
+    for stream in 0..100_000 {
+        let stream = StreamKeys { attempt: None, content: StreamKey(stream) };
+        origins.record(stream, &origin("engines", "v1"));
+    }
 
     assert_eq!(origins.get(StreamKey(0)), None);
     let kept = (0..100_000).filter(|stream| origins.get(StreamKey(*stream)).is_some()).count();
     assert!((8_192..16_384).contains(&kept), "{kept}");
 }
+
+#[test]
+fn streams_that_lately_began_at_a_replaced_target_are_known() {
+    // Guards against the version of a former process for streams that the new one began.
+    let mut origins = StreamOrigins::default();
+    let stream = |key| StreamKeys { attempt: None, content: StreamKey(key) };
+    let at = |ms| Instant::from_millis(ms);
+    origins.record_begun(at(0), "replaced", stream(1), &origin("engines", "v1"));
+    origins.record_begun(at(6_000), "other", stream(2), &origin("engines", "v1"));
+    origins.record_begun(at(7_000), "replaced", stream(3), &origin("engines", "v1"));
+
+    let begun = origins.begun_lately_at(at(8_000), "replaced");
+    begun.iter().for_each(|stream| origins.record(*stream, &origin("engines", "v2")));
+
+    assert_eq!(begun, [stream(3)]);
+    assert_eq!(origins.get(StreamKey(3)), None);
+    assert_eq!(origins.get(StreamKey(2)), Some(&origin("engines", "v1")));
+}
