--- a/crates/camphorwalk/tests/soak/ledger.rs
+++ b/crates/camphorwalk/tests/soak/ledger.rs
@@ -27,6 +27,10 @@
     pub events: HashMap<String, u64>,
     /// Violations that were found in single answers.
     pub faults: Vec<String>,
+    /// The number of streams that went on when their callers resumed them, and of those that did not.
+    pub resumed: usize,
+    /// See `resumed`.
+    pub not_resumed: usize,
     /// The number of calls that were answered successfully.
     pub served: usize,
     /// The number of calls that were refused, failed or got no complete answer.
