A host that knows that a stream's origin is ambiguous asks no other one

What callers could see: ORDER, when the same call began streams of two versions, its caller names none of them, and a host that was told of one alone is asked. Found on reading the diff.

Cause: an ambiguous origin was reported like an unknown one, so that the host went on to ask others and took the first answer.

Change: what a host knows is `Unknown`, `BeganAt` or `Ambiguous`, here and in its replies. An ambiguous origin ends the search, and the call is refused.

The time to come back of calls that cannot resume stands in one place (`Refusal::begin_anew`).

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -90,6 +90,15 @@
         Self::retry_later(reason, after.mul_f64(rand::rng().random_range(0.7..1.3)))
     }
 
+    /// Creates a refusal of a call that resumes a stream which cannot go on. Waiting does not help,
+    /// so that the caller should come back soon and begin anew.
+    pub fn begin_anew(reason: &'static str) -> Self {
+        /// The pause before the caller begins anew.
+        const RETRY_AFTER: Duration = Duration::from_millis(50);
+
+        Self::retry_later(reason, RETRY_AFTER)
+    }
+
     /// Creates a refusal of a call over its tenant's rate.
     pub fn over_rate(after: Duration) -> Self {
         Self {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -114,7 +114,6 @@
         let new_program_rank = self.is_new.get().then_some(self.route().rank);
 
         let seed = stable_hash(&[self.head.request_id.as_bytes()]);
-
         let version = self.origin.as_ref().map(|origin| origin.version.clone());
 
         PlacementRequest { new_program_rank, parts, object, avoid: Vec::new(), version, seed }
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -21,10 +21,6 @@
 /// Retry-After of a call for which no target is usable, if no ejected target is due to return.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Retry-After of a stream of which no target of its version is left. Waiting does not help, so that
-/// the caller should begin anew soon.
-const VERSION_GONE_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Retry-After of a new program while its service is full: about as long as a call holds its place.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -98,7 +94,7 @@
     }
 }
 
-/// The target of a place, for the logs.
+/// The target of a place, as known when the place was taken or asked for it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PlaceTarget {
     pub(crate) id: Box<str>,
@@ -395,8 +391,7 @@
 fn no_target(shared: &Shared, service: &str, placement: &PlacementRequest) -> Refusal {
     let targets = shared.targets.borrow();
     if placement.version.is_some() && !targets.has_permitted(service, placement) {
-        let reason = "no target of the stream's version is left";
-        return Refusal::retry_later(reason, VERSION_GONE_RETRY_AFTER);
+        return Refusal::begin_anew("no target of the stream's version is left");
     }
     let back = targets.time_to_readmission(clock::now(), service, placement);
 
--- a/crates/entry/src/queries.rs
+++ b/crates/entry/src/queries.rs
@@ -11,7 +11,7 @@
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowVersion};
 use camphorwalk_policy::entry::budgets::{BudgetRow, Claim, KnownRow, ProgramKey, RunId};
 use camphorwalk_policy::entry::shares::Doubt;
-use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey, StreamKeys};
+use camphorwalk_policy::entry::stream_origins::{KnownOrigin, Origin, StreamKey, StreamKeys};
 use camphorwalk_policy::entry::target_table;
 use camphorwalk_policy::entry::turns::{Turn, TurnKey};
 use serde::{Deserialize, Serialize};
@@ -56,7 +56,7 @@
     Targets(RowVersion),
     /// Records at which service and version a stream began.
     StreamBegan(StreamKeys, Origin),
-    /// Returns where a stream began, if the receiver knows.
+    /// Returns what the receiver knows of where a stream began.
     StreamOrigin(StreamKey),
     /// Sends the manifest in force at the receiver, as a separate message before the reply.
     Manifest,
@@ -105,8 +105,8 @@
     Line(Vec<(TurnKey, Turn)>),
     /// The copy of the target table; `None` if the replying host has none yet.
     Targets(Option<target_table::TableCopy>),
-    /// Where the stream began, if the replying host knows.
-    StreamOrigin(Option<Origin>),
+    /// What the replying host knows of where the stream began.
+    StreamOrigin(KnownOrigin),
     /// The host cannot carry out the query now.
     Refused,
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -161,7 +161,7 @@
 fn confirm_version(shared: &Shared, target: PlaceTarget) -> PlaceTarget {
     let version = target.version.as_deref();
 
-    match shared.targets.borrow().is_replaced(&target.id, target.born, version) {
+    match shared.targets.borrow().is_replaced_by_other_version(&target.id, target.born, version) {
         true => PlaceTarget { version: None, ..target },
         false => target,
     }
--- a/crates/entry/src/stream_origins.rs
+++ b/crates/entry/src/stream_origins.rs
@@ -5,8 +5,8 @@
 use camphorwalk_core::entry::TargetEntry;
 use camphorwalk_core::ids::HostId;
 use camphorwalk_policy::entry::stream_origins::{
-    Candidate, Origin, ResumeRefusal, StreamCall, StreamKey, StreamKeys, StreamStart, hosts_to_ask,
-    hosts_to_tell, resume_at, stream_start,
+    Candidate, KnownOrigin, Origin, ResumeRefusal, StreamCall, StreamKey, StreamKeys, StreamStart,
+    hosts_to_ask, hosts_to_tell, resume_at, stream_start,
 };
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
@@ -26,10 +26,6 @@
 /// it is still there.
 const ALL_HOSTS_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Retry-After of a call that resumes a stream which cannot go on. Waiting does not help, so that
-/// the caller should begin anew soon.
-const CANNOT_RESUME_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Who knew where a stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
@@ -77,71 +73,67 @@
         StreamStart::LookUp(key) => key,
     };
 
-    let (origin, source) = look_up(&call.shared, key, stream.content).await;
+    let (known, source) = look_up(&call.shared, key, stream.content).await;
     call.shared.metrics.stream_lookups.with_label_values(&[source.label()]).inc();
     info!(
         request = %call.head.request_id, resumes = call.head.resumes.as_deref(),
-        last_event = call.head.last_event, ?source, ?origin,
+        last_event = call.head.last_event, ?source, origin = ?known,
         took_ms = clock::now().since(call.received_at).as_millis() as u64,
         "call: origin of a stream looked up"
     );
-    let origin = resume_at(&call.route().services, origin).map_err(refuse)?;
+    let origin = resume_at(&call.route().services, known).map_err(refuse)?;
     call.bind_to_origin(origin);
 
     Ok(())
 }
 
 fn refuse(refusal: ResumeRefusal) -> Refusal {
-    Refusal::retry_later(refusal.reason(), CANNOT_RESUME_RETRY_AFTER)
+    Refusal::begin_anew(refusal.reason())
 }
 
 /// Looks a stream up here, then at the hosts that were probably told, then at all others.
-async fn look_up(
-    shared: &Shared,
-    stream: StreamKey,
-    content: StreamKey,
-) -> (Option<Origin>, Source) {
-    if let Some(origin) = known_origin(shared, stream) {
-        return (Some(origin), Source::Own);
+async fn look_up(shared: &Shared, stream: StreamKey, content: StreamKey) -> (KnownOrigin, Source) {
+    let own = known_origin(shared, stream);
+    if own != KnownOrigin::Unknown {
+        return (own, Source::Own);
     }
 
     let all = shared.fleet.hosts_not_silent();
     let told = hosts_to_ask(content, &shared.settings.zone, &candidates(&all));
-    if let Some(origin) = ask(shared, stream, &told, TOLD_HOSTS_TIMEOUT).await {
-        return (Some(origin), Source::Told);
+    let known = ask(shared, stream, &told, TOLD_HOSTS_TIMEOUT).await;
+    if known != KnownOrigin::Unknown {
+        return (known, Source::Told);
     }
     let others: Vec<_> =
         all.iter().map(|(host, _)| *host).filter(|host| !told.contains(host)).collect();
 
     match ask(shared, stream, &others, ALL_HOSTS_TIMEOUT).await {
-        Some(origin) => (Some(origin), Source::Other),
-        None => (None, Source::Nobody),
+        KnownOrigin::Unknown => (KnownOrigin::Unknown, Source::Nobody),
+        known => (known, Source::Other),
     }
 }
 
 /// Asks hosts where a stream began, until one knows.
-async fn ask(
-    shared: &Shared,
-    stream: StreamKey,
-    hosts: &[HostId],
-    limit: Duration,
-) -> Option<Origin> {
+async fn ask(shared: &Shared, stream: StreamKey, hosts: &[HostId], limit: Duration) -> KnownOrigin {
     let query = Query::StreamOrigin(stream);
     let mut replies: FuturesUnordered<_> =
         hosts.iter().map(|host| queries::send(shared, *host, &query, limit)).collect();
 
     while let Some(reply) = replies.next().await {
-        if let Some(QueryReply::StreamOrigin(Some(origin))) = reply {
-            return Some(origin);
+        match reply {
+            Some(QueryReply::StreamOrigin(KnownOrigin::Unknown)) | None => {}
+            Some(QueryReply::StreamOrigin(known)) => return known,
+            // A host of an older build does not know of origins.
+            Some(_) => {}
         }
     }
 
-    None
+    KnownOrigin::Unknown
 }
 
-/// Returns where a stream began, as far as this host knows.
-pub(crate) fn known_origin(shared: &Shared, stream: StreamKey) -> Option<Origin> {
-    shared.stream_origins.borrow().get(stream).cloned()
+/// Returns what this host knows of where a stream began.
+pub(crate) fn known_origin(shared: &Shared, stream: StreamKey) -> KnownOrigin {
+    shared.stream_origins.borrow().get(stream)
 }
 
 /// Records the target that began a stream, or the part of it that a call resumes, here and at other
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -191,7 +191,7 @@
 
     /// Returns whether the target with this id is another process than the one that started at
     /// `born`, and has another version.
-    pub fn is_replaced(&self, id: &str, born: u64, version: Option<&str>) -> bool {
+    pub fn is_replaced_by_other_version(&self, id: &str, born: u64, version: Option<&str>) -> bool {
         let is_other =
             |entry: &TargetEntry| entry.born != born && entry.version.as_deref() != version;
 
--- a/crates/policy/src/entry/stream_origins.rs
+++ b/crates/policy/src/entry/stream_origins.rs
@@ -77,15 +77,25 @@
     pub version: Box<str>,
 }
 
+/// What a host knows of where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KnownOrigin {
+    /// Nothing.
+    Unknown,
+    /// It began here.
+    BeganAt(Origin),
+    /// Streams with the same key began at different origins.
+    Ambiguous,
+}
+
 /// Index of an origin in the list of a [`StreamOrigins`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct OriginKey(usize);
 
-/// What is known of a stream.
+/// A [`KnownOrigin`] as it is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Known {
     BeganAt(OriginKey),
-    /// Streams with the same key began at different origins.
     Ambiguous,
 }
 
@@ -122,15 +132,15 @@
     ///
     /// ```
     /// use camphorwalk_policy::entry::stream_origins::{
-    ///     Origin, StreamKey, StreamKeys, StreamOrigins,
+    ///     KnownOrigin, Origin, StreamKey, StreamKeys, StreamOrigins,
     /// };
     /// let at = |version: &str| Origin { service: "engines".into(), version: version.into() };
     /// let content = StreamKey(7);
     /// let mut origins = StreamOrigins::default();
     /// origins.record(StreamKeys { attempt: None, content }, &at("v1"));
-    /// assert_eq!(origins.get(content), Some(&at("v1")));
+    /// assert_eq!(origins.get(content), KnownOrigin::BeganAt(at("v1")));
     /// origins.record(StreamKeys { attempt: None, content }, &at("v2"));
-    /// assert_eq!(origins.get(content), None);
+    /// assert_eq!(origins.get(content), KnownOrigin::Ambiguous);
     /// ```
     pub fn record(&mut self, stream: StreamKeys, origin: &Origin) {
         let began_at = Known::BeganAt(self.intern(origin));
@@ -174,11 +184,14 @@
         }
     }
 
-    /// Returns where a stream began, unless that is not known or ambiguous.
-    pub fn get(&self, stream: StreamKey) -> Option<&Origin> {
-        match self.streams.get(&stream)? {
-            Known::BeganAt(OriginKey(index)) => self.origins.get(index),
-            Known::Ambiguous => None,
+    /// Returns what is known of where a stream began.
+    pub fn get(&self, stream: StreamKey) -> KnownOrigin {
+        match self.streams.get(&stream) {
+            None => KnownOrigin::Unknown,
+            Some(Known::BeganAt(OriginKey(index))) => {
+                KnownOrigin::BeganAt(self.origins[index].clone())
+            }
+            Some(Known::Ambiguous) => KnownOrigin::Ambiguous,
         }
     }
 
@@ -203,7 +216,8 @@
     /// The route stores turns. The host that resumes a turn lacks its earlier events, so that it
     /// could store only a part of it.
     TurnIncomplete,
-    /// Neither this host nor any that it reaches knows at which version the stream began.
+    /// Neither this host nor any that it reaches knows at which version the stream began, or it is
+    /// ambiguous.
     OriginUnknown,
     /// The route no longer leads to the service at which the stream began.
     ServiceGone,
@@ -273,9 +287,9 @@
 /// Returns why the call must be refused.
 pub fn resume_at(
     services: &[WeightedService],
-    origin: Option<Origin>,
+    known: KnownOrigin,
 ) -> std::result::Result<Origin, ResumeRefusal> {
-    let origin = origin.ok_or(ResumeRefusal::OriginUnknown)?;
+    let KnownOrigin::BeganAt(origin) = known else { return Err(ResumeRefusal::OriginUnknown) };
 
     match services.iter().any(|candidate| candidate.service == origin.service) {
         true => Ok(origin),
--- a/crates/policy/src/entry/waiting.rs
+++ b/crates/policy/src/entry/waiting.rs
@@ -47,7 +47,7 @@
     /// let new = Urgency { is_late: false, is_new: true, rank: 0, deadline: Instant(1) };
     /// waiting.push("engines", new, WaiterId(1));
     /// waiting.push("engines", Urgency { is_new: false, ..new }, WaiterId(2));
-    /// assert_eq!(waiting.first("engines"), Some(WaiterId(2)));
+    /// assert_eq!(waiting.next("engines", None).map(|(_, id)| id), Some(WaiterId(2)));
     /// ```
     pub fn push(&mut self, service: &str, urgency: Urgency, id: WaiterId) {
         if !self.queues.contains_key(service) {
@@ -65,11 +65,6 @@
         }
     }
 
-    /// Returns the most urgent call of a service.
-    pub fn first(&self, service: &str) -> Option<WaiterId> {
-        self.next(service, None).map(|(_, id)| id)
-    }
-
     /// Returns the most urgent call of a service after another one, or of all without one.
     pub fn next(
         &self,
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -544,13 +544,13 @@
 }
 
 #[test]
-fn a_target_that_started_again_at_another_version_is_replaced() {
+fn a_target_that_started_again_at_another_version_is_replaced_by_other_version() {
     // Guards against the version of a former process with the same id.
     let mut targets = Targets::new("a");
     targets.put(TargetEntry { born: 2, ..versioned("x", Some("v2")) });
 
-    assert!(targets.is_replaced("x", 1, Some("v1")));
-    assert!(!targets.is_replaced("x", 1, Some("v2")));
-    assert!(!targets.is_replaced("x", 2, Some("v2")));
-    assert!(!targets.is_replaced("gone", 1, Some("v1")));
+    assert!(targets.is_replaced_by_other_version("x", 1, Some("v1")));
+    assert!(!targets.is_replaced_by_other_version("x", 1, Some("v2")));
+    assert!(!targets.is_replaced_by_other_version("x", 2, Some("v2")));
+    assert!(!targets.is_replaced_by_other_version("gone", 1, Some("v1")));
 }
--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -8,8 +8,8 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::crashes::Fingerprint;
 use camphorwalk_policy::entry::stream_origins::{
-    Candidate, Origin, ResumeRefusal, StreamCall, StreamKey, StreamKeys, StreamOrigins,
-    StreamStart, hosts_to_ask, hosts_to_tell, resume_at, stream_start,
+    Candidate, KnownOrigin, Origin, ResumeRefusal, StreamCall, StreamKey, StreamKeys,
+    StreamOrigins, StreamStart, hosts_to_ask, hosts_to_tell, resume_at, stream_start,
 };
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom as _;
@@ -152,9 +152,12 @@
     // Guards against guessing an origin, and against a service that the route no longer leads to.
     let services = route(true, false).services;
 
-    assert_eq!(resume_at(&services, Some(origin("engines", "v1"))), Ok(origin("engines", "v1")));
-    assert_eq!(resume_at(&services, None), Err(ResumeRefusal::OriginUnknown));
-    let moved = resume_at(&services, Some(origin("other", "v1")));
+    let here = KnownOrigin::BeganAt(origin("engines", "v1"));
+    assert_eq!(resume_at(&services, here), Ok(origin("engines", "v1")));
+    for unknown in [KnownOrigin::Unknown, KnownOrigin::Ambiguous] {
+        assert_eq!(resume_at(&services, unknown), Err(ResumeRefusal::OriginUnknown));
+    }
+    let moved = resume_at(&services, KnownOrigin::BeganAt(origin("other", "v1")));
     assert_eq!(moved, Err(ResumeRefusal::ServiceGone));
 }
 
@@ -168,8 +171,9 @@
         origins.record(stream, &origin("engines", "v1"));
     }
 
-    assert_eq!(origins.get(StreamKey(0)), None);
-    let kept = (0..100_000).filter(|stream| origins.get(StreamKey(*stream)).is_some()).count();
+    assert_eq!(origins.get(StreamKey(0)), KnownOrigin::Unknown);
+    let is_known = |stream: &u64| origins.get(StreamKey(*stream)) != KnownOrigin::Unknown;
+    let kept = (0..100_000).filter(is_known).count();
     assert!((8_192..16_384).contains(&kept), "{kept}");
 }
 
@@ -187,6 +191,6 @@
     begun.iter().for_each(|stream| origins.record(*stream, &origin("engines", "v2")));
 
     assert_eq!(begun, [stream(3)]);
-    assert_eq!(origins.get(StreamKey(3)), None);
-    assert_eq!(origins.get(StreamKey(2)), Some(&origin("engines", "v1")));
+    assert_eq!(origins.get(StreamKey(3)), KnownOrigin::Ambiguous);
+    assert_eq!(origins.get(StreamKey(2)), KnownOrigin::BeganAt(origin("engines", "v1")));
 }
