A call that resumes a stream is not answered by a process that replaced its target meanwhile

What callers would see: the second part of a stream from another version, when a target starts anew under its id while the call is on its way.

Cause: the version of the answer's target was checked, so that nothing false was told to other hosts, but the answer was forwarded all the same.

Change: the call is answered 502, as a target has run it; its caller resumes or begins anew.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -116,6 +116,10 @@
     }
 
     let began_at = confirm_version(&call.shared, began_at);
+    if call.head.last_event.is_some() && began_at.version.is_none() {
+        started.place.end(Outcome::Failed);
+        return Err(Refusal::answer_lost("a target of another version may have answered"));
+    }
     stream_origins::record(&call, &began_at);
 
     let mut answer = Response::new(AnswerBody::Whole(None));
