Evacuated zones get no calls, and cold targets a limited rate over all hosts

Nothing bounded the calls to a target that has just started or whose zone has just returned, which crashes far above its declared rate.

Cause: the rows evacuate/ZONE of the operators' table were read with the manifest and dropped; the entry's cold-remaining-ms and the service's cold-per-s were not parsed.

Evacuations (policy/entry/evacuations.rs): the watcher of the manifest applies them from the same answers, so that no host asks the store more often; hosts that the store turns away get them with the copy of the target table. Each source is complete as of a version of the store and the higher one holds, as for targets. placement excludes the zone from the choice, from capacity and from the version's targets; a call whose place was taken before is checked again just before it is sent, also after connecting, and a stream that breaks there goes on elsewhere at its version. With no target left callers get 503 at once. Delays sum to 4.1 of 5 s with one answer of the store and one of a host lost.

Cold targets (policy/entry/cold_targets.rs): the limit is divided among the hosts in advance by the list of hosts in the store. Up to the limit's number of hosts each has an even part; beyond it, each target has as many hosts as the limit, with one call each. Weighed: a rate told among hosts, as for customers, is not held by hosts that do not hear each other, and its error grows with the delay of updates (2 s at 300 hosts); leases of requests cost each call a hop and need a holder in each part of a partition. The parts cannot exceed the limit as long as each host that uses its part is on the lists of the others, which the times of lists, rows and joining see to.

The soak's operator evacuates.

--- a/crates/camphorwalk/tests/soak/fleet.rs
+++ b/crates/camphorwalk/tests/soak/fleet.rs
@@ -232,6 +232,18 @@
         }
     }
 
+    /// Returns the targets of a zone.
+    pub fn targets_in(&self, zone: &str) -> impl Iterator<Item = &Target> {
+        let is_in = move |i: usize| ZONES[i % ZONES.len()].0 == zone;
+        let services = [&self.engines, &self.desks];
+
+        services
+            .into_iter()
+            .flat_map(|targets| targets.iter().enumerate())
+            .filter(move |(i, _)| is_in(*i))
+            .map(|(_, target)| target)
+    }
+
     /// Keeps the folder with the logs of all hosts, to examine a failure. Returns its path.
     pub fn keep_logs(self) -> std::path::PathBuf {
         let Self { folder, .. } = self;
--- a/crates/camphorwalk/tests/soak/ledger.rs
+++ b/crates/camphorwalk/tests/soak/ledger.rs
@@ -57,6 +57,7 @@
         let mut violations = self.faults.clone();
         violations.extend(self.refused_that_ran(&by_id));
         violations.extend(repeated(&by_id));
+        violations.extend(forbidden(runs));
         violations.extend(self.wrong_prompts(&by_id));
         violations.extend(self.overspent());
         violations
@@ -92,6 +93,13 @@
     }
 }
 
+/// Finds calls that were sent to targets of evacuated zones.
+fn forbidden(runs: &[Run]) -> Vec<String> {
+    let forbidden = runs.iter().filter(|run| run.is_forbidden);
+
+    forbidden.map(|run| format!("{:?} ran in an evacuated zone", run.request_id())).collect()
+}
+
 /// Finds calls that must run at most once and ran more often. Runs without a request id count as
 /// one call, so more than one of them is reported too.
 fn repeated(by_id: &HashMap<&str, Vec<&Run>>) -> Vec<String> {
--- a/crates/camphorwalk/tests/soak/main.rs
+++ b/crates/camphorwalk/tests/soak/main.rs
@@ -42,6 +42,15 @@
 /// that hold a turn write it within some seconds after the store is available again.
 const CONTINUE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The zone that the operator evacuates while faults are injected, and during which steps.
+const EVACUATED_AMID_FAULTS: (&str, std::ops::Range<u32>) = ("b", 10..35);
+
+/// The zone that the operator evacuates after all faults have ended.
+const EVACUATED_AT_THE_END: &str = "c";
+
+/// How long after an evacuation its zone may still get calls.
+const EVACUATION_BOUND: Duration = Duration::from_secs(5);
+
 /// Returns the seeds to run: those in `CAMPHORWALK_SOAK`, such as `7` or `1-50`, or `CI_SEEDS`.
 fn seeds() -> std::ops::RangeInclusive<u64> {
     let Ok(text) = std::env::var("CAMPHORWALK_SOAK") else { return CI_SEEDS };
@@ -63,7 +72,7 @@
     // requests or loses answers, targets misbehave, and the manifest changes. Checks that a call
     // that was refused as "not run" did not run, that deposits run at most once, that a stream
     // that ended normally is complete, that a stream holds events of one version, that budgets are
-    // kept, and that each turn that was answered completely can be continued afterwards.
+    // kept, that an evacuated zone gets no calls, and that each turn that was answered completely can be continued afterwards.
     let mut violations = Vec::new();
     for seed in seeds() {
         let result = Rc::new(RefCell::new(Vec::new()));
@@ -94,6 +103,7 @@
     let steps = seconds() * 1_000 / STEP.as_millis() as u64;
     for step in 0..u32::try_from(steps).expect("the number of steps fits into 32 bits") {
         tokio::time::sleep(STEP).await;
+        evacuate_amid_faults(step, &fleet);
         injector.step(step, &mut rng, &mut fleet);
     }
     injector.recover_all(&mut fleet);
@@ -103,6 +113,7 @@
     }
 
     fleet.wait_ready().await;
+    evacuate_at_the_end(&fleet).await;
     let lost = find_lost_turns(&callers).await;
     let runs: Vec<_> = fleet.engines.iter().chain(&fleet.desks).flat_map(Target::runs).collect();
     let ledger = callers.ledger.borrow();
@@ -124,6 +135,27 @@
     violations
 }
 
+/// Evacuates a zone, and ends that, at certain steps.
+fn evacuate_amid_faults(step: u32, fleet: &Fleet) {
+    let (zone, steps) = EVACUATED_AMID_FAULTS;
+
+    if step == steps.start {
+        fleet.store.evacuate(zone);
+    } else if step == steps.end {
+        fleet.store.end_evacuation(zone);
+    }
+}
+
+/// Evacuates a zone. From now on its targets must get no calls.
+async fn evacuate_at_the_end(fleet: &Fleet) {
+    let (amid_faults, _) = EVACUATED_AMID_FAULTS;
+    fleet.store.end_evacuation(amid_faults);
+    fleet.store.evacuate(EVACUATED_AT_THE_END);
+    tokio::time::sleep(EVACUATION_BOUND).await;
+
+    fleet.targets_in(EVACUATED_AT_THE_END).for_each(|target| target.set_forbidden(true));
+}
+
 /// Tries to continue some of the answered turns, evenly spread and including the last one. Returns
 /// a description of each that cannot be continued.
 async fn find_lost_turns(callers: &Callers) -> Vec<String> {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -8,8 +8,8 @@
 
 pub use call::{CallHead, PromptPart, TokenCount};
 pub use routing::{
-    CallLimits, EngineSpec, RetryPolicy, Route, Routing, ServiceSpec, TenantSpec, TurnRetention,
-    WeightedService,
+    CallLimits, ColdSpec, EngineSpec, RetryPolicy, Route, Routing, ServiceSpec, TenantSpec,
+    TurnRetention, WeightedService,
 };
-pub use settings::{EntrySettings, StoreLimits};
+pub use settings::{ColdBounds, EntrySettings, StoreLimits};
 pub use target::{TargetEntry, TargetState};
--- a/crates/core/src/entry/routing.rs
+++ b/crates/core/src/entry/routing.rs
@@ -88,6 +88,15 @@
     pub tokens_per_event: u32,
 }
 
+/// How a service's targets have to be treated while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdSpec {
+    /// The calls per second, over all hosts, that a cold target takes.
+    pub rate: f64,
+    /// How long a target is cold after its start.
+    pub duration: Duration,
+}
+
 /// A service: a set of interchangeable targets.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSpec {
@@ -97,6 +106,8 @@
     pub max_connections: Option<u32>,
     /// Capacity of an engine, if the service generates tokens.
     pub engine: Option<EngineSpec>,
+    /// Set if the service's targets take only a limited rate of calls while they are cold.
+    pub cold: Option<ColdSpec>,
 }
 
 /// A tenant and its rate limit.
--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -12,6 +12,15 @@
     pub reads_per_second: f64,
 }
 
+/// By how much the calls to a cold target may exceed the rate that its service declares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBounds {
+    /// Factor on the declared rate.
+    pub overage: f64,
+    /// Calls that may come on top of that in any second.
+    pub tolerance: f64,
+}
+
 /// The settings of an entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntrySettings {
@@ -36,6 +45,8 @@
     pub store_limits: StoreLimits,
     /// Interval at which targets rewrite their entries in the store.
     pub target_heartbeat: Duration,
+    /// The bounds on calls to cold targets.
+    pub cold_bounds: ColdBounds,
     /// Time that the process may take to shut down after it was asked to.
     pub shutdown_grace: Duration,
     /// Memory limit of the process, in bytes.
--- a/crates/core/src/entry/target.rs
+++ b/crates/core/src/entry/target.rs
@@ -1,8 +1,10 @@
 //! The entry under which a target registers itself.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 /// Whether a target takes new calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,6 +16,7 @@
 }
 
 /// What a target publishes about itself.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// Id of the target.
@@ -35,4 +38,9 @@
     /// When its process started, in Unix milliseconds. A target that restarts under the same id is
     /// recognized by a different value.
     pub born: u64,
+    /// How long after writing its entry the target stays cold: it then takes only a limited rate of
+    /// calls. Zero if it is not cold.
+    #[serde(default)]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub cold_for: Duration,
 }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -527,6 +527,7 @@
             PlatformReply::Committed(version) => {
                 shared.fleet.own_row_version.set(version);
                 shared.grant_leases.borrow_mut().record_heartbeat(began, clock::now());
+                shared.targets.borrow_mut().record_own_row_written(clock::now(), began);
                 return;
             }
             PlatformReply::Conflict(rows) => {
@@ -570,9 +571,11 @@
         apply_host_rows(shared, peers, &rows, began, is_period_over);
         match rows.last().filter(|_| rows.len() >= ROWS_PER_READ as usize) {
             Some(last) => after = last.key.key.clone(),
-            None => return true,
+            None => break,
         }
     }
+    shared.targets.borrow_mut().record_hosts(began, shared.fleet.known_hosts());
+    true
 }
 
 /// Applies the rows of all hosts, whose read began at `began`. `is_period_over` tells whether each host has had time to write
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use camphorwalk_adapter::head::{self, AnswerHead, OutgoingHeaders};
 use camphorwalk_policy::entry::crashes::Fingerprint;
-use camphorwalk_policy::entry::placement::{Outcome, TargetKey};
+use camphorwalk_policy::entry::placement::{Outcome, SendCheck, TargetKey};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -66,6 +66,10 @@
         return SendOutcome::NotRun("the target is gone");
     };
 
+    if let Some(prevented) = prevent_send(shared, &place) {
+        return prevented;
+    }
+
     // The target may be closing an idle connection. The request then comes back unsent and is sent
     // on another connection.
     while let Some(connection) = shared.connections.take(key) {
@@ -91,6 +95,10 @@
         }
     };
 
+    if let Some(prevented) = prevent_send(shared, &place) {
+        return prevented;
+    }
+
     match exchange(attempt, connection, &id).await {
         Exchange::Unsent => {
             place.end(Outcome::Failed);
@@ -101,6 +109,18 @@
     }
 }
 
+/// Returns the outcome of a call that must no longer be sent to the target of its place.
+fn prevent_send(shared: &Shared, place: &Place) -> Option<SendOutcome> {
+    let (label, reason) = match place.check_send() {
+        SendCheck::Allowed => return None,
+        SendCheck::Evacuated => ("evacuated", "the target's zone is evacuated"),
+        SendCheck::Cold => ("cold", "the target is cold"),
+    };
+    shared.metrics.prevented_sends.with_label_values(&[label]).inc();
+
+    Some(SendOutcome::NotRun(reason))
+}
+
 enum Exchange {
     /// The request was not sent.
     Unsent,
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -12,6 +12,7 @@
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
 use camphorwalk_policy::entry::crashes::Crashes;
+use camphorwalk_policy::entry::evacuations::Evacuations;
 use camphorwalk_policy::entry::grant_leases::{GrantLeases, Holder};
 use camphorwalk_policy::entry::isolation::{self, Surroundings};
 use camphorwalk_policy::entry::placement::Targets;
@@ -113,6 +114,8 @@
     /// The entries under which targets have registered themselves.
     pub(crate) target_table: RefCell<TargetTable>,
     pub(crate) targets: RefCell<Targets>,
+    /// The evacuated zones.
+    pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) places: Places,
     pub(crate) connections: Connections,
     pub(crate) budgets: RefCell<Budgets>,
@@ -312,7 +315,8 @@
                 clock::now(),
             )),
             target_table: RefCell::new(TargetTable::new(settings.target_heartbeat)),
-            targets: RefCell::new(Targets::new(&settings.zone)),
+            targets: RefCell::new(Targets::new(&settings.zone, HostId::from_name(&settings.name))),
+            evacuations: RefCell::default(),
             places: Places::default(),
             connections: Connections::default(),
             budgets: RefCell::new(Budgets::new(run)),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -43,6 +43,10 @@
     pub(crate) rate_wait: Histogram,
     /// Ejections: targets that get no calls for a while after failures.
     pub(crate) ejections: IntCounter,
+    /// Calls that were not sent to the target that was chosen for them, by reason.
+    pub(crate) prevented_sends: IntCounterVec,
+    /// The number of evacuated availability zones.
+    pub(crate) evacuated_zones: IntGauge,
     /// Attempts to open a new connection to a target.
     pub(crate) connects: IntCounter,
     /// The version of the manifest in force.
@@ -133,6 +137,15 @@
                 "Seconds that calls waited for a token of their tenant's rate.",
             )?,
             ejections: counter("camphorwalk_ejections_total", "Targets ejected.")?,
+            prevented_sends: by(
+                "camphorwalk_prevented_sends_total",
+                "Calls not sent to the target that was chosen for them, by reason.",
+                &["reason"],
+            )?,
+            evacuated_zones: gauge(
+                "camphorwalk_evacuated_zones",
+                "The number of evacuated availability zones.",
+            )?,
             connects: counter("camphorwalk_connects_total", "Connections to targets.")?,
             manifest_version: gauge(
                 "camphorwalk_manifest_version",
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -7,7 +7,9 @@
 
 use camphorwalk_core::hash::{Map, stable_hash};
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::placement::{Choice, Outcome, PlacementRequest, TargetKey};
+use camphorwalk_policy::entry::placement::{
+    Choice, Outcome, PlacementRequest, SendCheck, TargetKey,
+};
 use camphorwalk_policy::entry::recent::RecentMap;
 use camphorwalk_policy::entry::waiting::{Urgency, WaitQueue, WaiterId};
 use tokio::sync::oneshot;
@@ -21,6 +23,10 @@
 /// Retry-After of a call for which no target is usable, if no ejected target is due to return.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Retry-After of a call while all targets of its service are evacuated. An evacuation lasts for
+/// seconds at least.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Retry-After of a new program while its service is full: about as long as a call holds its place.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -130,13 +136,17 @@
         key: TargetKey,
         placement: &PlacementRequest,
     ) -> Self {
-        let uncached_tokens = shared.targets.borrow_mut().record_sent(key, placement);
+        let taken_at = clock::now();
+        let mut targets = shared.targets.borrow_mut();
+        targets.record_place(taken_at, key);
+        let uncached_tokens = targets.record_sent(key, placement);
+        drop(targets);
 
         Self {
             shared: Rc::clone(shared),
             key,
             service: service.into(),
-            taken_at: clock::now(),
+            taken_at,
             uncached_tokens,
             events: 0,
             event_times: None,
@@ -161,6 +171,12 @@
         self.events += events;
     }
 
+    /// Returns whether the call may be sent now. The target may have been evacuated or have turned
+    /// cold since the place was taken.
+    pub(crate) fn check_send(&self) -> SendCheck {
+        self.shared.targets.borrow().check_send(clock::now(), self.key, self.taken_at)
+    }
+
     /// Returns the place's target; empty if its run is over.
     pub(crate) fn target(&self) -> PlaceTarget {
         let targets = self.shared.targets.borrow();
@@ -393,6 +409,9 @@
     if placement.version.is_some() && !targets.has_permitted(service, placement) {
         return Refusal::begin_anew("no target of the stream's version is left");
     }
+    if targets.is_service_evacuated(service) {
+        return Refusal::retry_later("all targets are evacuated", EVACUATED_RETRY_AFTER);
+    }
     let back = targets.time_to_readmission(clock::now(), service, placement);
 
     Refusal::retry_later(
--- a/crates/entry/src/queries.rs
+++ b/crates/entry/src/queries.rs
@@ -10,6 +10,7 @@
 use camphorwalk_core::messages::entry as wire;
 use camphorwalk_core::platform::{PlatformOp, PlatformReply, RowVersion};
 use camphorwalk_policy::entry::budgets::{BudgetRow, Claim, KnownRow, ProgramKey, RunId};
+use camphorwalk_policy::entry::evacuations::EvacuationsCopy;
 use camphorwalk_policy::entry::shares::Doubt;
 use camphorwalk_policy::entry::stream_origins::{KnownOrigin, Origin, StreamKey, StreamKeys};
 use camphorwalk_policy::entry::target_table;
@@ -104,13 +105,23 @@
     /// The turns that the replying host has in memory.
     Line(Vec<(TurnKey, Turn)>),
     /// The copy of the target table; `None` if the replying host has none yet.
-    Targets(Option<target_table::TableCopy>),
+    Targets(Option<TargetsCopy>),
     /// What the replying host knows of where the stream began.
     StreamOrigin(KnownOrigin),
     /// The host cannot carry out the query now.
     Refused,
 }
 
+/// A host's copies of the target table and of the evacuated zones.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct TargetsCopy {
+    #[serde(flatten)]
+    pub(crate) table: target_table::TableCopy,
+    /// `None` from an older build, or if the host has no copy yet.
+    #[serde(default)]
+    pub(crate) evacuations: Option<EvacuationsCopy>,
+}
+
 /// The queries of this host that wait for a reply.
 #[derive(Default)]
 pub(crate) struct PendingQueries {
@@ -216,7 +227,9 @@
         }
         Query::Manifest => manifests::handle_query(shared, from),
         Query::Targets(has) => {
-            QueryReply::Targets(shared.target_table.borrow().copy_for(clock::now(), has))
+            let table = shared.target_table.borrow().copy_for(clock::now(), has);
+            let evacuations = shared.evacuations.borrow().copy().cloned();
+            QueryReply::Targets(table.map(|table| TargetsCopy { table, evacuations }))
         }
         Query::StreamBegan(stream, origin) => {
             stream_origins::record_told(shared, stream, &origin);
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -18,8 +18,8 @@
 use tracing::{info, warn};
 
 use crate::host::Shared;
-use crate::queries::{self, Query, QueryReply};
-use crate::{clock, places, store, stream_origins};
+use crate::queries::{self, Query, QueryReply, TargetsCopy};
+use crate::{clock, places, store, stream_origins, watch};
 
 /// The number of rows in a page of a full read of the table.
 const PAGE_ROWS: u32 = 500;
@@ -190,8 +190,14 @@
     let asked_at = clock::now();
     let has = shared.target_table.borrow().as_of().unwrap_or_default();
     let reply = queries::send(shared, host, &Query::Targets(has), PEER_TIMEOUT).await;
-    let Some(QueryReply::Targets(Some(copy))) = reply else { return };
+    let Some(QueryReply::Targets(Some(TargetsCopy { table: copy, evacuations }))) = reply else {
+        return;
+    };
 
+    // A target of the copy must not be used before it is known whether its zone is evacuated.
+    if let Some(evacuations) = evacuations {
+        watch::apply_peer_evacuations(shared, evacuations);
+    }
     let (as_of, age) = (copy.as_of, copy.age);
     let effects = shared.target_table.borrow_mut().apply_peer_copy(clock::now(), asked_at, copy);
     if !effects.is_empty() {
@@ -233,6 +239,14 @@
         shared.connections.close(former);
         stream_origins::on_target_replaced(shared, &entry);
     }
+    if !entry.cold_for.is_zero() {
+        let now = clock::now();
+        let part = shared.targets.borrow_mut().record_cold(now, &id, entry.cold_for);
+        info!(
+            target_id = %id, for_ms = entry.cold_for.as_millis() as u64, part, as_of = as_of.0,
+            ?source, "targets: cold"
+        );
+    }
     if before != Some((state, born)) {
         info!(
             target_id = %id, ?state, born, version = entry.version, as_of = as_of.0, ?source,
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -302,8 +302,8 @@
     }
 }
 
-/// Resumes a broken stream: at another target if the process of the previous one is down, and
-/// otherwise at the same target. Returns `None` if the stream cannot be resumed.
+/// Resumes a broken stream: at another target if the process of the previous one is down or its zone
+/// is evacuated, and otherwise at the same target. Returns `None` if the stream cannot be resumed.
 async fn resume(
     call: &Rc<Call>,
     body: &Bytes,
@@ -322,7 +322,8 @@
             return None;
         }
 
-        let place = match down {
+        let must_move = down || call.shared.targets.borrow().is_evacuated(key);
+        let place = match must_move {
             false => places::retake(&call.shared, &call.service, key, &call.placement_request()),
             true => take_at_version(call, &progress.began_at, key).await?,
         };
@@ -352,15 +353,15 @@
     None
 }
 
-/// Takes a place at another target of the version that began a stream, whose target `down` is gone.
+/// Takes a place at another target of the version that began a stream than `previous`.
 async fn take_at_version(
     call: &Rc<Call>,
     began_at: &PlaceTarget,
-    down: TargetKey,
+    previous: TargetKey,
 ) -> Option<Place> {
     let began_at = confirm_version(&call.shared, began_at.clone());
     let mut placement = call.placement_request();
-    placement.avoid.push(down);
+    placement.avoid.push(previous);
     placement.version = Some(began_at.version.clone()?);
 
     let place = places::take(&call.shared, &call.service, &placement, call.urgency()).await;
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -4,7 +4,9 @@
 pub mod attempts;
 pub mod budgets;
 pub mod call_stats;
+pub mod cold_targets;
 pub mod crashes;
+pub mod evacuations;
 pub mod grant_leases;
 pub mod host_rows;
 pub mod isolation;
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -5,17 +5,26 @@
 //! would cost at each target: the time to read the prompt parts that are not cached, the time it
 //! and the running calls delay each other, and the wait while the target's slots are full.
 
+mod availability;
+mod target;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use camphorwalk_core::entry::{TargetEntry, TargetState};
-use camphorwalk_core::hash::{Map, rendezvous_weight, stable_hash};
+use camphorwalk_core::hash::{Map, Set};
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 use slotmap::SlotMap;
 
 use crate::entry::call_stats::CallStats;
-use crate::entry::prompts::{CachedPart, Prompts};
+use crate::entry::cold_targets::ColdShares;
+use crate::entry::prompts::CachedPart;
+
+use availability::ColdLimit;
+
+pub use availability::SendCheck;
+pub use target::Target;
 
 slotmap::new_key_type! {
     /// Identifies one run of a target within this host.
@@ -32,51 +41,11 @@
 /// weight is not zero, since a zone's callers may need more capacity than its own targets have.
 const CROSS_ZONE_WEIGHT: f64 = 0.25;
 
-/// The weight of a target without free slots in the random draw, relative to one with a single free
-/// slot.
-const FULL_TARGET_WEIGHT: f64 = 0.05;
-
 /// How many calls of all hosts together a target may have beyond its slots before calls of running
 /// programs wait at the hosts. A few keep a slot from staying idle between two calls; more would be
 /// served in the order of arrival instead of by rank.
 const MAX_QUEUED_AT_TARGET: u32 = 2;
 
-/// How many calls of this host must fail at a target, with none answered in between, until the
-/// target is ejected: this host sends it no calls for a while.
-const FAILURES_TO_EJECT: u32 = 2;
-
-/// The duration of the first ejection of a target, and the maximum. It doubles with each further
-/// ejection until a call is answered. A target that crashed is back after some seconds.
-const FIRST_EJECTION: Duration = Duration::from_millis(500);
-const MAX_EJECTION: Duration = Duration::from_secs(4);
-
-/// The fraction of its time that a call saves at a target that recently handled the same object.
-const SAVING_FOR_KNOWN_OBJECT: f64 = 0.5;
-
-/// A target, as known to this host.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// The entry that the target registered.
-    pub entry: TargetEntry,
-    /// A hash of its id.
-    id_hash: u64,
-    /// Whether the target is draining. It then gets no new calls.
-    pub leaving: bool,
-    /// The number of calls that this host has in flight there.
-    own_calls: u32,
-    /// The number of calls that the other hosts have in flight there, by their last status updates.
-    others_calls: u32,
-    /// The failed calls of this host since the last answered one.
-    failures: u32,
-    /// The ejections since the last answered call of this host.
-    ejections: u32,
-    ejected_until: Option<Instant>,
-    prompts: Prompts,
-    /// The last parts of the prompts that this host sent there, not yet reported to the other
-    /// hosts.
-    unreported_parts: Vec<CachedPart>,
-}
-
 /// The fraction of a target's slots up to which new programs may start there: for the first rank,
 /// and for all others.
 ///
@@ -160,7 +129,7 @@
 }
 
 /// All known targets, and their load.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Targets {
     targets: SlotMap<TargetKey, Target>,
     by_id: Map<Box<str>, TargetKey>,
@@ -171,12 +140,29 @@
     calls_by_host: Map<HostId, Map<Box<str>, u32>>,
     /// The number of calls that wait for a place at each other host, by service.
     waiting_by_host: Map<HostId, Map<Box<str>, u32>>,
+    /// The evacuated availability zones.
+    evacuated_zones: Set<Box<str>>,
+    /// The limits on calls to cold targets, for each service that has one.
+    cold_limits: Map<Box<str>, ColdLimit>,
+    /// This host's parts of these limits.
+    cold_shares: ColdShares,
 }
 
 impl Targets {
-    /// Creates an empty set of targets; `zone` is the host's own zone.
-    pub fn new(zone: &str) -> Self {
-        Self { zone: zone.into(), ..Self::default() }
+    /// Creates an empty set of targets of the host `own` in the availability zone `zone`.
+    pub fn new(zone: &str, own: HostId) -> Self {
+        Self {
+            targets: SlotMap::with_key(),
+            by_id: Map::default(),
+            by_service: Map::default(),
+            stats: Map::default(),
+            zone: zone.into(),
+            calls_by_host: Map::default(),
+            waiting_by_host: Map::default(),
+            evacuated_zones: Set::default(),
+            cold_limits: Map::default(),
+            cold_shares: ColdShares::new(own),
+        }
     }
 
     /// Returns the target with this key, unless its run is over.
@@ -198,18 +184,17 @@
         self.by_id(id).is_some_and(|target| is_other(&target.entry))
     }
 
-    /// Returns the targets of a service that are not draining.
+    /// Returns the targets of a service that are neither draining nor evacuated.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
         let keys = self.by_service.get(service).into_iter().flatten();
 
-        keys.filter_map(|key| Some((*key, self.targets.get(*key)?))).filter(|(_, t)| !t.leaving)
+        keys.filter_map(|key| Some((*key, self.targets.get(*key)?)))
+            .filter(|(_, target)| target.takes_calls())
     }
 
     /// Adds or updates a target from its entry. Returns the key of the previous run if the target
     /// was restarted; its connections must be closed.
     pub fn put(&mut self, entry: TargetEntry) -> Option<TargetKey> {
-        let leaving = entry.state == TargetState::Draining;
-
         if let Some(key) = self.by_id.get(&entry.id).copied() {
             let known = &mut self.targets[key];
             let is_same_run =
@@ -217,42 +202,35 @@
 
             if is_same_run {
                 let moved = known.entry.service != entry.service;
+                known.is_evacuated = self.evacuated_zones.contains(&entry.zone);
+                known.leaving = entry.state == TargetState::Draining;
                 known.entry = entry;
-                known.leaving = leaving;
                 if moved {
                     self.rebuild_index();
+                    self.update_part(key);
                 }
                 return None;
             }
 
             self.remove(key);
-            self.insert(entry, leaving);
+            self.insert(entry);
             return Some(key);
         }
 
-        self.insert(entry, leaving);
+        self.insert(entry);
         None
     }
 
-    fn insert(&mut self, entry: TargetEntry, leaving: bool) {
+    fn insert(&mut self, entry: TargetEntry) {
         let id = entry.id.clone();
         let service = entry.service.clone();
         let others_calls = self.calls_by_host.values().filter_map(|calls| calls.get(&id)).sum();
-        let key = self.targets.insert(Target {
-            id_hash: stable_hash(&[id.as_bytes()]),
-            entry,
-            leaving,
-            own_calls: 0,
-            others_calls,
-            failures: 0,
-            ejections: 0,
-            ejected_until: None,
-            prompts: Prompts::default(),
-            unreported_parts: Vec::new(),
-        });
+        let is_evacuated = self.evacuated_zones.contains(&entry.zone);
+        let key = self.targets.insert(Target::new(entry, is_evacuated, others_calls));
 
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
+        self.update_part(key);
     }
 
     /// Removes a target whose entry is gone. Returns its key if it was known.
@@ -348,6 +326,7 @@
             .new_program_rank
             .is_some_and(|rank| self.is_too_busy_to_start(now, service, rank))
             || request.new_program_rank.is_some() && self.has_calls_waiting_elsewhere(service);
+        let may_use_part = self.cold_shares.may_use(now);
         let stats = self.stats(service);
         let seed = request.draw_seed();
         let mut any_usable = false;
@@ -357,7 +336,8 @@
         for (key, target) in self.of_service(service).filter(usable) {
             any_usable = true;
 
-            if is_postponed || !target.has_room(request) {
+            let has_room = target.has_room(request) && target.cold.has_room(now, may_use_part);
+            if is_postponed || !has_room {
                 continue;
             }
             if target.holds_prompt_or_object(request) {
@@ -526,71 +506,6 @@
     }
 }
 
-impl Target {
-    /// Returns the number of calls in flight, over all hosts.
-    pub fn load(&self) -> u32 {
-        self.own_calls + self.others_calls
-    }
-
-    fn has_room(&self, request: &PlacementRequest) -> bool {
-        self.load() < request.limit(self.entry.slots)
-    }
-
-    /// Returns whether the target recently handled the call's object, or caches more of its prompt
-    /// than the first part, which all calls of a kind share.
-    fn holds_prompt_or_object(&self, request: &PlacementRequest) -> bool {
-        let own = request.parts.iter().skip(1).map(|(id, _)| *id);
-
-        own.chain(request.object).any(|id| self.prompts.contains(id))
-    }
-
-    /// Returns the target's position in the random draw; the lowest is drawn first. It is a random
-    /// number derived from the target's id, scaled so that more free slots make a low position more
-    /// likely.
-    fn draw_position(&self, seed: u64, request: &PlacementRequest) -> f64 {
-        let free =
-            request.limit(self.entry.slots).min(self.entry.slots).saturating_sub(self.load());
-        let weight = f64::from(free).max(FULL_TARGET_WEIGHT);
-        let random = (rendezvous_weight(seed, self.id_hash).0 >> 11) as f64 / (1u64 << 53) as f64;
-
-        -random.max(f64::MIN_POSITIVE).ln() / weight
-    }
-
-    fn is_ejected(&self, now: Instant) -> bool {
-        self.ejected_until.is_some_and(|until| now < until)
-    }
-
-    /// Returns the cost of a call at this target in milliseconds, beyond the time that it takes
-    /// anywhere: the wait for a slot, the time to read its prompt, the delay that neighbouring
-    /// calls cause, and the delay that they suffer while its prompt is read.
-    fn cost(&self, stats: &CallStats, request: &PlacementRequest) -> f64 {
-        let slots = self.entry.slots.max(1);
-        let load = self.load();
-        let running = f64::from(load.min(slots));
-
-        let prompt = stats.prompt_ms(self.prompts.missing_tokens(&request.parts));
-        let waiting = f64::from((load + 1).saturating_sub(slots));
-        let wait = waiting * stats.slot_ms() / f64::from(slots);
-        let knows_object = request.object.is_some_and(|object| self.prompts.contains(object));
-        let saved = if knows_object { stats.slot_ms() * SAVING_FOR_KNOWN_OBJECT } else { 0.0 };
-
-        prompt * (1.0 + running) + stats.interference_ms() * running - saved + wait
-    }
-
-    fn record_failure(&mut self, now: Instant) -> bool {
-        self.failures += 1;
-
-        if self.failures < FAILURES_TO_EJECT || self.is_ejected(now) {
-            return false;
-        }
-
-        let ejection = FIRST_EJECTION * 2u32.saturating_pow(self.ejections);
-        self.ejections += 1;
-        self.ejected_until = Some(now + ejection.min(MAX_EJECTION));
-        true
-    }
-}
-
 /// Replaces `best` by a candidate with a lower value: a cost, or a position in the random draw.
 fn keep_lowest(best: &mut Option<(f64, TargetKey)>, candidate: (f64, TargetKey)) {
     if best.is_none_or(|(lowest, _)| candidate.0 < lowest) {
--- a/crates/policy/tests/entry_placement.rs
+++ b/crates/policy/tests/entry_placement.rs
@@ -21,11 +21,12 @@
         slots: 2,
         state: TargetState::Ready,
         born: 1,
+        cold_for: Duration::ZERO,
     }
 }
 
 fn targets(ids: &[&str]) -> Targets {
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     ids.iter().for_each(|id| {
         targets.put(entry(id, "a"));
     });
@@ -110,7 +111,7 @@
 fn new_programs_leave_slots_to_running_ones() {
     // Many users arrive at once. If new programs took all slots, the next turns of running programs
     // would wait behind them, and all would finish late.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     targets.put(TargetEntry { slots: 12, ..entry("x", "a") });
     let starting =
         |rank| PlacementRequest { new_program_rank: Some(rank), ..PlacementRequest::default() };
@@ -129,7 +130,7 @@
     // a second old, one of the remaining engines nearly always seems to have a free slot, while
     // turns at the others take twice as long. Programs that started there would be late, and make
     // others late.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     for id in ["x", "y", "z"] {
         targets.put(TargetEntry { slots: 12, ..entry(id, "a") });
     }
@@ -243,7 +244,7 @@
     // two and thirty events. When a target's speed was estimated from the duration of calls, a
     // conversation left its target after a long answer and its whole prompt was read again: this
     // affected two of three prompt tokens.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     ["x", "y", "z"].into_iter().for_each(|id| {
         targets.put(engine(id));
     });
@@ -270,7 +271,7 @@
     // Reading a conversation's whole prompt again stalls all calls at the new target meanwhile,
     // which costs more than some neighbouring calls do. A conversation moves only if its target is
     // far busier than another.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     targets.put(engine("x"));
     targets.put(engine("y"));
     let conversation = |tokens| PlacementRequest {
@@ -298,7 +299,7 @@
     // receives its next turn never sent it anywhere, and by the draw alone would have its prompt
     // read again at the target drawn first.
     let ids = ["u", "v", "w", "x", "y", "z"];
-    let (mut here, mut there) = (Targets::new("a"), Targets::new("a"));
+    let (mut here, mut there) = (Targets::new("a", HostId(0)), Targets::new("a", HostId(0)));
     ids.iter().for_each(|id| {
         here.put(engine(id));
         there.put(engine(id));
@@ -332,7 +333,7 @@
 #[test]
 fn the_turns_of_sub_agents_go_where_their_parents_prompt_is() {
     // A turn starts five sub-agents, whose prompts begin with the turn's own prompt.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     ["x", "y", "z"].into_iter().for_each(|id| {
         targets.put(engine(id));
     });
@@ -365,7 +366,7 @@
     // An engine becomes four times slower, so its calls take four times as long. Its speed is not
     // measured: its slots stay occupied, and conversations start where slots are free. When it
     // recovers, its slots are free and it gets conversations at once.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     ["slow", "usual"].into_iter().for_each(|id| {
         targets.put(engine(id));
     });
@@ -429,7 +430,7 @@
     let mut sent: Map<Box<str>, u32> = Map::default();
 
     for host in 0..23 {
-        let mut targets = Targets::new("a");
+        let mut targets = Targets::new("a", HostId(0));
         ids.iter().for_each(|id| {
             targets.put(TargetEntry { slots: 6, ..entry(id, "a") });
         });
@@ -453,7 +454,7 @@
 fn calls_without_a_prompt_are_spread_by_free_slots() {
     // Plain calls of 20 ms start and end between two status updates. Most of them must go where
     // most slots are free.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     for id in ["x", "y"] {
         targets.put(TargetEntry { slots: 6, ..entry(id, "a") });
     }
@@ -478,7 +479,7 @@
     // A conversation that starts in another zone breaks when that zone is partitioned off, and
     // sends each of its prompts across zones. A zone that gets more than its share of callers still
     // needs the targets of the others.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     targets.put(engine("near"));
     targets.put(TargetEntry { zone: "b".into(), ..engine("far") });
     let started_near = |targets: &Targets| {
@@ -514,7 +515,7 @@
 #[test]
 fn a_stream_that_goes_on_is_sent_only_to_targets_of_its_version() {
     // Guards against a stream with events of two versions, also if its version is full or gone.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     targets.put(versioned("old", Some("v1")));
     targets.put(versioned("new", Some("v2")));
     targets.put(versioned("unknown", None));
@@ -546,7 +547,7 @@
 #[test]
 fn a_target_that_started_again_at_another_version_is_replaced_by_other_version() {
     // Guards against the version of a former process with the same id.
-    let mut targets = Targets::new("a");
+    let mut targets = Targets::new("a", HostId(0));
     targets.put(TargetEntry { born: 2, ..versioned("x", Some("v2")) });
 
     assert!(targets.is_replaced_by_other_version("x", 1, Some("v1")));
--- a/crates/policy/tests/target_table.rs
+++ b/crates/policy/tests/target_table.rs
@@ -43,6 +43,7 @@
         slots: 2,
         state: TargetState::Ready,
         born: 1,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/policy/tests/target_table_fuzz/targets.rs
+++ b/crates/policy/tests/target_table_fuzz/targets.rs
@@ -218,5 +218,6 @@
         slots: 2,
         state: TargetState::Ready,
         born,
+        cold_for: Duration::ZERO,
     }
 }
