Calls wait at most 400 ms for their token, so that a partition stays within the rate

Two sides that do not know yet of their partition take the same tokens in advance, the more the longer calls may wait.

Change: a bound of 400 ms on waits of running programs.

--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -62,6 +62,10 @@
 /// were refused, its caller would retry after about as long.
 const MAX_WAIT: Duration = Duration::from_millis(200);
 
+/// How long a call may wait for its token if its program can still end in time. Two sides of a partition
+/// that do not know of it yet take the same tokens in advance, the more the longer calls may wait.
+const MAX_WAIT_RUNNING: Duration = Duration::from_millis(400);
+
 /// How long the first call of a new program may wait for its token. After that it is better to tell
 /// the caller to come back later.
 const MAX_WAIT_NEW: Duration = Duration::from_millis(50);
@@ -105,20 +109,21 @@
 ///
 /// Load pattern: the calls of one long program of a small tenant come faster than the tenant's rate
 /// for a second or two. A program is lost with any of its calls, so a call of a running one waits as
-/// long as the program may still end in time and the call itself has time to run.
+/// long as the program may still end in time and the call itself has time to run, up to a
+/// bound.
 ///
 /// ```
 /// use std::time::Duration;
 /// use camphorwalk_policy::entry::rates::{CallTimes, max_wait};
 /// let ms = Duration::from_millis;
 /// let running = CallTimes { is_new: false, left: ms(1_200), program_left: Some(ms(900)) };
-/// assert_eq!(max_wait(running), ms(600));
+/// assert_eq!(max_wait(running), ms(400));
 /// assert_eq!(max_wait(CallTimes { is_new: true, ..running }), ms(50));
 /// ```
 pub fn max_wait(call: CallTimes) -> Duration {
     let longest = match call.program_left.filter(|left| !left.is_zero()) {
         _ if call.is_new => MAX_WAIT_NEW,
-        Some(program_left) => program_left,
+        Some(program_left) => program_left.min(MAX_WAIT_RUNNING),
         None => MAX_WAIT,
     };
 
