--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -109,8 +109,8 @@
 ///
 /// Load pattern: the calls of one long program of a small tenant come faster than the tenant's rate
 /// for a second or two. A program is lost with any of its calls, so a call of a running one waits as
-/// long as the program may still end in time and the call itself has time to run, up to a
-/// bound.
+/// long as the program may still end in time and the call itself has time to run, but not so long that
+/// two sides of a partition would take many of the same tokens.
 ///
 /// ```
 /// use std::time::Duration;
