--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -13,7 +13,7 @@
 use camphorwalk_policy::entry::attempts::Attempts;
 use camphorwalk_policy::entry::crashes::Fingerprint;
 use camphorwalk_policy::entry::placement::PlacementRequest;
-use camphorwalk_policy::entry::rates::{Admission, CallTimes, max_wait};
+use camphorwalk_policy::entry::rates::Admission;
 use camphorwalk_policy::entry::routes;
 use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey, StreamKeys};
 use camphorwalk_policy::entry::waiting::Urgency;
@@ -119,16 +119,6 @@
         PlacementRequest { new_program_rank, parts, object, avoid: Vec::new(), version, seed }
     }
 
-    /// Returns what determines how long the call may wait for a token of its tenant's rate.
-    fn times(&self) -> CallTimes {
-        let program_left = self.head.program_deadline.map(|left| {
-            let should_end = self.received_at + left;
-            clock::until(should_end)
-        });
-
-        CallTimes { is_new: self.is_new.get(), left: clock::until(self.deadline), program_left }
-    }
-
     /// Returns the call's urgency in the queue for a place.
     pub(crate) fn urgency(&self) -> Urgency {
         let should_end = self.head.program_deadline.map(|left| self.received_at + left);
@@ -452,53 +442,35 @@
     }
 
     let Some(tenant) = &call.tenant else { return Ok(()) };
-    let longest = max_wait(call.times());
+    let asked = clock::now();
     let is_new = call.is_new.get();
-    let admission = call.shared.rates.borrow_mut().admit(clock::now(), tenant, is_new, longest);
-
-    match admission {
-        Admission::Admitted => Ok(()),
-        Admission::AdmittedAfter(after) => {
-            let token = ReservedToken { call, tenant: Some(tenant) };
-            tokio::time::sleep(after).await;
-            token.keep();
-            call.shared.metrics.rate_wait.observe(after.as_secs_f64());
-            Ok(())
-        }
-        Admission::Refused(after) => {
-            log_over_rate(call, tenant, longest, after);
-            Err(Refusal::over_rate(after))
-        }
-    }
-}
-
-/// A token that a call waits for. Dropping it, since the caller went away, returns it to the tenant.
-struct ReservedToken<'a> {
-    call: &'a Call,
-    tenant: Option<&'a str>,
-}
-
-impl ReservedToken<'_> {
-    /// Keeps the token for the call.
-    fn keep(mut self) {
-        self.tenant = None;
-    }
-}
-
-impl Drop for ReservedToken<'_> {
-    fn drop(&mut self) {
-        if let Some(tenant) = self.tenant {
-            self.call.shared.rates.borrow_mut().refund(tenant);
+    loop {
+        let now = clock::now();
+        let waited = now.since(asked);
+        let admission = call.shared.rates.borrow_mut().admit(now, tenant, is_new, waited);
+
+        match admission {
+            Admission::Admitted => {
+                if !waited.is_zero() {
+                    call.shared.metrics.rate_wait.observe(waited.as_secs_f64());
+                }
+                return Ok(());
+            }
+            Admission::Wait(after) => tokio::time::sleep(after).await,
+            Admission::Refused(after) => {
+                log_over_rate(call, tenant, waited);
+                return Err(Refusal::over_rate(after));
+            }
         }
     }
 }
 
-fn log_over_rate(call: &Call, tenant: &str, longest: Duration, after: Duration) {
+fn log_over_rate(call: &Call, tenant: &str, waited: Duration) {
     let Some(state) = call.shared.rates.borrow().explain(tenant) else { return };
 
     info!(
         request = %call.head.request_id, tenant = %tenant, is_new = call.is_new.get(),
-        longest_ms = longest.as_millis() as u64, after_ms = after.as_millis() as u64, level = state.level, rate = state.rate,
+        waited_ms = waited.as_millis() as u64, level = state.level, rate = state.rate,
         demand = state.demand, others_demand = state.others_demand,
         withheld = state.reserved, "rate: over"
     );
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -58,22 +58,15 @@
 /// partition.
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(3);
 
-/// How long a call may wait for its token if its program is late anyway, or it belongs to none. If it
-/// were refused, its caller would retry after about as long.
+/// How long a call of a running program may wait for tokens. If it were refused, its caller would
+/// retry after about as long, with one of its two or three attempts used up, and a program fails as
+/// a whole when the caller gives up on one call.
 const MAX_WAIT: Duration = Duration::from_millis(200);
 
-/// How long a call may wait for its token if its program can still end in time. Two sides of a partition
-/// that do not know of it yet take the same tokens in advance, the more the longer calls may wait.
-const MAX_WAIT_RUNNING: Duration = Duration::from_millis(400);
-
-/// How long the first call of a new program may wait for its token. After that it is better to tell
-/// the caller to come back later.
+/// How long the first call of a new program may wait for tokens: a quarter of [`MAX_WAIT`]. After
+/// that it is better to tell the caller to come back later.
 const MAX_WAIT_NEW: Duration = Duration::from_millis(50);
 
-/// The fraction of a call's remaining time that it may spend on waiting for its token. The rest is
-/// for the call itself.
-const WAIT_PART: u32 = 2;
-
 /// A tenant's demand is sent again when it has changed by this fraction, and by at least this many
 /// calls per second. The other hosts use the demand only for estimates: the reserve for status
 /// updates in transit, and the shares of silent hosts.
@@ -88,48 +81,12 @@
 pub enum Admission {
     /// The call is within its tenant's rate.
     Admitted,
-    /// The call has a token that will be available after this time, and must wait until then.
-    AdmittedAfter(Duration),
+    /// A token will be available after this short time; the call should ask again then.
+    Wait(Duration),
     /// The call exceeds the rate; tokens will be available after this time.
     Refused(Duration),
 }
 
-/// What determines how long a call may wait for its token.
-#[derive(Clone, Copy, Debug)]
-pub struct CallTimes {
-    /// Whether the call starts a program.
-    pub is_new: bool,
-    /// The time until the call's deadline.
-    pub left: Duration,
-    /// The time until the call's program should end; `None` without a program, zero if it is late.
-    pub program_left: Option<Duration>,
-}
-
-/// Returns how long a call may wait for its token.
-///
-/// Load pattern: the calls of one long program of a small tenant come faster than the tenant's rate
-/// for a second or two. A program is lost with any of its calls, so a call of a running one waits as
-/// long as the program may still end in time and the call itself has time to run, but not so long that
-/// two sides of a partition would take many of the same tokens.
-///
-/// ```
-/// use std::time::Duration;
-/// use camphorwalk_policy::entry::rates::{CallTimes, max_wait};
-/// let ms = Duration::from_millis;
-/// let running = CallTimes { is_new: false, left: ms(1_200), program_left: Some(ms(900)) };
-/// assert_eq!(max_wait(running), ms(400));
-/// assert_eq!(max_wait(CallTimes { is_new: true, ..running }), ms(50));
-/// ```
-pub fn max_wait(call: CallTimes) -> Duration {
-    let longest = match call.program_left.filter(|left| !left.is_zero()) {
-        _ if call.is_new => MAX_WAIT_NEW,
-        Some(program_left) => program_left.min(MAX_WAIT_RUNNING),
-        None => MAX_WAIT,
-    };
-
-    longest.min(call.left / WAIT_PART)
-}
-
 /// The values that determine whether a tenant's calls are admitted.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateState {
@@ -547,35 +504,33 @@
     }
 
     /// Takes a token for a call of a tenant. Tenants without a rate are not limited. `is_new` tells
-    /// whether the call starts a program.
-    ///
-    /// If there is none yet, the call may take the next one that will be there within `max_wait`.
-    /// Calls that come later wait behind it, at all hosts, and one that would wait for too long is
-    /// refused at once.
+    /// whether the call starts a program, `waited` how long it has waited so far.
     pub fn admit(
         &mut self,
         now: Instant,
         tenant: &str,
         is_new: bool,
-        max_wait: Duration,
+        waited: Duration,
     ) -> Admission {
         let Some(account) = self.accounts.get_mut(tenant) else { return Admission::Admitted };
-        account.arrived += 1;
+        account.arrived += u32::from(waited.is_zero());
         account.refill(now);
 
         let needed = 1.0 + account.headroom(is_new, self.update_delay.max(MIN_UPDATE_DELAY));
-        let after = match account.level < needed {
-            true => Some(account.time_until_level(needed)),
-            false => None,
-        };
-        if let Some(after) = after.filter(|after| *after > max_wait) {
-            return Admission::Refused(after);
+        if account.level < needed {
+            let after = account.time_until_level(needed);
+            let max_wait = if is_new { MAX_WAIT_NEW } else { MAX_WAIT };
+
+            return match waited + after <= max_wait {
+                true => Admission::Wait(after),
+                false => Admission::Refused(after),
+            };
         }
 
         account.level -= 1.0;
         account.admitted += 1;
         account.spent += 1.0;
-        after.map_or(Admission::Admitted, Admission::AdmittedAfter)
+        Admission::Admitted
     }
 
     /// Returns the values that determine whether a tenant's calls are admitted, for logging.
