--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -204,7 +204,7 @@
     shared.metrics.manifest_version.set(i64::try_from(routing.version).unwrap_or(i64::MAX));
     shared.rates.borrow_mut().configure(clock::now(), &routing.tenants);
     let cold_bounds = shared.settings.cold_bounds;
-    shared.targets.borrow_mut().configure_cold(&routing.services, cold_bounds);
+    shared.targets.borrow_mut().configure_cold(clock::now(), &routing.services, cold_bounds);
     *shared.routes.borrow_mut() = Some(RouteTable::new(Arc::new(routing)));
     *shared.manifest_text.borrow_mut() = text.into();
 }
--- a/crates/policy/src/entry/cold_targets.rs
+++ b/crates/policy/src/entry/cold_targets.rs
@@ -151,8 +151,11 @@
 pub struct ColdState {
     /// Until when the target is cold, as far as this host knows.
     until: Option<Instant>,
-    /// This host's part of the limit on calls to the target; `None` without a limit.
-    part: Option<u32>,
+    /// Whether calls to the target are limited while it is cold.
+    is_limited: bool,
+    /// This host's part of the limit, as of when the target last turned cold or the list of hosts
+    /// changed while it was.
+    part: u32,
     /// When the last places at the target were taken, oldest first.
     places: VecDeque<Instant>,
 }
@@ -163,19 +166,26 @@
         self.until = self.until.max(Some(until));
     }
 
-    /// Sets this host's part of the limit; `None` if the target's service has no limit.
-    pub fn set_part(&mut self, part: Option<u32>) {
+    /// Sets whether calls to the target are limited while it is cold.
+    pub fn set_limited(&mut self, is_limited: bool) {
+        self.is_limited = is_limited;
+    }
+
+    /// Sets this host's part of the limit.
+    pub fn set_part(&mut self, part: u32) {
         self.part = part;
     }
 
     /// Returns this host's part of the limit while the target is cold and has a limit.
     pub fn part(&self, now: Instant) -> Option<u32> {
-        self.part.filter(|_| self.until.is_some_and(|until| now < until))
+        let is_cold = self.until.is_some_and(|until| now < until);
+
+        (self.is_limited && is_cold).then_some(self.part)
     }
 
     /// Records that a place was taken.
     pub fn record_place(&mut self, now: Instant) {
-        if self.part.is_none() {
+        if !self.is_limited {
             return;
         }
         while self.places.front().is_some_and(|at| now.since(*at) >= PLACE_WINDOW) {
@@ -192,7 +202,8 @@
     /// use camphorwalk_policy::entry::cold_targets::ColdState;
     /// let at = Instant::from_millis;
     /// let mut state = ColdState::default();
-    /// state.set_part(Some(1));
+    /// state.set_limited(true);
+    /// state.set_part(1);
     /// state.extend(at(3_000));
     /// state.record_place(at(0));
     /// assert!(!state.has_room(at(1_000), true));
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -207,7 +207,7 @@
                 known.entry = entry;
                 if moved {
                     self.rebuild_index();
-                    self.update_part(key);
+                    self.update_limited(key);
                 }
                 return None;
             }
@@ -230,7 +230,7 @@
 
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
-        self.update_part(key);
+        self.update_limited(key);
     }
 
     /// Removes a target whose entry is gone. Returns its key if it was known.
--- a/crates/policy/src/entry/placement/availability.rs
+++ b/crates/policy/src/entry/placement/availability.rs
@@ -7,8 +7,8 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 
-use super::{Target, TargetKey, Targets};
-use crate::entry::cold_targets::{ColdShares, call_limit};
+use super::{TargetKey, Targets};
+use crate::entry::cold_targets::call_limit;
 use crate::entry::evacuations::ZoneChange;
 
 /// The limit on calls to a cold target of a service.
@@ -52,6 +52,7 @@
             let limit = self.cold_limits.get(&target.entry.service);
             if let Some(limit) = limit.filter(|_| !is_evacuated) {
                 target.cold.extend(now + limit.duration);
+                target.cold.set_part(self.cold_shares.part(limit.calls, target.id_hash));
             }
         }
         affected
@@ -77,7 +78,12 @@
     }
 
     /// Sets the limits on calls to cold targets from the services of a manifest.
-    pub fn configure_cold(&mut self, services: &Map<Box<str>, ServiceSpec>, bounds: ColdBounds) {
+    pub fn configure_cold(
+        &mut self,
+        now: Instant,
+        services: &Map<Box<str>, ServiceSpec>,
+        bounds: ColdBounds,
+    ) {
         let limited = services.values().filter_map(|service| {
             let spec = service.cold?;
             let limit = ColdLimit { calls: call_limit(spec, bounds), duration: spec.duration };
@@ -86,7 +92,10 @@
         });
 
         self.cold_limits = limited.collect();
-        self.update_parts();
+        for target in self.targets.values_mut() {
+            target.cold.set_limited(self.cold_limits.contains_key(&target.entry.service));
+        }
+        self.update_parts(now);
     }
 
     /// Records an acknowledged write of this host's row in the store that began at `began`.
@@ -97,7 +106,7 @@
     /// Records the other hosts of the fleet, as of a read that began at `began`.
     pub fn record_hosts(&mut self, began: Instant, others: Vec<HostId>) {
         if self.cold_shares.record_list(began, others) {
-            self.update_parts();
+            self.update_parts(began);
         }
     }
 
@@ -107,6 +116,8 @@
         let key = self.by_id.get(id)?;
         let target = self.targets.get_mut(*key)?;
         target.cold.extend(now + time);
+        let limit = self.cold_limits.get(&target.entry.service)?;
+        target.cold.set_part(self.cold_shares.part(limit.calls, target.id_hash));
 
         target.cold.part(now)
     }
@@ -129,23 +140,20 @@
         }
     }
 
-    /// Updates this host's part of the limit on calls to one target.
-    pub(super) fn update_part(&mut self, key: TargetKey) {
+    /// Updates whether calls to one target are limited while it is cold.
+    pub(super) fn update_limited(&mut self, key: TargetKey) {
         if let Some(target) = self.targets.get_mut(key) {
-            set_part(target, &self.cold_limits, &self.cold_shares);
+            target.cold.set_limited(self.cold_limits.contains_key(&target.entry.service));
         }
     }
 
-    fn update_parts(&mut self) {
-        for target in self.targets.values_mut() {
-            set_part(target, &self.cold_limits, &self.cold_shares);
+    /// Updates this host's parts of the limits on calls to cold targets. A part takes a look at each
+    /// host, so those of the many other targets are computed only when they turn cold.
+    fn update_parts(&mut self, now: Instant) {
+        for target in self.targets.values_mut().filter(|target| target.cold.part(now).is_some()) {
+            if let Some(limit) = self.cold_limits.get(&target.entry.service) {
+                target.cold.set_part(self.cold_shares.part(limit.calls, target.id_hash));
+            }
         }
     }
 }
-
-fn set_part(target: &mut Target, limits: &Map<Box<str>, ColdLimit>, shares: &ColdShares) {
-    let limit = limits.get(&target.entry.service);
-    let part = limit.map(|limit| shares.part(limit.calls, target.id_hash));
-
-    target.cold.set_part(part);
-}
--- a/crates/policy/tests/cold_targets.rs
+++ b/crates/policy/tests/cold_targets.rs
@@ -67,7 +67,7 @@
 fn host(own: HostId, fleet: &[HostId]) -> Targets {
     let mut targets = Targets::new("a", own);
     let others = fleet.iter().copied().filter(|host| *host != own).collect();
-    targets.configure_cold(&services(), BOUNDS);
+    targets.configure_cold(BEGIN - JOIN_DELAY, &services(), BOUNDS);
     targets.record_own_row_written(BEGIN - JOIN_DELAY, BEGIN - JOIN_DELAY);
     targets.record_own_row_written(BEGIN, BEGIN);
     targets.record_hosts(BEGIN, others);
@@ -171,6 +171,28 @@
     }
 }
 
+/// Guards against parts of an older list or manifest: they must follow both while a target is cold.
+#[test]
+fn the_part_of_a_cold_target_follows_the_list_of_hosts_and_the_limit() {
+    let own = HostId(1);
+    let mut targets = Targets::new("a", own);
+    targets.put(entry("engine", "a"));
+    let part = |targets: &mut Targets| targets.record_cold(BEGIN, "engine", SPEC.duration);
+    assert_eq!(part(&mut targets), None);
+
+    targets.configure_cold(BEGIN, &services(), BOUNDS);
+    targets.record_own_row_written(BEGIN - JOIN_DELAY, BEGIN);
+    targets.record_hosts(BEGIN, vec![HostId(2), HostId(3)]);
+    assert_eq!(part(&mut targets), Some(13));
+
+    targets.record_hosts(BEGIN, fleet(38));
+    let mut sent = Sent::default();
+    for seed in 0..20 {
+        send_one(&mut targets, BEGIN, seed, Duration::ZERO, &mut sent);
+    }
+    assert_eq!(sent.values().map(Vec::len).sum::<usize>(), 1);
+}
+
 /// Guards against limiting targets that are no longer cold.
 #[test]
 fn a_target_that_is_no_longer_cold_takes_calls_without_limit() {
