--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -43,7 +43,7 @@
     pub(crate) rate_wait: Histogram,
     /// Ejections: targets that get no calls for a while after failures.
     pub(crate) ejections: IntCounter,
-    /// Calls that were not sent to the target that was chosen for them, by reason.
+    /// Calls that were not sent although they had a place at a target, by reason.
     pub(crate) prevented_sends: IntCounterVec,
     /// The number of evacuated availability zones.
     pub(crate) evacuated_zones: IntGauge,
--- a/crates/policy/src/entry/placement/availability.rs
+++ b/crates/policy/src/entry/placement/availability.rs
@@ -20,7 +20,7 @@
     duration: Duration,
 }
 
-/// Whether a call may still be sent to the target that was chosen for it.
+/// Whether a call may still be sent to its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendCheck {
     /// The call may be sent.
--- a/crates/policy/tests/cold_targets.rs
+++ b/crates/policy/tests/cold_targets.rs
@@ -10,6 +10,7 @@
     ColdShares, JOIN_DELAY, LIST_VALID_FOR, MAX_SEND_DELAY, ROW_VALID_FOR, part_of_limit,
 };
 use camphorwalk_policy::entry::evacuations::ZoneChange;
+use camphorwalk_policy::entry::host_rows::UNCHANGED_READS_UNTIL_GONE;
 use camphorwalk_policy::entry::placement::{
     Choice, Outcome, PlacementRequest, SendCheck, TargetKey, Targets,
 };
@@ -260,8 +261,10 @@
 /// sends after others may have removed it.
 #[test]
 fn the_times_of_lists_and_rows_exclude_hosts_that_do_not_know_each_other() {
+    /// The least time between two reads of the list that count a row as unchanged.
+    const HEARTBEAT_PERIOD: Duration = Duration::from_secs(5);
     /// The time for which a host's row must be unchanged until others remove it from their lists.
-    const REMOVAL: Duration = Duration::from_secs(20);
+    const REMOVAL: Duration = HEARTBEAT_PERIOD.saturating_mul(UNCHANGED_READS_UNTIL_GONE);
 
     assert!(JOIN_DELAY > LIST_VALID_FOR);
     assert!(ROW_VALID_FOR < REMOVAL);
