Settings switch on optional behaviour; a refused start names what refused it

Cause: what comes for deployments with uneven targets and too little room must act only where a deployment's settings call for it, and a refusal "all targets are full" did not tell which of three terms refused. Placement takes limits for starts from the request, else by rank as before, and names the cause of a refused start in the log and in a counter.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -11,5 +11,5 @@
     CallLimits, ColdSpec, EngineSpec, RetryPolicy, Route, Routing, ServiceSpec, TenantSpec,
     TurnRetention, WeightedService,
 };
-pub use settings::{ColdBounds, EntrySettings, StoreLimits};
+pub use settings::{ColdBounds, EntrySettings, Features, StoreLimits};
 pub use target::{TargetEntry, TargetState};
--- a/crates/core/src/entry/settings.rs
+++ b/crates/core/src/entry/settings.rs
@@ -21,6 +21,24 @@
     pub tolerance: f64,
 }
 
+/// Optional behaviour, which a deployment switches on in its settings. Without it, calls are handled
+/// as if the deployment had targets of equal speed and room for all callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Features {
+    /// The number of targets of each service in its own zone that a host prefers; `None` to treat
+    /// all targets of the zone alike.
+    pub preferred_targets: Option<u32>,
+    /// Whether targets are chosen by their measured speed.
+    pub target_profiles: bool,
+    /// Whether new programs are admitted by their tenant's share of a service that is short of room.
+    pub fair_admission: bool,
+    /// Whether a tenant's new programs are admitted by the calls that its running ones still need.
+    pub rate_projection: bool,
+    /// The fraction of the process's memory that may be held for callers and targets that read
+    /// slowly; `None` for no limit.
+    pub held_bytes_fraction: Option<f64>,
+}
+
 /// The settings of an entry host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EntrySettings {
@@ -53,4 +71,6 @@
     pub memory_bytes: u64,
     /// Processor time that the process may use, in thousandths of a core.
     pub processor_millis: u32,
+    /// The optional behaviour that is switched on.
+    pub features: Features,
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -116,7 +116,15 @@
         let seed = stable_hash(&[self.head.request_id.as_bytes()]);
         let version = self.origin.as_ref().map(|origin| origin.version.clone());
 
-        PlacementRequest { new_program_rank, parts, object, avoid: Vec::new(), version, seed }
+        PlacementRequest {
+            new_program_rank,
+            start_limits: None,
+            parts,
+            object,
+            avoid: Vec::new(),
+            version,
+            seed,
+        }
     }
 
     /// Returns the call's urgency in the queue for a place.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) tenant_latency: HistogramVec,
     /// Answers that the host made itself, by reason.
     pub(crate) refusals: IntCounterVec,
+    /// New programs that were refused because targets have no room, by cause.
+    pub(crate) full_refusals: IntCounterVec,
     /// Connections of callers that ended before the answer to their request was complete, by cause.
     pub(crate) unanswered: IntCounterVec,
     /// Calls that were sent to another target or resumed, by reason.
@@ -111,6 +113,11 @@
                 "Answers of our own by reason.",
                 &["reason"],
             )?,
+            full_refusals: by(
+                "camphorwalk_full_refusals_total",
+                "New programs refused because targets have no room, by cause.",
+                &["cause"],
+            )?,
             unanswered: by(
                 "camphorwalk_unanswered_total",
                 "Connections of callers that ended before the answer, by cause.",
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -264,7 +264,7 @@
     }
 
     if urgency.is_new && shared.places.waiting.borrow().len(service) >= MAX_NEW_WAITING {
-        return Err(refuse_full());
+        return Err(refuse_full(shared, service, placement));
     }
     let expected = expected_wait(shared, service, placement, urgency);
     if !urgency.is_new && expected > clock::until(urgency.deadline) {
@@ -289,7 +289,7 @@
     placement: &PlacementRequest,
 ) -> Result<(), Refusal> {
     match shared.targets.borrow().choose(clock::now(), service, placement) {
-        Choice::Full => Err(refuse_full()),
+        Choice::Full => Err(refuse_full(shared, service, placement)),
         Choice::Target(_) | Choice::NoTarget => Ok(()),
     }
 }
@@ -311,7 +311,15 @@
 }
 
 /// Returns the refusal of a new program whose service is full.
-fn refuse_full() -> Refusal {
+fn refuse_full(shared: &Shared, service: &str, placement: &PlacementRequest) -> Refusal {
+    let (now, rank) = (clock::now(), placement.new_program_rank.unwrap_or_default());
+    let targets = shared.targets.borrow();
+    let cause = targets.full_cause(now, service, placement).name();
+    let (slots, load) = targets.capacity(now, service);
+    let waiting = shared.places.waiting.borrow().len(service);
+    info!(service, rank, cause, slots, load, waiting, "place: no room for a new program");
+    shared.metrics.full_refusals.with_label_values(&[cause]).inc();
+
     Refusal::retry_later_jittered("all targets are full", FULL_RETRY_AFTER)
 }
 
@@ -357,7 +365,7 @@
             Ok(place)
         }
         Ok(Err(_)) => Err(no_target(shared, service, placement)),
-        Err(_) if urgency.is_new => Err(refuse_full()),
+        Err(_) if urgency.is_new => Err(refuse_full(shared, service, placement)),
         Err(_) => Err(Refusal::timed_out(false)),
     }
 }
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -59,11 +59,39 @@
 /// remainder absorbs bursts of turns of running programs.
 const NEW_PROGRAMS_SERVICE_LIMIT: [f64; 2] = [0.9, 0.8];
 
+/// Up to which load new programs start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StartLimits {
+    /// The fraction of one target's slots.
+    pub target: f64,
+    /// The fraction of all slots of the service.
+    pub service: f64,
+}
+
+impl StartLimits {
+    /// Returns the limits for the programs of a rank.
+    ///
+    /// ```
+    /// use camphorwalk_policy::entry::placement::StartLimits;
+    /// assert!(StartLimits::of_rank(0).service > StartLimits::of_rank(1).service);
+    /// ```
+    pub fn of_rank(rank: u32) -> Self {
+        let index = usize::from(rank > 0);
+
+        Self {
+            target: NEW_PROGRAMS_TARGET_LIMIT[index],
+            service: NEW_PROGRAMS_SERVICE_LIMIT[index],
+        }
+    }
+}
+
 /// What a call needs from a target.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementRequest {
     /// The rank of the call if it starts a program.
     pub new_program_rank: Option<u32>,
+    /// The limits of a call that starts a program, if they are not those of its rank.
+    pub start_limits: Option<StartLimits>,
     /// The prompt parts, in order. While a target reads a prompt, its other calls make no progress.
     pub parts: Vec<CachedPart>,
     /// The object that the call refers to, for a call without a prompt.
@@ -92,15 +120,19 @@
     /// Returns the limit on the calls in flight at a target with `slots` slots: this call may only
     /// be sent there while fewer are in flight.
     fn limit(&self, slots: u32) -> u32 {
-        match self.new_program_rank {
+        match self.start_limits() {
             None => slots + MAX_QUEUED_AT_TARGET,
-            Some(rank) => {
-                let fraction = NEW_PROGRAMS_TARGET_LIMIT[usize::from(rank > 0)];
-                // Rounded down, but even a target with few slots accepts one call.
-                ((f64::from(slots) * fraction) as u32).max(1)
-            }
+            // Rounded down, but even a target with few slots accepts one call.
+            Some(limits) => ((f64::from(slots) * limits.target) as u32).max(1),
         }
     }
+
+    /// Returns the limits that apply if the call starts a program.
+    fn start_limits(&self) -> Option<StartLimits> {
+        let rank = self.new_program_rank?;
+
+        Some(self.start_limits.unwrap_or_else(|| StartLimits::of_rank(rank)))
+    }
 }
 
 /// The outcome of choosing a target.
@@ -115,6 +147,28 @@
     NoTarget,
 }
 
+/// Why a call that starts a program must not be sent now although targets are usable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FullCause {
+    /// The targets together are too busy to start a program of the call's rank.
+    ServiceBusy,
+    /// Calls wait for a place at other hosts.
+    CallsWaiting,
+    /// No single target has room for a new program.
+    TargetsFull,
+}
+
+impl FullCause {
+    /// Returns the name of the cause for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ServiceBusy => "service_busy",
+            Self::CallsWaiting => "calls_waiting",
+            Self::TargetsFull => "targets_full",
+        }
+    }
+}
+
 /// How a call to a target ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
@@ -322,10 +376,10 @@
                 && !request.avoid.contains(key)
                 && !target.is_ejected(now)
         };
-        let is_postponed = request
-            .new_program_rank
-            .is_some_and(|rank| self.is_too_busy_to_start(now, service, rank))
-            || request.new_program_rank.is_some() && self.has_calls_waiting_elsewhere(service);
+        let is_postponed = request.start_limits().is_some_and(|limits| {
+            self.is_too_busy_to_start(now, service, limits)
+                || self.has_calls_waiting_elsewhere(service)
+        });
         let may_use_part = self.cold_shares.may_use(now);
         let stats = self.stats(service);
         let seed = request.draw_seed();
@@ -363,6 +417,17 @@
         }
     }
 
+    /// Returns why [`Targets::choose`] finds no place for a call that starts a program.
+    pub fn full_cause(&self, now: Instant, service: &str, request: &PlacementRequest) -> FullCause {
+        let limits = request.start_limits().unwrap_or_else(|| StartLimits::of_rank(0));
+
+        match () {
+            () if self.is_too_busy_to_start(now, service, limits) => FullCause::ServiceBusy,
+            () if self.has_calls_waiting_elsewhere(service) => FullCause::CallsWaiting,
+            () => FullCause::TargetsFull,
+        }
+    }
+
     fn cost(&self, target: &Target, stats: &CallStats, request: &PlacementRequest) -> f64 {
         let zone_cost = if self.is_in_own_zone(target) { 0.0 } else { CROSS_ZONE_COST_MS };
 
@@ -377,16 +442,15 @@
         self.stats.get(service).copied().unwrap_or_default()
     }
 
-    /// Returns whether a service is too busy, over all its targets, to start a new program of this
-    /// rank.
+    /// Returns whether a service is too busy, over all its targets, to start a new program.
     ///
     /// With status updates that are a tenth of a second old, one of many targets nearly always
     /// seems to have a free slot while the others are overloaded. The average over all targets
     /// shows how fast programs really progress.
-    fn is_too_busy_to_start(&self, now: Instant, service: &str, rank: u32) -> bool {
+    fn is_too_busy_to_start(&self, now: Instant, service: &str, limits: StartLimits) -> bool {
         let (slots, load) = self.capacity(now, service);
 
-        f64::from(load) >= f64::from(slots) * NEW_PROGRAMS_SERVICE_LIMIT[usize::from(rank > 0)]
+        f64::from(load) >= f64::from(slots) * limits.service
     }
 
     /// Returns whether calls wait for a service at other hosts. One or two, over all these hosts,
