New programs start by their tenant's share and the lateness of running ones

While more programs want to start than targets can finish in time, the limits of a program's rank give most places to the tenant that sends most starts, and let as many programs start as the slots hold.

With Features::fair_admission, the limits are reduced by the tenant's excess over its share of the fleet's admitted calls, while a tenant within its share is refused, and by the lateness of running programs. Status updates carry the numbers of turns and of late ones (tag 19). Without the feature, limits are those of the rank.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -51,6 +51,9 @@
     /// The update covers the changes after the sender's round with this number.
     #[prost(uint64, tag = "18")]
     pub changes_since: u64,
+    /// The turns of running programs that arrived at the sender since its last update, by service.
+    #[prost(message, repeated, tag = "19")]
+    pub turns: Vec<TurnCounts>,
 }
 
 /// Status updates that a host forwards within its zone.
@@ -170,6 +173,20 @@
     pub crashes: u32,
 }
 
+/// The turns of running programs that arrived at one host for a service.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TurnCounts {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Number of turns whose program has a deadline.
+    #[prost(uint32, tag = "2")]
+    pub turns: u32,
+    /// Number of those that arrived after it.
+    #[prost(uint32, tag = "3")]
+    pub late: u32,
+}
+
 /// A manifest as stored.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Manifest {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -28,7 +28,7 @@
 use crate::host::{OpenRequest, Shared};
 use crate::places::PlaceTarget;
 use crate::turns::{self, Continuation};
-use crate::{callers, clock, places, stream, stream_origins, unary};
+use crate::{admission, callers, clock, places, stream, stream_origins, unary};
 
 /// The time-out of a call whose route sets none. A caller can only shorten it.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -111,14 +111,14 @@
         let parts: Vec<_> = self.head.prefix.iter().map(|p| (p.id, p.tokens)).collect();
         let named = self.head.affinity_key.as_deref().filter(|_| self.route().sticky);
         let object = named.filter(|_| parts.is_empty()).map(|o| stable_hash(&[o.as_bytes()]));
-        let new_program_rank = self.is_new.get().then_some(self.route().rank);
+        let new_program_rank = self.new_program_rank();
 
         let seed = stable_hash(&[self.head.request_id.as_bytes()]);
         let version = self.origin.as_ref().map(|origin| origin.version.clone());
 
         PlacementRequest {
             new_program_rank,
-            start_limits: None,
+            start_limits: admission::start_limits(self),
             parts,
             object,
             avoid: Vec::new(),
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Returns the rank of the call if it starts a program.
+    pub(crate) fn new_program_rank(&self) -> Option<u32> {
+        self.is_new.get().then_some(self.route().rank)
+    }
+
     /// Returns the call's urgency in the queue for a place.
     pub(crate) fn urgency(&self) -> Urgency {
         let should_end = self.head.program_deadline.map(|left| self.received_at + left);
@@ -489,6 +494,13 @@
         return unary::forward(&call).await;
     }
 
+    admission::record_turn(&call);
+    let result = forward_turn(Rc::clone(&call)).await;
+    result.map_err(|refusal| admission::handle_refusal(&call, refusal))
+}
+
+/// Forwards a turn.
+async fn forward_turn(call: Rc<Call>) -> Result<Answer, Refusal> {
     turns::check_can_store(&call)?;
 
     // A new program that is refused after its budget was granted would retry as a running program,
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -10,6 +10,7 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::entry::ForwardedStatus;
 use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::admission::StartAdmission;
 use camphorwalk_policy::entry::budgets::{Budgets, ProgramKey, RunId};
 use camphorwalk_policy::entry::crashes::Crashes;
 use camphorwalk_policy::entry::evacuations::Evacuations;
@@ -117,6 +118,8 @@
     /// The evacuated zones.
     pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) places: Places,
+    /// What the admission of new programs depends on; used only with `Features::fair_admission`.
+    pub(crate) admission: RefCell<StartAdmission>,
     pub(crate) connections: Connections,
     pub(crate) budgets: RefCell<Budgets>,
     pub(crate) grant_leases: RefCell<GrantLeases>,
@@ -318,6 +321,7 @@
             targets: RefCell::new(Targets::new(&settings.zone, HostId::from_name(&settings.name))),
             evacuations: RefCell::default(),
             places: Places::default(),
+            admission: RefCell::default(),
             connections: Connections::default(),
             budgets: RefCell::new(Budgets::new(run)),
             grant_leases: RefCell::new(GrantLeases::new(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod admission;
 mod answer;
 mod budget;
 mod call;
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -27,6 +27,9 @@
 /// seconds at least.
 const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The reason of the refusal of a new program while its service is full.
+pub(crate) const FULL_REASON: &str = "all targets are full";
+
 /// Retry-After of a new program while its service is full: about as long as a call holds its place.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -320,7 +323,7 @@
     info!(service, rank, cause, slots, load, waiting, "place: no room for a new program");
     shared.metrics.full_refusals.with_label_values(&[cause]).inc();
 
-    Refusal::retry_later_jittered("all targets are full", FULL_RETRY_AFTER)
+    Refusal::retry_later_jittered(FULL_REASON, FULL_RETRY_AFTER)
 }
 
 /// Takes a place at the target that already runs the call, ahead of all waiting calls, because the
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -11,11 +11,12 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::messages::entry::{
     CrashReport, Demand, EntryStatus, ForwardedStatus, ForwardedStatuses, InFlight, SentPrompts,
-    StatusRequest, WaitingCalls,
+    StatusRequest, TurnCounts as TurnCountsMessage, WaitingCalls,
 };
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::Peers;
+use camphorwalk_policy::entry::admission::TurnCounts;
 use camphorwalk_policy::entry::grant_leases::PartitionSet;
 use camphorwalk_policy::entry::prompts::CachedPart;
 use camphorwalk_policy::entry::rates::{Baseline, ReservedShare, TenantStatus};
@@ -42,6 +43,8 @@
     prompts: Map<Box<str>, Vec<CachedPart>>,
     demand: Map<Box<str>, TenantStatus>,
     crashes: Vec<CrashReport>,
+    /// The turns of running programs, by service.
+    turns: Map<Box<str>, TurnCounts>,
 }
 
 impl Changes {
@@ -51,6 +54,7 @@
             prompts: shared.targets.borrow_mut().take_updates().into_iter().collect(),
             demand: shared.rates.borrow_mut().take_updates(false).into_iter().collect(),
             crashes: shared.crashes.borrow_mut().take_updates(),
+            turns: shared.admission.borrow_mut().take_turn_counts().into_iter().collect(),
         }
     }
 }
@@ -62,11 +66,14 @@
         }
         self.demand.extend(later.demand);
         self.crashes.extend(later.crashes);
+        for (service, counts) in later.turns {
+            self.turns.entry(service).or_default().add(counts);
+        }
     }
 
-    /// Returns the changes without crashes, which the receivers add up.
+    /// Returns the changes without crashes and turns, which the receivers add up.
     fn into_repeatable(self) -> Self {
-        Self { crashes: Vec::new(), ..self }
+        Self { crashes: Vec::new(), turns: Map::default(), ..self }
     }
 }
 
@@ -99,6 +106,7 @@
         sleep(round_period(near, far)).await;
         let now = clock::now();
         shared.rates.borrow_mut().tick(now);
+        shared.admission.borrow_mut().tick(now);
         drop_silent_hosts(&shared);
         if now.since(all_demand_sent_at) >= ALL_DEMAND_PERIOD {
             all_demand_sent_at = now;
@@ -215,6 +223,7 @@
         prompts: changes.prompts.into_iter().map(prompts).collect(),
         sequence: shared.status_exchange.borrow().sequence(),
         changes_since: 0,
+        turns: changes.turns.into_iter().map(turns).collect(),
     }
 }
 
@@ -232,6 +241,12 @@
     }
 }
 
+fn turns((service, counts): (Box<str>, TurnCounts)) -> TurnCountsMessage {
+    let TurnCounts { turns, late } = counts;
+
+    TurnCountsMessage { service: service.into(), turns, late }
+}
+
 fn prompts((target, parts): (Box<str>, Vec<CachedPart>)) -> SentPrompts {
     let (parts, tokens) = parts.into_iter().unzip();
 
@@ -360,6 +375,10 @@
     for crash in update.crashes {
         shared.crashes.borrow_mut().record_remote(now, crash);
     }
+    for TurnCountsMessage { service, turns, late } in update.turns {
+        let counts = TurnCounts { turns, late };
+        shared.admission.borrow_mut().record_remote_turns(&service, counts);
+    }
 
     manifests::handle_reported_version(shared, from, update.manifest_version);
 }
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -1,6 +1,7 @@
 //! Decisions of an entry host about the calls that it forwards: the route and target, the tenant's
 //! rate, the program's budget, the order of waiting calls, and which turns are stored.
 
+pub mod admission;
 pub mod attempts;
 pub mod budgets;
 pub mod call_stats;
--- /dev/null
+++ b/crates/policy/src/entry/admission.rs
@@ -0,0 +1,162 @@
+//! Admission control for new programs.
+//!
+//! Addresses a load in which more programs want to start than targets can finish in time, most of
+//! them of one tenant or of a kind of lower priority. By their rank alone, the tenant that sends
+//! most starts also gets most places, and as many programs start as the slots hold, whether they
+//! finish in time or not.
+//!
+//! The limits of a new program's rank are therefore reduced by two terms: its tenant's excess over
+//! the tenant's share of the fleet, while tenants within their share are refused, and the lateness
+//! of the programs that run.
+
+mod lateness;
+
+use std::time::Duration;
+
+use camphorwalk_core::time::Instant;
+
+use crate::entry::placement::StartLimits;
+use crate::entry::rates::TenantUse;
+
+use self::lateness::Lateness;
+
+pub use self::lateness::TurnCounts;
+
+/// The largest excess: a tenant that uses everything leaves this fraction of the slots to the
+/// programs of others. A larger one would make no difference, as it would take the limit on the
+/// service of most ranks below [`LOWEST_LIMIT`].
+const MAX_EXCESS: f64 = 0.4;
+
+/// The lowest limit, as a fraction of the slots. At this load, calls hardly delay each other, so that
+/// callers gain nothing from the refusal of a program.
+const LOWEST_LIMIT: f64 = 0.4;
+
+/// How long after a tenant within its share was refused the excess of others counts. Callers return
+/// within a second of a refusal, so that a tenant that is still short of room is refused again in
+/// this time; and capacity that nobody else wants must not lie idle for longer than it takes to
+/// reclaim it.
+const RECLAIM_TIME: Duration = Duration::from_secs(2);
+
+/// Why the limits of a new program are lower than those of its rank.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitTerms {
+    /// The tenant's excess, as a fraction of the slots.
+    pub excess: f64,
+    /// The reduction because running programs are late, as a fraction of the slots.
+    pub lateness: f64,
+}
+
+impl LimitTerms {
+    /// Returns the limits of a program of a rank.
+    ///
+    /// ```
+    /// use camphorwalk_policy::entry::admission::LimitTerms;
+    /// use camphorwalk_policy::entry::placement::StartLimits;
+    /// let reduced = LimitTerms { excess: 0.1, lateness: 0.0 };
+    /// assert_eq!(LimitTerms::default().limits(1), StartLimits::of_rank(1));
+    /// assert!(reduced.limits(1).service < StartLimits::of_rank(1).service);
+    /// ```
+    pub fn limits(self, rank: u32) -> StartLimits {
+        let StartLimits { target, service } = StartLimits::of_rank(rank);
+        let reduce = |limit: f64| {
+            (limit - self.excess - self.lateness).clamp(LOWEST_LIMIT.min(limit), limit)
+        };
+
+        StartLimits { target: reduce(target), service: reduce(service) }
+    }
+
+    /// Returns the first term without which a program would not have been refused, given whether it
+    /// would be with some limits.
+    pub fn refused_by(self, rank: u32, is_refused: impl Fn(StartLimits) -> bool) -> Term {
+        let without_lateness = Self { lateness: 0.0, ..self };
+
+        match () {
+            () if is_refused(StartLimits::of_rank(rank)) => Term::Rank,
+            () if is_refused(without_lateness.limits(rank)) => Term::Excess,
+            () => Term::Lateness,
+        }
+    }
+}
+
+/// A term of the limits of a new program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Term {
+    /// The limits of its rank.
+    Rank,
+    /// Its tenant's excess.
+    Excess,
+    /// The lateness of running programs.
+    Lateness,
+}
+
+impl Term {
+    /// Returns the name of the term for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Rank => "rank",
+            Self::Excess => "excess",
+            Self::Lateness => "lateness",
+        }
+    }
+}
+
+/// Returns the part of the fleet that a tenant uses beyond its share, from 0 to 0.4.
+///
+/// ```
+/// use camphorwalk_policy::entry::admission::excess;
+/// use camphorwalk_policy::entry::rates::TenantUse;
+/// assert_eq!(excess(TenantUse { part: 0.1, share: 0.1 }), 0.0);
+/// assert_eq!(excess(TenantUse { part: 0.5, share: 0.1 }), 0.4);
+/// ```
+pub fn excess(tenant: TenantUse) -> f64 {
+    (tenant.part - tenant.share).clamp(0.0, MAX_EXCESS)
+}
+
+/// What a host knows for the admission of new programs.
+#[derive(Clone, Debug, Default)]
+pub struct StartAdmission {
+    lateness: Lateness,
+    /// When a program of a tenant within its share was last refused.
+    others_refused_at: Option<Instant>,
+}
+
+impl StartAdmission {
+    /// Returns the terms that apply to the programs of a tenant for a service. A tenant of which no
+    /// use is known has no excess.
+    pub fn terms(&self, now: Instant, service: &str, tenant: Option<TenantUse>) -> LimitTerms {
+        let is_reclaimed = self.others_refused_at.is_some_and(|at| now.since(at) < RECLAIM_TIME);
+
+        LimitTerms {
+            excess: tenant.filter(|_| is_reclaimed).map_or(0.0, excess),
+            lateness: self.lateness.reduction(service),
+        }
+    }
+
+    /// Records that a program of a tenant was refused for lack of room.
+    pub fn record_refused(&mut self, now: Instant, tenant: Option<TenantUse>) {
+        if tenant.is_none_or(|tenant| excess(tenant) <= 0.0) {
+            self.others_refused_at = Some(now);
+        }
+    }
+
+    /// Records that a turn of a running program arrived at this host, and whether the program's
+    /// deadline has passed.
+    pub fn record_turn(&mut self, service: &str, is_late: bool) {
+        self.lateness.record(service, is_late);
+    }
+
+    /// Records turns that arrived at another host.
+    pub fn record_remote_turns(&mut self, service: &str, counts: TurnCounts) {
+        self.lateness.record_remote(service, counts);
+    }
+
+    /// Takes the numbers of turns that have not been reported to the other hosts yet, by service.
+    pub fn take_turn_counts(&mut self) -> Vec<(Box<str>, TurnCounts)> {
+        self.lateness.take_updates()
+    }
+
+    /// Updates the reductions. Called several times a second.
+    pub fn tick(&mut self, now: Instant) {
+        self.lateness.tick(now);
+    }
+}
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -12,6 +12,7 @@
 
 mod estimates;
 mod silent_hosts;
+mod usage;
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -23,6 +24,9 @@
 
 use self::estimates::OtherHosts;
 use self::silent_hosts::SilentHosts;
+use self::usage::{Usage, UsageSums};
+
+pub use self::usage::TenantUse;
 
 /// How long a silent host is assumed to keep admitting calls within its share. During a network
 /// partition it does; if the others took over its share at once, both sides together would exceed
@@ -165,6 +169,8 @@
     silent: SilentHosts,
     /// The number of calls admitted here, plus those that other hosts reported.
     spent: f64,
+    /// The average of these calls per second.
+    usage: Usage,
     /// Recent samples, reaching back to the last status update of a host that is only now found
     /// silent.
     samples: VecDeque<Sample>,
@@ -263,6 +269,8 @@
     silent_changes: u64,
     /// How long it takes on average until a host knows of a call that another host has admitted.
     update_delay: Duration,
+    /// The use and the rates of all tenants, as of the last tick.
+    usage: UsageSums,
     ticked: Option<Instant>,
 }
 
@@ -296,6 +304,7 @@
                 peers_reserved_until: Instant(0),
                 silent: SilentHosts::default(),
                 spent: 0.0,
+                usage: Usage::default(),
                 samples: VecDeque::new(),
                 reserved: ReservedShare::default(),
                 non_live_share: 0.0,
@@ -493,9 +502,11 @@
         }
 
         let others = self.classify_hosts(now, elapsed);
+        self.usage = UsageSums::default();
         for (name, account) in &mut self.accounts {
             account.refill(now);
             account.smooth(elapsed);
+            self.usage.add(account, elapsed);
             others.charge_non_live(name, account, &self.reports, self.silent_changes);
         }
         for report in self.reports.values_mut().filter(|report| report.is_silent(now)) {
