Targets have a pace, learned from the events of all hosts

Targets of one service differ in speed by a factor of two in the measured deployments, and calls are spread over them by their free slots only.

`target_profiles` holds decaying sums of events and their time for each run of a target and derives its pace. `Target::cost` and the random draw use the pace. It is 1 for all targets unless events are recorded and `Targets::update_paces` is called, which nothing does yet; the terms then leave cost and draw unchanged.

--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -20,6 +20,7 @@
 pub mod shares;
 pub mod status_exchange;
 pub mod stream_origins;
+pub mod target_profiles;
 pub mod target_table;
 pub mod transfers;
 pub mod turn_writes;
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -6,6 +6,7 @@
 //! and the running calls delay each other, and the wait while the target's slots are full.
 
 mod availability;
+mod pace;
 mod target;
 
 use std::net::SocketAddr;
@@ -24,6 +25,7 @@
 use availability::ColdLimit;
 
 pub use availability::SendCheck;
+pub use pace::ChangedPace;
 pub use target::Target;
 
 slotmap::new_key_type! {
--- a/crates/policy/src/entry/placement/target.rs
+++ b/crates/policy/src/entry/placement/target.rs
@@ -10,6 +10,7 @@
 use crate::entry::call_stats::CallStats;
 use crate::entry::cold_targets::ColdState;
 use crate::entry::prompts::{CachedPart, Prompts};
+use crate::entry::target_profiles::Profile;
 
 /// The weight of a target without free slots in the random draw, relative to one with a single free
 /// slot.
@@ -53,6 +54,8 @@
     /// The last parts of the prompts that this host sent there, not yet reported to the other
     /// hosts.
     pub(super) unreported_parts: Vec<CachedPart>,
+    /// What is known of its speed.
+    pub(super) profile: Profile,
 }
 
 impl Target {
@@ -71,6 +74,7 @@
             ejected_until: None,
             prompts: Prompts::default(),
             unreported_parts: Vec::new(),
+            profile: Profile::default(),
         }
     }
 
@@ -97,12 +101,12 @@
     }
 
     /// Returns the target's position in the random draw; the lowest is drawn first. It is a random
-    /// number derived from the target's id, scaled so that more free slots make a low position more
-    /// likely.
+    /// number derived from the target's id, scaled so that more free slots and a faster target make a
+    /// low position more likely.
     pub(super) fn draw_position(&self, seed: u64, request: &PlacementRequest) -> f64 {
         let free =
             request.limit(self.entry.slots).min(self.entry.slots).saturating_sub(self.load());
-        let weight = f64::from(free).max(FULL_TARGET_WEIGHT);
+        let weight = f64::from(free).max(FULL_TARGET_WEIGHT) / self.profile.effective_pace();
         let random = (rendezvous_weight(seed, self.id_hash).0 >> 11) as f64 / (1u64 << 53) as f64;
 
         -random.max(f64::MIN_POSITIVE).ln() / weight
@@ -113,8 +117,9 @@
     }
 
     /// Returns the cost of a call at this target in milliseconds, beyond the time that it takes
-    /// anywhere: the wait for a slot, the time to read its prompt, the delay that neighbouring
-    /// calls cause, and the delay that they suffer while its prompt is read.
+    /// at a target of the mean speed: the wait for a slot, the time to read its prompt, the delay
+    /// that neighbouring calls cause, the delay that they suffer while its prompt is read, and the
+    /// additional time of its work if the target is slower.
     pub(super) fn cost(&self, stats: &CallStats, request: &PlacementRequest) -> f64 {
         let slots = self.entry.slots.max(1);
         let load = self.load();
@@ -126,7 +131,12 @@
         let knows_object = request.object.is_some_and(|object| self.prompts.contains(object));
         let saved = if knows_object { stats.slot_ms() * SAVING_FOR_KNOWN_OBJECT } else { 0.0 };
 
-        prompt * (1.0 + running) + stats.interference_ms() * running - saved + wait
+        let pace = self.profile.effective_pace();
+        let additional = stats.slot_ms() * (pace - 1.0);
+
+        prompt * (1.0 + running * pace) + stats.interference_ms() * running * pace - saved
+            + wait * pace
+            + additional
     }
 
     pub(super) fn record_failure(&mut self, now: Instant) -> bool {
