Hosts report the events of targets in their status updates

A host sends one target too few calls to learn its speed by itself.

With the feature `target-profiles`, a host records the events of its calls and the time of whole calls without a stream that succeeded, reports the sums since its last update (tag 21 of `EntryStatus`) and adds those of other hosts to its evidence. Sums are not repeated in forwarded updates. Without the feature nothing is recorded, sent or applied.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -51,6 +51,10 @@
     /// The update covers the changes after the sender's round with this number.
     #[prost(uint64, tag = "18")]
     pub changes_since: u64,
+    /// The events that targets sent the sender since its last update. The receivers add them up, so
+    /// they are sent to each only once.
+    #[prost(message, repeated, tag = "21")]
+    pub target_events: Vec<TargetEvents>,
 }
 
 /// Status updates that a host forwards within its zone.
@@ -144,6 +148,21 @@
     pub calls: u32,
 }
 
+/// The events that a target sent a host since the host's last status update, without the first event
+/// of each stream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TargetEvents {
+    /// Id of the target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Number of events. A call without a stream counts as one.
+    #[prost(uint32, tag = "2")]
+    pub events: u32,
+    /// The time that they took, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub time_us: u64,
+}
+
 /// The prompts that a host sent to a target since its last status update.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SentPrompts {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -39,7 +39,8 @@
 use crate::queries::PendingQueries;
 use crate::store::Store;
 use crate::{
-    callers, clock, fleet, grant_leases, probes, registry, retention, status_updates, store, watch,
+    callers, clock, fleet, grant_leases, probes, registry, retention, status_updates, store,
+    target_paces, watch,
 };
 
 /// The longest time-out of one attempt of a store operation. The store answers within some
@@ -114,6 +115,7 @@
     /// The entries under which targets have registered themselves.
     pub(crate) target_table: RefCell<TargetTable>,
     pub(crate) targets: RefCell<Targets>,
+    pub(crate) published_paces: target_paces::Published,
     /// The evacuated zones.
     pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) places: Places,
@@ -316,6 +318,7 @@
             )),
             target_table: RefCell::new(TargetTable::new(settings.target_heartbeat)),
             targets: RefCell::new(Targets::new(&settings.zone, HostId::from_name(&settings.name))),
+            published_paces: target_paces::Published::default(),
             evacuations: RefCell::default(),
             places: Places::default(),
             connections: Connections::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod store;
 mod stream;
 mod stream_origins;
+mod target_paces;
 mod turn_storage;
 mod turns;
 mod unary;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,10 +1,11 @@
 //! The metrics of a host.
 
 use prometheus::{
-    Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder, register_histogram_vec_with_registry,
-    register_histogram_with_registry, register_int_counter_vec_with_registry,
-    register_int_counter_with_registry, register_int_gauge_with_registry,
+    Encoder as _, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+    IntGauge, Opts, Registry, TextEncoder, register_gauge_vec_with_registry,
+    register_histogram_vec_with_registry, register_histogram_with_registry,
+    register_int_counter_vec_with_registry, register_int_counter_with_registry,
+    register_int_gauge_with_registry,
 };
 
 /// Bucket bounds of latencies, in seconds: from a call within a zone to the longest time limit.
@@ -49,6 +50,8 @@
     pub(crate) prevented_sends: IntCounterVec,
     /// The number of evacuated availability zones.
     pub(crate) evacuated_zones: IntGauge,
+    /// The time per event of targets relative to the mean of their service, by target.
+    pub(crate) target_pace: GaugeVec,
     /// Attempts to open a new connection to a target.
     pub(crate) connects: IntCounter,
     /// The version of the manifest in force.
@@ -153,6 +156,12 @@
                 "camphorwalk_evacuated_zones",
                 "The number of evacuated availability zones.",
             )?,
+            target_pace: register_gauge_vec_with_registry!(
+                "camphorwalk_target_pace",
+                "Time per event of a target relative to the mean of its service.",
+                &["target"],
+                r
+            )?,
             connects: counter("camphorwalk_connects_total", "Connections to targets.")?,
             manifest_version: gauge(
                 "camphorwalk_manifest_version",
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -17,8 +17,8 @@
 use tracing::info;
 
 use crate::answer::Refusal;
-use crate::clock;
 use crate::host::Shared;
+use crate::{clock, target_paces};
 
 /// Retry-After of a call for which no target is usable, if no ejected target is due to return.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -198,10 +198,21 @@
         if let Some((first, last)) = self.event_times {
             let further = self.events.saturating_sub(1);
             self.shared.targets.borrow_mut().record_events(self.key, further, last.since(first));
+            target_paces::record_events(&self.shared, self.key, further, last.since(first));
         }
         self.end(Outcome::Answered(held));
     }
 
+    /// Frees the place of a call without a stream after a complete answer. Only the time of a call
+    /// that succeeded shows how fast the target works.
+    pub(crate) fn complete_call(self, succeeded: bool) {
+        if succeeded {
+            let took = clock::now().since(self.taken_at);
+            target_paces::record_call(&self.shared, self.key, took);
+        }
+        self.complete();
+    }
+
     fn finish(&mut self, outcome: Outcome) {
         self.is_ended = true;
         let ejected =
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -22,13 +22,14 @@
 use camphorwalk_policy::entry::status_exchange::{
     Freshness, Merge, Round, Stamp, UnsentChanges, round_period,
 };
+use camphorwalk_policy::entry::target_profiles::UnsentWork;
 use prost::Message as _;
 use tokio::time::sleep;
 use tracing::{info, warn};
 
 use crate::fleet::{HostStatus, drop_silent_hosts};
 use crate::host::Shared;
-use crate::{clock, manifests, places};
+use crate::{clock, manifests, places, target_paces};
 
 /// How often the demand of all tenants is sent instead of only the changes. Lost updates are
 /// repaired after this time at the latest. A host that was silent or has just started gets the
@@ -42,6 +43,8 @@
     prompts: Map<Box<str>, Vec<CachedPart>>,
     demand: Map<Box<str>, TenantStatus>,
     crashes: Vec<CrashReport>,
+    /// The events that targets sent.
+    work: UnsentWork,
 }
 
 impl Changes {
@@ -51,6 +54,7 @@
             prompts: shared.targets.borrow_mut().take_updates().into_iter().collect(),
             demand: shared.rates.borrow_mut().take_updates(false).into_iter().collect(),
             crashes: shared.crashes.borrow_mut().take_updates(),
+            work: target_paces::take_work(shared),
         }
     }
 }
@@ -62,11 +66,12 @@
         }
         self.demand.extend(later.demand);
         self.crashes.extend(later.crashes);
+        self.work.merge(later.work);
     }
 
-    /// Returns the changes without crashes, which the receivers add up.
+    /// Returns the changes without crashes and events, which the receivers add up.
     fn into_repeatable(self) -> Self {
-        Self { crashes: Vec::new(), ..self }
+        Self { crashes: Vec::new(), work: self.work.into_repeatable(), ..self }
     }
 }
 
@@ -215,6 +220,7 @@
         prompts: changes.prompts.into_iter().map(prompts).collect(),
         sequence: shared.status_exchange.borrow().sequence(),
         changes_since: 0,
+        target_events: target_paces::target_events(changes.work),
     }
 }
 
@@ -357,6 +363,7 @@
     let waiting = update.waiting.into_iter().map(|w| (w.service.into(), w.calls)).collect();
     shared.targets.borrow_mut().set_remote_load(from, in_flight, waiting);
     apply_prompts(shared, from, update.prompts);
+    target_paces::apply(shared, now, update.target_events);
     for crash in update.crashes {
         shared.crashes.borrow_mut().record_remote(now, crash);
     }
--- a/crates/entry/src/unary.rs
+++ b/crates/entry/src/unary.rs
@@ -112,7 +112,7 @@
 
     let (target, status) = (place.target(), parts.status);
     call.log_answer(&TargetAnswer { target: &target, status, offers, events: None });
-    place.complete();
+    place.complete_call(status.is_success());
     forward::put_back(&call.shared, key, connection, &head);
 
     let mut answer = Response::new(AnswerBody::Whole(Some(body)));
--- a/crates/policy/src/entry/placement/pace.rs
+++ b/crates/policy/src/entry/placement/pace.rs
@@ -6,7 +6,7 @@
 use camphorwalk_core::time::Instant;
 
 use super::{TargetKey, Targets};
-use crate::entry::target_profiles::{PaceChange, Work, mean_event_time};
+use crate::entry::target_profiles::{PaceChange, UnsentWork, Work, mean_event_time};
 
 /// A target that began or ceased to count as slow or fast.
 #[derive(Clone, Debug, PartialEq)]
@@ -17,6 +17,8 @@
     pub change: PaceChange,
     /// Its time per event relative to the mean of its service.
     pub pace: f64,
+    /// The number of events from which it follows; older ones count less.
+    pub events: f64,
     /// The mean time per event of its service.
     pub mean: Duration,
 }
@@ -47,14 +49,16 @@
         }
     }
 
-    /// Takes this host's events by target id since the previous call, which are to be reported to
-    /// the other hosts, and adds them to the evidence.
-    pub fn take_work(&mut self, now: Instant) -> Vec<(Box<str>, Work)> {
+    /// Takes this host's events since the previous call, which are to be reported to the other
+    /// hosts, and adds them to the evidence.
+    pub fn take_work(&mut self, now: Instant) -> UnsentWork {
         let targets = self.targets.values_mut();
 
-        targets
-            .filter_map(|t| t.profile.take_unreported(now).map(|work| (t.entry.id.clone(), work)))
-            .collect()
+        UnsentWork(
+            targets
+                .filter_map(|t| Some((t.entry.id.clone(), t.profile.take_unreported(now)?)))
+                .collect(),
+        )
     }
 
     /// Updates the pace of all targets. Returns those that began or ceased to count as slow or
@@ -70,8 +74,9 @@
                 let Some(target) = self.targets.get_mut(*key) else { continue };
                 if let Some(change) = target.profile.update_pace(now, mean) {
                     let pace = target.profile.pace();
+                    let events = target.profile.evidence().events();
                     let mean = Duration::from_micros(mean.unwrap_or_default() as u64);
-                    changed.push(ChangedPace { key: *key, change, pace, mean });
+                    changed.push(ChangedPace { key: *key, change, pace, events, mean });
                 }
             }
         }
--- a/crates/policy/src/entry/target_profiles.rs
+++ b/crates/policy/src/entry/target_profiles.rs
@@ -11,8 +11,11 @@
 
 use std::time::Duration;
 
+use camphorwalk_core::hash::Map;
 use camphorwalk_core::time::Instant;
 
+use crate::entry::status_exchange::Merge;
+
 /// The time constant with which evidence decays. A lasting change is followed within a few seconds,
 /// about the length of a program, and a spell of 0.6 s is a tenth of what is known.
 const MEMORY: Duration = Duration::from_secs(5);
@@ -70,6 +73,11 @@
 }
 
 impl Evidence {
+    /// Returns the sum of events.
+    pub fn events(&self) -> f64 {
+        self.events
+    }
+
     /// Adds events that ended about now.
     fn add(&mut self, now: Instant, work: Work) {
         if work.events == 0 {
@@ -213,3 +221,21 @@
 
     (time / (evidence.events + PRIOR_EVENTS) / mean).clamp(lowest, highest)
 }
+
+/// The events of this host that are to be reported to others, by target id.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UnsentWork(pub Map<Box<str>, Work>);
+
+impl Merge for UnsentWork {
+    fn merge(&mut self, later: Self) {
+        for (target, work) in later.0 {
+            self.0.entry(target).or_default().add(work);
+        }
+    }
+
+    /// Returns nothing, since the receivers add the events up. Those of a lost update stay unknown
+    /// to some hosts, which have those of all other updates.
+    fn into_repeatable(self) -> Self {
+        Self::default()
+    }
+}
--- a/crates/policy/tests/target_profiles/evidence.rs
+++ b/crates/policy/tests/target_profiles/evidence.rs
@@ -2,8 +2,13 @@
 
 use std::time::Duration;
 
+use camphorwalk_core::hash::Map;
+use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::target_profiles::{PaceChange, Profile, Work, mean_event_time};
+use camphorwalk_policy::entry::status_exchange::{Round, UnsentChanges};
+use camphorwalk_policy::entry::target_profiles::{
+    PaceChange, Profile, UnsentWork, Work, mean_event_time,
+};
 use proptest::prelude::*;
 
 const START: Instant = Instant(1_000_000);
@@ -112,3 +117,18 @@
         prop_assert!((0.25..=4.0).contains(&profile.pace()));
     }
 }
+
+#[test]
+fn events_reach_forwarders_once_although_changes_are_sent_twice() {
+    // Guards against counting events twice where updates are forwarded, which repeat earlier changes.
+    let round = Round { is_forwarded: true, forwarders: vec![HostId(1)], ..Round::default() };
+    let work = |count| UnsentWork(Map::from_iter([(Box::from("x"), events(count, 40))]));
+    let mut unsent = UnsentChanges::<UnsentWork>::default();
+
+    unsent.split(&Round { forwarders: Vec::new(), ..round.clone() }, work(5));
+    let first = unsent.split(&round, work(7));
+    let second = unsent.split(&round, work(9));
+
+    assert_eq!(first.forwarded, work(12));
+    assert_eq!(second.forwarded, work(9));
+}
