--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -23,13 +23,14 @@
 use camphorwalk_policy::entry::status_exchange::{
     Freshness, Merge, Round, Stamp, UnsentChanges, round_period,
 };
+use camphorwalk_policy::entry::target_profiles::UnsentWork;
 use prost::Message as _;
 use tokio::time::sleep;
 use tracing::{info, warn};
 
 use crate::fleet::{HostStatus, drop_silent_hosts};
 use crate::host::Shared;
-use crate::{clock, manifests, places};
+use crate::{clock, manifests, places, target_paces};
 
 /// How often the demand of all tenants is sent instead of only the changes. Lost updates are
 /// repaired after this time at the latest. A host that was silent or has just started gets the
@@ -45,6 +46,8 @@
     crashes: Vec<CrashReport>,
     /// The turns of running programs, by service.
     turns: Map<Box<str>, TurnCounts>,
+    /// The events that targets sent.
+    work: UnsentWork,
 }
 
 impl Changes {
@@ -55,6 +58,7 @@
             demand: shared.rates.borrow_mut().take_updates(false).into_iter().collect(),
             crashes: shared.crashes.borrow_mut().take_updates(),
             turns: shared.admission.borrow_mut().take_turn_counts().into_iter().collect(),
+            work: target_paces::take_work(shared),
         }
     }
 }
@@ -69,11 +73,14 @@
         for (service, counts) in later.turns {
             self.turns.entry(service).or_default().add(counts);
         }
+        self.work.merge(later.work);
     }
 
-    /// Returns the changes without crashes and turns, which the receivers add up.
+    /// Returns the changes without crashes, turns and events, which the receivers add up.
     fn into_repeatable(self) -> Self {
-        Self { crashes: Vec::new(), turns: Map::default(), ..self }
+        let work = self.work.into_repeatable();
+
+        Self { crashes: Vec::new(), turns: Map::default(), work, ..self }
     }
 }
 
@@ -224,6 +231,7 @@
         sequence: shared.status_exchange.borrow().sequence(),
         changes_since: 0,
         turns: changes.turns.into_iter().map(turns).collect(),
+        target_events: target_paces::target_events(changes.work),
     }
 }
 
@@ -372,6 +380,7 @@
     let waiting = update.waiting.into_iter().map(|w| (w.service.into(), w.calls)).collect();
     shared.targets.borrow_mut().set_remote_load(from, in_flight, waiting);
     apply_prompts(shared, from, update.prompts);
+    target_paces::apply(shared, now, update.target_events);
     for crash in update.crashes {
         shared.crashes.borrow_mut().record_remote(now, crash);
     }
