Groups of hosts and targets of a zone, from which a host's preferred targets follow

Cause: each of many hosts uses each of many targets, so that pairs are used rarely and no host knows the load of the others while a call still runs. Change: the module that splits the hosts and targets of a zone into groups. It is not used yet.

--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -13,6 +13,7 @@
 pub mod manifests;
 pub mod outage;
 pub mod placement;
+pub mod preferred_targets;
 pub mod prompts;
 pub mod rates;
 pub mod recent;
