--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -18,7 +18,7 @@
 
 use crate::answer::Refusal;
 use crate::host::Shared;
-use crate::{clock, target_paces};
+use crate::{clock, preferred, target_paces};
 
 /// Retry-After of a call for which no target is usable, if no ejected target is due to return.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -140,6 +140,7 @@
         placement: &PlacementRequest,
     ) -> Self {
         let taken_at = clock::now();
+        preferred::count_placement(shared, key, placement);
         let mut targets = shared.targets.borrow_mut();
         targets.record_place(taken_at, key);
         let uncached_tokens = targets.record_sent(key, placement);
