Account of the bytes held for slow readers

Cause: what a host buffers for callers and targets that read slowly has no bound, and a process above its memory limit is killed. Change: entry/held_bytes decides, without I/O and clocks, whether bytes of a request or an answer may be held, which stalled answer is given up for them, and when a host reads on from a target. Nothing uses the account yet.

--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -8,6 +8,7 @@
 pub mod crashes;
 pub mod evacuations;
 pub mod grant_leases;
+pub mod held_bytes;
 pub mod host_rows;
 pub mod isolation;
 pub mod manifests;
