A host holds requests and answers for slow readers within a bound

Cause: bodies of requests, whole answers and unread streams have no common bound, and a stream that its caller does not read stays at the target until that cuts it off. Change: with features.held-bytes-fraction, each request and answer has a reservation that its guard releases. A request without room is refused with 503 before it is read; a whole answer waits for room for a second at most; a stream is read by a task of its own, which pauses above 256 KiB and takes the rest over after a second. An answer that is given up has its caller's connection closed. Pieces of answers count until the connection has written them. The answers of a tenant beyond its part may fill seven eighths, its requests three quarters, so that calls are refused before they run. Without the feature the code takes the same way as before; bodies are the same pieces without a reservation.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,16 +1,20 @@
 //! Answers to callers: those of targets, and refusals made by the host itself.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Buf as _, Bytes};
 use camphorwalk_adapter::head;
 use futures::Stream;
 use http::{HeaderValue, Response, StatusCode, header};
 use hyper::body::{Body, Frame, SizeHint};
 use rand::Rng as _;
 
+use crate::answer_queue::QueuedBody;
+use crate::held_bytes::{Hold, Piece};
+
 /// Why the body of an answer ends early. The connection is then closed without the terminating
 /// chunk, so that the caller cannot mistake the answer for a complete one.
 #[derive(Debug, thiserror::Error)]
@@ -24,37 +28,63 @@
 pub enum AnswerBody {
     /// The complete body; `None` once it was sent.
     Whole(Option<Bytes>),
+    /// The complete body, which counts as held until the caller has taken it.
+    Held(Option<Piece>),
     /// A body that is forwarded as it arrives.
     Pieces(Pieces),
+    /// A body that arrives independently of how fast the caller takes it.
+    Queued(QueuedBody),
+}
+
+impl AnswerBody {
+    /// Creates a complete body, of which the bytes are reserved in `hold` if there is one.
+    pub(crate) fn whole(bytes: Bytes, hold: Option<Hold>) -> Self {
+        match hold {
+            Some(hold) => {
+                hold.deliver();
+                Self::Held(Some(Piece::held(bytes, Rc::new(hold))))
+            }
+            None => Self::Whole(Some(bytes)),
+        }
+    }
 }
 
 impl Body for AnswerBody {
-    type Data = Bytes;
+    type Data = Piece;
     type Error = BrokenBody;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BrokenBody>>> {
+    ) -> Poll<Option<Result<Frame<Piece>, BrokenBody>>> {
         match &mut *self {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Pieces(pieces) => {
-                pieces.as_mut().poll_next(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b.into())))),
+            Self::Held(piece) => Poll::Ready(piece.take().map(|p| Ok(Frame::data(p)))),
+            Self::Queued(queued) => {
+                queued.poll_piece(cx).map(|piece| piece.map(|p| p.map(Frame::data)))
             }
+            Self::Pieces(pieces) => pieces
+                .as_mut()
+                .poll_next(cx)
+                .map(|piece| piece.map(|p| p.map(|b| Frame::data(b.into())))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Self::Pieces(_) => false,
+            Self::Held(piece) => piece.as_ref().is_none_or(Piece::is_empty),
+            Self::Pieces(_) | Self::Queued(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Pieces(_) => SizeHint::default(),
+            Self::Held(piece) => {
+                SizeHint::with_exact(piece.as_ref().map_or(0, Piece::remaining) as u64)
+            }
+            Self::Pieces(_) | Self::Queued(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -18,13 +18,14 @@
 use camphorwalk_policy::entry::stream_origins::{Origin, StreamKey, StreamKeys};
 use camphorwalk_policy::entry::waiting::Urgency;
 use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use http_body_util::{LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use tracing::info;
 
 use crate::answer::{Answer, Refusal, close_after};
 use crate::budget::{self, TokenReservation};
+use crate::held_bytes::{self, CollectError, Hold};
 use crate::host::{OpenRequest, Shared};
 use crate::places::PlaceTarget;
 use crate::turns::{self, Continuation};
@@ -65,6 +66,8 @@
     /// The caller's headers.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The reservation of the body, if the host has a bound.
+    pub(crate) held: Option<Hold>,
     routing: Arc<Routing>,
     route: usize,
     pub(crate) tenant: Option<Box<str>>,
@@ -358,7 +361,14 @@
     let timeout = routing.routes[route].timeout.unwrap_or(DEFAULT_TIMEOUT);
     let deadline = received_at + head.deadline.unwrap_or(timeout).min(timeout);
     let limits = callers::limits(shared);
-    let body = read_body(body, limits.body_bytes, clock::until(deadline)).await?;
+    let held = Hold::for_request(
+        shared,
+        tenant.as_deref(),
+        &parts.headers,
+        &parts.extensions,
+        limits.body_bytes,
+    )?;
+    let body = read_body(body, limits.body_bytes, clock::until(deadline), held.as_ref()).await?;
     let fingerprint = Fingerprint(stable_hash(&[
         parts.method.as_str().as_bytes(),
         path.as_bytes(),
@@ -373,6 +383,7 @@
         path: path.into(),
         headers: parts.headers,
         body,
+        held,
         routing,
         route,
         tenant,
@@ -427,15 +438,24 @@
     index.map(|i| Some(routing.tenants[*i].name.clone())).ok_or_else(unknown)
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, left: Duration) -> Result<Bytes, Refusal> {
-    let collected = timeout(left.min(BODY_TIMEOUT), Limited::new(body, max_bytes).collect()).await;
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    left: Duration,
+    held: Option<&Hold>,
+) -> Result<Bytes, Refusal> {
+    let body = held_bytes::collect_request(Limited::new(body, max_bytes), held);
+    let collected = timeout(left.min(BODY_TIMEOUT), body).await;
 
     match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(CollectError::Full)) => Err(held_bytes::refuse_request(held)),
+        Ok(Err(CollectError::Body(e))) if e.is::<LengthLimitError>() => {
             Err(Refusal::permanent(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"))
         }
-        Ok(Err(_)) => Err(Refusal::permanent(StatusCode::BAD_REQUEST, "the body cannot be read")),
+        Ok(Err(CollectError::Body(_))) => {
+            Err(Refusal::permanent(StatusCode::BAD_REQUEST, "the body cannot be read"))
+        }
         Err(_) => Err(Refusal::permanent(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
     }
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -9,7 +9,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use camphorwalk_adapter::head::{self, LogIds};
 use camphorwalk_core::entry::CallLimits;
 use camphorwalk_core::time::Instant;
@@ -22,6 +21,7 @@
 
 use crate::answer::{AnswerBody, BrokenBody};
 use crate::errors::{Error, Result};
+use crate::held_bytes::{ConnectionCloser, Piece};
 use crate::host::Shared;
 use crate::{call, clock, connections};
 
@@ -99,13 +99,13 @@
 }
 
 impl Body for TrackedBody {
-    type Data = Bytes;
+    type Data = Piece;
     type Error = BrokenBody;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<std::result::Result<Frame<Bytes>, BrokenBody>>> {
+    ) -> Poll<Option<std::result::Result<Frame<Piece>, BrokenBody>>> {
         let frame = Pin::new(&mut self.body).poll_frame(cx);
         match &frame {
             Poll::Ready(None) => drop(self.current.take()),
@@ -140,7 +140,11 @@
     connections::set_socket_options(&stream);
     let limits = limits(&shared);
     let current = CurrentRequest::default();
-    let service = service_fn(|req| {
+    let closer = shared.held_bytes.as_ref().map(|_| ConnectionCloser::default());
+    let service = service_fn(|mut req: Request<Incoming>| {
+        if let Some(closer) = &closer {
+            req.extensions_mut().insert(closer.clone());
+        }
         let answering = answer(Rc::clone(&shared), Rc::clone(&current), req);
         async move { Ok::<_, Infallible>(answering.await) }
     });
@@ -154,15 +158,30 @@
 
     // A caller may disconnect at any time. Dropping the service's future then ends the work for its
     // call.
-    let ended = connection.await;
+    let ended = match &closer {
+        None => Some(connection.await),
+        Some(closer) => tokio::select! {
+            ended = connection => Some(ended),
+            () = closer.closed() => None,
+        },
+    };
     if let Some(unanswered) = current.take() {
-        log_unanswered(&shared, &unanswered, ended.err().as_ref());
+        let (cause, error) = match &ended {
+            Some(Ok(())) => ("closed", None),
+            Some(Err(e)) => (cause(e), Some(e)),
+            None => ("given_up", None),
+        };
+        log_unanswered(&shared, &unanswered, cause, error);
     }
 }
 
 /// Logs a connection that ended before the answer to its request was complete.
-fn log_unanswered(shared: &Shared, unanswered: &Unanswered, error: Option<&hyper::Error>) {
-    let cause = error.map_or("closed", cause);
+fn log_unanswered(
+    shared: &Shared,
+    unanswered: &Unanswered,
+    cause: &str,
+    error: Option<&hyper::Error>,
+) {
     let Unanswered { ids, received_at } = unanswered;
 
     tracing::info!(
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -32,6 +32,7 @@
 use crate::connections::Connections;
 use crate::errors::Result;
 use crate::fleet::Fleet;
+use crate::held_bytes::Account;
 use crate::log_sampler::LogSampler;
 use crate::manifests::Manifests;
 use crate::metrics::Metrics;
@@ -118,6 +119,8 @@
     pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) places: Places,
     pub(crate) connections: Connections,
+    /// The bytes held for slow readers, if they have a bound.
+    pub(crate) held_bytes: Option<Account>,
     pub(crate) budgets: RefCell<Budgets>,
     pub(crate) grant_leases: RefCell<GrantLeases>,
     /// The lock of each program, which is held while tokens of its budget are requested.
@@ -292,7 +295,11 @@
         let metrics = Metrics::new()?;
         let run = RunId(rand::rng().next_u64());
         let store = Store::new(store_client(&settings, run, &metrics)?);
-        let turn_bytes = usize::try_from(settings.memory_bytes / TURN_CACHE_PART).unwrap_or(0);
+        let held_bytes = Account::from_settings(&settings, &metrics);
+        let turn_bytes = held_bytes
+            .as_ref()
+            .map_or(settings.memory_bytes / TURN_CACHE_PART, Account::turn_cache_bytes);
+        let turn_bytes = usize::try_from(turn_bytes).unwrap_or(0);
         info!(
             name = %settings.name, zone = %settings.zone, callers = %settings.callers_address,
             run = format!("{:016x}", run.0), "host: started"
@@ -319,6 +326,7 @@
             evacuations: RefCell::default(),
             places: Places::default(),
             connections: Connections::default(),
+            held_bytes,
             budgets: RefCell::new(Budgets::new(run)),
             grant_leases: RefCell::new(GrantLeases::new(
                 Holder { host: settings.name.clone(), run },
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 mod answer;
+mod answer_queue;
 mod budget;
 mod call;
 mod callers;
@@ -20,6 +21,7 @@
 mod forward;
 mod grant_leases;
 mod grants;
+mod held_bytes;
 mod host;
 mod log_sampler;
 mod manifests;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,9 +2,10 @@
 
 use prometheus::{
     Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder, register_histogram_vec_with_registry,
+    IntGaugeVec, Opts, Registry, TextEncoder, register_histogram_vec_with_registry,
     register_histogram_with_registry, register_int_counter_vec_with_registry,
-    register_int_counter_with_registry, register_int_gauge_with_registry,
+    register_int_counter_with_registry, register_int_gauge_vec_with_registry,
+    register_int_gauge_with_registry,
 };
 
 /// Bucket bounds of latencies, in seconds: from a call within a zone to the longest time limit.
@@ -28,6 +29,11 @@
     pub(crate) refusals: IntCounterVec,
     /// New programs that were refused because targets have no room, by cause.
     pub(crate) full_refusals: IntCounterVec,
+    /// The bytes held for slow readers, by direction, if they have a bound.
+    pub(crate) held_bytes: IntGaugeVec,
+    /// Answers that were given up because their caller does not take them or there is no room for
+    /// them, by cause.
+    pub(crate) given_up: IntCounterVec,
     /// Connections of callers that ended before the answer to their request was complete, by cause.
     pub(crate) unanswered: IntCounterVec,
     /// Calls that were sent to another target or resumed, by reason.
@@ -118,6 +124,16 @@
                 "New programs refused because targets have no room, by cause.",
                 &["cause"],
             )?,
+            held_bytes: register_int_gauge_vec_with_registry!(
+                Opts::new("camphorwalk_held_bytes", "Bytes held for slow readers, by direction."),
+                &["direction"],
+                r
+            )?,
+            given_up: by(
+                "camphorwalk_given_up_total",
+                "Answers given up for lack of room, by cause.",
+                &["cause"],
+            )?,
             unanswered: by(
                 "camphorwalk_unanswered_total",
                 "Connections of callers that ended before the answer, by cause.",
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -7,20 +7,22 @@
 use camphorwalk_adapter::head;
 use camphorwalk_policy::entry::placement::{Outcome, TargetKey};
 use http::{Response, StatusCode};
-use http_body_util::BodyExt as _;
+use http_body_util::{BodyExt as _, Limited};
 use tokio::time::timeout;
 use tracing::info;
 
 use crate::answer::{Answer, AnswerBody, BrokenBody, Refusal};
+use crate::answer_queue::QueuedBody;
 use crate::budget::TokenReservation;
 use crate::call::{Call, TargetAnswer};
 use crate::events::EventParser;
 use crate::forward::{self, CallAttempt, SendOutcome, Started};
+use crate::held_bytes::{CollectError, Hold};
 use crate::host::Shared;
 use crate::places::{Place, PlaceTarget};
 use crate::turns::Continuation;
 use crate::unary::rejection_reason;
-use crate::{clock, places, stream_origins, turn_storage};
+use crate::{clock, held_bytes, places, stream_origins, turn_storage};
 
 /// The maximum number of targets that are tried for a turn until one of them starts the stream.
 const MAX_OFFERS: u32 = 4;
@@ -65,6 +67,12 @@
     continuation: Continuation,
 ) -> Result<Answer, Refusal> {
     let body = continuation.body(&call.body);
+    // The prompt of a continued turn is a copy of the conversation.
+    if let Some(hold) = call.held.as_ref().filter(|_| !continuation.earlier.is_empty())
+        && !hold.reserve(body.len())
+    {
+        return Err(held_bytes::refuse_request(Some(hold)));
+    }
     let mut placement = call.placement_request();
     let mut offers = 0;
 
@@ -112,7 +120,7 @@
         return Err(Refusal::answer_lost(reason));
     }
     if started.response.status() != StatusCode::OK {
-        return forward_failure(started).await;
+        return forward_failure(&call, started).await;
     }
 
     let began_at = confirm_version(&call.shared, began_at);
@@ -124,14 +132,18 @@
 
     let mut answer = Response::new(AnswerBody::Whole(None));
     *answer.headers_mut() = head::write_answer(started.response.headers());
-    *answer.body_mut() = AnswerBody::Pieces(Box::pin(event_stream(
+    let events = Box::pin(event_stream(
         Rc::clone(&call),
         reservation,
         continuation,
         body,
         BegunAnswer { started, began_at },
         offers + 1,
-    )));
+    ));
+    *answer.body_mut() = match call.held.as_ref().and_then(Hold::for_answer) {
+        Some(hold) => AnswerBody::Queued(QueuedBody::start(&call, hold, events)),
+        None => AnswerBody::Pieces(events),
+    };
     Ok(answer)
 }
 
@@ -172,18 +184,21 @@
 }
 
 /// Forwards a failure that a target answered instead of a stream.
-async fn forward_failure(started: Started) -> Result<Answer, Refusal> {
+async fn forward_failure(call: &Call, started: Started) -> Result<Answer, Refusal> {
     let (parts, body) = started.response.into_parts();
 
-    match body.collect().await {
+    let hold = call.held.as_ref().and_then(Hold::for_answer);
+    let body = Limited::new(body, usize::MAX);
+    match held_bytes::collect_answer(body, hold.as_ref()).await {
         Ok(body) => {
             started.place.complete();
-            let mut answer = Response::new(AnswerBody::Whole(Some(body.to_bytes())));
+            let mut answer = Response::new(AnswerBody::whole(body, hold));
             *answer.status_mut() = parts.status;
             *answer.headers_mut() = head::write_answer(&parts.headers);
             Ok(answer)
         }
-        Err(_) => {
+        Err(CollectError::Full) => Err(Refusal::answer_lost(held_bytes::FULL)),
+        Err(CollectError::Body(_)) => {
             started.place.end(Outcome::Failed);
             Err(Refusal::answer_lost("the answer broke off"))
         }
--- a/crates/entry/src/unary.rs
+++ b/crates/entry/src/unary.rs
@@ -6,12 +6,13 @@
 use camphorwalk_core::entry::RetryPolicy;
 use camphorwalk_policy::entry::placement::Outcome;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::Limited;
 use tracing::info;
 
 use crate::answer::{Answer, AnswerBody, Refusal};
 use crate::call::{Call, TargetAnswer};
 use crate::forward::{self, CallAttempt, SendOutcome, Started};
+use crate::held_bytes::{self, CollectError, Hold};
 use crate::{clock, places};
 
 /// The maximum number of targets that are tried for a call. The route's `max_targets` further
@@ -55,6 +56,8 @@
         let (reason, may_have_run) = match forward::send(&attempt, place).await {
             SendOutcome::Started(started) => match receive(call, *started, offers + 1).await {
                 Ok(answer) => return Ok(answer),
+                // The answer has no room here, so that another run would be of no use.
+                Err(held_bytes::FULL) => return Err(Refusal::answer_lost(held_bytes::FULL)),
                 Err(reason) => (reason, true),
             },
             SendOutcome::NotRun(reason) => (reason, false),
@@ -98,9 +101,12 @@
     let (parts, body) = response.into_parts();
     let key = place.key;
 
-    let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => {
+    let hold = call.held.as_ref().and_then(Hold::for_answer);
+    let body = Limited::new(body, MAX_ANSWER_BYTES);
+    let body = match held_bytes::collect_answer(body, hold.as_ref()).await {
+        Ok(body) => body,
+        Err(CollectError::Full) => return Err(held_bytes::FULL),
+        Err(CollectError::Body(_)) => {
             place.end(Outcome::Failed);
             return Err("the answer broke off");
         }
@@ -115,7 +121,7 @@
     place.complete();
     forward::put_back(&call.shared, key, connection, &head);
 
-    let mut answer = Response::new(AnswerBody::Whole(Some(body)));
+    let mut answer = Response::new(AnswerBody::whole(body, hold));
     *answer.status_mut() = parts.status;
     *answer.headers_mut() = head::write_answer(&parts.headers);
     Ok(answer)
--- a/crates/policy/src/entry/held_bytes.rs
+++ b/crates/policy/src/entry/held_bytes.rs
@@ -7,7 +7,8 @@
 //! All bytes are within one bound. Of this, the cache of turns is a fixed reservation, and the rest
 //! is the account's *room*. A tenant's *part* of the room is an even share among the tenants that
 //! hold anything and one more, so that a tenant that holds nothing yet finds room too. While the
-//! account is over three quarters full, tenants beyond their part get no further room.
+//! account is over three quarters full, tenants beyond their part get no room for requests, and
+//! while it is over seven eighths full, none for answers.
 
 use std::time::Duration;
 
@@ -295,14 +296,24 @@
         self.room / (tenants + 1)
     }
 
-    /// Returns how many bytes must be given up before a tenant may add `bytes`.
-    fn excess(&self, held: u64, bytes: u64) -> u64 {
+    /// Returns how many bytes must be given up before a tenant that holds `held` bytes may add `bytes`.
+    fn excess(&self, direction: Direction, held: u64, bytes: u64) -> u64 {
         let total = self.held().saturating_add(bytes);
         let over_room = total.saturating_sub(self.room);
-        let over_three_quarters = total.saturating_sub(self.room / 4 * 3);
+        let over_limit = total.saturating_sub(self.limit_over_part(direction));
         let over_part = held.saturating_add(bytes).saturating_sub(self.part(held));
 
-        over_room.max(over_three_quarters.min(over_part))
+        over_room.max(over_limit.min(over_part))
+    }
+
+    /// Returns how much of the room may be taken for tenants that are over their part. Answers may
+    /// take more than requests, so that a request is refused before it runs rather than its answer
+    /// lost for lack of room.
+    fn limit_over_part(&self, direction: Direction) -> u64 {
+        match direction {
+            Direction::Request => self.room / 4 * 3,
+            Direction::Answer => self.room / 8 * 7,
+        }
     }
 
     fn decide(&self, now: Instant, key: ReservationKey, bytes: u64) -> HoldDecision {
@@ -311,7 +322,7 @@
         let held_by =
             |tenant| self.tenants.get(tenant).map_or(0, |tenant: &TenantUse| tenant.bytes);
         let held = held_by(tenant);
-        let excess = self.excess(held, bytes);
+        let excess = self.excess(reservation.direction, held, bytes);
         if excess == 0 {
             return HoldDecision::Hold;
         }
