--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -33,6 +33,7 @@
 use crate::connections::Connections;
 use crate::errors::Result;
 use crate::fleet::Fleet;
+use crate::held_bytes::Account;
 use crate::log_sampler::LogSampler;
 use crate::manifests::Manifests;
 use crate::metrics::Metrics;
@@ -123,6 +124,8 @@
     /// What the admission of new programs depends on; used only with `Features::fair_admission`.
     pub(crate) admission: RefCell<StartAdmission>,
     pub(crate) connections: Connections,
+    /// The bytes held for slow readers, if they have a bound.
+    pub(crate) held_bytes: Option<Account>,
     pub(crate) budgets: RefCell<Budgets>,
     pub(crate) grant_leases: RefCell<GrantLeases>,
     /// The lock of each program, which is held while tokens of its budget are requested.
@@ -298,7 +301,11 @@
         let metrics = Metrics::new()?;
         let run = RunId(rand::rng().next_u64());
         let store = Store::new(store_client(&settings, run, &metrics)?);
-        let turn_bytes = usize::try_from(settings.memory_bytes / TURN_CACHE_PART).unwrap_or(0);
+        let held_bytes = Account::from_settings(&settings, &metrics);
+        let turn_bytes = held_bytes
+            .as_ref()
+            .map_or(settings.memory_bytes / TURN_CACHE_PART, Account::turn_cache_bytes);
+        let turn_bytes = usize::try_from(turn_bytes).unwrap_or(0);
         info!(
             name = %settings.name, zone = %settings.zone, callers = %settings.callers_address,
             run = format!("{:016x}", run.0), "host: started"
@@ -327,6 +334,7 @@
             places: Places::default(),
             admission: RefCell::default(),
             connections: Connections::default(),
+            held_bytes,
             budgets: RefCell::new(Budgets::new(run)),
             grant_leases: RefCell::new(GrantLeases::new(
                 Holder { host: settings.name.clone(), run },
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod admission;
 mod answer;
+mod answer_queue;
 mod budget;
 mod call;
 mod callers;
@@ -21,6 +22,7 @@
 mod forward;
 mod grant_leases;
 mod grants;
+mod held_bytes;
 mod host;
 mod log_sampler;
 mod manifests;
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -6,8 +6,8 @@
 //! and the running calls delay each other, and the wait while the target's slots are full.
 
 mod availability;
-mod pace;
 mod choice;
+mod pace;
 mod target;
 
 use std::net::SocketAddr;
@@ -27,8 +27,8 @@
 use choice::{Draw, Preferred};
 
 pub use availability::SendCheck;
-pub use pace::ChangedPace;
 pub use choice::PlacementKind;
+pub use pace::ChangedPace;
 pub use target::Target;
 
 slotmap::new_key_type! {
--- a/crates/policy/src/entry/placement/choice.rs
+++ b/crates/policy/src/entry/placement/choice.rs
@@ -178,12 +178,12 @@
     }
 
     /// Returns the drawn targets to choose from. Those that are not preferred are among them only if
-    /// no drawn preferred one has a free slot: their load is known so late that one of them would
-    /// often seem to be better.
+    /// no drawn preferred one has a free slot and is about as fast as the others: their load is known
+    /// so late that one of them would often seem to be better.
     pub(super) fn drawn(&self, draw: &Draw) -> impl Iterator<Item = TargetKey> + use<> {
         let is_free = |(_, key): &(f64, TargetKey)| {
             let target = &self.targets[*key];
-            target.load() < target.entry.slots
+            target.load() < target.entry.slots && target.profile.effective_pace() <= 1.0
         };
         let has_free = self.preferred.is_some() && draw.first.iter().flatten().any(is_free);
         let others = draw.zone.into_iter().chain([draw.other_zone]).filter(move |_| !has_free);
