--- a/crates/policy/src/entry/target_profiles.rs
+++ b/crates/policy/src/entry/target_profiles.rs
@@ -194,12 +194,13 @@
         self.pace
     }
 
-    /// Returns the pace by which targets are chosen: 1 for those close to the mean.
+    /// Returns the pace by which targets are chosen: 1 for those close to the mean. For others only
+    /// the difference beyond that counts, so that noise at the edge, where an update more or less
+    /// decides, changes the choice of targets little.
     pub fn effective_pace(&self) -> f64 {
-        match (1.0 / ALIKE_FACTOR..=ALIKE_FACTOR).contains(&self.pace) {
-            true => 1.0,
-            false => self.pace,
-        }
+        let (lowest, highest) = (1.0 / ALIKE_FACTOR, ALIKE_FACTOR);
+
+        1.0 + (self.pace - highest).max(0.0) - (lowest - self.pace).max(0.0)
     }
 }
 
--- a/crates/policy/tests/target_profiles/main.rs
+++ b/crates/policy/tests/target_profiles/main.rs
@@ -1,3 +1,5 @@
 //! The paces of targets, and the choice of targets by them.
 
 mod evidence;
+mod replay;
+mod world;
