--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -313,14 +313,6 @@
         self.known.borrow().get(&host).map(|known| known.zone.clone())
     }
 
-    /// Returns the other availability zones that have known hosts.
-    pub(crate) fn other_zones(&self) -> Set<Box<str>> {
-        let known = self.known.borrow();
-        let others = known.values().filter(|known| known.zone != self.zone);
-
-        others.map(|known| known.zone.clone()).collect()
-    }
-
     /// Returns the id of this host.
     pub(crate) fn own_id(&self) -> HostId {
         self.own_id
--- a/crates/entry/src/preferred.rs
+++ b/crates/entry/src/preferred.rs
@@ -143,13 +143,13 @@
     if !is_active(shared) {
         return;
     }
-    let zones = shared.fleet.other_zones();
-    let known = shared.fleet.known_hosts();
-
     shared.targets.borrow_mut().set_zone_hosts(shared.fleet.zone_hosts());
-    shared.neighbours.notices.borrow_mut().retain(|host| known.contains(&host));
-    let zones = zones.iter().map(|zone| &**zone);
-    shared.neighbours.zones.borrow_mut().set_known(clock::now(), zones);
+    shared.neighbours.notices.borrow_mut().retain(|host| shared.fleet.zone_of(host).is_some());
+    shared.fleet.with_members(|members| {
+        let zones = members.iter().map(|member| member.zone);
+        let others = zones.filter(|zone| **zone != *shared.settings.zone);
+        shared.neighbours.zones.borrow_mut().set_known(clock::now(), others);
+    });
 }
 
 /// Counts a place that a call takes, by why its target was chosen.
