Tests of preferred targets: a registration during an evacuation, and the own host

Cause: two faults made on purpose were not found: preferences that are not chosen again when an evacuation ends, and a host that does not count itself. Change: the tests of evacuation and of groups cover them.

--- a/crates/policy/tests/entry_preferred.rs
+++ b/crates/policy/tests/entry_preferred.rs
@@ -173,12 +173,15 @@
 
 #[test]
 fn an_evacuated_zone_has_no_preferred_targets_until_it_returns() {
-    // Guards against calls to evacuated targets, and against preferences that an evacuation loses.
+    // Guards against calls to evacuated targets, and against preferences that are lost if a target
+    // registers itself during an evacuation.
     let mut targets = targets();
     let before = preferred(&targets);
 
     targets.apply_zone_change(NOW, &ZoneChange::Evacuated("a".into()));
     let evacuated = kinds(&targets);
+    targets.put(entry("a-12", "a"));
+    targets.remove_by_id("a-12");
     targets.apply_zone_change(NOW, &ZoneChange::Returned("a".into()));
 
     assert_eq!(evacuated, [0, 0, 100]);
--- a/crates/policy/tests/preferred_targets.rs
+++ b/crates/policy/tests/preferred_targets.rs
@@ -10,7 +10,7 @@
     let ids = || (0..hosts as u64).map(HostId);
     let choose = |own| {
         let mut preferences = Preferences::new(wanted, own);
-        preferences.set_hosts(ids());
+        preferences.set_hosts(ids().filter(|host| *host != own));
         let mut targets: Vec<_> = (0..targets).map(|target| (target as u64, target)).collect();
         preferences.choose("engines", &mut targets).iter().map(|(_, target)| *target).collect()
     };
