Heads of requests that arrive slowly end at the manifest's time limit

Cause: the HTTP library has one limit for idle connections and for heads, which is the longer of the two, so that a connection with a part of a head was kept for the 15 s of an idle one. Answers that were received side by side could also keep each other from being complete. Change: with a bound on held bytes, a connection whose head has begun is closed after header-timeout-ms. An answer of declared length is read when there is room for all of it. The output of a stream is collected only for turns that are stored.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -23,6 +23,7 @@
 use crate::errors::{Error, Result};
 use crate::held_bytes::{ConnectionCloser, Piece};
 use crate::host::Shared;
+use crate::slow_heads::{HeadWatch, WatchedStream};
 use crate::{call, clock, connections};
 
 /// The pause after a failed accept, which is mostly caused by a lack of file descriptors.
@@ -125,29 +126,57 @@
     }
 }
 
-async fn answer(
+fn answer(
     shared: Rc<Shared>,
     current: CurrentRequest,
     req: Request<Incoming>,
-) -> Response<TrackedBody> {
+) -> impl Future<Output = Response<TrackedBody>> {
     let ids = head::read_ids(req.headers());
     current.replace(Some(Unanswered { ids, received_at: clock::now() }));
 
-    call::serve(shared, req).await.map(|body| TrackedBody::new(body, current))
+    async move { call::serve(shared, req).await.map(|body| TrackedBody::new(body, current)) }
+}
+
+/// What ends a connection of a host whose held bytes have a bound.
+struct ConnectionBounds {
+    closer: ConnectionCloser,
+    heads: HeadWatch,
+}
+
+impl ConnectionBounds {
+    fn new(current: &CurrentRequest) -> Self {
+        let current = Rc::clone(current);
+        let heads = HeadWatch::new(move || current.borrow().is_some());
+
+        Self { closer: ConnectionCloser::default(), heads }
+    }
+
+    /// Waits until an answer on the connection is given up, or a head arrives too slowly.
+    async fn exceeded(&self, shared: &Shared, head_timeout: Duration) {
+        tokio::select! {
+            () = self.closer.closed() => {}
+            () = self.heads.expired(head_timeout) => {
+                tracing::info!(?head_timeout, "held: head of a request not complete in time");
+                shared.metrics.given_up.with_label_values(&["slow_head"]).inc();
+            }
+        }
+    }
 }
 
 async fn serve(shared: Rc<Shared>, stream: TcpStream) {
     connections::set_socket_options(&stream);
     let limits = limits(&shared);
     let current = CurrentRequest::default();
-    let closer = shared.held_bytes.as_ref().map(|_| ConnectionCloser::default());
+    let bounds = shared.held_bytes.as_ref().map(|_| ConnectionBounds::new(&current));
     let service = service_fn(|mut req: Request<Incoming>| {
-        if let Some(closer) = &closer {
-            req.extensions_mut().insert(closer.clone());
+        if let Some(bounds) = &bounds {
+            bounds.heads.head_complete();
+            req.extensions_mut().insert(bounds.closer.clone());
         }
         let answering = answer(Rc::clone(&shared), Rc::clone(&current), req);
         async move { Ok::<_, Infallible>(answering.await) }
     });
+    let stream = WatchedStream::new(stream, bounds.as_ref().map(|bounds| bounds.heads.clone()));
     // The header timeout also limits how long a connection may stay idle, so it is the longer of
     // the two.
     let connection = http1::Builder::new()
@@ -158,11 +187,11 @@
 
     // A caller may disconnect at any time. Dropping the service's future then ends the work for its
     // call.
-    let ended = match &closer {
+    let ended = match &bounds {
         None => Some(connection.await),
-        Some(closer) => tokio::select! {
+        Some(bounds) => tokio::select! {
             ended = connection => Some(ended),
-            () = closer.closed() => None,
+            () = bounds.exceeded(&shared, limits.head_timeout) => None,
         },
     };
     if let Some(unanswered) = current.take() {
--- a/crates/entry/src/held_bytes.rs
+++ b/crates/entry/src/held_bytes.rs
@@ -15,7 +15,7 @@
 use camphorwalk_policy::entry::held_bytes::{Direction, HeldBytes, HoldDecision, ReservationKey};
 use http::{Extensions, HeaderMap, header};
 use http_body_util::{BodyExt as _, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use prometheus::IntGauge;
 use tokio::sync::Notify;
 use tracing::info;
@@ -340,21 +340,58 @@
     Full,
 }
 
-/// Receives a whole body, and holds its bytes. Waits for room up to `max_wait`, without reading
-/// meanwhile.
-pub(crate) async fn collect(
-    mut body: Limited<Incoming>,
+/// Receives the whole body of a request. There is no use in waiting for room: the caller can send
+/// the request to another host. Its declared length is not reserved, since it may come slowly.
+pub(crate) async fn collect_request(
+    body: Limited<Incoming>,
+    hold: Option<&Hold>,
+) -> Result<Bytes, CollectError> {
+    match hold {
+        None => collect(body).await,
+        Some(hold) => collect_held(body, hold, 0, Duration::ZERO).await,
+    }
+}
+
+/// Receives the whole body of an answer. The target waits while there is no room for it. If the
+/// length is declared, reading begins when there is room for all of it, so that answers which are
+/// received at the same time do not keep each other from being complete.
+pub(crate) async fn collect_answer(
+    body: Limited<Incoming>,
     hold: Option<&Hold>,
-    max_wait: Duration,
 ) -> Result<Bytes, CollectError> {
-    let Some(hold) = hold else {
-        return body.collect().await.map(|body| body.to_bytes()).map_err(CollectError::Body);
+    let Some(hold) = hold else { return collect(body).await };
+    let declared = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let declared = declared.unwrap_or(0);
+
+    let collected = match hold.reserve_until(declared, clock::now() + MAX_ROOM_WAIT).await {
+        true => collect_held(body, hold, declared, MAX_ROOM_WAIT).await,
+        false => Err(CollectError::Full),
     };
+    if let Err(CollectError::Full) = &collected {
+        hold.record_given_up("no_room");
+    }
+    collected
+}
+
+async fn collect(body: Limited<Incoming>) -> Result<Bytes, CollectError> {
+    body.collect().await.map(|body| body.to_bytes()).map_err(CollectError::Body)
+}
+
+/// Receives a whole body, of which `reserved` bytes are reserved already. Waits for room for more up
+/// to `max_wait`, without reading meanwhile.
+async fn collect_held(
+    mut body: Limited<Incoming>,
+    hold: &Hold,
+    mut reserved: usize,
+    max_wait: Duration,
+) -> Result<Bytes, CollectError> {
     let mut pieces = Vec::new();
 
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(CollectError::Body)?.into_data() else { continue };
-        if !hold.reserve_until(data.len(), clock::now() + max_wait).await {
+        let missing = data.len().saturating_sub(reserved);
+        reserved = reserved.saturating_sub(data.len());
+        if !hold.reserve_until(missing, clock::now() + max_wait).await {
             return Err(CollectError::Full);
         }
         pieces.push(data);
@@ -367,25 +404,3 @@
     pieces.iter().for_each(|piece| bytes.extend_from_slice(piece));
     Ok(bytes.freeze())
 }
-
-/// Receives the whole body of a request. There is no use in waiting for room: the caller can send
-/// the request to another host.
-pub(crate) async fn collect_request(
-    body: Limited<Incoming>,
-    hold: Option<&Hold>,
-) -> Result<Bytes, CollectError> {
-    collect(body, hold, Duration::ZERO).await
-}
-
-/// Receives the whole body of an answer.
-pub(crate) async fn collect_answer(
-    body: Limited<Incoming>,
-    hold: Option<&Hold>,
-) -> Result<Bytes, CollectError> {
-    let collected = collect(body, hold, MAX_ROOM_WAIT).await;
-    if let (Err(CollectError::Full), Some(hold)) = (&collected, hold) {
-        hold.record_given_up("no_room");
-    }
-
-    collected
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod queries;
 mod registry;
 mod retention;
+mod slow_heads;
 mod status_updates;
 mod store;
 mod stream;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,7 +32,7 @@
     /// The bytes held for slow readers, by direction, if they have a bound.
     pub(crate) held_bytes: IntGaugeVec,
     /// Answers that were given up because their caller does not take them or there is no room for
-    /// them, by cause.
+    /// them, and requests whose head did not arrive in time, by cause.
     pub(crate) given_up: IntCounterVec,
     /// Connections of callers that ended before the answer to their request was complete, by cause.
     pub(crate) unanswered: IntCounterVec,
@@ -131,7 +131,7 @@
             )?,
             given_up: by(
                 "camphorwalk_given_up_total",
-                "Answers given up for lack of room, by cause.",
+                "Answers and requests given up, by cause.",
                 &["cause"],
             )?,
             unanswered: by(
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -43,7 +43,9 @@
     last_event: Option<u64>,
     /// The number of events that were forwarded.
     events: u64,
-    /// The data of the forwarded events, each followed by a line feed.
+    /// Whether the turn is stored, for which its output is needed.
+    is_stored: bool,
+    /// The data of the forwarded events of a turn that is stored, each followed by a line feed.
     output: Vec<u8>,
     /// The number of targets that were tried, up to and including the one that started the stream.
     offers: u32,
@@ -219,6 +221,7 @@
         began_at: begun.began_at,
         last_event: call.head.last_event,
         events: 0,
+        is_stored: call.route().turn_retention.is_some(),
         output: Vec::new(),
         offers,
         resumes: 0,
@@ -304,8 +307,10 @@
             }
             progress.last_event = event.id.or(progress.last_event);
             progress.events += 1;
-            progress.output.extend_from_slice(&event.data);
-            progress.output.push(b'\n');
+            if progress.is_stored {
+                progress.output.extend_from_slice(&event.data);
+                progress.output.push(b'\n');
+            }
             bytes.extend_from_slice(&event.bytes);
         }
         if !bytes.is_empty() {
