--- a/crates/camphorwalk/tests/soak/callers.rs
+++ b/crates/camphorwalk/tests/soak/callers.rs
@@ -30,6 +30,13 @@
 /// How long a caller waits for a complete answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// The length of the answers that callers read slowly, in bytes. Some of it is left over when the
+/// buffers of a connection are full.
+const LONG_ANSWER_BYTES: usize = 6 << 20;
+
+/// The length of the requests of callers that read slowly, in bytes.
+const SLOW_BODY_BYTES: usize = 8_000;
+
 /// The number of turns after which a task starts a new program.
 const TURNS_PER_PROGRAM: usize = 6;
 
@@ -47,6 +54,11 @@
             tasks
                 .push(tokio::task::spawn_local(self.clone().run_deposits(rng(3), format!("d{i}"))));
             tasks.push(tokio::task::spawn_local(self.clone().run_streams(rng(4), format!("s{i}"))));
+            // Long answers take much more time than others, so that half as many tasks read them.
+            if i.is_multiple_of(2) {
+                let name = format!("r{i}");
+                tasks.push(tokio::task::spawn_local(self.clone().run_slow_readers(rng(5), name)));
+            }
         }
         tasks
     }
@@ -162,6 +174,43 @@
         }
     }
 
+    /// Sends calls that must run at most once and have long answers, and reads these slowly, or leaves
+    /// before the end.
+    async fn run_slow_readers(self, mut rng: StdRng, name: String) {
+        for i in 0.. {
+            if self.stop.get() {
+                return;
+            }
+            let id = format!("{name}-{i}");
+            let host = self.hosts[rng.random_range(0..self.hosts.len())];
+            let path = if rng.random_bool(0.5) { "/once/" } else { "/stream/" };
+            let call = Call::new(path)
+                .with_request_id(&id)
+                .header("answer-bytes", &LONG_ANSWER_BYTES.to_string())
+                .body(vec![b'x'; SLOW_BODY_BYTES])
+                .reading_slowly(Duration::from_millis(rng.random_range(1..30)));
+            let patience = Duration::from_millis(rng.random_range(200..4_000));
+            let result = tokio::time::timeout(patience, call.try_send(host)).await.ok().flatten();
+            if let Some(result) = result {
+                self.record_slow(&id, &result);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Records and checks the answer of a caller that read slowly.
+    fn record_slow(&self, id: &str, result: &CallResult) {
+        let mut ledger = self.ledger.borrow_mut();
+
+        if [408, 421, 429, 503].contains(&result.status) {
+            ledger.refused.push((id.into(), result.status));
+        }
+        ledger.slow_served += usize::from(result.is_served());
+        if result.is_served() && result.body.len() != LONG_ANSWER_BYTES {
+            ledger.faults.push(format!("{id} got {} bytes", result.body.len()));
+        }
+    }
+
     /// Checks the events that a caller has of a stream, which it resumed with a second call.
     fn check_stream(&self, id: &str, first: &CallResult, second: Option<CallResult>) {
         let mut ids = first.event_ids();
--- a/crates/camphorwalk/tests/soak/ledger.rs
+++ b/crates/camphorwalk/tests/soak/ledger.rs
@@ -33,6 +33,8 @@
     pub not_resumed: usize,
     /// The number of calls that were answered successfully.
     pub served: usize,
+    /// The number of long answers that callers read slowly and completely.
+    pub slow_served: usize,
     /// The number of calls that were refused, failed or got no complete answer.
     pub failed: usize,
 }
