--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod queries;
 mod registry;
 mod retention;
+mod slow_heads;
 mod status_updates;
 mod store;
 mod stream;
