Refused programs are told when the host has room, and go first when they return

A refused start was told to return after a fixed time, whatever the load, so that most callers returned in vain, and one that had waited was treated like one that had not.

With Features::fair_admission, Retry-After is the time at which the host will have started the programs that it has told to return before. Hosts remember refused programs and report them to the hosts of their zone (tag 20). One that returns as told has higher limits and precedes others of its rank in the queue.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -54,6 +54,12 @@
     /// The turns of running programs that arrived at the sender since its last update, by service.
     #[prost(message, repeated, tag = "19")]
     pub turns: Vec<TurnCounts>,
+    /// The programs whose start the sender refused since its last update, the latest first; only to
+    /// hosts of its zone. Of each number, the upper 56 bits are a hash of tenant and program, the
+    /// next one tells whether the tenant used no more than its share, and the lowest seven are the
+    /// time from which the program may return, in hundredths of a second from the update.
+    #[prost(fixed64, repeated, tag = "20")]
+    pub refused_programs: Vec<u64>,
 }
 
 /// Status updates that a host forwards within its zone.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -141,7 +141,9 @@
             _ => self.deadline,
         };
 
-        Urgency { is_late, is_new: self.is_new.get(), rank: self.route().rank, deadline }
+        let (is_new, rank) = (self.is_new.get(), self.route().rank);
+
+        admission::urgency(self, Urgency { is_late, is_new, rank, deadline })
     }
 
     /// Returns whether the call may be the first turn of its program, judging by its head alone: it
@@ -496,7 +498,7 @@
 
     admission::record_turn(&call);
     let result = forward_turn(Rc::clone(&call)).await;
-    result.map_err(|refusal| admission::handle_refusal(&call, refusal))
+    admission::handle_outcome(&call, result)
 }
 
 /// Forwards a turn.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,10 +1,11 @@
 //! The metrics of a host.
 
 use prometheus::{
-    Encoder as _, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder, register_histogram_vec_with_registry,
-    register_histogram_with_registry, register_int_counter_vec_with_registry,
-    register_int_counter_with_registry, register_int_gauge_with_registry,
+    Encoder as _, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+    IntGauge, Opts, Registry, TextEncoder, register_gauge_vec_with_registry,
+    register_histogram_vec_with_registry, register_histogram_with_registry,
+    register_int_counter_vec_with_registry, register_int_counter_with_registry,
+    register_int_gauge_with_registry,
 };
 
 /// Bucket bounds of latencies, in seconds: from a call within a zone to the longest time limit.
@@ -28,6 +29,13 @@
     pub(crate) refusals: IntCounterVec,
     /// New programs that were refused because targets have no room, by cause.
     pub(crate) full_refusals: IntCounterVec,
+    /// Up to which fraction of a service's slots programs start, by rank, as of the last one.
+    pub(crate) start_limit: GaugeVec,
+    /// New programs that were refused because targets have no room, by the term of their limits
+    /// that refused them.
+    pub(crate) refused_starts: IntCounterVec,
+    /// New programs by how they arrive: for the first time, or as told when they were refused.
+    pub(crate) returns: IntCounterVec,
     /// Connections of callers that ended before the answer to their request was complete, by cause.
     pub(crate) unanswered: IntCounterVec,
     /// Calls that were sent to another target or resumed, by reason.
@@ -118,6 +126,22 @@
                 "New programs refused because targets have no room, by cause.",
                 &["cause"],
             )?,
+            start_limit: register_gauge_vec_with_registry!(
+                "camphorwalk_start_limit",
+                "The fraction of a service's slots up to which programs start, by rank.",
+                &["rank"],
+                r
+            )?,
+            refused_starts: by(
+                "camphorwalk_refused_starts_total",
+                "New programs refused because targets have no room, by term of their limits.",
+                &["term"],
+            )?,
+            returns: by(
+                "camphorwalk_returns_total",
+                "New programs by how they arrive: first, early or as told.",
+                &["arrival"],
+            )?,
             unanswered: by(
                 "camphorwalk_unanswered_total",
                 "Connections of callers that ended before the answer, by cause.",
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -266,7 +266,7 @@
         Choice::Target(_) | Choice::Full => {}
     }
 
-    if urgency.is_new && shared.places.waiting.borrow().len(service) >= MAX_NEW_WAITING {
+    if urgency.is_new && waiting_before(shared, service, urgency) >= MAX_NEW_WAITING {
         return Err(refuse_full(shared, service, placement));
     }
     let expected = expected_wait(shared, service, placement, urgency);
@@ -285,6 +285,17 @@
     wait_for_place(shared, service, placement, urgency).await
 }
 
+/// Returns how many waiting calls may take a place before a new program gets one.
+fn waiting_before(shared: &Shared, service: &str, urgency: Urgency) -> usize {
+    let waiting = shared.places.waiting.borrow();
+
+    match shared.settings.features.fair_admission {
+        // Otherwise a program that returns as told would be refused because of others behind it.
+        true => waiting.ahead(service, urgency),
+        false => waiting.len(service),
+    }
+}
+
 /// Refuses a new program if targets are usable but none has room for it.
 pub(crate) fn check_room_for_new(
     shared: &Shared,
@@ -385,11 +396,12 @@
             let waiters = places.waiters.borrow();
             let Some(waiter) = waiters.get(&id) else { return };
             let choice = shared.targets.borrow().choose(clock::now(), service, &waiter.placement);
-            (choice, waiter.placement.version.is_some())
+            let PlacementRequest { version, start_limits, .. } = &waiter.placement;
+            (choice, version.is_some() || start_limits.is_some())
         };
 
         if choice == Choice::Full {
-            // Targets of other versions may have places for the calls behind it.
+            // Targets of other versions, or others' limits, may have places for the calls behind it.
             if is_limited {
                 passed_over = Some((urgency, id));
                 continue;
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -16,7 +16,7 @@
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::Peers;
-use camphorwalk_policy::entry::admission::TurnCounts;
+use camphorwalk_policy::entry::admission::{AdmissionChanges, RefusedProgram, TurnCounts};
 use camphorwalk_policy::entry::grant_leases::PartitionSet;
 use camphorwalk_policy::entry::prompts::CachedPart;
 use camphorwalk_policy::entry::rates::{Baseline, ReservedShare, TenantStatus};
@@ -43,8 +43,7 @@
     prompts: Map<Box<str>, Vec<CachedPart>>,
     demand: Map<Box<str>, TenantStatus>,
     crashes: Vec<CrashReport>,
-    /// The turns of running programs, by service.
-    turns: Map<Box<str>, TurnCounts>,
+    admission: AdmissionChanges,
 }
 
 impl Changes {
@@ -54,7 +53,7 @@
             prompts: shared.targets.borrow_mut().take_updates().into_iter().collect(),
             demand: shared.rates.borrow_mut().take_updates(false).into_iter().collect(),
             crashes: shared.crashes.borrow_mut().take_updates(),
-            turns: shared.admission.borrow_mut().take_turn_counts().into_iter().collect(),
+            admission: shared.admission.borrow_mut().take_changes(clock::now()),
         }
     }
 }
@@ -66,14 +65,12 @@
         }
         self.demand.extend(later.demand);
         self.crashes.extend(later.crashes);
-        for (service, counts) in later.turns {
-            self.turns.entry(service).or_default().add(counts);
-        }
+        self.admission.merge(later.admission);
     }
 
     /// Returns the changes without crashes and turns, which the receivers add up.
     fn into_repeatable(self) -> Self {
-        Self { crashes: Vec::new(), turns: Map::default(), ..self }
+        Self { crashes: Vec::new(), admission: self.admission.into_repeatable(), ..self }
     }
 }
 
@@ -116,7 +113,8 @@
         let round = shared.fleet.with_members(|members| {
             shared.status_exchange.borrow_mut().begin_round(now, &shared.settings.zone, members)
         });
-        let changes = unsent.split(&round, Changes::take(&shared));
+        let mut changes = unsent.split(&round, Changes::take(&shared));
+        changes.far.admission = changes.far.admission.for_other_zones();
         send(&shared, &peers, &round.near, &changes.near);
         send(&shared, &peers, &round.far, &changes.far);
         send_to_forwarders(&shared, &peers, &round, changes.forwarded);
@@ -137,9 +135,32 @@
     if round.is_full {
         changes.demand = shared.rates.borrow().all_statuses().into_iter().collect();
     }
+    let near_zone = shared.fleet.zone_hosts();
+    let own_id = shared.fleet.own_id();
+    let (near, far): (Vec<_>, Vec<_>) =
+        round.forwarders.iter().partition(|host| **host == own_id || near_zone.contains(host));
+    let mut far_changes = changes.clone();
+    far_changes.admission = far_changes.admission.for_other_zones();
+    let is_same = changes.admission.refused.is_empty();
+    let for_near = forwarded_update(shared, changes, round);
+    let for_far = match is_same {
+        true => for_near.clone(),
+        false => forwarded_update(shared, far_changes, round),
+    };
+
+    let others: Vec<_> = near.iter().copied().filter(|host| *host != own_id).collect();
+    if others.len() < near.len() {
+        shared.status_exchange.borrow_mut().queue_own(for_near.clone());
+    }
+    peers.send_to_all(&others, &PeerMessage::from(Body::ForwardedStatus(for_near)));
+    peers.send_to_all(&far, &PeerMessage::from(Body::ForwardedStatus(for_far)));
+}
+
+fn forwarded_update(shared: &Shared, changes: Changes, round: &Round) -> ForwardedStatus {
     let mut update = status_update(shared, changes, round.is_full);
     update.changes_since = round.changes_since;
-    let update = ForwardedStatus {
+
+    ForwardedStatus {
         host: shared.fleet.own_id().0,
         run: update.run,
         sequence: update.sequence,
@@ -148,14 +169,7 @@
         sent_us: clock::now().0,
         status: update.encode_to_vec().into(),
         started_ms: shared.started_ms,
-    };
-
-    let own_id = shared.fleet.own_id();
-    let others: Vec<_> = round.forwarders.iter().copied().filter(|host| *host != own_id).collect();
-    if others.len() < round.forwarders.len() {
-        shared.status_exchange.borrow_mut().queue_own(update.clone());
     }
-    peers.send_to_all(&others, &PeerMessage::from(Body::ForwardedStatus(update)));
 }
 
 /// Forwards the updates of other hosts within this host's zone.
@@ -203,6 +217,8 @@
     let targets = shared.targets.borrow();
     let waiting = shared.places.waiting().into_iter();
     let in_flight = targets.in_flight();
+    let refused = changes.admission.refused.into_iter();
+    let now = clock::now();
 
     EntryStatus {
         run: shared.run.0,
@@ -223,7 +239,8 @@
         prompts: changes.prompts.into_iter().map(prompts).collect(),
         sequence: shared.status_exchange.borrow().sequence(),
         changes_since: 0,
-        turns: changes.turns.into_iter().map(turns).collect(),
+        turns: changes.admission.turns.into_iter().map(turns).collect(),
+        refused_programs: refused.map(|program| program.to_report(now)).collect(),
     }
 }
 
@@ -379,6 +396,10 @@
         let counts = TurnCounts { turns, late };
         shared.admission.borrow_mut().record_remote_turns(&service, counts);
     }
+    for report in update.refused_programs {
+        let refused = RefusedProgram::from_report(report, sent_at);
+        shared.admission.borrow_mut().record_remote_refusal(now, refused);
+    }
 
     manifests::handle_reported_version(shared, from, update.manifest_version);
 }
--- a/crates/policy/src/entry/admission.rs
+++ b/crates/policy/src/entry/admission.rs
@@ -7,9 +7,13 @@
 //!
 //! The limits of a new program's rank are therefore reduced by two terms: its tenant's excess over
 //! the tenant's share of the fleet, while tenants within their share are refused, and the lateness
-//! of the programs that run.
+//! of the programs that run. A refused program is told when the host expects to have room for it,
+//! and precedes others if it returns then.
 
+mod changes;
 mod lateness;
+mod refused;
+mod returns;
 
 use std::time::Duration;
 
@@ -19,8 +23,12 @@
 use crate::entry::rates::TenantUse;
 
 use self::lateness::Lateness;
+use self::returns::Returns;
 
+pub use self::changes::AdmissionChanges;
 pub use self::lateness::TurnCounts;
+pub use self::refused::{ProgramHash, RefusedProgram};
+pub use self::returns::{Arrival, Refusal};
 
 /// The largest excess: a tenant that uses everything leaves this fraction of the slots to the
 /// programs of others. A larger one would make no difference, as it would take the limit on the
@@ -37,6 +45,11 @@
 /// reclaim it.
 const RECLAIM_TIME: Duration = Duration::from_secs(2);
 
+/// By how much the limits of a program that returns as told are higher than those of others. Its
+/// caller has used one of its two or three attempts, so that a further refusal would often be the
+/// end of the program.
+const WAITED_BONUS: f64 = 0.05;
+
 /// Why the limits of a new program are lower than those of its rank.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LimitTerms {
@@ -44,6 +57,8 @@
     pub excess: f64,
     /// The reduction because running programs are late, as a fraction of the slots.
     pub lateness: f64,
+    /// Whether the program returns at the time that it was told.
+    pub has_waited: bool,
 }
 
 impl LimitTerms {
@@ -52,14 +67,15 @@
     /// ```
     /// use camphorwalk_policy::entry::admission::LimitTerms;
     /// use camphorwalk_policy::entry::placement::StartLimits;
-    /// let reduced = LimitTerms { excess: 0.1, lateness: 0.0 };
+    /// let reduced = LimitTerms { excess: 0.1, ..LimitTerms::default() };
     /// assert_eq!(LimitTerms::default().limits(1), StartLimits::of_rank(1));
     /// assert!(reduced.limits(1).service < StartLimits::of_rank(1).service);
     /// ```
     pub fn limits(self, rank: u32) -> StartLimits {
         let StartLimits { target, service } = StartLimits::of_rank(rank);
+        let bonus = if self.has_waited { WAITED_BONUS } else { 0.0 };
         let reduce = |limit: f64| {
-            (limit - self.excess - self.lateness).clamp(LOWEST_LIMIT.min(limit), limit)
+            (limit - self.excess - self.lateness + bonus).clamp(LOWEST_LIMIT.min(limit), limit)
         };
 
         StartLimits { target: reduce(target), service: reduce(service) }
@@ -116,27 +132,66 @@
 #[derive(Clone, Debug, Default)]
 pub struct StartAdmission {
     lateness: Lateness,
+    returns: Returns,
     /// When a program of a tenant within its share was last refused.
     others_refused_at: Option<Instant>,
 }
 
 impl StartAdmission {
-    /// Returns the terms that apply to the programs of a tenant for a service. A tenant of which no
-    /// use is known has no excess.
-    pub fn terms(&self, now: Instant, service: &str, tenant: Option<TenantUse>) -> LimitTerms {
+    /// Returns the terms that apply to a program of a tenant for a service. A tenant of which no use
+    /// is known has no excess.
+    pub fn terms(
+        &self,
+        now: Instant,
+        service: &str,
+        tenant: Option<TenantUse>,
+        program: Option<ProgramHash>,
+    ) -> LimitTerms {
         let is_reclaimed = self.others_refused_at.is_some_and(|at| now.since(at) < RECLAIM_TIME);
 
         LimitTerms {
             excess: tenant.filter(|_| is_reclaimed).map_or(0.0, excess),
             lateness: self.lateness.reduction(service),
+            has_waited: self.arrival(now, program) == Arrival::AsTold,
         }
     }
 
-    /// Records that a program of a tenant was refused for lack of room.
-    pub fn record_refused(&mut self, now: Instant, tenant: Option<TenantUse>) {
-        if tenant.is_none_or(|tenant| excess(tenant) <= 0.0) {
+    /// Returns how a new program arrives.
+    pub fn arrival(&self, now: Instant, program: Option<ProgramHash>) -> Arrival {
+        self.returns.arrival(now, program)
+    }
+
+    /// Records that this host admitted a new program.
+    pub fn record_start(&mut self, now: Instant) {
+        self.returns.record_start(now);
+    }
+
+    /// Returns how many programs this host starts per second, as assumed for refusals.
+    pub fn start_rate(&self, now: Instant) -> f64 {
+        self.returns.start_rate(now)
+    }
+
+    /// Records that a program of a tenant is refused for lack of room. Returns its Retry-After.
+    pub fn refuse(
+        &mut self,
+        now: Instant,
+        tenant: Option<TenantUse>,
+        refusal: Refusal,
+    ) -> Duration {
+        let is_within_share = tenant.is_none_or(|tenant| excess(tenant) <= 0.0);
+        if is_within_share {
             self.others_refused_at = Some(now);
         }
+
+        self.returns.refuse(now, refusal, is_within_share)
+    }
+
+    /// Records a program that another host of the zone refused.
+    pub fn record_remote_refusal(&mut self, now: Instant, refused: RefusedProgram) {
+        if refused.is_within_share {
+            self.others_refused_at = Some(now);
+        }
+        self.returns.record_remote(refused);
     }
 
     /// Records that a turn of a running program arrived at this host, and whether the program's
@@ -150,9 +205,12 @@
         self.lateness.record_remote(service, counts);
     }
 
-    /// Takes the numbers of turns that have not been reported to the other hosts yet, by service.
-    pub fn take_turn_counts(&mut self) -> Vec<(Box<str>, TurnCounts)> {
-        self.lateness.take_updates()
+    /// Takes what has not been reported to the other hosts yet.
+    pub fn take_changes(&mut self, now: Instant) -> AdmissionChanges {
+        AdmissionChanges {
+            turns: self.lateness.take_updates(),
+            refused: self.returns.take_updates(now),
+        }
     }
 
     /// Updates the reductions. Called several times a second.
--- a/crates/policy/src/entry/admission/lateness.rs
+++ b/crates/policy/src/entry/admission/lateness.rs
@@ -121,7 +121,7 @@
         self.service(service).count(counts);
     }
 
-    pub(super) fn take_updates(&mut self) -> Vec<(Box<str>, TurnCounts)> {
+    pub(super) fn take_updates(&mut self) -> Map<Box<str>, TurnCounts> {
         let changed =
             self.services.iter_mut().filter(|(_, s)| s.unreported != TurnCounts::default());
 
--- a/crates/policy/src/entry/waiting.rs
+++ b/crates/policy/src/entry/waiting.rs
@@ -5,7 +5,8 @@
 //! full, and the next free place goes to the call whose program would lose most by waiting longer:
 //! first to programs that can still finish in time, before those that are late anyway; then to
 //! running programs before new ones, since a half-finished program is worth nothing; then by rank;
-//! then by the earliest deadline.
+//! then, if the host tells refused programs when to return, to those that return as told; then by
+//! the earliest deadline.
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
@@ -31,6 +32,24 @@
     pub deadline: Instant,
 }
 
+impl Urgency {
+    /// Divides each rank in two: calls of programs that were refused and return as told precede all
+    /// others of their rank. Must be applied to all calls of a queue, or to none.
+    ///
+    /// ```
+    /// use camphorwalk_core::time::Instant;
+    /// use camphorwalk_policy::entry::waiting::Urgency;
+    /// let of = |rank, ms| {
+    ///     Urgency { is_late: false, is_new: true, rank, deadline: Instant::from_millis(ms) }
+    /// };
+    /// assert!(of(1, 20).by_return(true) < of(1, 10).by_return(false));
+    /// assert!(of(0, 20).by_return(false) < of(1, 10).by_return(true));
+    /// ```
+    pub fn by_return(self, has_waited: bool) -> Self {
+        Self { rank: self.rank.saturating_mul(2).saturating_add(u32::from(!has_waited)), ..self }
+    }
+}
+
 /// The waiting calls of each service.
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
--- a/crates/policy/tests/entry_admission.rs
+++ b/crates/policy/tests/entry_admission.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use camphorwalk_core::entry::TenantSpec;
+use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::admission::{LimitTerms, StartAdmission, Term, TurnCounts, excess};
+use camphorwalk_policy::entry::admission::{
+    LimitTerms, Refusal, StartAdmission, Term, TurnCounts, excess,
+};
 use camphorwalk_policy::entry::placement::StartLimits;
 use camphorwalk_policy::entry::rates::{Rates, TenantUse};
 use proptest::prelude::*;
@@ -81,7 +84,7 @@
 }
 
 fn lateness(admission: &StartAdmission, now: Instant) -> f64 {
-    admission.terms(now, SERVICE, None).lateness
+    admission.terms(now, SERVICE, None, None).lateness
 }
 
 #[test]
@@ -143,13 +146,15 @@
     let large = Some(TenantUse { part: 1.0, share: 0.1 });
     let small = Some(TenantUse { part: 0.0, share: 0.9 });
     let mut admission = StartAdmission::default();
-    let limit = |admission: &StartAdmission, now| admission.terms(now, SERVICE, large).limits(1);
+    let limit =
+        |admission: &StartAdmission, now| admission.terms(now, SERVICE, large, None).limits(1);
+    let refusal = Refusal { program: None, rank: 1, time_left: None, random: 0.5 };
 
-    admission.record_refused(NOW, large);
+    admission.refuse(NOW, large, refusal);
     let alone = limit(&admission, NOW);
-    admission.record_refused(NOW, small);
+    admission.refuse(NOW, small, refusal);
     let reclaimed = limit(&admission, NOW);
-    let others = admission.terms(NOW, SERVICE, small).limits(1);
+    let others = admission.terms(NOW, SERVICE, small, None).limits(1);
     let lent_again = limit(&admission, NOW + Duration::from_secs(2));
 
     assert_eq!((alone, lent_again), (StartLimits::of_rank(1), StartLimits::of_rank(1)));
@@ -211,17 +216,17 @@
     (0..3).for_each(|i| admission.record_turn(SERVICE, i == 0));
     admission.record_remote_turns(SERVICE, TurnCounts { turns: 5, late: 5 });
 
-    let first = admission.take_turn_counts();
-    let second = admission.take_turn_counts();
+    let first = admission.take_changes(NOW);
+    let second = admission.take_changes(NOW);
 
-    assert_eq!(first, [(Box::from(SERVICE), TurnCounts { turns: 3, late: 1 })]);
-    assert_eq!(second, []);
+    let counted = Map::from_iter([(Box::from(SERVICE), TurnCounts { turns: 3, late: 1 })]);
+    assert_eq!((first.turns, second.turns), (counted, Map::default()));
 }
 
 #[test]
 fn a_refusal_names_the_term_that_caused_it() {
     // Guards against metrics that blame a tenant's excess for a service that is full.
-    let terms = LimitTerms { excess: 0.2, lateness: 0.1 };
+    let terms = LimitTerms { excess: 0.2, lateness: 0.1, has_waited: false };
     let refused_at = |load: f64| terms.refused_by(1, |limits| load >= limits.service);
 
     assert_eq!([0.9, 0.7, 0.55].map(refused_at), [Term::Rank, Term::Excess, Term::Lateness]);
@@ -231,9 +236,9 @@
     /// Guards against limits that admit more programs than those of the rank, or none at all.
     #[test]
     fn limits_stay_between_the_lowest_and_those_of_the_rank(
-        excess in 0.0..=0.4f64, lateness in 0.0..=0.3f64, rank in 0u32..4,
+        excess in 0.0..=0.4f64, lateness in 0.0..=0.3f64, has_waited: bool, rank in 0u32..4,
     ) {
-        let limits = LimitTerms { excess, lateness }.limits(rank);
+        let limits = LimitTerms { excess, lateness, has_waited }.limits(rank);
         let own = StartLimits::of_rank(rank);
 
         prop_assert!((0.4..=own.target).contains(&limits.target));
