--- a/crates/policy/src/entry/admission.rs
+++ b/crates/policy/src/entry/admission.rs
@@ -45,9 +45,9 @@
 /// reclaim it.
 const RECLAIM_TIME: Duration = Duration::from_secs(2);
 
-/// By how much the limits of a program that returns as told are higher than those of others. Its
-/// caller has used one of its two or three attempts, so that a further refusal would often be the
-/// end of the program.
+/// By how much less lateness reduces the limits of a program that returns as told than those of
+/// others. Its caller has used one of its two or three attempts, so that a further refusal would
+/// often be the end of the program.
 const WAITED_BONUS: f64 = 0.05;
 
 /// Why the limits of a new program are lower than those of its rank.
@@ -75,7 +75,11 @@
         let StartLimits { target, service } = StartLimits::of_rank(rank);
         let bonus = if self.has_waited { WAITED_BONUS } else { 0.0 };
         let reduce = |limit: f64| {
-            (limit - self.excess - self.lateness + bonus).clamp(LOWEST_LIMIT.min(limit), limit)
+            let lowest = LOWEST_LIMIT.min(limit);
+            // The bonus does not offset the excess: a tenant far beyond its share has many programs
+            // that return, which would take the room of others.
+            let highest = (limit - self.excess).max(lowest);
+            (highest - self.lateness + bonus).clamp(lowest, highest)
         };
 
         StartLimits { target: reduce(target), service: reduce(service) }
--- a/crates/policy/src/entry/admission/returns.rs
+++ b/crates/policy/src/entry/admission/returns.rs
@@ -27,6 +27,11 @@
 /// return together.
 const JITTER: f64 = 0.15;
 
+/// The largest part of the time left until its deadline that a program is told to wait, but at least
+/// [`MIN_RETRY_AFTER`]. A caller returns once or twice, and so loses a fifth of the program's time at
+/// most; programs that start later end late even if targets have room for them.
+const MAX_TOLD_PART: f64 = 0.1;
+
 /// A caller waits no longer than this fraction of the time that it has left.
 const MAX_PART_OF_TIME_LEFT: f64 = 1.0 / 3.0;
 
@@ -170,6 +175,8 @@
         // The jitter is part of the bounds, so that programs at a bound are spread, too.
         let shortest = MIN_RETRY_AFTER.as_secs_f64() / (1.0 - JITTER);
         let longest = MAX_RETRY_AFTER.as_secs_f64() / (1.0 + JITTER);
+        let affordable = refusal.time_left.map(|left| left.as_secs_f64() * MAX_TOLD_PART);
+        let longest = affordable.unwrap_or(longest).clamp(shortest, longest);
         let per_second = self.start_rate(now);
         let time_after = |ahead: u32| {
             Duration::from_secs_f64((f64::from(ahead + 1) / per_second).clamp(shortest, longest))
