--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -1,6 +1,9 @@
 //! Admission control for new programs, for a deployment with `Features::fair_admission`.
 
-use camphorwalk_policy::entry::admission::{Arrival, LimitTerms, ProgramHash, Refusal as Refused};
+use camphorwalk_core::time::Instant;
+use camphorwalk_policy::entry::admission::{
+    Arrival, LatenessChange, LimitTerms, ProgramHash, Refusal as Refused, TurnCounts,
+};
 use camphorwalk_policy::entry::placement::{Choice, PlacementRequest, StartLimits};
 use camphorwalk_policy::entry::rates::TenantUse;
 use camphorwalk_policy::entry::waiting::Urgency;
@@ -9,6 +12,7 @@
 
 use crate::answer::{Answer, Refusal};
 use crate::call::Call;
+use crate::host::Shared;
 use crate::{clock, places};
 
 /// Returns whether a call is subject to admission control, whether it starts a program or not.
@@ -75,6 +79,14 @@
     }
 }
 
+/// Updates the limits by the turns that arrived. Called with each round of status updates.
+pub(crate) fn tick(shared: &Shared, now: Instant) {
+    for change in shared.admission.borrow_mut().tick(now) {
+        let LatenessChange { service, counts: TurnCounts { turns, late }, reduction } = change;
+        info!(%service, turns, late, reduction, "admission: programs are late, or no longer");
+    }
+}
+
 /// Records the outcome of a turn. If it starts a program and was refused for lack of room, returns
 /// the refusal with the time at which there will be room.
 pub(crate) fn handle_outcome(
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -29,7 +29,7 @@
 
 use crate::fleet::{HostStatus, drop_silent_hosts};
 use crate::host::Shared;
-use crate::{clock, manifests, places};
+use crate::{admission, clock, manifests, places};
 
 /// How often the demand of all tenants is sent instead of only the changes. Lost updates are
 /// repaired after this time at the latest. A host that was silent or has just started gets the
@@ -103,7 +103,7 @@
         sleep(round_period(near, far)).await;
         let now = clock::now();
         shared.rates.borrow_mut().tick(now);
-        shared.admission.borrow_mut().tick(now);
+        admission::tick(&shared, now);
         drop_silent_hosts(&shared);
         if now.since(all_demand_sent_at) >= ALL_DEMAND_PERIOD {
             all_demand_sent_at = now;
--- a/crates/policy/src/entry/admission.rs
+++ b/crates/policy/src/entry/admission.rs
@@ -26,7 +26,7 @@
 use self::returns::Returns;
 
 pub use self::changes::AdmissionChanges;
-pub use self::lateness::TurnCounts;
+pub use self::lateness::{LatenessChange, TurnCounts};
 pub use self::refused::{ProgramHash, RefusedProgram};
 pub use self::returns::{Arrival, Refusal};
 
@@ -217,8 +217,9 @@
         }
     }
 
-    /// Updates the reductions. Called several times a second.
-    pub fn tick(&mut self, now: Instant) {
-        self.lateness.tick(now);
+    /// Updates the reductions because of lateness, and returns those that have begun or ended. Called
+    /// several times a second.
+    pub fn tick(&mut self, now: Instant) -> Vec<LatenessChange> {
+        self.lateness.tick(now)
     }
 }
--- a/crates/policy/src/entry/admission/lateness.rs
+++ b/crates/policy/src/entry/admission/lateness.rs
@@ -51,6 +51,17 @@
     }
 }
 
+/// A change from no reduction of a service's limits to one, or back.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LatenessChange {
+    /// The name of the service.
+    pub service: Box<str>,
+    /// The turns of the last second that led to it.
+    pub counts: TurnCounts,
+    /// The reduction from now on.
+    pub reduction: f64,
+}
+
 /// The turns for one service.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServiceTurns {
@@ -128,10 +139,19 @@
         changed.map(|(name, s)| (name.clone(), std::mem::take(&mut s.unreported))).collect()
     }
 
-    pub(super) fn tick(&mut self, now: Instant) {
+    /// Updates the reductions. Returns those that have begun or ended.
+    pub(super) fn tick(&mut self, now: Instant) -> Vec<LatenessChange> {
         let elapsed = self.ticked.map_or(Duration::ZERO, |at| now.since(at));
         self.ticked = Some(now);
-        self.services.values_mut().for_each(|service| service.update_reduction(elapsed));
+        let mut changes = Vec::new();
+        for (name, service) in &mut self.services {
+            let before = service.reduction;
+            service.update_reduction(elapsed);
+            if (before > 0.0) != (service.reduction > 0.0) {
+                let (service, counts, reduction) = (name.clone(), service.sum(), service.reduction);
+                changes.push(LatenessChange { service, counts, reduction });
+            }
+        }
         for _ in 0..PERIODS {
             if now.since(self.period_began) < PERIOD {
                 break;
@@ -143,6 +163,8 @@
             self.period_began = now;
         }
         self.services.retain(|_, service| !service.is_idle());
+
+        changes
     }
 
     pub(super) fn reduction(&self, service: &str) -> f64 {
--- a/crates/policy/tests/entry_admission.rs
+++ b/crates/policy/tests/entry_admission.rs
@@ -204,9 +204,10 @@
     admission.tick(NOW);
     let now = run_turns(&mut admission, NOW, Duration::from_secs(2), 50);
 
-    (1..=32).for_each(|i| admission.tick(now + TICK * i));
+    let changes: Vec<_> = (1..=32).flat_map(|i| admission.tick(now + TICK * i)).collect();
 
     assert_eq!(lateness(&admission, now), 0.0);
+    assert!(matches!(&changes[..], [change] if change.reduction == 0.0), "{changes:?}");
 }
 
 #[test]
--- a/crates/policy/tests/entry_returns.rs
+++ b/crates/policy/tests/entry_returns.rs
@@ -68,28 +68,21 @@
 }
 
 #[test]
-fn returns_are_spread() {
-    // Guards against a second burst made of the refused programs of the first.
+fn programs_that_are_refused_together_return_spread() {
+    // Guards against a second burst made of the refused programs of the first: with one and the same
+    // time for all, they return within a quarter of a second.
     let mut rng = SmallRng::seed_from_u64(1);
     let mut admission = host_with_starts(25);
-    let mut returns = Vec::new();
 
-    for i in 0..1_800 {
-        let now = NOW + ms(i * 5);
-        if i % 8 == 0 {
-            admission.record_start(now);
-        }
+    let told = (0..20).map(|i| {
         let refusal = Refusal { random: rng.random(), ..refusal(i, 1) };
-        returns.push(now + admission.refuse(now, None, refusal));
-    }
+        admission.refuse(NOW, None, refusal)
+    });
+    let mut counts = [0u32; 10];
+    told.for_each(|after| counts[(after.as_millis() / 100) as usize] += 1);
 
-    let in_tenth = |tenth: u64| {
-        let (from, to) = (NOW + ms(tenth * 100), NOW + ms((tenth + 1) * 100));
-        returns.iter().filter(|at| (from..to).contains(at)).count()
-    };
-    let counts: Vec<_> = (10..90).map(in_tenth).collect();
-    let mean = counts.iter().sum::<usize>() as f64 / counts.len() as f64;
-    assert!(counts.iter().all(|count| *count as f64 <= 2.0 * mean), "{counts:?}, mean {mean}");
+    let mean = 20.0 / 8.0;
+    assert!(counts.iter().all(|count| f64::from(*count) <= 2.0 * mean), "{counts:?}");
 }
 
 #[test]
