--- a/crates/policy/tests/entry_admission.rs
+++ b/crates/policy/tests/entry_admission.rs
@@ -26,6 +26,8 @@
 struct Fleet {
     now: Instant,
     hosts: Vec<Rates>,
+    /// Whether hosts with even and odd numbers do not hear each other.
+    is_partitioned: bool,
 }
 
 impl Fleet {
@@ -39,16 +41,21 @@
             rates
         };
 
-        Self { now: NOW, hosts: ids.iter().map(rates).collect() }
+        Self { now: NOW, hosts: ids.iter().map(rates).collect(), is_partitioned: false }
     }
 
     /// Runs one tick in which each host admits `calls[i]` calls of the i-th tenant. Each status
     /// update arrives twice.
     fn tick(&mut self, tenants: &[TenantSpec], calls: &[u32]) {
+        self.tick_with(tenants, |_| calls.to_vec());
+    }
+
+    /// Runs one tick in which host `i` admits the calls `calls(i)`.
+    fn tick_with(&mut self, tenants: &[TenantSpec], calls: impl Fn(usize) -> Vec<u32>) {
         self.now = self.now + TICK;
-        for host in &mut self.hosts {
-            for (tenant, calls) in tenants.iter().zip(calls) {
-                for _ in 0..*calls {
+        for (i, host) in self.hosts.iter_mut().enumerate() {
+            for (tenant, calls) in tenants.iter().zip(calls(i)) {
+                for _ in 0..calls {
                     host.admit(self.now, &tenant.name, false, Duration::ZERO);
                 }
             }
@@ -56,7 +63,9 @@
         for from in 0..self.hosts.len() {
             self.hosts[from].tick(self.now);
             let updates = self.hosts[from].take_updates(true);
-            for to in (0..self.hosts.len()).filter(|to| *to != from) {
+            let is_heard = |to: &usize| !self.is_partitioned || to % 2 == from % 2;
+            let receivers = (0..self.hosts.len()).filter(|to| *to != from);
+            for to in receivers.filter(is_heard).collect::<Vec<_>>() {
                 let id = HostId(from as u64);
                 for _ in 0..2 {
                     self.hosts[to].apply_update(self.now, id, 1, true, updates.clone());
@@ -139,6 +148,47 @@
     assert_eq!(fleet.hosts[0].tenant_use("a"), None);
 }
 
+#[test]
+fn each_side_of_a_partition_counts_the_use_on_its_side() {
+    // Guards against hosts that share the targets of their side by calls which the other side admits,
+    // and against use that stays high when its updates no longer arrive.
+    let tenants = [tenant("a", 100.0), tenant("b", 100.0)];
+    let mut fleet = Fleet::new(4, &tenants);
+    let calls = |host: usize| if host % 2 == 0 { vec![4, 0] } else { vec![0, 4] };
+    let part = |fleet: &Fleet, host: usize| fleet.hosts[host].tenant_use("a").unwrap().part;
+
+    (0..30).for_each(|_| fleet.tick_with(&tenants, calls));
+    let before = [0, 1].map(|host| part(&fleet, host));
+    fleet.is_partitioned = true;
+    (0..20).for_each(|_| fleet.tick_with(&tenants, calls));
+    let during = [0, 1].map(|host| part(&fleet, host));
+    fleet.is_partitioned = false;
+    (0..40).for_each(|_| fleet.tick_with(&tenants, calls));
+    let after = [0, 1].map(|host| part(&fleet, host));
+
+    let both = |parts: [f64; 2]| parts.iter().all(|part| (part - 0.5).abs() < 0.05);
+    assert!(both(before) && both(after), "{before:?}, {after:?}");
+    assert!(during[0] > 0.85 && during[1] < 0.15, "{during:?}");
+}
+
+#[test]
+fn a_host_that_has_just_started_applies_the_limits_of_the_rank() {
+    // Guards against a host that refuses programs because it has heard of one tenant only.
+    let tenants = [tenant("a", 100.0), tenant("b", 100.0)];
+    let mut rates = Rates::default();
+    rates.configure(NOW, &tenants);
+    rates.tick(NOW);
+    let admission = StartAdmission::default();
+
+    let before_any_call = rates.tenant_use("a");
+    rates.admit(NOW + TICK, "a", true, Duration::ZERO);
+    rates.tick(NOW + TICK * 2);
+    let alone = admission.terms(NOW + TICK * 2, SERVICE, rates.tenant_use("a"), None);
+
+    assert_eq!(before_any_call, None);
+    assert_eq!(alone.limits(1), StartLimits::of_rank(1));
+}
+
 #[test]
 fn a_tenants_excess_counts_only_while_others_are_refused() {
     // Guards against capacity that lies idle because a tenant may not use more than its share, and
