--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -34,6 +34,13 @@
     /// Answers that were given up because their caller does not take them or there is no room for
     /// them, and requests whose head did not arrive in time, by cause.
     pub(crate) given_up: IntCounterVec,
+    /// Up to which fraction of a service's slots programs start, by rank, as of the last one.
+    pub(crate) start_limit: GaugeVec,
+    /// New programs that were refused because targets have no room, by the term of their limits
+    /// that refused them.
+    pub(crate) refused_starts: IntCounterVec,
+    /// New programs by how they arrive: for the first time, or as told when they were refused.
+    pub(crate) returns: IntCounterVec,
     /// Connections of callers that ended before the answer to their request was complete, by cause.
     pub(crate) unanswered: IntCounterVec,
     /// Calls that were sent to another target or resumed, by reason.
@@ -140,6 +147,22 @@
                 "Answers and requests given up, by cause.",
                 &["cause"],
             )?,
+            start_limit: register_gauge_vec_with_registry!(
+                "camphorwalk_start_limit",
+                "The fraction of a service's slots up to which programs start, by rank.",
+                &["rank"],
+                r
+            )?,
+            refused_starts: by(
+                "camphorwalk_refused_starts_total",
+                "New programs refused because targets have no room, by term of their limits.",
+                &["term"],
+            )?,
+            returns: by(
+                "camphorwalk_returns_total",
+                "New programs by how they arrive: first, early or as told.",
+                &["arrival"],
+            )?,
             unanswered: by(
                 "camphorwalk_unanswered_total",
                 "Connections of callers that ended before the answer, by cause.",
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -16,7 +16,7 @@
 use camphorwalk_core::messages::{Body, PeerMessage};
 use camphorwalk_core::time::Instant;
 use camphorwalk_peer::Peers;
-use camphorwalk_policy::entry::admission::TurnCounts;
+use camphorwalk_policy::entry::admission::{AdmissionChanges, RefusedProgram, TurnCounts};
 use camphorwalk_policy::entry::grant_leases::PartitionSet;
 use camphorwalk_policy::entry::prompts::CachedPart;
 use camphorwalk_policy::entry::rates::{Baseline, ReservedShare, TenantStatus};
@@ -30,7 +30,7 @@
 
 use crate::fleet::{HostStatus, drop_silent_hosts};
 use crate::host::Shared;
-use crate::{clock, manifests, places, preferred, target_paces};
+use crate::{admission, clock, manifests, places, preferred, target_paces};
 
 /// How often the demand of all tenants is sent instead of only the changes. Lost updates are
 /// repaired after this time at the latest. A host that was silent or has just started gets the
@@ -44,8 +44,7 @@
     prompts: Map<Box<str>, Vec<CachedPart>>,
     demand: Map<Box<str>, TenantStatus>,
     crashes: Vec<CrashReport>,
-    /// The turns of running programs, by service.
-    turns: Map<Box<str>, TurnCounts>,
+    admission: AdmissionChanges,
     /// The events that targets sent.
     work: UnsentWork,
 }
@@ -53,12 +52,15 @@
 impl Changes {
     /// Takes the changes at this host since the previous call.
     fn take(shared: &Shared) -> Self {
+        // The borrows of the expressions below last until the end of the statement.
+        let work = target_paces::take_work(shared);
+
         Self {
             prompts: shared.targets.borrow_mut().take_updates().into_iter().collect(),
             demand: shared.rates.borrow_mut().take_updates(false).into_iter().collect(),
             crashes: shared.crashes.borrow_mut().take_updates(),
-            turns: shared.admission.borrow_mut().take_turn_counts().into_iter().collect(),
-            work: target_paces::take_work(shared),
+            admission: shared.admission.borrow_mut().take_changes(clock::now()),
+            work,
         }
     }
 }
@@ -70,17 +72,16 @@
         }
         self.demand.extend(later.demand);
         self.crashes.extend(later.crashes);
-        for (service, counts) in later.turns {
-            self.turns.entry(service).or_default().add(counts);
-        }
+        self.admission.merge(later.admission);
         self.work.merge(later.work);
     }
 
     /// Returns the changes without crashes, turns and events, which the receivers add up.
     fn into_repeatable(self) -> Self {
+        let admission = self.admission.into_repeatable();
         let work = self.work.into_repeatable();
 
-        Self { crashes: Vec::new(), turns: Map::default(), work, ..self }
+        Self { crashes: Vec::new(), admission, work, ..self }
     }
 }
 
@@ -113,7 +114,7 @@
         sleep(round_period(near, far)).await;
         let now = clock::now();
         shared.rates.borrow_mut().tick(now);
-        shared.admission.borrow_mut().tick(now);
+        admission::tick(&shared, now);
         drop_silent_hosts(&shared);
         if now.since(all_demand_sent_at) >= ALL_DEMAND_PERIOD {
             all_demand_sent_at = now;
@@ -123,7 +124,8 @@
         let round = shared.fleet.with_members(|members| {
             shared.status_exchange.borrow_mut().begin_round(now, &shared.settings.zone, members)
         });
-        let changes = unsent.split(&round, Changes::take(&shared));
+        let mut changes = unsent.split(&round, Changes::take(&shared));
+        changes.far.admission = changes.far.admission.for_other_zones();
         send(&shared, &peers, &round.near, &changes.near);
         send(&shared, &peers, &round.far, &changes.far);
         send_to_forwarders(&shared, &peers, &round, changes.forwarded);
@@ -144,9 +146,32 @@
     if round.is_full {
         changes.demand = shared.rates.borrow().all_statuses().into_iter().collect();
     }
+    let near_zone = shared.fleet.zone_hosts();
+    let own_id = shared.fleet.own_id();
+    let (near, far): (Vec<_>, Vec<_>) =
+        round.forwarders.iter().partition(|host| **host == own_id || near_zone.contains(host));
+    let mut far_changes = changes.clone();
+    far_changes.admission = far_changes.admission.for_other_zones();
+    let is_same = changes.admission.refused.is_empty();
+    let for_near = forwarded_update(shared, changes, round);
+    let for_far = match is_same {
+        true => for_near.clone(),
+        false => forwarded_update(shared, far_changes, round),
+    };
+
+    let others: Vec<_> = near.iter().copied().filter(|host| *host != own_id).collect();
+    if others.len() < near.len() {
+        shared.status_exchange.borrow_mut().queue_own(for_near.clone());
+    }
+    peers.send_to_all(&others, &PeerMessage::from(Body::ForwardedStatus(for_near)));
+    peers.send_to_all(&far, &PeerMessage::from(Body::ForwardedStatus(for_far)));
+}
+
+fn forwarded_update(shared: &Shared, changes: Changes, round: &Round) -> ForwardedStatus {
     let mut update = status_update(shared, changes, round.is_full);
     update.changes_since = round.changes_since;
-    let update = ForwardedStatus {
+
+    ForwardedStatus {
         host: shared.fleet.own_id().0,
         run: update.run,
         sequence: update.sequence,
@@ -155,14 +180,7 @@
         sent_us: clock::now().0,
         status: update.encode_to_vec().into(),
         started_ms: shared.started_ms,
-    };
-
-    let own_id = shared.fleet.own_id();
-    let others: Vec<_> = round.forwarders.iter().copied().filter(|host| *host != own_id).collect();
-    if others.len() < round.forwarders.len() {
-        shared.status_exchange.borrow_mut().queue_own(update.clone());
     }
-    peers.send_to_all(&others, &PeerMessage::from(Body::ForwardedStatus(update)));
 }
 
 /// Forwards the updates of other hosts within this host's zone.
@@ -209,6 +227,8 @@
 fn status_update(shared: &Shared, changes: Changes, all_demand: bool) -> EntryStatus {
     let targets = shared.targets.borrow();
     let in_flight = targets.in_flight();
+    let refused = changes.admission.refused.into_iter();
+    let now = clock::now();
 
     EntryStatus {
         run: shared.run.0,
@@ -227,7 +247,8 @@
         prompts: changes.prompts.into_iter().map(prompts).collect(),
         sequence: shared.status_exchange.borrow().sequence(),
         changes_since: 0,
-        turns: changes.turns.into_iter().map(turns).collect(),
+        turns: changes.admission.turns.into_iter().map(turns).collect(),
+        refused_programs: refused.map(|program| program.to_report(now)).collect(),
         target_events: target_paces::target_events(changes.work),
     }
 }
@@ -393,6 +414,10 @@
         let counts = TurnCounts { turns, late };
         shared.admission.borrow_mut().record_remote_turns(&service, counts);
     }
+    for report in update.refused_programs {
+        let refused = RefusedProgram::from_report(report, sent_at);
+        shared.admission.borrow_mut().record_remote_refusal(now, refused);
+    }
 
     manifests::handle_reported_version(shared, from, update.manifest_version);
 }
--- a/crates/policy/tests/entry_admission.rs
+++ b/crates/policy/tests/entry_admission.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use camphorwalk_core::entry::TenantSpec;
+use camphorwalk_core::hash::Map;
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
-use camphorwalk_policy::entry::admission::{LimitTerms, StartAdmission, Term, TurnCounts, excess};
+use camphorwalk_policy::entry::admission::{
+    LimitTerms, Refusal, StartAdmission, Term, TurnCounts, excess,
+};
 use camphorwalk_policy::entry::placement::StartLimits;
 use camphorwalk_policy::entry::rates::{Rates, TenantUse};
 use proptest::prelude::*;
@@ -23,6 +26,8 @@
 struct Fleet {
     now: Instant,
     hosts: Vec<Rates>,
+    /// Whether hosts with even and odd numbers do not hear each other.
+    is_partitioned: bool,
 }
 
 impl Fleet {
@@ -36,16 +41,21 @@
             rates
         };
 
-        Self { now: NOW, hosts: ids.iter().map(rates).collect() }
+        Self { now: NOW, hosts: ids.iter().map(rates).collect(), is_partitioned: false }
     }
 
     /// Runs one tick in which each host admits `calls[i]` calls of the i-th tenant. Each status
     /// update arrives twice.
     fn tick(&mut self, tenants: &[TenantSpec], calls: &[u32]) {
+        self.tick_with(tenants, |_| calls.to_vec());
+    }
+
+    /// Runs one tick in which host `i` admits the calls `calls(i)`.
+    fn tick_with(&mut self, tenants: &[TenantSpec], calls: impl Fn(usize) -> Vec<u32>) {
         self.now = self.now + TICK;
-        for host in &mut self.hosts {
-            for (tenant, calls) in tenants.iter().zip(calls) {
-                for _ in 0..*calls {
+        for (i, host) in self.hosts.iter_mut().enumerate() {
+            for (tenant, calls) in tenants.iter().zip(calls(i)) {
+                for _ in 0..calls {
                     host.admit(self.now, &tenant.name, false, Duration::ZERO);
                 }
             }
@@ -53,7 +63,9 @@
         for from in 0..self.hosts.len() {
             self.hosts[from].tick(self.now);
             let updates = self.hosts[from].take_updates(true);
-            for to in (0..self.hosts.len()).filter(|to| *to != from) {
+            let is_heard = |to: &usize| !self.is_partitioned || to % 2 == from % 2;
+            let receivers = (0..self.hosts.len()).filter(|to| *to != from);
+            for to in receivers.filter(is_heard).collect::<Vec<_>>() {
                 let id = HostId(from as u64);
                 for _ in 0..2 {
                     self.hosts[to].apply_update(self.now, id, 1, true, updates.clone());
@@ -81,7 +93,7 @@
 }
 
 fn lateness(admission: &StartAdmission, now: Instant) -> f64 {
-    admission.terms(now, SERVICE, None).lateness
+    admission.terms(now, SERVICE, None, None).lateness
 }
 
 #[test]
@@ -136,6 +148,47 @@
     assert_eq!(fleet.hosts[0].tenant_use("a"), None);
 }
 
+#[test]
+fn each_side_of_a_partition_counts_the_use_on_its_side() {
+    // Guards against hosts that share the targets of their side by calls which the other side admits,
+    // and against use that stays high when its updates no longer arrive.
+    let tenants = [tenant("a", 100.0), tenant("b", 100.0)];
+    let mut fleet = Fleet::new(4, &tenants);
+    let calls = |host: usize| if host % 2 == 0 { vec![4, 0] } else { vec![0, 4] };
+    let part = |fleet: &Fleet, host: usize| fleet.hosts[host].tenant_use("a").unwrap().part;
+
+    (0..30).for_each(|_| fleet.tick_with(&tenants, calls));
+    let before = [0, 1].map(|host| part(&fleet, host));
+    fleet.is_partitioned = true;
+    (0..20).for_each(|_| fleet.tick_with(&tenants, calls));
+    let during = [0, 1].map(|host| part(&fleet, host));
+    fleet.is_partitioned = false;
+    (0..40).for_each(|_| fleet.tick_with(&tenants, calls));
+    let after = [0, 1].map(|host| part(&fleet, host));
+
+    let both = |parts: [f64; 2]| parts.iter().all(|part| (part - 0.5).abs() < 0.05);
+    assert!(both(before) && both(after), "{before:?}, {after:?}");
+    assert!(during[0] > 0.85 && during[1] < 0.15, "{during:?}");
+}
+
+#[test]
+fn a_host_that_has_just_started_applies_the_limits_of_the_rank() {
+    // Guards against a host that refuses programs because it has heard of one tenant only.
+    let tenants = [tenant("a", 100.0), tenant("b", 100.0)];
+    let mut rates = Rates::default();
+    rates.configure(NOW, &tenants);
+    rates.tick(NOW);
+    let admission = StartAdmission::default();
+
+    let before_any_call = rates.tenant_use("a");
+    rates.admit(NOW + TICK, "a", true, Duration::ZERO);
+    rates.tick(NOW + TICK * 2);
+    let alone = admission.terms(NOW + TICK * 2, SERVICE, rates.tenant_use("a"), None);
+
+    assert_eq!(before_any_call, None);
+    assert_eq!(alone.limits(1), StartLimits::of_rank(1));
+}
+
 #[test]
 fn a_tenants_excess_counts_only_while_others_are_refused() {
     // Guards against capacity that lies idle because a tenant may not use more than its share, and
@@ -143,13 +196,15 @@
     let large = Some(TenantUse { part: 1.0, share: 0.1 });
     let small = Some(TenantUse { part: 0.0, share: 0.9 });
     let mut admission = StartAdmission::default();
-    let limit = |admission: &StartAdmission, now| admission.terms(now, SERVICE, large).limits(1);
+    let limit =
+        |admission: &StartAdmission, now| admission.terms(now, SERVICE, large, None).limits(1);
+    let refusal = Refusal { program: None, rank: 1, time_left: None, random: 0.5 };
 
-    admission.record_refused(NOW, large);
+    admission.refuse(NOW, large, refusal);
     let alone = limit(&admission, NOW);
-    admission.record_refused(NOW, small);
+    admission.refuse(NOW, small, refusal);
     let reclaimed = limit(&admission, NOW);
-    let others = admission.terms(NOW, SERVICE, small).limits(1);
+    let others = admission.terms(NOW, SERVICE, small, None).limits(1);
     let lent_again = limit(&admission, NOW + Duration::from_secs(2));
 
     assert_eq!((alone, lent_again), (StartLimits::of_rank(1), StartLimits::of_rank(1)));
@@ -199,9 +254,10 @@
     admission.tick(NOW);
     let now = run_turns(&mut admission, NOW, Duration::from_secs(2), 50);
 
-    (1..=32).for_each(|i| admission.tick(now + TICK * i));
+    let changes: Vec<_> = (1..=32).flat_map(|i| admission.tick(now + TICK * i)).collect();
 
     assert_eq!(lateness(&admission, now), 0.0);
+    assert!(matches!(&changes[..], [change] if change.reduction == 0.0), "{changes:?}");
 }
 
 #[test]
@@ -211,17 +267,17 @@
     (0..3).for_each(|i| admission.record_turn(SERVICE, i == 0));
     admission.record_remote_turns(SERVICE, TurnCounts { turns: 5, late: 5 });
 
-    let first = admission.take_turn_counts();
-    let second = admission.take_turn_counts();
+    let first = admission.take_changes(NOW);
+    let second = admission.take_changes(NOW);
 
-    assert_eq!(first, [(Box::from(SERVICE), TurnCounts { turns: 3, late: 1 })]);
-    assert_eq!(second, []);
+    let counted = Map::from_iter([(Box::from(SERVICE), TurnCounts { turns: 3, late: 1 })]);
+    assert_eq!((first.turns, second.turns), (counted, Map::default()));
 }
 
 #[test]
 fn a_refusal_names_the_term_that_caused_it() {
     // Guards against metrics that blame a tenant's excess for a service that is full.
-    let terms = LimitTerms { excess: 0.2, lateness: 0.1 };
+    let terms = LimitTerms { excess: 0.2, lateness: 0.1, has_waited: false };
     let refused_at = |load: f64| terms.refused_by(1, |limits| load >= limits.service);
 
     assert_eq!([0.9, 0.7, 0.55].map(refused_at), [Term::Rank, Term::Excess, Term::Lateness]);
@@ -231,9 +287,9 @@
     /// Guards against limits that admit more programs than those of the rank, or none at all.
     #[test]
     fn limits_stay_between_the_lowest_and_those_of_the_rank(
-        excess in 0.0..=0.4f64, lateness in 0.0..=0.3f64, rank in 0u32..4,
+        excess in 0.0..=0.4f64, lateness in 0.0..=0.3f64, has_waited: bool, rank in 0u32..4,
     ) {
-        let limits = LimitTerms { excess, lateness }.limits(rank);
+        let limits = LimitTerms { excess, lateness, has_waited }.limits(rank);
         let own = StartLimits::of_rank(rank);
 
         prop_assert!((0.4..=own.target).contains(&limits.target));
