Levels of rates are right after all hosts restart at once

Cause: for two seconds a new process adopted the lower level of any host, also of other new processes. A level contains calls that the adopting host is told of a moment later and charges again, and estimates for hosts that were not heard yet. Among new processes each added its own to those of all others, with every status update.

Change: a new process sends an infinite level, which no host adopts, until its startup period is over. The first count of a host that sends such a level is charged, less what was estimated for that host; before, nothing was charged and the adopted level was to contain it. rates.rs is split into accounts, reports and unknown hosts.

Rate and burst hold in all windows of two seconds and more over a restart, also beside a partition, at 1.2 to 3 times the rate.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -118,7 +118,8 @@
     /// Number of calls that the sender has admitted since its process started.
     #[prost(uint64, tag = "3")]
     pub admitted: u64,
-    /// Level of the tenant's token bucket at the sender.
+    /// Level of the tenant's token bucket at the sender; infinite if its process has just started
+    /// and does not know the level.
     #[prost(double, tag = "4")]
     pub level: f64,
     /// Reserved share: the fraction of the tenant's rate, from 0 to 1, that the sender leaves to
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -10,10 +10,12 @@
 //! from the demand at that moment, which both knew, so the shares add up to the whole rate and no
 //! more.
 
+mod account;
 mod estimates;
+mod reports;
 mod silent_hosts;
+mod unknown_hosts;
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use camphorwalk_core::entry::TenantSpec;
@@ -21,43 +23,17 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 
+use self::account::Account;
 use self::estimates::OtherHosts;
-use self::silent_hosts::SilentHosts;
+use self::reports::{HostReport, TenantReport};
 
-/// How long a silent host is assumed to keep admitting calls within its share. During a network
-/// partition it does; if the others took over its share at once, both sides together would exceed
-/// the rate. This is about the time after which a host whose row does not change stops counting as
-/// part of the fleet.
-const SILENT_SHARE_LIFETIME: Duration = Duration::from_secs(15);
-
-/// A host that has sent no status update for this long is silent. In a small fleet status updates
-/// arrive every 100 ms.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
-
-/// How long samples of the demand are kept: the time until a host is known to be silent, plus one
-/// tick. The share of a silent host is computed from the sample taken at its last status update.
-const SAMPLES_KEPT: Duration = Duration::from_secs(1);
+/// The level that a host reports while its process has not determined one: no other host adopts it,
+/// as only lower levels are adopted.
+pub const UNKNOWN_LEVEL: f64 = f64::INFINITY;
 
 /// The shortest delay of a status update: its period plus the latency between two zones.
 const MIN_UPDATE_DELAY: Duration = Duration::from_millis(130);
 
-/// The fraction of the burst that a new process starts with, until it receives another host's
-/// level. With a full burst, a fleet that restarts could admit the burst twice within one window.
-const INITIAL_LEVEL: f64 = 0.3;
-
-/// How long a new process adopts a lower level from any other host. If it did so for longer, one
-/// host's estimate that is too low would spread to all hosts and persist.
-const STARTUP_PERIOD: Duration = Duration::from_secs(2);
-
-/// The fraction of the burst that new programs may not use. If one call of a running program is
-/// refused, the whole program fails and its work is lost; a new program has lost nothing yet.
-const RUNNING_PROGRAMS_RESERVE: f64 = 0.35;
-
-/// The time constant of the demand average. A program's calls come in bursts of about a second; an
-/// average that followed them would give a silent host the share of its last burst for a whole
-/// partition.
-const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(3);
-
 /// How long a call of a running program may wait for tokens. If it were refused, its caller would
 /// retry after about as long, with one of its two or three attempts used up, and a program fails as
 /// a whole when the caller gives up on one call.
@@ -67,15 +43,6 @@
 /// that it is better to tell the caller to come back later.
 const MAX_WAIT_NEW: Duration = Duration::from_millis(50);
 
-/// A tenant's demand is sent again when it has changed by this fraction, and by at least this many
-/// calls per second. The other hosts use the demand only for estimates: the reserve for status
-/// updates in transit, and the shares of silent hosts.
-const DEMAND_CHANGE: f64 = 0.1;
-const MIN_DEMAND_CHANGE: f64 = 0.3;
-
-/// The reserved share is sent again when it has changed by this fraction of the rate.
-const RESERVED_CHANGE: f64 = 0.01;
-
 /// The decision on a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Admission {
@@ -119,7 +86,7 @@
     pub admitted: u64,
     /// The demand at the sender, in calls per second.
     pub demand: f64,
-    /// The level of the sender's bucket.
+    /// The level of the sender's bucket, or [`UNKNOWN_LEVEL`] if its process has just started.
     pub level: f64,
     /// The share that the sender reserves for silent hosts. A host that started after they went
     /// silent has received no status updates from them, and uses this share.
@@ -128,127 +95,6 @@
     pub is_level_exact: bool,
 }
 
-/// The known state of a tenant at one point in time.
-#[derive(Clone, Copy, Debug)]
-struct Sample {
-    at: Instant,
-    /// The demand at all hosts, in calls per second.
-    demand: f64,
-    /// The number of calls known to have been admitted, here or elsewhere.
-    spent: f64,
-}
-
-/// The token bucket of one tenant at this host.
-#[derive(Clone, Debug)]
-struct Account {
-    rate: f64,
-    burst: f64,
-    /// The tokens in the bucket; negative if other hosts admitted calls before their status updates
-    /// arrived.
-    level: f64,
-    at: Instant,
-    /// Until when a lower level of another host replaces this one.
-    startup_until: Instant,
-    admitted: u64,
-    /// The number of calls since the last tick.
-    arrived: u32,
-    /// The smoothed demand at this host, in calls per second.
-    demand: f64,
-    /// The demand at the other hosts, in calls per second.
-    others_demand: f64,
-    /// The sum of the demands that counted hosts reported (see [`HostReport::is_counted`]), in calls
-    /// per second.
-    reported_demand: f64,
-    /// No share that another host reserves for silent hosts is valid at or after this time.
-    peers_reserved_until: Instant,
-    /// The hosts that are silent, or were when the tenant's calls there were last reported.
-    silent: SilentHosts,
-    /// The number of calls admitted here, plus those that other hosts reported.
-    spent: f64,
-    /// Recent samples, reaching back to the last status update of a host that is only now found
-    /// silent.
-    samples: VecDeque<Sample>,
-    /// The share reserved for silent hosts, as sent to the other hosts.
-    reserved: ReservedShare,
-    /// The fraction of the rate that is charged for hosts that are not live.
-    non_live_share: f64,
-    /// Whether a live host charges such a fraction and needs this host's level to correct its
-    /// estimate.
-    peers_need_level: bool,
-    /// The last status update sent to the other hosts.
-    last_sent: Option<TenantStatus>,
-}
-
-impl Account {
-    fn status(&self) -> TenantStatus {
-        let Self { admitted, demand, level, reserved, .. } = *self;
-        let is_level_exact = self.is_level_exact();
-
-        TenantStatus { admitted, demand, level, reserved, is_level_exact }
-    }
-
-    /// Returns whether to send a status update: the values that other hosts use have changed, or
-    /// other hosts need this host's level to correct their estimates.
-    fn has_update(&self) -> bool {
-        let Some(last) = self.last_sent else { return self.admitted > 0 || self.arrived > 0 };
-        let demand_change = (last.demand * DEMAND_CHANGE).max(MIN_DEMAND_CHANGE);
-        let reserved_change = (self.reserved.share - last.reserved.share).abs();
-
-        (self.peers_need_level && self.is_level_exact())
-            || self.admitted != last.admitted
-            || (self.demand - last.demand).abs() > demand_change
-            || reserved_change > RESERVED_CHANGE
-    }
-}
-
-/// The status updates received from one other host.
-#[derive(Clone, Debug, Default)]
-struct HostReport {
-    received_at: Instant,
-    /// The time up to which the host's admitted calls have been reported or estimated.
-    counted_until: Instant,
-    /// The run of its process from which a full status update has arrived. Before that, it is not
-    /// known which of the calls it reports were already counted.
-    baseline_run: Option<u64>,
-    /// Whether its demand is part of the accounts' sums: it belongs to the fleet, and is live or
-    /// silent.
-    is_counted: bool,
-    tenants: Map<Box<str>, TenantReport>,
-}
-
-impl HostReport {
-    fn is_silent(&self, now: Instant) -> bool {
-        now.since(self.received_at) > SILENCE_TIMEOUT
-    }
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct TenantReport {
-    status: TenantStatus,
-    /// Until when the share that the host reserves for silent hosts is valid.
-    reserved_until: Instant,
-}
-
-/// The state of another host, judged by the age of its last status update.
-enum Liveness {
-    /// It has never sent a status update to this process.
-    Unknown,
-    Live,
-    /// It is assumed to keep admitting calls within its share.
-    Silent,
-    /// It is assumed to admit no calls any more.
-    Gone,
-}
-
-fn liveness(now: Instant, report: Option<&HostReport>) -> Liveness {
-    match report {
-        None => Liveness::Unknown,
-        Some(report) if !report.is_silent(now) => Liveness::Live,
-        Some(report) if now.since(report.received_at) <= SILENT_SHARE_LIFETIME => Liveness::Silent,
-        Some(_) => Liveness::Gone,
-    }
-}
-
 /// The rate limits of all tenants at this host.
 #[derive(Clone, Debug, Default)]
 pub struct Rates {
@@ -282,26 +128,10 @@
 
         for tenant in tenants {
             let Some(rate) = tenant.rate else { continue };
-            let mut account = self.accounts.remove(&tenant.name).unwrap_or_else(|| Account {
-                rate,
-                burst: tenant.burst,
-                level: tenant.burst * INITIAL_LEVEL,
-                at: now,
-                startup_until: now + STARTUP_PERIOD,
-                admitted: 0,
-                arrived: 0,
-                demand: 0.0,
-                others_demand: 0.0,
-                reported_demand: 0.0,
-                peers_reserved_until: Instant(0),
-                silent: SilentHosts::default(),
-                spent: 0.0,
-                samples: VecDeque::new(),
-                reserved: ReservedShare::default(),
-                non_live_share: 0.0,
-                peers_need_level: false,
-                last_sent: None,
-            });
+            let mut account = self
+                .accounts
+                .remove(&tenant.name)
+                .unwrap_or_else(|| Account::new(now, rate, tenant.burst));
             account.refill(now);
             account.rate = rate;
             account.burst = tenant.burst;
@@ -316,9 +146,11 @@
     /// Sets the other hosts of the fleet.
     pub fn set_peers(&mut self, others: Vec<HostId>) {
         let members: Set<HostId> = others.iter().copied().collect();
+        let left = self.fraction_of_unknown(|host| !members.contains(&host));
         self.reports.retain(|host, _| members.contains(host));
         for account in self.accounts.values_mut() {
             account.silent.retain(|host| members.contains(&host));
+            account.unknown.take(left);
         }
         self.others = others;
         self.sum_reports();
@@ -330,6 +162,15 @@
         self.update_delay = delay;
     }
 
+    /// Returns what fraction of the hosts that have not reported their calls are such hosts.
+    fn fraction_of_unknown(&self, is_such: impl Fn(HostId) -> bool) -> f64 {
+        let has_reported = |host| self.reports.get(host).is_some_and(HostReport::has_baseline);
+        let unknown = || self.others.iter().filter(|host| !has_reported(host));
+        let such = unknown().filter(|host| is_such(**host)).count();
+
+        such as f64 / unknown().count().max(1) as f64
+    }
+
     /// Computes the sums over the reports of all hosts anew.
     fn sum_reports(&mut self) {
         for account in self.accounts.values_mut() {
@@ -381,8 +222,12 @@
         all: bool,
         updates: impl IntoIterator<Item = (Box<str>, TenantStatus)>,
     ) -> Baseline {
+        let is_new = !self.reports.get(&host).is_some_and(HostReport::has_baseline);
+        let part_of_unknown = match is_new && all {
+            true => self.fraction_of_unknown(|other| other == host),
+            false => 0.0,
+        };
         let report = self.reports.entry(host).or_default();
-        let is_new = report.baseline_run.is_none();
         let same_run = report.baseline_run == Some(run);
         if report.is_silent(now) {
             self.accounts.values_mut().for_each(|account| account.silent.end_silence(host));
@@ -422,9 +267,7 @@
             let estimated = account.silent.take_estimate(host);
             let admitted = status.admitted as f64 - before.status.admitted as f64;
             let charged = match (is_new, same_run) {
-                // The level already includes what the host admitted before its first status update
-                // arrived.
-                (true, _) => 0.0,
+                (true, _) => account.charge_first_update(now, &status, part_of_unknown),
                 (false, true) => admitted - estimated,
                 // What the previous run admitted while it was silent will never be reported; its
                 // estimate is kept.
@@ -434,8 +277,8 @@
             account.spent += if is_new { 0.0 } else { admitted };
 
             let excess = (account.level - status.level).max(0.0);
-            // A new process adopts the lower level of any host.
-            if now < account.startup_until {
+            // A new process adopts the lower level of any host that has determined one.
+            if account.is_starting(now) {
                 account.level -= excess;
             } else if status.is_level_exact && !account.is_level_exact() {
                 // A host whose level contains estimates adopts the lower level of one whose level
@@ -447,6 +290,15 @@
         if !same_run {
             self.accounts.values_mut().for_each(|account| account.silent.remove(host));
         }
+        if is_new {
+            // Tenants missing from the update had no calls at the host.
+            let none = TenantStatus { level: UNKNOWN_LEVEL, ..TenantStatus::default() };
+            let missing = |name: &str| !report.tenants.contains_key(name);
+            for (_, account) in self.accounts.iter_mut().filter(|(name, _)| missing(name)) {
+                account.refill(now);
+                account.level -= account.charge_first_update(now, &none, part_of_unknown);
+            }
+        }
         // The silent hosts admitted more than estimated, which the lower level of a host in contact
         // with them has shown.
         for (tenant, excess) in corrections {
@@ -555,72 +407,3 @@
         }
     }
 }
-
-impl Account {
-    /// Records a sample of the current state, for hosts that turn out to have gone silent at this
-    /// time.
-    fn record_sample(&mut self, now: Instant) {
-        let demand = self.demand + self.others_demand;
-        self.samples.push_back(Sample { at: now, demand, spent: self.spent });
-
-        while self.samples.get(1).is_some_and(|second| now.since(second.at) > SAMPLES_KEPT) {
-            self.samples.pop_front();
-        }
-    }
-
-    /// Returns the first sample taken at or after a time, or the current state if there is none.
-    fn sample_at(&self, at: Instant) -> Sample {
-        let now =
-            Sample { at: self.at, demand: self.demand + self.others_demand, spent: self.spent };
-
-        self.samples.iter().find(|sample| sample.at >= at).copied().unwrap_or(now)
-    }
-
-    /// Records until when another host reserves a share for silent hosts.
-    fn expect_reserved_until(&mut self, until: Instant) {
-        self.peers_reserved_until = self.peers_reserved_until.max(until);
-    }
-
-    /// Returns whether the level contains only reported calls and no estimates.
-    fn is_level_exact(&self) -> bool {
-        self.non_live_share <= 0.0
-    }
-
-    /// Returns the capacity of the bucket.
-    fn capacity(&self) -> f64 {
-        self.burst.max(1.0)
-    }
-
-    fn refill(&mut self, now: Instant) {
-        let elapsed = now.since(self.at).as_secs_f64();
-
-        self.level = (self.level + elapsed * self.rate).min(self.capacity());
-        self.at = self.at.max(now);
-    }
-
-    fn smooth(&mut self, elapsed: Duration) {
-        let current = f64::from(std::mem::take(&mut self.arrived)) / elapsed.as_secs_f64();
-        let weight = 1.0 - (-elapsed.as_secs_f64() / DEMAND_TIME_CONSTANT.as_secs_f64()).exp();
-
-        self.demand += (current - self.demand) * weight;
-    }
-
-    /// Returns the number of tokens that must remain after a call is admitted.
-    ///
-    /// Other hosts may have admitted calls whose status updates are still in transit. Without this
-    /// reserve, a tenant that sends many times its rate would exceed it, each time the bucket runs
-    /// empty, by the calls that arrive within the delay of the updates. The demand counts for at most twice
-    /// the rate, since the other hosts refuse what exceeds that.
-    fn headroom(&self, is_new: bool, update_delay: Duration) -> f64 {
-        let others = self.others_demand.min(2.0 * self.rate);
-        let in_transit = (others * update_delay.as_secs_f64()).min(self.capacity() / 4.0);
-
-        if is_new { in_transit.max(self.capacity() * RUNNING_PROGRAMS_RESERVE) } else { in_transit }
-    }
-
-    fn time_until_level(&self, needed: f64) -> Duration {
-        let seconds = (needed - self.level) / self.rate.max(1e-3);
-
-        Duration::from_secs_f64(seconds.clamp(0.01, 60.0))
-    }
-}
--- a/crates/policy/src/entry/rates/estimates.rs
+++ b/crates/policy/src/entry/rates/estimates.rs
@@ -7,10 +7,10 @@
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
 
+use super::ReservedShare;
+use super::account::Account;
+use super::reports::{HostReport, Liveness, SILENT_SHARE_LIFETIME, TenantReport, liveness};
 use super::silent_hosts::SilentHost;
-use super::{
-    Account, HostReport, Liveness, ReservedShare, SILENT_SHARE_LIFETIME, TenantReport, liveness,
-};
 
 /// The fraction of an even share that each host gets without any demand when shares are estimated.
 const DEMAND_FLOOR: f64 = 0.25;
@@ -102,13 +102,14 @@
         };
         let newly_silent_share: f64 = newly_silent.iter().map(|(_, share)| share).sum();
         let silent = account.silent.share() + newly_silent_share;
-        let non_live = silent + self.unknown * self.even_share(account);
+        let unknown = self.unknown * self.even_share(account);
+        let non_live = silent + unknown;
         account.reserved = self.reserved_share(tenant, silent, account, reports);
         account.non_live_share =
             non_live.max(account.reserved.share).min(self.max_non_live_share());
 
-        // The estimate of each silent host is recorded, and corrected when that host reports its
-        // admitted calls.
+        // The estimate of each silent host, and that of all unknown ones, is recorded, and corrected
+        // when the hosts report their admitted calls.
         let scale = (account.non_live_share / non_live.max(f64::MIN_POSITIVE)).min(1.0);
         let refilled = account.rate * self.elapsed.as_secs_f64();
         let unrecorded = account.non_live_share - silent * scale;
@@ -120,7 +121,9 @@
             account.silent.begin_silence(host, SilentHost { share, estimated });
             charged += estimated;
         }
-        account.level = (account.level - charged).max(-account.capacity());
+        let before = account.level;
+        account.level = (before - charged).max(-account.capacity());
+        account.unknown.add((refilled * unknown * scale).min((before - account.level).max(0.0)));
     }
 
     /// Returns the largest fraction of a rate that may be charged for hosts that are not live. Each
--- a/crates/policy/tests/large_fleet/main.rs
+++ b/crates/policy/tests/large_fleet/main.rs
@@ -2,4 +2,5 @@
 
 mod exchange;
 mod rates;
+mod restart;
 mod world;
