New programs are admitted by the projected demand of running ones

Cause: new programs could not use 0.35 of the burst. This refused starts of large tenants whose refill covered them, and let small tenants start programs of which one requests half the rate.

Change, with the feature rate-projection: a new program needs the tokens that will be missing when it ends, from the admitted calls and started programs of all hosts. Hosts report the programs that they started (Demand, tag 8). A refused start is told to return when the bucket has filled at the rate less the projected demand. 'rate: over' logs the inputs; camphorwalk_rate_refusals_total counts refusals of new and running programs. Without the feature nothing is reported or decided anew.

--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -132,6 +132,10 @@
     /// Whether all hosts are live for the sender, so that `level` contains no estimate.
     #[prost(bool, tag = "7")]
     pub hears_all: bool,
+    /// Number of programs that the sender has started since its process started; 0 if it does not
+    /// count them.
+    #[prost(uint64, tag = "8")]
+    pub programs: u64,
 }
 
 /// The number of calls that one host has in flight at a target.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -326,7 +326,11 @@
 
     // A refused call that no target may have run does not count towards its tenant's rate.
     if let (Err(_), false, Some(tenant)) = (&result, call.may_have_run(), &call.tenant) {
-        call.shared.rates.borrow_mut().refund(tenant);
+        let mut rates = call.shared.rates.borrow_mut();
+        rates.refund(tenant);
+        if call.is_new.get() {
+            rates.withdraw_program(tenant);
+        }
     }
     result
 }
@@ -466,6 +470,8 @@
             }
             Admission::Wait(after) => tokio::time::sleep(after).await,
             Admission::Refused(after) => {
+                let program = if is_new { "new" } else { "running" };
+                call.shared.metrics.rate_refusals.with_label_values(&[program]).inc();
                 log_over_rate(call, tenant, waited);
                 return Err(Refusal::over_rate(after));
             }
@@ -475,12 +481,15 @@
 
 fn log_over_rate(call: &Call, tenant: &str, waited: Duration) {
     let Some(state) = call.shared.rates.borrow().explain(tenant) else { return };
+    let projected = state.projection;
 
     info!(
         request = %call.head.request_id, tenant = %tenant, is_new = call.is_new.get(),
         waited_ms = waited.as_millis() as u64, level = state.level, rate = state.rate,
         demand = state.demand, others_demand = state.others_demand,
-        withheld = state.reserved, "rate: over"
+        withheld = state.reserved, programs_demand = projected.map(|p| p.demand),
+        program_pace = projected.map(|p| p.pace), horizon_s = projected.map(|p| p.horizon),
+        needed_after = projected.map(|p| p.reserve), "rate: over"
     );
 }
 
@@ -504,6 +513,8 @@
     let continuation: Continuation = continuation?;
     if reservation.as_ref().is_some_and(|reservation| !reservation.is_first) {
         call.is_new.set(false);
+        let mut rates = call.shared.rates.borrow_mut();
+        call.tenant.iter().for_each(|tenant| rates.withdraw_program(tenant));
     }
     let answer = stream::forward(Rc::clone(&call), reservation, continuation).await?;
     call.shared.places.record_running(call.head.program.as_deref());
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -307,7 +307,7 @@
             routes: RefCell::default(),
             manifest_text: RefCell::default(),
             manifests: Manifests::default(),
-            rates: RefCell::default(),
+            rates: RefCell::new(Rates::with_projection(settings.features.rate_projection)),
             full_demand_receivers: status_updates::FullDemandReceivers::default(),
             status_exchange: RefCell::new(StatusExchange::new(
                 HostId::from_name(&settings.name),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,6 +26,9 @@
     pub(crate) tenant_latency: HistogramVec,
     /// Answers that the host made itself, by reason.
     pub(crate) refusals: IntCounterVec,
+    /// Calls that were refused because they exceed their tenant's rate, by whether their program is
+    /// new or running.
+    pub(crate) rate_refusals: IntCounterVec,
     /// New programs that were refused because targets have no room, by cause.
     pub(crate) full_refusals: IntCounterVec,
     /// Connections of callers that ended before the answer to their request was complete, by cause.
@@ -113,6 +116,11 @@
                 "Answers of our own by reason.",
                 &["reason"],
             )?,
+            rate_refusals: by(
+                "camphorwalk_rate_refusals_total",
+                "Calls refused over their tenant's rate, of new or running programs.",
+                &["program"],
+            )?,
             full_refusals: by(
                 "camphorwalk_full_refusals_total",
                 "New programs refused because targets have no room, by cause.",
--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -219,7 +219,7 @@
 }
 
 fn demand((tenant, update): (Box<str>, TenantStatus)) -> Demand {
-    let TenantStatus { admitted, demand, level, reserved, is_level_exact } = update;
+    let TenantStatus { admitted, programs, demand, level, reserved, is_level_exact } = update;
 
     Demand {
         tenant: tenant.into(),
@@ -229,6 +229,7 @@
         withheld: reserved.share,
         withheld_ms: u32::try_from(reserved.expires_in.as_millis()).unwrap_or(u32::MAX),
         hears_all: is_level_exact,
+        programs,
     }
 }
 
@@ -339,9 +340,15 @@
             share: d.withheld,
             expires_in: Duration::from_millis(u64::from(d.withheld_ms)),
         };
-        let (admitted, demand, level) = (d.admitted, d.per_second, d.level);
-        let is_level_exact = d.hears_all;
-        (d.tenant.into(), TenantStatus { admitted, demand, level, reserved, is_level_exact })
+        let status = TenantStatus {
+            admitted: d.admitted,
+            programs: d.programs,
+            demand: d.per_second,
+            level: d.level,
+            reserved,
+            is_level_exact: d.hears_all,
+        };
+        (d.tenant.into(), status)
     });
     let baseline = shared.rates.borrow_mut().apply_update(
         sent_at,
--- a/crates/policy/src/entry/rates.rs
+++ b/crates/policy/src/entry/rates.rs
@@ -12,6 +12,7 @@
 
 mod account;
 mod estimates;
+mod projection;
 mod reports;
 mod silent_hosts;
 mod unknown_hosts;
@@ -25,6 +26,7 @@
 
 use self::account::Account;
 use self::estimates::OtherHosts;
+pub use self::projection::ProjectionState;
 use self::reports::{HostReport, TenantReport};
 
 /// The level that a host reports while its process has not determined one: no other host adopts it,
@@ -67,6 +69,8 @@
     pub others_demand: f64,
     /// The fraction of the rate that is set aside for hosts that are not live.
     pub reserved: f64,
+    /// The projection by which new programs are admitted, if they are.
+    pub projection: Option<ProjectionState>,
 }
 
 /// The fraction of a tenant's rate that a host reserves for hosts that have gone silent.
@@ -84,6 +88,9 @@
 pub struct TenantStatus {
     /// The number of calls that the sender has admitted since its process started.
     pub admitted: u64,
+    /// The number of programs that the sender has started since its process started; 0 if it does
+    /// not count them.
+    pub programs: u64,
     /// The demand at the sender, in calls per second.
     pub demand: f64,
     /// The level of the sender's bucket, or [`UNKNOWN_LEVEL`] if its process has just started.
@@ -110,6 +117,8 @@
     /// How long it takes on average until a host knows of a call that another host has admitted.
     update_delay: Duration,
     ticked: Option<Instant>,
+    /// Whether new programs are admitted by the projected demand of running ones.
+    projects: bool,
 }
 
 /// Whether a status update can be accounted for.
@@ -122,6 +131,24 @@
 }
 
 impl Rates {
+    /// Returns rates without tenants. `projects` tells whether new programs are admitted by the
+    /// projected demand of running ones, instead of by a fixed reserve for these.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use camphorwalk_core::{entry::TenantSpec, time::Instant};
+    /// use camphorwalk_policy::entry::rates::{Admission, Rates};
+    ///
+    /// let mut rates = Rates::with_projection(true);
+    /// let tenant = TenantSpec { name: "easel".into(), rate: Some(300.0), burst: 300.0, rank: None };
+    /// rates.configure(Instant(0), &[tenant]);
+    /// let admission = rates.admit(Instant(0), "easel", true, Duration::ZERO);
+    /// assert_eq!(admission, Admission::Admitted);
+    /// ```
+    pub fn with_projection(projects: bool) -> Self {
+        Self { projects, ..Self::default() }
+    }
+
     /// Applies the tenants of a manifest. Existing buckets keep their levels.
     pub fn configure(&mut self, now: Instant, tenants: &[TenantSpec]) {
         let mut accounts = Map::default();
@@ -131,7 +158,7 @@
             let mut account = self
                 .accounts
                 .remove(&tenant.name)
-                .unwrap_or_else(|| Account::new(now, rate, tenant.burst));
+                .unwrap_or_else(|| Account::new(now, rate, tenant.burst, self.projects));
             account.refill(now);
             account.rate = rate;
             account.burst = tenant.burst;
@@ -274,7 +301,10 @@
                 (false, false) => (admitted - estimated).max(0.0),
             };
             account.level -= charged;
-            account.spent += if is_new { 0.0 } else { admitted };
+            if !is_new {
+                let programs = status.programs as f64 - before.status.programs as f64;
+                account.count(now, admitted, (status.programs > 0).then_some(programs));
+            }
 
             let excess = (account.level - status.level).max(0.0);
             // A new process adopts the lower level of any host that has determined one.
@@ -370,7 +400,7 @@
 
         let needed = 1.0 + account.headroom(is_new, self.update_delay.max(MIN_UPDATE_DELAY));
         if account.level < needed {
-            let after = account.time_until_level(needed);
+            let after = account.time_until_level(needed, is_new);
             let max_wait = if is_new { MAX_WAIT_NEW } else { MAX_WAIT };
 
             return match waited + after <= max_wait {
@@ -381,7 +411,8 @@
 
         account.level -= 1.0;
         account.admitted += 1;
-        account.spent += 1.0;
+        account.programs += u64::from(is_new && account.projection.is_some());
+        account.count(now, 1.0, Some(f64::from(u8::from(is_new))));
         Admission::Admitted
     }
 
@@ -395,6 +426,7 @@
             demand: account.demand,
             others_demand: account.others_demand,
             reserved: account.non_live_share,
+            projection: account.project(account.at),
         })
     }
 
@@ -403,7 +435,18 @@
         if let Some(account) = self.accounts.get_mut(tenant) {
             account.level = (account.level + 1.0).min(account.capacity());
             account.admitted = account.admitted.saturating_sub(1);
-            account.spent -= 1.0;
+            account.count(account.at, -1.0, Some(0.0));
+        }
+    }
+
+    /// Withdraws a program of which [`Rates::admit`] admitted the first call, and which has not
+    /// started or had started before.
+    pub fn withdraw_program(&mut self, tenant: &str) {
+        if let Some(account) = self.accounts.get_mut(tenant)
+            && account.programs > 0
+        {
+            account.programs -= 1;
+            account.count(account.at, 0.0, Some(-1.0));
         }
     }
 }
--- a/crates/policy/src/entry/rates/account.rs
+++ b/crates/policy/src/entry/rates/account.rs
@@ -5,6 +5,7 @@
 
 use camphorwalk_core::time::Instant;
 
+use super::projection::{Projection, ProjectionState};
 use super::silent_hosts::SilentHosts;
 use super::unknown_hosts::UnknownHosts;
 use super::{ReservedShare, TenantStatus, UNKNOWN_LEVEL};
@@ -29,6 +30,15 @@
 /// refused, the whole program fails and its work is lost; a new program has lost nothing yet.
 const RUNNING_PROGRAMS_RESERVE: f64 = 0.35;
 
+/// The fraction of what a new program's first call leaves of a full bucket, up to which tokens may be
+/// reserved by a projection. A tenant whose programs request more than its rate could otherwise start
+/// none at all.
+const MAX_PROJECTED_RESERVE: f64 = 0.75;
+
+/// The fraction of the rate by which a bucket refills at least, for the time that a refused program
+/// is told to wait. Running programs end within a few seconds, whatever they use now.
+const MIN_PROJECTED_REFILL: f64 = 0.25;
+
 /// The time constant of the demand average. A program's calls come in bursts of about a second; an
 /// average that followed them would give a silent host the share of its last burst for a whole
 /// partition.
@@ -65,6 +75,10 @@
     /// Until when a lower level of another host replaces this one.
     pub(super) startup_until: Instant,
     pub(super) admitted: u64,
+    /// The number of programs started here, if new programs are admitted by a projection.
+    pub(super) programs: u64,
+    /// The demand of running programs; `None` if it is not projected.
+    pub(super) projection: Option<Projection>,
     /// The number of calls since the last tick.
     pub(super) arrived: u32,
     /// The smoothed demand at this host, in calls per second.
@@ -98,7 +112,7 @@
 
 impl Account {
     /// Returns the bucket of a tenant in a process that has just started, or of a new tenant.
-    pub(super) fn new(now: Instant, rate: f64, burst: f64) -> Self {
+    pub(super) fn new(now: Instant, rate: f64, burst: f64, projects: bool) -> Self {
         Self {
             rate,
             burst,
@@ -106,6 +120,8 @@
             at: now,
             startup_until: now + STARTUP_PERIOD,
             admitted: 0,
+            programs: 0,
+            projection: projects.then(Projection::default),
             arrived: 0,
             demand: 0.0,
             others_demand: 0.0,
@@ -123,11 +139,11 @@
     }
 
     pub(super) fn status(&self) -> TenantStatus {
-        let Self { admitted, demand, reserved, .. } = *self;
+        let Self { admitted, programs, demand, reserved, .. } = *self;
         let level = if self.is_starting(self.at) { UNKNOWN_LEVEL } else { self.level };
         let is_level_exact = self.is_level_exact();
 
-        TenantStatus { admitted, demand, level, reserved, is_level_exact }
+        TenantStatus { admitted, programs, demand, level, reserved, is_level_exact }
     }
 
     /// Returns whether to send a status update: the values that other hosts use have changed, or
@@ -233,11 +249,39 @@
         let others = self.others_demand.min(2.0 * self.rate);
         let in_transit = (others * update_delay.as_secs_f64()).min(self.capacity() / 4.0);
 
-        if is_new { in_transit.max(self.capacity() * RUNNING_PROGRAMS_RESERVE) } else { in_transit }
+        match (is_new, self.project(self.at)) {
+            (false, _) => in_transit,
+            (true, None) => in_transit.max(self.capacity() * RUNNING_PROGRAMS_RESERVE),
+            (true, Some(projection)) => {
+                let most = (self.capacity() - 1.0) * MAX_PROJECTED_RESERVE;
+                (in_transit + projection.reserve).min(most).max(in_transit)
+            }
+        }
+    }
+
+    /// Returns the projection for one more program, if new programs are admitted by it. What is
+    /// charged for hosts that are not live is not available to the programs of the others.
+    pub(super) fn project(&self, now: Instant) -> Option<ProjectionState> {
+        let rate = self.rate * (1.0 - self.non_live_share);
+
+        self.projection.map(|projection| projection.project(now, rate))
+    }
+
+    /// Counts calls that were admitted and programs that were started, here or at another host.
+    pub(super) fn count(&mut self, now: Instant, calls: f64, programs: Option<f64>) {
+        self.spent += calls;
+        if let Some(projection) = &mut self.projection {
+            projection.count(now, calls, programs);
+        }
     }
 
-    pub(super) fn time_until_level(&self, needed: f64) -> Duration {
-        let seconds = (needed - self.level) / self.rate.max(1e-3);
+    /// Returns the time until the level is `needed`. Projected demand delays new programs, as the
+    /// bucket refills only by what running ones leave.
+    pub(super) fn time_until_level(&self, needed: f64, is_new: bool) -> Duration {
+        let projection = self.project(self.at).filter(|_| is_new);
+        let used = projection.map_or(0.0, |projection| projection.demand);
+        let refill = (self.rate - used).max(self.rate * MIN_PROJECTED_REFILL);
+        let seconds = (needed - self.level) / refill.max(1e-3);
 
         Duration::from_secs_f64(seconds.clamp(0.01, 60.0))
     }
