--- a/crates/core/src/messages/entry.rs
+++ b/crates/core/src/messages/entry.rs
@@ -149,7 +149,8 @@
     /// Number of calls that the sender has admitted since its process started.
     #[prost(uint64, tag = "3")]
     pub admitted: u64,
-    /// Level of the tenant's token bucket at the sender.
+    /// Level of the tenant's token bucket at the sender; infinite if its process has just started
+    /// and does not know the level.
     #[prost(double, tag = "4")]
     pub level: f64,
     /// Reserved share: the fraction of the tenant's rate, from 0 to 1, that the sender leaves to
@@ -162,6 +163,10 @@
     /// Whether all hosts are live for the sender, so that `level` contains no estimate.
     #[prost(bool, tag = "7")]
     pub hears_all: bool,
+    /// Number of programs that the sender has started since its process started; 0 if it does not
+    /// count them.
+    #[prost(uint64, tag = "8")]
+    pub programs: u64,
 }
 
 /// The number of calls that one host has in flight at a target.
