Programs that have just started do not lower the learned calls per program

Cause: a program counts when it starts, its calls only as they arrive, so a burst of starts was taken for programs of one or two calls, and seven of ten programs were started at once at a rate of 16.

Change: programs of about the last second are left out of the ratio, and the rest is scaled to starts that are spread evenly.

--- a/crates/policy/src/entry/rates/projection.rs
+++ b/crates/policy/src/entry/rates/projection.rs
@@ -80,7 +80,7 @@
     /// Returns the projection for one more program of a tenant with this rate.
     pub(super) fn project(&self, now: Instant, rate: f64) -> ProjectionState {
         let current = self.decayed(now);
-        let (pace, horizon) = self.pace_and_horizon();
+        let (pace, horizon) = current.pace_and_horizon();
         // The smoothed rate of calls follows the programs that start and end with a delay. If more
         // programs than usual have just started, their calls will raise it; if fewer, it will fall.
         let usual_starts = current.programs / PROGRAMS_TIME_CONSTANT.as_secs_f64();
@@ -112,7 +112,12 @@
     /// so programs with more calls are taken to be longer, within the bounds, and not faster.
     fn pace_and_horizon(&self) -> (f64, f64) {
         let prior = PRIOR_PROGRAMS * INITIAL_PACE * INITIAL_HORIZON;
-        let calls = (self.calls + prior) / (self.programs + PRIOR_PROGRAMS);
+        // Programs that have just started have most of their calls still to make. The others are
+        // scaled to the number that there are when programs start evenly.
+        let (short, long) =
+            (CALLS_TIME_CONSTANT.as_secs_f64(), PROGRAMS_TIME_CONSTANT.as_secs_f64());
+        let older = (self.programs - self.starts_rate * short).max(0.0) * long / (long - short);
+        let calls = (self.calls + prior) / (older + PRIOR_PROGRAMS);
         let horizon = (calls / INITIAL_PACE).clamp(HORIZON_BOUNDS.0, HORIZON_BOUNDS.1);
 
         ((calls / horizon).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1), horizon)
--- a/crates/policy/tests/entry_rates_projection.rs
+++ b/crates/policy/tests/entry_rates_projection.rs
@@ -347,3 +347,19 @@
         assert!(f64::from(most) <= allowed, "seed {seed}: {most}, {allowed} allowed");
     }
 }
+
+#[test]
+fn programs_that_start_at_once_count_before_their_calls_arrive() {
+    // Guards against starting many programs at once because the calls of none have been seen yet.
+    let mut rates = Rates::with_projection(true);
+    rates.configure(
+        Instant(0),
+        &[TenantSpec { name: TENANT.into(), rate: Some(16.0), burst: 16.0, rank: None }],
+    );
+    let now = Instant::from_millis(5_000);
+
+    let start = || rates.admit(now, TENANT, true, Duration::ZERO) == Admission::Admitted;
+    let started = std::iter::repeat_with(start).take(10).filter(|started| *started).count();
+
+    assert!((2..=6).contains(&started), "{started} of 10");
+}
