--- a/crates/policy/tests/entry_admission.rs
+++ b/crates/policy/tests/entry_admission.rs
@@ -154,7 +154,7 @@
     // and against use that stays high when its updates no longer arrive.
     let tenants = [tenant("a", 100.0), tenant("b", 100.0)];
     let mut fleet = Fleet::new(4, &tenants);
-    let calls = |host: usize| if host % 2 == 0 { vec![4, 0] } else { vec![0, 4] };
+    let calls = |host: usize| if host.is_multiple_of(2) { vec![4, 0] } else { vec![0, 4] };
     let part = |fleet: &Fleet, host: usize| fleet.hosts[host].tenant_use("a").unwrap().part;
 
     (0..30).for_each(|_| fleet.tick_with(&tenants, calls));
