A host with target profiles sends status updates

With the feature `target-profiles`, the first round of status updates ended with "RefCell already borrowed": the borrow of the targets for the reported prompts lasted until all fields of the changes were evaluated, and the events were taken meanwhile. The events are now taken first.

--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -50,11 +50,14 @@
 impl Changes {
     /// Takes the changes at this host since the previous call.
     fn take(shared: &Shared) -> Self {
+        // The borrows of the other fields last until all of them are evaluated.
+        let work = target_paces::take_work(shared);
+
         Self {
             prompts: shared.targets.borrow_mut().take_updates().into_iter().collect(),
             demand: shared.rates.borrow_mut().take_updates(false).into_iter().collect(),
             crashes: shared.crashes.borrow_mut().take_updates(),
-            work: target_paces::take_work(shared),
+            work,
         }
     }
 }
