--- a/crates/entry/src/status_updates.rs
+++ b/crates/entry/src/status_updates.rs
@@ -52,7 +52,7 @@
 impl Changes {
     /// Takes the changes at this host since the previous call.
     fn take(shared: &Shared) -> Self {
-        // The borrows of the expressions below last until the end of the statement.
+        // The borrows of the other fields last until all of them are evaluated.
         let work = target_paces::take_work(shared);
 
         Self {
