Pages: target speeds

The page of the platform and the statistics of calls did not mention where speeds of targets come from.

--- a/crates/policy/src/entry/call_stats.rs
+++ b/crates/policy/src/entry/call_stats.rs
@@ -59,7 +59,8 @@
 ///
 /// No statistics are kept per target: an estimate from a few events is mostly noise, and would move
 /// conversations away from their cached prompts. A target that becomes slow keeps its slots
-/// occupied, and is therefore chosen less often.
+/// occupied, and is therefore chosen less often. Speeds of targets are learned from the events of
+/// all hosts (see [`super::target_profiles`]).
 #[derive(Clone, Copy, Debug)]
 pub struct CallStats {
     /// The time per event, in milliseconds.
