--- a/crates/policy/src/entry/target_profiles.rs
+++ b/crates/policy/src/entry/target_profiles.rs
@@ -126,8 +126,8 @@
     /// cannot be compared with that of events.
     is_streaming: bool,
     pace: f64,
-    /// Whether the target was last reported to be slow or fast.
-    is_apart: bool,
+    /// Whether the target was last reported to be slower or faster than the others.
+    is_reported_different: bool,
 }
 
 impl Default for Profile {
@@ -137,7 +137,7 @@
             unreported: Work::default(),
             is_streaming: false,
             pace: 1.0,
-            is_apart: false,
+            is_reported_different: false,
         }
     }
 }
@@ -187,10 +187,11 @@
     pub fn update_pace(&mut self, now: Instant, mean: Option<f64>) -> Option<PaceChange> {
         self.pace = mean.map_or(1.0, |mean| pace(self.evidence.at(now), mean));
         let difference = (self.effective_pace() - 1.0).abs();
-        let was_apart = self.is_apart;
-        self.is_apart = difference > if was_apart { 0.0 } else { REPORTED_DIFFERENCE };
+        let was_different = self.is_reported_different;
+        self.is_reported_different =
+            difference > if was_different { 0.0 } else { REPORTED_DIFFERENCE };
 
-        match (was_apart, self.is_apart) {
+        match (was_different, self.is_reported_different) {
             (false, true) => Some(PaceChange::Left),
             (true, false) => Some(PaceChange::Returned),
             _ => None,
