--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -11,6 +11,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 SAME_INPUT = b"go on"
 SUB_AGENTS = 3
+READING_S = 1.2
 BACK_AFTER_S = 3.0
 TURNS, TRIES, PAUSE_S = 5, 6, 8.0
 AIM_S = 100.0
@@ -24,7 +25,7 @@
         if is_reading_slowly and request.body.endswith(SAME_INPUT):
             # The prompts are being read. No token has been generated yet, so none of them has begun to run.
             reading.setdefault(server, []).append(request.id)
-            await asyncio.sleep(0.6)
+            await asyncio.sleep(READING_S)
         await s.stream_events(request, writer, 6)
 
     for zone in world.zones:
@@ -56,7 +57,10 @@
             turn(world.hosts[0], SAME_INPUT, f"77d2{number}1", previous_turn=first.id))
         for number in range(SUB_AGENTS)
     ]
-    await asyncio.sleep(0.3)
+    for _ in range(10):
+        await asyncio.sleep(READING_S / 12)
+        if sum(map(len, reading.values())) == SUB_AGENTS:
+            break
     busiest = max(reading, key=lambda server: len(reading[server]))
     world.record.line(f"sub-agents' turns at server {busiest.id}: {reading[busiest]}")
     if len(reading[busiest]) < SUB_AGENTS:
