--- a/review/standins.py
+++ b/review/standins.py
@@ -265,12 +265,6 @@
             if self.is_up and self.id == own:
                 self.beat()
 
-    def drain(self):
-        """Reports `draining`, and goes on serving."""
-        self.state = "draining"
-        self.beat()
-        self.world.record.line(f"server {self.id} is draining; the store has accepted that")
-
     def crash(self):
         """Ends at once: connections are reset, nothing listens, and the entry stays until it expires."""
         self.is_up = False
@@ -345,11 +339,6 @@
     end_stream(writer)
 
 
-async def whole_answer(request, writer, text=b"done"):
-    fields = answer_headers(request) | {"Content-Length": len(text)}
-    writer.write(head(200, "OK", fields) + text)
-
-
 class Answer:
     """What a client saw of an answer."""
 
@@ -422,13 +411,8 @@
         log.close()
         self.world.record.line(f"host {self.name} starts")
 
-    def signal(self, number):
-        self.world.record.line(f"host {self.name} gets {signal.Signals(number).name}")
-        self.process.send_signal(number)
-
     def end(self):
         if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             self.process.wait()
 
@@ -615,7 +599,7 @@
         ended = [host.name for host in world.hosts
                  if host.process is not None and host.process.poll() is not None]
         if ended:
-            world.record.line(f"hosts that had ended by themselves or by signals: {ended}")
+            world.record.line(f"hosts that had ended by themselves: {ended}")
         world.end()
         world.record.line(f"result: {result}")
     print({HELD: "held", BROKEN: "broken", CANNOT_RUN: "could not run"}[result])
