A crash counts also within an answer, and if the process is back at once

Cause: a crash was looked for only where an answer's head was lost and where a stream is resumed, by connecting to the address; a process that was back by then was taken for the former one.

Change: each answer that breaks off has its target checked in the background. A target that accepts connections is looked up in the table 0.9 s later, where a later process under its id or address shows that it ended.

--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -26,6 +26,10 @@
 /// that hosts behind a new partition are no longer live.
 const CHECK_DELAY: Duration = Duration::from_millis(900);
 
+/// How much later the table is checked for a new process if the target accepts connections: long
+/// enough for a process that has just started to register itself, and for a poll of the table.
+const RESTART_CHECK_DELAY: Duration = Duration::from_millis(900);
+
 /// Answers that are lost within this time share a check. Shorter than [`CHECK_DELAY`] exceeds the
 /// time for which a status update is valid.
 const JOIN_TIME: Duration = Duration::from_millis(100);
@@ -102,7 +106,14 @@
     sleep(CHECK_DELAY).await;
     shared.crash_checks.end(at, key);
 
-    let found = examine(&shared, key, &entry).await;
+    let mut found = examine(&shared, key, &entry).await;
+    if found == Found::Listening {
+        sleep(RESTART_CHECK_DELAY).await;
+        if is_replaced(&shared, &entry) {
+            found = Found::Replaced;
+        }
+    }
+
     let calls = calls.borrow();
     if found.is_crash() {
         let contents: Vec<_> = calls.iter().map(|call| call.content).collect();
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -254,7 +254,8 @@
     place.end(Outcome::Failed);
 
     let crashed = is_down(shared, key).await;
-    if crashed {
+    // Nothing else shows a crash if the process is back by now.
+    if crashed || lost == LostAnswer::Broken {
         attempt.call.check_for_crash(key, &attempt.body);
     }
     SendOutcome::Unknown { reason: lost.reason(), crashed }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -125,7 +125,7 @@
         return Err(Refusal::answer_lost(reason));
     }
     if started.response.status() != StatusCode::OK {
-        return forward_failure(&call, started).await;
+        return forward_failure(&call, &body, started).await;
     }
 
     let began_at = confirm_version(&call.shared, began_at);
@@ -187,7 +187,7 @@
 }
 
 /// Forwards a failure that a target answered instead of a stream.
-async fn forward_failure(call: &Call, started: Started) -> Result<Answer, Refusal> {
+async fn forward_failure(call: &Call, prompt: &[u8], started: Started) -> Result<Answer, Refusal> {
     let (parts, body) = started.response.into_parts();
 
     let hold = call.held.as_ref().and_then(Hold::for_answer);
@@ -202,7 +202,9 @@
         }
         Err(CollectError::Full) => Err(Refusal::answer_lost(held_bytes::FULL)),
         Err(CollectError::Body(_)) => {
+            let key = started.place.key;
             started.place.end(Outcome::Failed);
+            call.check_for_crash(key, prompt);
             Err(Refusal::answer_lost("the answer broke off"))
         }
     }
@@ -250,6 +252,10 @@
                     if let Some(broken) = current.take() {
                         broken.place.end(Outcome::Failed);
                     }
+                    // A target that is only too slow has not crashed.
+                    if !clock::until(call.deadline).is_zero() {
+                        call.check_for_crash(key, &body);
+                    }
                     current = resume(&call, &body, &mut progress, key, reason).await;
 
                     if current.is_none() {
@@ -340,9 +346,6 @@
     while progress.resumes < MAX_RESUMES && !clock::until(call.deadline).is_zero() {
         progress.resumes += 1;
         let down = forward::is_down(&call.shared, key).await;
-        if down {
-            call.check_for_crash(key, body);
-        }
         if call.is_blocked(body) {
             return None;
         }
--- a/crates/entry/src/unary.rs
+++ b/crates/entry/src/unary.rs
@@ -108,6 +108,7 @@
         Err(CollectError::Full) => return Err(held_bytes::FULL),
         Err(CollectError::Body(_)) => {
             place.end(Outcome::Failed);
+            call.check_for_crash(key, &call.body);
             return Err("the answer broke off");
         }
     };
