A crash under two attempts of a request does not quarantine it

What callers would see: in the product's own interface a request is refused as quarantined after one crash if it was running twice at the target, for two programs that send the same text.

Change: an attempt that began before the last crash that counts, at the target that crashed then, was lost in the same crash and adds none.

--- a/crates/policy/src/programs/attempts.rs
+++ b/crates/policy/src/programs/attempts.rs
@@ -11,7 +11,7 @@
 use super::entries::{Entry, OutcomeEntry, RecordedOutcome, TurnEntry};
 use super::journal::Waiter;
 use super::requests::counted_tokens;
-use super::retry::CrashResult;
+use super::retry::{CrashResult, CrashedAttempt};
 use super::state::{ProgramKey, ProgramState, Stage, WorkKind};
 use super::{ProgramAction, Programs, StepContext, refusals};
 use crate::shared_types::{AttemptOutcome, CallId, PlaceOutcome};
@@ -154,10 +154,12 @@
     /// Records that a target crashed while it ran a call. Returns whether the request is now
     /// quarantined.
     fn record_crash(&mut self, cx: &mut StepContext<'_>, id: CallId) -> bool {
-        let digest = self.calls[id].digest;
-        self.calls[id].suspect = true;
+        let call = &mut self.calls[id];
+        call.suspect = true;
+        let attempt = CrashedAttempt { target: call.target, crashes_before: call.crashes_before };
+        let digest = call.digest;
 
-        match self.suspects.record_crash(digest) {
+        match self.suspects.record_crash(digest, attempt) {
             CrashResult::Suspect => false,
             CrashResult::Quarantine => {
                 cx.out.push(ProgramAction::Quarantine { digest });
--- a/crates/policy/src/programs/calls.rs
+++ b/crates/policy/src/programs/calls.rs
@@ -161,6 +161,7 @@
             attempt: None,
             avoid: None,
             suspect: self.suspects.is_suspect(&digest),
+            crashes_before: 0,
             may_have_run: false,
             digest,
             stage_until: None,
--- a/crates/policy/src/programs/retry.rs
+++ b/crates/policy/src/programs/retry.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use camphorwalk_core::hash::{Digest, Map, Set, digest};
+use camphorwalk_core::ids::TargetId;
 
 /// Thousandths of a retry earned by each first attempt, that is, one retry per ten first
 /// attempts.
@@ -63,11 +64,27 @@
     Quarantine,
 }
 
+/// An attempt that was lost because its target crashed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CrashedAttempt {
+    /// The target.
+    pub target: Option<TargetId>,
+    /// The crashes of the request (see [`Suspects::crashes`]) when the attempt began.
+    pub crashes_before: u8,
+}
+
+/// The crashes of a suspect.
+#[derive(Clone, Copy, Debug)]
+struct CountedCrashes {
+    count: u8,
+    /// The target that crashed last.
+    last: Option<TargetId>,
+}
+
 /// Requests that were running when a target crashed.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
-    /// The number of crashes of each suspect.
-    crashes: Map<Digest, u8>,
+    crashes: Map<Digest, CountedCrashes>,
     /// Suspects, the oldest first.
     order: VecDeque<Digest>,
     /// Quarantined requests.
@@ -82,6 +99,11 @@
         self.crashes.contains_key(request)
     }
 
+    /// Returns the number of crashes that count against a request.
+    pub fn crashes(&self, request: &Digest) -> u8 {
+        self.crashes.get(request).map_or(0, |crashes| crashes.count)
+    }
+
     /// Returns whether a request is quarantined.
     pub fn is_quarantined(&self, request: &Digest) -> bool {
         self.quarantined.contains(request)
@@ -89,12 +111,18 @@
 
     /// Counts a crash of a target while it ran this request. Of several requests that were
     /// running only one caused the crash. The others are cleared by their second attempt, which
-    /// each makes alone at its target.
-    pub fn record_crash(&mut self, request: Digest) -> CrashResult {
-        let crashes = self.crashes.entry(request).or_default();
-        *crashes += 1;
+    /// each makes alone at its target. Of several attempts of one request that were running, only
+    /// the first counts: the others were lost in the same crash.
+    pub fn record_crash(&mut self, request: Digest, attempt: CrashedAttempt) -> CrashResult {
+        let CrashedAttempt { target, crashes_before } = attempt;
+        let new = CountedCrashes { count: 0, last: None };
+        let crashes = self.crashes.entry(request).or_insert(new);
+        if crashes.count > crashes_before && crashes.last == target {
+            return CrashResult::Suspect;
+        }
+        *crashes = CountedCrashes { count: crashes.count + 1, last: target };
 
-        if *crashes >= QUARANTINE_CRASHES {
+        if crashes.count >= QUARANTINE_CRASHES {
             self.clear(&request);
             self.quarantine(request);
             return CrashResult::Quarantine;
--- a/crates/policy/src/programs/state.rs
+++ b/crates/policy/src/programs/state.rs
@@ -347,6 +347,8 @@
     pub avoid: Option<TargetId>,
     /// Whether a target crashed while running this request.
     pub suspect: bool,
+    /// The crashes that counted against the request when the call last asked for a place.
+    pub crashes_before: u8,
     /// Whether an attempt failed or was lost, so that the call can no longer be reported as not
     /// run.
     pub may_have_run: bool,
--- a/crates/policy/src/programs/steps.rs
+++ b/crates/policy/src/programs/steps.rs
@@ -60,6 +60,8 @@
     /// Requests a place at a target.
     fn request_place(&mut self, cx: &mut StepContext<'_>, id: CallId) {
         self.set_stage(cx, id, Stage::AwaitingPlace, None);
+        let crashes_before = self.suspects.crashes(&self.calls[id].digest);
+        self.calls[id].crashes_before = crashes_before;
         let call = &self.calls[id];
         let program = &self.programs[call.program];
 
--- a/crates/policy/tests/programs_home/fixture.rs
+++ b/crates/policy/tests/programs_home/fixture.rs
@@ -201,6 +201,8 @@
     pub requests: Vec<PlatformOp>,
     /// While set, rate checks and requests for places are not answered.
     pub hold_places: bool,
+    /// The target of all places; without it each is at another target.
+    pub only_target: Option<TargetId>,
     /// The epoch and row version of the partition's lease.
     pub lease: (Epoch, RowVersion),
     host: HostId,
@@ -231,6 +233,7 @@
             hanging: Vec::new(),
             requests: Vec::new(),
             hold_places: false,
+            only_target: None,
             lease: (Epoch(0), RowVersion(0)),
             host,
             requests_made: 0,
@@ -282,7 +285,7 @@
             }
             ProgramAction::Place { call, request } => {
                 self.placed.push(request);
-                let target = TargetId(self.placed.len() as u64);
+                let target = self.only_target.unwrap_or(TargetId(self.placed.len() as u64));
                 return (!self.hold_places).then_some(ProgramEvent::Placed { call, target });
             }
             ProgramAction::Platform { op, request } => {
--- a/crates/policy/tests/programs_home/retries.rs
+++ b/crates/policy/tests/programs_home/retries.rs
@@ -1,7 +1,7 @@
 //! Retries of model turns, and requests that crash targets.
 
 use camphorwalk_core::calls::{CallRequest, Code, Executed, Request};
-use camphorwalk_core::ids::ProgramId;
+use camphorwalk_core::ids::{ProgramId, TargetId};
 use camphorwalk_policy::programs::ProgramEvent;
 use camphorwalk_policy::shared_types::AttemptOutcome;
 
@@ -123,6 +123,28 @@
     assert!(home.quarantined.is_empty());
 }
 
+/// Guards against a request that is quarantined after one crash because it was running twice at
+/// the target that crashed.
+#[test]
+fn a_crash_under_two_attempts_of_a_request_counts_once() {
+    let platform = &mut Platform::new();
+    let mut home = HomeHost::with_program(platform, 1);
+    home.send(platform, open(ProgramId(8)));
+    home.only_target = Some(TargetId(5));
+    for program in [PROGRAM, ProgramId(8)] {
+        let first = call_request("model", "k1", 0);
+        home.send(platform, Request::Call(CallRequest { program, ..first }));
+    }
+    let attempts: Vec<_> = home.dispatches.iter().map(|dispatch| dispatch.attempt).collect();
+    assert_eq!(attempts.len(), 2);
+
+    for attempt in attempts {
+        home.process(platform, ProgramEvent::Ended { attempt, outcome: connection_lost(true) });
+    }
+
+    assert!(home.quarantined.is_empty());
+}
+
 /// A quarantine announced by another host applies on this host too.
 #[test]
 fn a_quarantine_of_another_host_applies_here() {
