Answers without an end are cut off by limits of our own

Cause: the body of a refusal was read without a limit in bytes, and that of a failure on a streaming route with usize::MAX; heads, interim heads and framing were bounded by the HTTP library's defaults alone; each chunk of a whole body was kept by itself; and a target that was refused by counted as sound.

Change: the bytes that are read from a target and not taken as a piece of a body have an allowance, bodies have limits by kind, and what exceeds them closes the connection and counts as a failure.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -9,13 +9,16 @@
 use camphorwalk_core::hash::Map;
 use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::placement::TargetKey;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::read_limit::{Allowance, LimitedStream, MAX_HEAD_BYTES, MAX_HEADERS, TargetBody};
 
 /// How long connecting may take. Zones are a millisecond apart. A target behind a partition does
 /// not answer at all, and the call should then go to another one soon.
@@ -40,12 +43,30 @@
 
 /// A connection in use. Dropping it closes it, which makes the target stop its work.
 pub struct Connection {
-    /// The sending half.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
+}
+
+impl Connection {
+    /// Sends a request, and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<TargetBody>, TrySendError<Request<Full<Bytes>>>> {
+        self.allowance.reset();
+        let response = self.sender.try_send_request(req).await?;
+
+        Ok(response.map(|body| TargetBody::new(body, self.allowance.clone())))
+    }
+
+    /// Returns whether the target has sent more than an answer may have.
+    pub(crate) fn is_flooded(&self) -> bool {
+        self.allowance.is_used_up()
+    }
 }
 
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     expires_at: Instant,
 }
 
@@ -66,9 +87,9 @@
         let queue = idle.get_mut(&key)?;
         let now = clock::now();
 
-        while let Some(Idle { sender, expires_at }) = queue.pop_front() {
-            if now < expires_at && sender.is_ready() {
-                return Some(Connection { sender });
+        while let Some(Idle { connection, expires_at }) = queue.pop_front() {
+            if now < expires_at && connection.sender.is_ready() {
+                return Some(connection);
             }
         }
 
@@ -95,10 +116,7 @@
         let mut idle = self.idle.borrow_mut();
         let queue = idle.entry(key).or_default();
         if queue.len() < MAX_IDLE {
-            queue.push_back(Idle {
-                sender: connection.sender,
-                expires_at: clock::now() + keep_alive,
-            });
+            queue.push_back(Idle { connection, expires_at: clock::now() + keep_alive });
         }
     }
 
@@ -131,7 +149,11 @@
     };
     set_socket_options(&stream);
 
+    let allowance = Allowance::default();
+    let stream = LimitedStream::new(stream, allowance.clone());
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| ConnectError::Broken)?;
@@ -143,7 +165,7 @@
         }
     });
 
-    Ok(Connection { sender })
+    Ok(Connection { sender, allowance })
 }
 
 /// Sets the socket options that make an unresponsive peer noticeable.
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -15,7 +15,7 @@
 
 /// The maximum size of an event. A target that sends more without ending the event is
 /// malfunctioning.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Splits the bytes of a stream into events.
 ///
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -8,23 +8,30 @@
 use camphorwalk_policy::entry::placement::{Outcome, SendCheck, TargetKey};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::call::Call;
 use crate::clock;
 use crate::connections::{self, ConnectError, Connection};
 use crate::host::Shared;
-use crate::places::Place;
+use crate::places::{self, Place};
+use crate::read_limit::{BodyError, ENDLESS, TargetBody};
 
 /// An answer of which the head was received, and the body is still to come.
 pub(crate) struct Started {
-    pub(crate) response: Response<Incoming>,
+    pub(crate) response: Response<TargetBody>,
     pub(crate) head: AnswerHead,
     pub(crate) connection: Connection,
     pub(crate) place: Place,
 }
 
+impl Started {
+    /// Limits the body as that of a stream.
+    pub(crate) fn into_stream(self) -> Self {
+        Self { response: self.response.map(TargetBody::into_stream), ..self }
+    }
+}
+
 /// The outcome of sending a call.
 pub(crate) enum SendOutcome {
     /// The target has begun to answer.
@@ -122,7 +129,7 @@
     /// The request was not sent.
     Unsent,
     /// The head of an answer was received.
-    Answered(Response<Incoming>, Connection),
+    Answered(Response<TargetBody>, Connection),
     /// The request was sent, but no valid head was received in time.
     Lost(LostAnswer),
 }
@@ -132,6 +139,8 @@
 enum LostAnswer {
     /// It is not valid HTTP.
     Invalid,
+    /// Its head has no end.
+    Endless,
     /// The connection broke.
     Broken,
     /// None came in time.
@@ -142,6 +151,7 @@
     fn reason(self) -> &'static str {
         match self {
             Self::Invalid => "the target's answer makes no sense",
+            Self::Endless => ENDLESS,
             Self::Broken => "the connection broke",
             Self::Silent => "the target fell silent",
         }
@@ -165,13 +175,14 @@
     }
 
     call.record_sent();
-    match timeout(attempt.head_timeout, connection.sender.try_send_request(req)).await {
+    match timeout(attempt.head_timeout, connection.send(req)).await {
         Ok(Ok(response)) => Exchange::Answered(response, connection),
         Ok(Err(mut e)) => match e.take_message() {
             Some(_) => {
                 call.record_not_run();
                 Exchange::Unsent
             }
+            None if connection.is_flooded() => Exchange::Lost(LostAnswer::Endless),
             None if e.error().is_parse() => Exchange::Lost(LostAnswer::Invalid),
             None => Exchange::Lost(LostAnswer::Broken),
         },
@@ -183,7 +194,7 @@
 fn classify(
     attempt: &CallAttempt<'_>,
     place: Place,
-    response: Response<Incoming>,
+    response: Response<TargetBody>,
     connection: Connection,
 ) -> SendOutcome {
     let request_id = &attempt.call.head.request_id;
@@ -229,7 +240,7 @@
 fn drain(
     attempt: &CallAttempt<'_>,
     key: TargetKey,
-    response: Response<Incoming>,
+    response: Response<TargetBody>,
     connection: Connection,
     keep: Option<Duration>,
 ) {
@@ -240,9 +251,12 @@
     let Some(keep) = keep else { return };
 
     tokio::task::spawn_local(async move {
-        let body = http_body_util::BodyExt::collect(response.into_body());
-        if matches!(timeout(LIMIT, body).await, Ok(Ok(_))) {
-            shared.connections.put_back(key, connection, Some(keep)).await;
+        let body = response.into_body().into_refusal();
+        match timeout(LIMIT, http_body_util::BodyExt::collect(body)).await {
+            Ok(Ok(_)) => shared.connections.put_back(key, connection, Some(keep)).await,
+            Ok(Err(BodyError::Endless)) => places::record_failure(&shared, key, ENDLESS),
+            // The connection broke, or the body comes slowly.
+            Ok(Err(BodyError::Broken(_))) | Err(_) => {}
         }
     });
 }
--- a/crates/entry/src/held_bytes.rs
+++ b/crates/entry/src/held_bytes.rs
@@ -4,6 +4,7 @@
 //! [`Hold`], whose drop releases them, whichever party disappears.
 
 use std::cell::RefCell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use camphorwalk_policy::entry::held_bytes::{Direction, HeldBytes, HoldDecision, ReservationKey};
 use http::{Extensions, HeaderMap, header};
 use http_body_util::{BodyExt as _, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::{Body, Incoming};
 use prometheus::IntGauge;
 use tokio::sync::Notify;
 use tracing::info;
@@ -24,6 +25,7 @@
 use crate::clock;
 use crate::host::Shared;
 use crate::metrics::Metrics;
+use crate::read_limit::{BodyError, TargetBody};
 
 /// Retry-After of a request for which there is no room: callers that take a part of their answers
 /// within this time make room, and those that do not are given up soon after.
@@ -334,9 +336,9 @@
 }
 
 /// Why a body was not received.
-pub(crate) enum CollectError {
+pub(crate) enum CollectError<E> {
     /// The body is too long, or the connection broke.
-    Body(Box<dyn std::error::Error + Send + Sync>),
+    Body(E),
     /// There is no room for it.
     Full,
 }
@@ -346,7 +348,7 @@
 pub(crate) async fn collect_request(
     body: Limited<Incoming>,
     hold: Option<&Hold>,
-) -> Result<Bytes, CollectError> {
+) -> Result<Bytes, CollectError<Box<dyn std::error::Error + Send + Sync>>> {
     match hold {
         None => collect(body).await,
         Some(hold) => collect_held(body, hold, 0, Duration::ZERO).await,
@@ -357,9 +359,9 @@
 /// length is declared, reading begins when there is room for all of it, so that answers which are
 /// received at the same time do not keep each other from being complete.
 pub(crate) async fn collect_answer(
-    body: Limited<Incoming>,
+    body: TargetBody,
     hold: Option<&Hold>,
-) -> Result<Bytes, CollectError> {
+) -> Result<Bytes, CollectError<BodyError>> {
     let Some(hold) = hold else { return collect(body).await };
     let declared = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
     let declared = declared.unwrap_or(0);
@@ -374,19 +376,27 @@
     collected
 }
 
-async fn collect(body: Limited<Incoming>) -> Result<Bytes, CollectError> {
-    body.collect().await.map(|body| body.to_bytes()).map_err(CollectError::Body)
+async fn collect<B: Body<Data = Bytes>>(body: B) -> Result<Bytes, CollectError<B::Error>> {
+    let mut body = pin!(body);
+    let mut collected = Collected::default();
+
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(CollectError::Body)?.into_data() else { continue };
+        collected.push(data);
+    }
+
+    Ok(collected.into_bytes())
 }
 
 /// Receives a whole body, of which `reserved` bytes are reserved already. Waits for room for more up
 /// to `max_wait`, without reading meanwhile.
-async fn collect_held(
-    mut body: Limited<Incoming>,
+async fn collect_held<B: Body<Data = Bytes> + Unpin>(
+    mut body: B,
     hold: &Hold,
     mut reserved: usize,
     max_wait: Duration,
-) -> Result<Bytes, CollectError> {
-    let mut pieces = Vec::new();
+) -> Result<Bytes, CollectError<B::Error>> {
+    let mut collected = Collected::default();
 
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(CollectError::Body)?.into_data() else { continue };
@@ -395,13 +405,37 @@
         if !hold.reserve_until(missing, clock::now() + max_wait).await {
             return Err(CollectError::Full);
         }
-        pieces.push(data);
+        collected.push(data);
     }
 
-    if pieces.len() == 1 {
-        return Ok(pieces.remove(0));
+    Ok(collected.into_bytes())
+}
+
+/// A body as far as it has been received. Its pieces are copied together, since each piece by itself
+/// takes far more memory than its length if a body comes in chunks of a few bytes.
+#[derive(Default)]
+struct Collected {
+    /// The only piece, which mostly is the whole body.
+    first: Bytes,
+    bytes: BytesMut,
+}
+
+impl Collected {
+    fn push(&mut self, piece: Bytes) {
+        if self.first.is_empty() && self.bytes.is_empty() {
+            self.first = piece;
+            return;
+        }
+
+        let first = std::mem::take(&mut self.first);
+        self.bytes.extend_from_slice(&first);
+        self.bytes.extend_from_slice(&piece);
+    }
+
+    fn into_bytes(self) -> Bytes {
+        match self.bytes.is_empty() {
+            true => self.first,
+            false => self.bytes.freeze(),
+        }
     }
-    let mut bytes = BytesMut::with_capacity(pieces.iter().map(Bytes::len).sum());
-    pieces.iter().for_each(|piece| bytes.extend_from_slice(piece));
-    Ok(bytes.freeze())
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod preferred;
 mod probes;
 mod queries;
+mod read_limit;
 mod registry;
 mod retention;
 mod slow_heads;
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -221,18 +221,33 @@
         self.is_ended = true;
         let ejected =
             self.shared.targets.borrow_mut().record_outcome(clock::now(), self.key, outcome);
-
         if ejected {
-            let targets = self.shared.targets.borrow();
-            let id = targets.get(self.key).map(|t| &*t.entry.id);
-            info!(target_id = id, "place: target ejected after failures");
-            self.shared.metrics.ejections.inc();
+            log_ejection(&self.shared, self.key);
         }
 
         assign_places(&self.shared, &self.service);
     }
 }
 
+/// Counts a failure of a target that was noticed after the place of the call had ended.
+pub(crate) fn record_failure(shared: &Shared, key: TargetKey, reason: &str) {
+    let ejected = shared.targets.borrow_mut().record_failure(clock::now(), key);
+    let id = shared.targets.borrow().get(key).map(|target| target.entry.id.clone());
+
+    info!(target_id = id.as_deref(), reason, "place: target failed after its answer");
+    if ejected {
+        log_ejection(shared, key);
+    }
+}
+
+fn log_ejection(shared: &Shared, key: TargetKey) {
+    let targets = shared.targets.borrow();
+    let id = targets.get(key).map(|target| &*target.entry.id);
+
+    info!(target_id = id, "place: target ejected after failures");
+    shared.metrics.ejections.inc();
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         if !self.is_ended {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -7,7 +7,7 @@
 use camphorwalk_adapter::head;
 use camphorwalk_policy::entry::placement::{Outcome, TargetKey};
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::BodyExt as _;
 use tokio::time::timeout;
 use tracing::info;
 
@@ -20,6 +20,7 @@
 use crate::held_bytes::{CollectError, Hold};
 use crate::host::Shared;
 use crate::places::{Place, PlaceTarget};
+use crate::read_limit::{BodyError, ENDLESS};
 use crate::turns::Continuation;
 use crate::unary::rejection_reason;
 use crate::{clock, held_bytes, places, stream_origins, turn_storage};
@@ -31,6 +32,9 @@
 /// answer is broken off.
 const MAX_RESUMES: u32 = 3;
 
+/// The maximum size of the output of a turn that is stored. The host keeps it until the stream ends.
+const MAX_KEPT_OUTPUT_BYTES: usize = 256 << 10;
+
 /// Retry-After of a turn that none of the [`MAX_OFFERS`] targets that were tried has run: about the
 /// time until a target has a free place.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -60,6 +64,8 @@
     End,
     /// A failure.
     Broken(&'static str),
+    /// Bytes without an end.
+    Endless,
 }
 
 /// Sends a turn to targets until one of them answers, and then forwards its events as they arrive.
@@ -191,7 +197,6 @@
     let (parts, body) = started.response.into_parts();
 
     let hold = call.held.as_ref().and_then(Hold::for_answer);
-    let body = Limited::new(body, usize::MAX);
     match held_bytes::collect_answer(body, hold.as_ref()).await {
         Ok(body) => {
             started.place.complete();
@@ -201,7 +206,11 @@
             Ok(answer)
         }
         Err(CollectError::Full) => Err(Refusal::answer_lost(held_bytes::FULL)),
-        Err(CollectError::Body(_)) => {
+        Err(CollectError::Body(BodyError::Endless)) => {
+            started.place.end(Outcome::Failed);
+            Err(Refusal::answer_lost(ENDLESS))
+        }
+        Err(CollectError::Body(BodyError::Broken(_))) => {
             let key = started.place.key;
             started.place.end(Outcome::Failed);
             call.check_for_crash(key, prompt);
@@ -229,7 +238,7 @@
         offers,
         resumes: 0,
     };
-    let mut current = Some(begun.started);
+    let mut current = Some(begun.started.into_stream());
     let mut parser = EventParser::default();
 
     async_stream::stream! {
@@ -243,31 +252,36 @@
                 reservation.record_used(progress.events * call.tokens_per_event());
             }
 
-            match next {
-                StreamItem::Events(bytes) => yield Ok(bytes),
+            let (reason, may_go_on) = match next {
+                StreamItem::Events(bytes) => {
+                    yield Ok(bytes);
+                    continue;
+                }
                 StreamItem::End => break,
-                StreamItem::Broken(reason) => {
-                    parser.reset();
-                    let key = started.place.key;
-                    if let Some(broken) = current.take() {
-                        broken.place.end(Outcome::Failed);
-                    }
-                    // A target that is only too slow has not crashed.
-                    if !clock::until(call.deadline).is_zero() {
-                        call.check_for_crash(key, &body);
-                    }
-                    current = resume(&call, &body, &mut progress, key, reason).await;
-
-                    if current.is_none() {
-                        info!(
-                            request = %call.head.request_id, events = progress.events, reason,
-                            took_ms = clock::now().since(call.received_at).as_millis() as u64,
-                            "call: stream broke off"
-                        );
-                        yield Err(BrokenBody(reason));
-                        return;
-                    }
+                StreamItem::Broken(reason) => (reason, true),
+                StreamItem::Endless => (ENDLESS, false),
+            };
+            parser.reset();
+            let key = started.place.key;
+            if let Some(broken) = current.take() {
+                broken.place.end(Outcome::Failed);
+            }
+            if may_go_on {
+                // A target that is only too slow has not crashed.
+                if !clock::until(call.deadline).is_zero() {
+                    call.check_for_crash(key, &body);
                 }
+                current = resume(&call, &body, &mut progress, key, reason).await;
+            }
+
+            if current.is_none() {
+                info!(
+                    request = %call.head.request_id, events = progress.events, reason,
+                    took_ms = clock::now().since(call.received_at).as_millis() as u64,
+                    "call: stream broke off"
+                );
+                yield Err(BrokenBody(reason));
+                return;
             }
         }
 
@@ -295,7 +309,10 @@
                 return StreamItem::Broken("the stream ended within an event");
             }
             None => return StreamItem::End,
-            Some(Err(_)) => return StreamItem::Broken("the target broke the stream off"),
+            Some(Err(BodyError::Endless)) => return StreamItem::Endless,
+            Some(Err(BodyError::Broken(_))) => {
+                return StreamItem::Broken("the target broke the stream off");
+            }
             Some(Ok(frame)) => match frame.into_data() {
                 Ok(data) => data,
                 Err(_) => continue,
@@ -303,7 +320,7 @@
         };
         parser.push(&data);
         if parser.is_overlong() {
-            return StreamItem::Broken("an event without an end");
+            return StreamItem::Endless;
         }
 
         let mut bytes = BytesMut::new();
@@ -318,6 +335,9 @@
             if progress.is_stored {
                 progress.output.extend_from_slice(&event.data);
                 progress.output.push(b'\n');
+                if progress.output.len() > MAX_KEPT_OUTPUT_BYTES {
+                    return StreamItem::Endless;
+                }
             }
             bytes.extend_from_slice(&event.bytes);
         }
@@ -372,7 +392,7 @@
             if started.response.status() == StatusCode::OK
                 && rejection_reason(started.response.status(), &started.head).is_none()
             {
-                return Some(*started);
+                return Some(started.into_stream());
             }
             started.place.end(Outcome::Failed);
         }
--- a/crates/entry/src/unary.rs
+++ b/crates/entry/src/unary.rs
@@ -6,13 +6,13 @@
 use camphorwalk_core::entry::RetryPolicy;
 use camphorwalk_policy::entry::placement::Outcome;
 use http::{Response, StatusCode};
-use http_body_util::Limited;
 use tracing::info;
 
 use crate::answer::{Answer, AnswerBody, Refusal};
 use crate::call::{Call, TargetAnswer};
 use crate::forward::{self, CallAttempt, SendOutcome, Started};
 use crate::held_bytes::{self, CollectError, Hold};
+use crate::read_limit::{BodyError, ENDLESS};
 use crate::{clock, places};
 
 /// The maximum number of targets that are tried for a call. The route's `max_targets` further
@@ -27,9 +27,6 @@
 /// The least time to wait for an answer's head before the call is sent to another target.
 const MIN_HEAD_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// The maximum size of an answer's body.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
-
 /// Retry-After of a call that none of the [`MAX_OFFERS`] targets that were tried has run: about the
 /// duration of one call.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(120);
@@ -102,11 +99,14 @@
     let key = place.key;
 
     let hold = call.held.as_ref().and_then(Hold::for_answer);
-    let body = Limited::new(body, MAX_ANSWER_BYTES);
     let body = match held_bytes::collect_answer(body, hold.as_ref()).await {
         Ok(body) => body,
         Err(CollectError::Full) => return Err(held_bytes::FULL),
-        Err(CollectError::Body(_)) => {
+        Err(CollectError::Body(BodyError::Endless)) => {
+            place.end(Outcome::Failed);
+            return Err(ENDLESS);
+        }
+        Err(CollectError::Body(BodyError::Broken(_))) => {
             place.end(Outcome::Failed);
             call.check_for_crash(key, &call.body);
             return Err("the answer broke off");
--- a/crates/policy/src/entry/placement.rs
+++ b/crates/policy/src/entry/placement.rs
@@ -533,6 +533,12 @@
         }
     }
 
+    /// Records a failure of a target beside the outcomes of its calls. Returns whether the target was
+    /// ejected.
+    pub fn record_failure(&mut self, now: Instant, key: TargetKey) -> bool {
+        self.targets.get_mut(key).is_some_and(|target| target.record_failure(now))
+    }
+
     /// Returns the time until the first ejected target of a service that a request may be sent to
     /// gets calls again.
     pub fn time_to_readmission(
