Budgets are kept for the retention of every route

Cause: the retention of routes that store no turns was not read, and rows of budgets were deleted after the longest of the others. A manifest that removed the route with the longest retention had the same effect.

Change: a route has its retention whether or not it stores turns; the longest one of an earlier manifest holds for its own time after that manifest.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,7 +9,7 @@
 pub use call::{CallHead, PromptPart, TokenCount};
 pub use routing::{
     CallLimits, ColdSpec, EngineSpec, RetryPolicy, Route, Routing, ServiceSpec, TenantSpec,
-    TurnRetention, WeightedService,
+    WeightedService,
 };
 pub use settings::{ColdBounds, EntrySettings, Features, StoreLimits};
 pub use target::{TargetEntry, TargetState};
--- a/crates/core/src/entry/routing.rs
+++ b/crates/core/src/entry/routing.rs
@@ -40,13 +40,6 @@
     pub weight: u32,
 }
 
-/// How a stateful route stores its turns.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TurnRetention {
-    /// How long after its end a turn can still be continued.
-    pub retention: Duration,
-}
-
 /// A route: the calls with one host name and path prefix, and how they are handled.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -73,8 +66,11 @@
     /// Whether calls with the same affinity key should go to the same target, which is then
     /// faster.
     pub sticky: bool,
-    /// Set for a stateful route: its turns are stored, and each turn carries only its new input.
-    pub turn_retention: Option<TurnRetention>,
+    /// Whether the route is stateful: its turns are stored, and each turn carries only its new input.
+    pub stores_turns: bool,
+    /// How long after the end of a turn its program may return, and the turn can be continued if it
+    /// is stored.
+    pub retention: Option<Duration>,
 }
 
 /// Capacity of one engine of a service that generates tokens.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -221,7 +221,7 @@
     /// Returns whether the call continues a stored turn, so that its body is only a part of its
     /// prompt.
     pub(crate) fn continues_turn(&self) -> bool {
-        self.head.previous_turn.is_some() && self.route().turn_retention.is_some()
+        self.head.previous_turn.is_some() && self.route().stores_turns
     }
 
     /// Returns what identifies the call if it is sent again. `prompt` is what targets get of it.
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -19,6 +19,7 @@
 use camphorwalk_policy::entry::placement::Targets;
 use camphorwalk_policy::entry::rates::Rates;
 use camphorwalk_policy::entry::recent::RecentMap;
+use camphorwalk_policy::entry::retention::Retention;
 use camphorwalk_policy::entry::routes::RouteTable;
 use camphorwalk_policy::entry::status_exchange::StatusExchange;
 use camphorwalk_policy::entry::stream_origins::StreamOrigins;
@@ -136,6 +137,7 @@
     /// prompt part.
     pub(crate) conversation_hosts: RefCell<RecentMap<u64, HostId>>,
     pub(crate) stream_origins: RefCell<StreamOrigins>,
+    pub(crate) retention: RefCell<Retention>,
     pub(crate) written_turns: RefCell<retention::WrittenTurns>,
     pub(crate) crashes: RefCell<Crashes>,
     pub(crate) crash_checks: CrashChecks,
@@ -346,6 +348,7 @@
             turns: RefCell::new(TurnCache::new(turn_bytes)),
             conversation_hosts: RefCell::new(RecentMap::new(CONVERSATION_HOSTS_KEPT)),
             stream_origins: RefCell::default(),
+            retention: RefCell::default(),
             written_turns: RefCell::default(),
             crashes: RefCell::default(),
             crash_checks: CrashChecks::default(),
--- a/crates/entry/src/retention.rs
+++ b/crates/entry/src/retention.rs
@@ -13,9 +13,6 @@
 use crate::turns::row_key;
 use crate::{budget, clock, store};
 
-/// How long a program may pause between turns if no route stores turns.
-const DEFAULT_RETENTION: Duration = Duration::from_secs(60);
-
 /// How often expired rows are deleted.
 const SWEEP_PERIOD: Duration = Duration::from_secs(5);
 
@@ -49,8 +46,7 @@
 async fn sweep(shared: &Rc<Shared>) {
     let retention = program_retention(shared);
 
-    // A budget is needed as long as its program may continue, which is as long as the turns of the
-    // program are stored.
+    // A budget is needed as long as its program may return.
     let checked_at = clock::now();
     let expired = shared.budgets.borrow_mut().take_idle(checked_at, retention + ROW_MARGIN);
     for (program, version) in expired {
@@ -103,11 +99,7 @@
     }
 }
 
-/// Returns within which time after a turn a program may return: the longest retention of all routes.
+/// Returns within which time after a turn a program may return.
 pub(crate) fn program_retention(shared: &Shared) -> Duration {
-    let table = shared.routes.borrow();
-    let routes = table.iter().flat_map(|table| table.routing().routes.iter());
-    let longest = routes.filter_map(|route| route.turn_retention).map(|c| c.retention).max();
-
-    longest.unwrap_or(DEFAULT_RETENTION)
+    shared.retention.borrow().longest(clock::now())
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -233,7 +233,7 @@
         began_at: begun.began_at,
         last_event: call.head.last_event,
         events: 0,
-        is_stored: call.route().turn_retention.is_some(),
+        is_stored: call.route().stores_turns,
         output: Vec::new(),
         offers,
         resumes: 0,
--- a/crates/entry/src/turn_storage.rs
+++ b/crates/entry/src/turn_storage.rs
@@ -72,7 +72,7 @@
     continuation: &Continuation,
     output: Vec<u8>,
 ) -> std::result::Result<(), &'static str> {
-    if call.route().turn_retention.is_none() {
+    if !call.route().stores_turns {
         return Ok(());
     }
 
--- a/crates/entry/src/turns.rs
+++ b/crates/entry/src/turns.rs
@@ -65,7 +65,7 @@
 /// target would run the turn for a caller that gives up before its end.
 pub(crate) fn check_can_store(call: &Call) -> Result<(), Refusal> {
     let shared = &call.shared;
-    if call.route().turn_retention.is_none() {
+    if !call.route().stores_turns {
         return Ok(());
     }
     if shared.is_isolated() {
@@ -101,7 +101,7 @@
     };
     let shared = &call.shared;
     let key = TurnKey::new(call.tenant.as_deref().unwrap_or_default(), previous);
-    let retention = call.route().turn_retention.map_or(Duration::ZERO, |config| config.retention);
+    let retention = call.route().retention.unwrap_or_default();
     fetch_conversation(call, key).await;
     let last = read_turn(shared, key).await?.ok_or_else(|| {
         // A caller gives up on a turn that does not exist, so this answer requires certainty.
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -205,6 +205,7 @@
     shared.rates.borrow_mut().configure(clock::now(), &routing.tenants);
     let cold_bounds = shared.settings.cold_bounds;
     shared.targets.borrow_mut().configure_cold(clock::now(), &routing.services, cold_bounds);
+    shared.retention.borrow_mut().adopt(clock::now(), &routing);
     *shared.routes.borrow_mut() = Some(RouteTable::new(Arc::new(routing)));
     *shared.manifest_text.borrow_mut() = text.into();
 }
--- a/crates/policy/src/entry/stream_origins.rs
+++ b/crates/policy/src/entry/stream_origins.rs
@@ -270,7 +270,7 @@
     if !route.retry_policy.is_resumable() {
         return StreamStart::Refuse(ResumeRefusal::NotResumable);
     }
-    if route.turn_retention.is_some() {
+    if route.stores_turns {
         return StreamStart::Refuse(ResumeRefusal::TurnIncomplete);
     }
 
--- a/crates/policy/tests/entry_routes.rs
+++ b/crates/policy/tests/entry_routes.rs
@@ -25,7 +25,8 @@
         rank: 0,
         public: true,
         sticky: false,
-        turn_retention: None,
+        stores_turns: false,
+        retention: None,
     }
 }
 
--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use camphorwalk_core::entry::{RetryPolicy, Route, TurnRetention, WeightedService};
+use camphorwalk_core::entry::{RetryPolicy, Route, WeightedService};
 use camphorwalk_core::hash::Set;
 use camphorwalk_core::ids::HostId;
 use camphorwalk_core::time::Instant;
@@ -120,8 +120,8 @@
         rank: 0,
         public: false,
         sticky: true,
-        turn_retention: stores_turns
-            .then_some(TurnRetention { retention: Duration::from_secs(60) }),
+        stores_turns,
+        retention: Some(Duration::from_secs(60)),
     }
 }
 
