A broken stream goes on neither at a target that left nor at one too many

Cause: the only question was whether the target is down, and a missing entry was taken for an ended process.

Change: the decision is a function of what is known of the target and of the targets that were used.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use camphorwalk_adapter::head::{self, AnswerHead, OutgoingHeaders};
 use camphorwalk_policy::entry::placement::{Outcome, SendCheck, TargetKey};
+use camphorwalk_policy::entry::resumption::ProcessState;
 use http::{Request, Response};
 use http_body_util::Full;
 use tokio::time::timeout;
@@ -42,8 +43,8 @@
     Unknown {
         /// The failure.
         reason: &'static str,
-        /// Whether the target has been removed, or nothing listens at its address any more.
-        crashed: bool,
+        /// What is known of the target's process.
+        process: ProcessState,
     },
 }
 
@@ -213,7 +214,8 @@
     }
     if !head.matches_request {
         place.end(Outcome::Failed);
-        return SendOutcome::Unknown { reason: "the answer is to another call", crashed: false };
+        let process = ProcessState::Running;
+        return SendOutcome::Unknown { reason: "the answer is to another call", process };
     }
 
     SendOutcome::Started(Box::new(Started { response, head, connection, place }))
@@ -261,30 +263,33 @@
     });
 }
 
-/// Classifies a call whose answer was lost, by whether the target is down (see [`is_down`]).
+/// Classifies a call whose answer was lost, by what is known of the target's process.
 async fn classify_lost(attempt: &CallAttempt<'_>, place: Place, lost: LostAnswer) -> SendOutcome {
     let shared = &attempt.call.shared;
     let key = place.key;
     place.end(Outcome::Failed);
 
-    let crashed = is_down(shared, key).await;
+    let process = process_state(shared, key).await;
     // Nothing else shows a crash if the process is back by now.
-    if crashed || lost == LostAnswer::Broken {
+    if process == ProcessState::Ended || lost == LostAnswer::Broken {
         attempt.call.check_for_crash(key, &attempt.body);
     }
-    SendOutcome::Unknown { reason: lost.reason(), crashed }
+    SendOutcome::Unknown { reason: lost.reason(), process }
 }
 
-/// Returns whether a target has been removed or nothing listens at its address.
-pub(crate) async fn is_down(shared: &Rc<Shared>, key: TargetKey) -> bool {
-    let Some(address) = shared.targets.borrow().address(key) else { return true };
+/// Determines whether the process of a target still runs, by connecting to it.
+pub(crate) async fn process_state(shared: &Rc<Shared>, key: TargetKey) -> ProcessState {
+    let Some(address) = shared.targets.borrow().address(key) else {
+        return ProcessState::Unlisted;
+    };
 
     shared.metrics.connects.inc();
     match connections::connect(address).await {
         Ok(connection) => {
             shared.connections.put_back(key, connection, None).await;
-            false
+            ProcessState::Running
         }
-        Err(e) => e == ConnectError::Refused,
+        Err(ConnectError::Refused) => ProcessState::Ended,
+        Err(ConnectError::Silent | ConnectError::Broken) => ProcessState::Running,
     }
 }
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -175,6 +175,11 @@
         self.events += events;
     }
 
+    /// Returns when the place was taken.
+    pub(crate) fn taken_at(&self) -> Instant {
+        self.taken_at
+    }
+
     /// Returns whether the call may be sent now. The target may have been evacuated or have turned
     /// cold since the place was taken.
     pub(crate) fn check_send(&self) -> SendCheck {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -5,7 +5,11 @@
 
 use bytes::{Bytes, BytesMut};
 use camphorwalk_adapter::head;
+use camphorwalk_core::time::Instant;
 use camphorwalk_policy::entry::placement::{Outcome, TargetKey};
+use camphorwalk_policy::entry::resumption::{
+    self, BrokenAt, ProcessState, Resumption, TargetsUsed,
+};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt as _;
 use tokio::time::timeout;
@@ -54,6 +58,8 @@
     /// The number of targets that were tried, up to and including the one that started the stream.
     offers: u32,
     resumes: u32,
+    /// The number of targets that run or ran the call, without those that have ended.
+    targets_used: u32,
 }
 
 /// What a stream produces next.
@@ -108,8 +114,8 @@
                 call.shared.metrics.resends.with_label_values(&[reason]).inc();
                 info!(request = %call.head.request_id, offers, reason, "call: target did not run it");
             }
-            SendOutcome::Unknown { reason, crashed } => {
-                if !may_restart(&call, &body, crashed) {
+            SendOutcome::Unknown { reason, process } => {
+                if !may_restart(&call, &body, process) {
                     return Err(Refusal::answer_lost(reason));
                 }
                 call.shared.metrics.resends.with_label_values(&[reason]).inc();
@@ -169,10 +175,12 @@
 }
 
 /// Returns whether a stream of which nothing was received may start again at another target
-/// although a target may have run the call. The stream must be resumable, the target must be down,
+/// although a target may have run the call. The stream must be resumable, the target must have ended,
 /// and the call must not be blocked because it crashed too many targets.
-fn may_restart(call: &Call, body: &Bytes, crashed: bool) -> bool {
-    call.route().retry_policy.is_resumable() && crashed && !call.is_blocked(body)
+fn may_restart(call: &Call, body: &Bytes, process: ProcessState) -> bool {
+    call.route().retry_policy.is_resumable()
+        && process == ProcessState::Ended
+        && !call.is_blocked(body)
 }
 
 /// An answer that has begun, and the target that began it.
@@ -237,6 +245,7 @@
         output: Vec::new(),
         offers,
         resumes: 0,
+        targets_used: 1,
     };
     let mut current = Some(begun.started.into_stream());
     let mut parser = EventParser::default();
@@ -262,16 +271,16 @@
                 StreamItem::Endless => (ENDLESS, false),
             };
             parser.reset();
-            let key = started.place.key;
+            let last = SentTo::new(&started.place);
             if let Some(broken) = current.take() {
                 broken.place.end(Outcome::Failed);
             }
             if may_go_on {
                 // A target that is only too slow has not crashed.
                 if !clock::until(call.deadline).is_zero() {
-                    call.check_for_crash(key, &body);
+                    call.check_for_crash(last.key, &body);
                 }
-                current = resume(&call, &body, &mut progress, key, reason).await;
+                current = resume(&call, &body, &mut progress, last, reason).await;
             }
 
             if current.is_none() {
@@ -350,13 +359,13 @@
     }
 }
 
-/// Resumes a broken stream: at another target if the process of the previous one is down or its zone
-/// is evacuated, and otherwise at the same target. Returns `None` if the stream cannot be resumed.
+/// Resumes a broken stream, at the target from which it broke off or another one (see
+/// `camphorwalk_policy::entry::resumption`). Returns `None` if the stream cannot be resumed.
 async fn resume(
     call: &Rc<Call>,
     body: &Bytes,
     progress: &mut Progress,
-    mut key: TargetKey,
+    mut last: SentTo,
     reason: &'static str,
 ) -> Option<Started> {
     if !call.route().retry_policy.is_resumable() {
@@ -365,21 +374,32 @@
 
     while progress.resumes < MAX_RESUMES && !clock::until(call.deadline).is_zero() {
         progress.resumes += 1;
-        let down = forward::is_down(&call.shared, key).await;
+        let process = forward::process_state(&call.shared, last.key).await;
         if call.is_blocked(body) {
             return None;
         }
 
-        let must_move = down || call.shared.targets.borrow().is_evacuated(key);
-        let place = match must_move {
-            false => places::retake(&call.shared, &call.service, key, &call.placement_request()),
-            true => take_at_version(call, &progress.began_at, key).await?,
+        let used = TargetsUsed { count: progress.targets_used, max: call.route().max_targets };
+        let resumption = resumption::decide(last.broken_at(&call.shared, process), used);
+        let place = match resumption {
+            Resumption::SameTarget => {
+                let placement = call.placement_request();
+                places::retake(&call.shared, &call.service, last.key, &placement)
+            }
+            Resumption::OtherTarget => take_at_version(call, &progress.began_at, last.key).await?,
+            Resumption::BreakOff => {
+                info!(request = %call.head.request_id, ?process, reason, "call: may not move on");
+                return None;
+            }
         };
-        key = place.key;
+        if resumption == Resumption::OtherTarget && process != ProcessState::Ended {
+            progress.targets_used += 1;
+        }
+        last = SentTo::new(&place);
         let target = place.target();
         call.shared.metrics.resumptions.with_label_values(&["host"]).inc();
         info!(
-            request = %call.head.request_id, last_event = progress.last_event, down, reason,
+            request = %call.head.request_id, last_event = progress.last_event, ?process, reason,
             began_at = %progress.began_at.id, began_version = progress.began_at.version,
             target_id = %target.id, version = target.version, "call: stream goes on"
         );
@@ -401,6 +421,31 @@
     None
 }
 
+/// The target that a stream was last sent to.
+#[derive(Clone, Copy)]
+struct SentTo {
+    key: TargetKey,
+    at: Instant,
+}
+
+impl SentTo {
+    fn new(place: &Place) -> Self {
+        Self { key: place.key, at: place.taken_at() }
+    }
+
+    /// Describes the target for the decision where the stream goes on.
+    fn broken_at(self, shared: &Shared, process: ProcessState) -> BrokenAt {
+        let targets = shared.targets.borrow();
+
+        BrokenAt {
+            process,
+            is_evacuated: targets.is_evacuated(self.key),
+            is_leaving: targets.get(self.key).is_some_and(|target| target.leaving),
+            sent_ago: clock::now().since(self.at),
+        }
+    }
+}
+
 /// Takes a place at another target of the version that began a stream than `previous`.
 async fn take_at_version(
     call: &Rc<Call>,
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -20,6 +20,7 @@
 pub mod prompts;
 pub mod rates;
 pub mod recent;
+pub mod resumption;
 pub mod retention;
 pub mod routes;
 pub mod shares;
