--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -359,6 +359,9 @@
     let mut call = read_request(shared, req, received_at, open).await?;
     labels.route = call.route().name.clone();
     labels.tenant = call.tenant.clone().unwrap_or_default();
+    if shared.refuses_call_until(call.deadline) {
+        return Err(Refusal::retry_later_jittered("the host is leaving", SHUTDOWN_RETRY_AFTER));
+    }
     admit(&call).await?;
 
     let resolved = stream_origins::resolve(&mut call).await;
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -21,6 +21,7 @@
 use camphorwalk_policy::entry::recent::RecentMap;
 use camphorwalk_policy::entry::retention::Retention;
 use camphorwalk_policy::entry::routes::RouteTable;
+use camphorwalk_policy::entry::shutdown::{self, GRACE_MARGIN};
 use camphorwalk_policy::entry::status_exchange::StatusExchange;
 use camphorwalk_policy::entry::stream_origins::StreamOrigins;
 use camphorwalk_policy::entry::target_table::TargetTable;
@@ -85,21 +86,9 @@
 /// time.
 const MOVE_RETRY_AFTER: Duration = Duration::from_millis(800);
 
-/// How long a host accepts calls after its shutdown began. By then the load balancer sends new
-/// connections elsewhere, unless less than half of the zone's hosts are left. A later call might
-/// still be running when the process ends.
-const ACCEPT_TIME: Duration = Duration::from_millis(3_500);
-
-/// The largest fraction of the grace period for which calls are still accepted, so that the
-/// accepted calls can finish.
-const ACCEPT_TIME_PART: f64 = 0.45;
-
 /// How long a host that shuts down may take to release its leases.
 const MAX_RELEASE_TIME: Duration = Duration::from_secs(1);
 
-/// How long before the end of the grace period a host shuts down even if calls are still running.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
-
 /// The state that all parts of a host share.
 pub(crate) struct Shared {
     pub(crate) settings: EntrySettings,
@@ -265,9 +254,22 @@
     /// Returns whether the shutdown began so long ago that a call that arrives now might still be
     /// running when the process ends.
     pub(crate) fn refuses_new_calls(&self) -> bool {
-        let longest = ACCEPT_TIME.min(self.settings.shutdown_grace.mul_f64(ACCEPT_TIME_PART));
+        let grace = self.settings.shutdown_grace;
+
+        self.leaving_for().is_some_and(|leaving_for| !shutdown::accepts_calls(leaving_for, grace))
+    }
+
+    /// Returns whether a call with this deadline might still be running when the process ends.
+    pub(crate) fn refuses_call_until(&self, deadline: Instant) -> bool {
+        let (grace, left) = (self.settings.shutdown_grace, clock::until(deadline));
+
+        self.leaving_for()
+            .is_some_and(|leaving_for| !shutdown::accepts_call(leaving_for, grace, left))
+    }
 
-        self.shutdown_began.get().is_some_and(|at| clock::now().since(at) > longest)
+    /// Returns how long ago the shutdown began.
+    fn leaving_for(&self) -> Option<Duration> {
+        self.shutdown_began.get().map(|began| clock::now().since(began))
     }
 
     /// Counts a request as open until the guard is dropped.
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -24,6 +24,7 @@
 pub mod retention;
 pub mod routes;
 pub mod shares;
+pub mod shutdown;
 pub mod status_exchange;
 pub mod stream_origins;
 pub mod target_profiles;
