--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -30,8 +30,8 @@
 /// enough for a process that has just started to register itself, and for a poll of the table.
 const RESTART_CHECK_DELAY: Duration = Duration::from_millis(900);
 
-/// Answers that are lost within this time share a check. Shorter than [`CHECK_DELAY`] exceeds the
-/// time for which a status update is valid.
+/// Answers that are lost within this time share a check. Together with the time for which a status
+/// update is valid it must be less than [`CHECK_DELAY`], which begins with the first of them.
 const JOIN_TIME: Duration = Duration::from_millis(100);
 
 /// A call whose answer was lost.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -175,8 +175,8 @@
 }
 
 /// Returns whether a stream of which nothing was received may start again at another target
-/// although a target may have run the call. The stream must be resumable, the target must have ended,
-/// and the call must not be blocked because it crashed too many targets.
+/// although a target may have run the call. The stream must be resumable, the target must have
+/// ended, and the call must not be blocked because it crashed too many targets.
 fn may_restart(call: &Call, body: &Bytes, process: ProcessState) -> bool {
     call.route().retry_policy.is_resumable()
         && process == ProcessState::Ended
